--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,161 @@
+package consensus
+
+// indexedConfiguration is a configuration and the index that brought it.
+type indexedConfiguration struct {
+	index         uint64
+	configuration Configuration
+}
+
+// log holds the entries after the last snapshot in memory.
+type log struct {
+	snapshotIndex uint64
+	snapshotTerm  uint64
+	entries       []Entry
+	// stable is the last index that the owner has synced.
+	stable  uint64
+	commit  uint64
+	applied uint64
+	// configurations is never empty; the last one is in force.
+	configurations []indexedConfiguration
+}
+
+func (l *log) lastIndex() uint64 {
+	return l.snapshotIndex + uint64(len(l.entries))
+}
+
+func (l *log) firstIndex() uint64 {
+	return l.snapshotIndex + 1
+}
+
+// term returns the term at index; false where the index is compacted or ahead.
+func (l *log) term(index uint64) (uint64, bool) {
+	if index == l.snapshotIndex {
+		return l.snapshotTerm, true
+	}
+	if index < l.snapshotIndex || index > l.lastIndex() {
+		return 0, false
+	}
+	return l.entries[index-l.firstIndex()].Term, true
+}
+
+func (l *log) lastTerm() uint64 {
+	term, _ := l.term(l.lastIndex())
+	return term
+}
+
+func (l *log) matches(index, term uint64) bool {
+	own, ok := l.term(index)
+	return ok && own == term
+}
+
+// slice returns entries from..to inclusive, bounded by maxBytes of data (at
+// least one entry).
+func (l *log) slice(from, to uint64, maxBytes int) []Entry {
+	if from < l.firstIndex() {
+		from = l.firstIndex()
+	}
+	if to > l.lastIndex() {
+		to = l.lastIndex()
+	}
+	if from > to {
+		return nil
+	}
+	selected := l.entries[from-l.firstIndex() : to-l.firstIndex()+1]
+	size := 0
+	for position := range selected {
+		size += len(selected[position].Data)
+		if size > maxBytes && position > 0 {
+			selected = selected[:position]
+			break
+		}
+	}
+	return append([]Entry(nil), selected...)
+}
+
+func (l *log) append(entries ...Entry) {
+	for _, entry := range entries {
+		l.entries = append(l.entries, entry)
+		if entry.Configuration != nil {
+			l.configurations = append(l.configurations, indexedConfiguration{entry.Index, *entry.Configuration})
+		}
+	}
+}
+
+// truncateFrom drops index and all after it. Invariant: a committed entry is
+// never dropped.
+func (l *log) truncateFrom(index uint64) {
+	if index <= l.commit {
+		panic("consensus: truncating a committed entry")
+	}
+	l.entries = append([]Entry(nil), l.entries[:index-l.firstIndex()]...)
+	if l.stable >= index {
+		l.stable = index - 1
+	}
+	for len(l.configurations) > 1 && l.configurations[len(l.configurations)-1].index >= index {
+		l.configurations = l.configurations[:len(l.configurations)-1]
+	}
+}
+
+// merge appends what is new in entries, dropping what conflicts with them.
+func (l *log) merge(entries []Entry) {
+	for position, entry := range entries {
+		if entry.Index <= l.snapshotIndex || l.matches(entry.Index, entry.Term) {
+			continue
+		}
+		if entry.Index <= l.lastIndex() {
+			l.truncateFrom(entry.Index)
+		}
+		l.append(entries[position:]...)
+		return
+	}
+}
+
+func (l *log) configuration() Configuration {
+	return l.configurations[len(l.configurations)-1].configuration
+}
+
+func (l *log) configurationIndex() uint64 {
+	return l.configurations[len(l.configurations)-1].index
+}
+
+// configurationAt returns the configuration in force at index.
+func (l *log) configurationAt(index uint64) Configuration {
+	current := l.configurations[0].configuration
+	for _, indexed := range l.configurations {
+		if indexed.index <= index {
+			current = indexed.configuration
+		}
+	}
+	return current
+}
+
+// compact forgets entries up to index, which must be applied.
+func (l *log) compact(index uint64) {
+	if index <= l.snapshotIndex || index > l.applied {
+		return
+	}
+	term, _ := l.term(index)
+	configuration := l.configurationAt(index)
+	kept := []indexedConfiguration{{index, configuration}}
+	for _, indexed := range l.configurations {
+		if indexed.index > index {
+			kept = append(kept, indexed)
+		}
+	}
+	l.entries = append([]Entry(nil), l.entries[index-l.snapshotIndex:]...)
+	l.snapshotIndex = index
+	l.snapshotTerm = term
+	l.configurations = kept
+}
+
+// restore replaces the whole log by a snapshot.
+func (l *log) restore(snapshot Snapshot) {
+	*l = log{
+		snapshotIndex:  snapshot.Index,
+		snapshotTerm:   snapshot.Term,
+		stable:         snapshot.Index,
+		commit:         snapshot.Index,
+		applied:        snapshot.Index,
+		configurations: []indexedConfiguration{{snapshot.Index, snapshot.Configuration}},
+	}
+}
--- /dev/null
+++ b/internal/program/ledger.go
@@ -0,0 +1,458 @@
+package program
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+// Thread is one conversation of a program; the main one is named "".
+type Thread struct {
+	Parent   string `msgpack:"p"`
+	ForkTurn uint64 `msgpack:"f"`
+	Messages int    `msgpack:"m"`
+	Digest   uint64 `msgpack:"d"`
+}
+
+// OpenTurn is the call that is under way.
+type OpenTurn struct {
+	Turn      uint64 `msgpack:"t"`
+	Fence     uint64 `msgpack:"f"`
+	Request   string `msgpack:"r"`
+	Digest    uint64 `msgpack:"d"`
+	Thread    string `msgpack:"h"`
+	Once      bool   `msgpack:"o"`
+	Reserved  int64  `msgpack:"v"`
+	Scheduler string `msgpack:"s"`
+	SinceMs   int64  `msgpack:"n"`
+}
+
+// answered remembers one finished request in 16 bytes.
+type answered struct {
+	Request uint64 `msgpack:"r"`
+	Digest  uint32 `msgpack:"d"`
+	Turn    uint32 `msgpack:"t"`
+}
+
+// Header is the state of one program.
+type Header struct {
+	ID        string             `msgpack:"i" json:"id"`
+	Tenant    string             `msgpack:"t" json:"tenant"`
+	Service   string             `msgpack:"s" json:"service"`
+	Limits    Limits             `msgpack:"l" json:"limits"`
+	Spent     int64              `msgpack:"p" json:"spent_tokens"`
+	Turn      uint64             `msgpack:"n" json:"turn"`
+	Open      *OpenTurn          `msgpack:"o" json:"-"`
+	Threads   map[string]*Thread `msgpack:"h" json:"-"`
+	Answered  []answered         `msgpack:"a" json:"-"`
+	Scheduler string             `msgpack:"w" json:"scheduler"`
+	Engine    string             `msgpack:"e" json:"engine"`
+	CreatedMs int64              `msgpack:"c" json:"created_ms"`
+	LastMs    int64              `msgpack:"m" json:"last_ms"`
+	Ended     bool               `msgpack:"d" json:"ended"`
+	EndReason string             `msgpack:"r" json:"end_reason"`
+}
+
+// Remaining returns the budget that is neither spent nor reserved.
+func (h *Header) Remaining() int64 {
+	left := h.Limits.BudgetTokens - h.Spent
+	if h.Open != nil {
+		left -= h.Open.Reserved
+	}
+	return left
+}
+
+// Ledger is the state of one ledger group.
+type Ledger struct {
+	programs map[string]*Header
+
+	// DisableFence accepts the result of any attempt, and DisableBudget refuses
+	// no call for its budget; for runs that show what each is for (issue 4).
+	DisableFence  bool
+	DisableBudget bool
+	// DisableOnce lets a call that is not repeatable run again.
+	DisableOnce bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{programs: map[string]*Header{}}
+}
+
+// Get returns a program's header for reading.
+func (l *Ledger) Get(id string) (*Header, bool) {
+	header, ok := l.programs[id]
+	return header, ok
+}
+
+// Len returns how many programs the ledger knows.
+func (l *Ledger) Len() int {
+	return len(l.programs)
+}
+
+// IDs returns all program ids in ascending order.
+func (l *Ledger) IDs() []string {
+	ids := make([]string, 0, len(l.programs))
+	for id := range l.programs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Released returns which of the programs given hold no engine memory by right:
+// they have ended, or the ledger has forgotten them.
+func (l *Ledger) Released(ids []string) []string {
+	var released []string
+	for _, id := range ids {
+		header, ok := l.programs[id]
+		if !ok || header.Ended {
+			released = append(released, id)
+		}
+	}
+	return released
+}
+
+// Apply carries out one command. index is its position in the log and becomes
+// the fence of a turn that it grants.
+func (l *Ledger) Apply(index uint64, command Command) (Reply, Effects) {
+	switch {
+	case command.Begin != nil:
+		return l.begin(index, command.NowMs, command.Begin)
+	case command.Commit != nil:
+		return l.commit(command.NowMs, command.Commit)
+	case command.Abort != nil:
+		return l.abort(command.NowMs, command.Abort)
+	case command.End != nil:
+		return l.end(command.NowMs, command.End)
+	case command.Sweep != nil:
+		return l.sweep(command.NowMs, command.Sweep)
+	}
+	return Reply{Error: result.New(result.Internal, "empty command")}, Effects{}
+}
+
+func refuse(code result.Code, format string, arguments ...any) (Reply, Effects) {
+	return Reply{Error: result.New(code, format, arguments...)}, Effects{}
+}
+
+func (l *Ledger) begin(index uint64, nowMs int64, begin *Begin) (Reply, Effects) {
+	header, known := l.programs[begin.Program]
+	if !known {
+		if !begin.Create {
+			return refuse(result.NotFound, "no program %s", begin.Program)
+		}
+		header = &Header{
+			ID: begin.Program, Tenant: begin.Tenant, Service: begin.Service, Limits: begin.Limits,
+			Threads: map[string]*Thread{"": {}}, CreatedMs: nowMs, LastMs: nowMs,
+		}
+	}
+	if header.Tenant != begin.Tenant || header.Service != begin.Service {
+		return refuse(result.ForeignProgram, "program %s is not of tenant %q and service %q", begin.Program, begin.Tenant, begin.Service)
+	}
+	if reply, done := header.answeredBefore(begin); done {
+		return reply, Effects{}
+	}
+	if header.Ended {
+		return refuse(result.ProgramClosed, "program %s ended: %s", begin.Program, header.EndReason)
+	}
+	if header.Open != nil {
+		reply, effects, done := l.resolveOpen(header, nowMs, begin)
+		if done {
+			return reply, effects
+		}
+	}
+	reply, effects := l.grant(index, nowMs, header, begin)
+	if reply.Error == nil {
+		l.programs[begin.Program] = header
+	}
+	return reply, effects
+}
+
+func requestHash(request string) uint64 {
+	return xxhash.Sum64String(request)
+}
+
+// answeredBefore gives the recorded answer to a request that was answered.
+func (h *Header) answeredBefore(begin *Begin) (Reply, bool) {
+	hash := requestHash(begin.Request)
+	for _, previous := range h.Answered {
+		if previous.Request != hash {
+			continue
+		}
+		if previous.Digest != uint32(begin.Digest) {
+			reply, _ := refuse(result.RequestConflict, "request %s was used with other content", begin.Request)
+			return reply, true
+		}
+		return Reply{Answered: uint64(previous.Turn), Ended: h.Ended, Remaining: h.Remaining()}, true
+	}
+	return Reply{}, false
+}
+
+// resolveOpen decides what a new Begin means for the turn that is open. It
+// returns done where the Begin gets no turn.
+func (l *Ledger) resolveOpen(header *Header, nowMs int64, begin *Begin) (Reply, Effects, bool) {
+	open := header.Open
+	same := open.Request == begin.Request
+	if same && open.Digest != begin.Digest {
+		reply, effects := refuse(result.RequestConflict, "request %s is under way with other content", begin.Request)
+		return reply, effects, true
+	}
+	ownRetry := begin.RetryOf != 0 && begin.RetryOf == open.Fence
+	if !ownRetry && !begin.TakeOver {
+		reply, effects := refuse(result.TurnOpen, "turn %d of program %s is open", open.Turn, header.ID)
+		reply.Holder = open.Scheduler
+		reply.Open = open.Request
+		return reply, effects, true
+	}
+	if open.Once && !l.DisableOnce {
+		// Invariant: a call that is not repeatable is sent at most once; its
+		// intent was durable before the send, so a lost attempt may have run.
+		effects := header.closeUnknown(nowMs)
+		if same {
+			reply, _ := refuse(result.OutcomeUnknown, "request %s may have run", begin.Request)
+			return reply, effects, true
+		}
+		// The record of the unknown turn must be written before the next turn,
+		// so the caller of this Begin comes back.
+		reply, _ := refuse(result.TurnOpen, "turn %d was closed with its outcome unknown", header.Turn)
+		return reply, effects, true
+	}
+	lost := open.Reserved
+	if ownRetry {
+		lost = min(begin.LostTokens, open.Reserved)
+	}
+	// Invariant: tokens of lost attempts are charged; what is not known is
+	// charged at its upper bound, the reservation.
+	header.Spent += lost
+	header.Open = nil
+	return Reply{}, Effects{}, false
+}
+
+// closeUnknown closes the open turn with a record that says so.
+func (h *Header) closeUnknown(nowMs int64) Effects {
+	open := h.Open
+	h.Spent += open.Reserved
+	h.Open = nil
+	h.Turn = open.Turn
+	h.remember(open)
+	h.LastMs = nowMs
+	return Effects{Program: h.ID, Write: &TurnRecord{
+		Turn: open.Turn, Thread: open.Thread, Request: open.Request,
+		Code: result.OutcomeUnknown, AtMs: nowMs,
+	}}
+}
+
+func (h *Header) remember(open *OpenTurn) {
+	h.Answered = append(h.Answered, answered{
+		Request: requestHash(open.Request), Digest: uint32(open.Digest), Turn: uint32(open.Turn),
+	})
+}
+
+func (l *Ledger) grant(index uint64, nowMs int64, header *Header, begin *Begin) (Reply, Effects) {
+	if code := header.overLimit(nowMs); code != result.OK {
+		return refuse(code, "program %s is over its limit after %d turns", header.ID, header.Turn)
+	}
+	reserved := begin.NewTokens + begin.MaxTokens
+	if reserved > header.Remaining() && !l.DisableBudget {
+		reply, effects := refuse(result.BudgetExhausted, "call needs up to %d tokens, %d are left", reserved, header.Remaining())
+		reply.Remaining = header.Remaining()
+		return reply, effects
+	}
+	thread, code := header.thread(begin)
+	if code != result.OK {
+		return refuse(code, "no parent thread %q in program %s", begin.Parent, header.ID)
+	}
+	skip, code := thread.skip(begin.PrefixDigests)
+	if code != result.OK {
+		return refuse(code, "the history sent differs from the %d messages of thread %q", thread.Messages, begin.Thread)
+	}
+	header.Threads[begin.Thread] = thread
+	header.Scheduler = begin.Scheduler
+	header.LastMs = nowMs
+	header.Open = &OpenTurn{
+		Turn: header.Turn + 1, Fence: index, Request: begin.Request, Digest: begin.Digest, Thread: begin.Thread,
+		Once: begin.Once, Reserved: reserved, Scheduler: begin.Scheduler, SinceMs: nowMs,
+	}
+	return Reply{
+		Turn: header.Open.Turn, Fence: index, Skip: skip,
+		Lineage: header.lineage(begin.Thread), Remaining: header.Remaining(),
+	}, Effects{}
+}
+
+func (h *Header) overLimit(nowMs int64) result.Code {
+	if h.Limits.MaxTurns > 0 && int64(h.Turn) >= h.Limits.MaxTurns {
+		return result.TurnLimit
+	}
+	if h.Limits.WallMs > 0 && nowMs-h.CreatedMs > h.Limits.WallMs {
+		return result.WallTimeLimit
+	}
+	return result.OK
+}
+
+// thread returns the call's thread, a new one forked from its parent at need.
+func (h *Header) thread(begin *Begin) (*Thread, result.Code) {
+	if thread, ok := h.Threads[begin.Thread]; ok {
+		return thread, result.OK
+	}
+	parent, ok := h.Threads[begin.Parent]
+	if !ok {
+		return nil, result.UnknownThread
+	}
+	return &Thread{Parent: begin.Parent, ForkTurn: h.Turn, Messages: parent.Messages, Digest: parent.Digest}, result.OK
+}
+
+func (t *Thread) skip(prefixDigests []uint64) (int, result.Code) {
+	if prefixDigests == nil {
+		return 0, result.OK
+	}
+	if t.Messages >= len(prefixDigests) || prefixDigests[t.Messages] != t.Digest {
+		return 0, result.HistoryMismatch
+	}
+	return t.Messages, result.OK
+}
+
+// lineage lists the spans whose records make a thread's history, oldest first.
+func (h *Header) lineage(name string) []Span {
+	last := h.Turn
+	var spans []Span
+	for {
+		spans = append(spans, Span{Thread: name, Last: last})
+		thread, ok := h.Threads[name]
+		if name == "" || !ok {
+			slices.Reverse(spans)
+			return spans
+		}
+		last = min(last, thread.ForkTurn)
+		name = thread.Parent
+	}
+}
+
+// Lineage returns the spans of a thread's history; false for no such thread.
+func (h *Header) Lineage(thread string) ([]Span, bool) {
+	if _, ok := h.Threads[thread]; !ok {
+		return nil, false
+	}
+	return h.lineage(thread), true
+}
+
+// openWithFence returns the program if fence is that of its open turn.
+func (l *Ledger) openWithFence(id string, fence uint64) (*Header, bool) {
+	header, ok := l.programs[id]
+	if !ok || header.Open == nil {
+		return nil, false
+	}
+	// Invariant: only the newest attempt of a turn can close it.
+	return header, header.Open.Fence == fence || l.DisableFence
+}
+
+func (l *Ledger) commit(nowMs int64, commit *Commit) (Reply, Effects) {
+	header, ok := l.openWithFence(commit.Program, commit.Fence)
+	if !ok {
+		return refuse(result.StaleFence, "fence %d of program %s is not in force", commit.Fence, commit.Program)
+	}
+	open := header.Open
+	header.Open = nil
+	header.Turn = open.Turn
+	header.Spent += min(commit.NewTokens+commit.Usage.CompletionTokens, open.Reserved)
+	header.LastMs = nowMs
+	header.Engine = commit.Engine
+	header.remember(open)
+	thread := header.Threads[open.Thread]
+	thread.Messages += len(commit.Messages) + 1
+	thread.Digest = ChainDigest(ChainDigest(thread.Digest, commit.Messages...), commit.Answer)
+	if commit.End {
+		header.Ended = true
+		header.EndReason = "caller"
+	}
+	return Reply{Turn: header.Turn, Ended: header.Ended, Remaining: header.Remaining()}, Effects{
+		Program: header.ID,
+		Write: &TurnRecord{
+			Turn: open.Turn, Thread: open.Thread, Request: open.Request, Messages: commit.Messages,
+			Answer: commit.Answer, Usage: commit.Usage, Engine: commit.Engine, AtMs: nowMs,
+		},
+	}
+}
+
+func (l *Ledger) abort(nowMs int64, abort *Abort) (Reply, Effects) {
+	header, ok := l.openWithFence(abort.Program, abort.Fence)
+	if !ok {
+		return refuse(result.StaleFence, "fence %d of program %s is not in force", abort.Fence, abort.Program)
+	}
+	open := header.Open
+	if open.Once && !abort.NotRun {
+		effects := header.closeUnknown(nowMs)
+		return Reply{Turn: header.Turn, Remaining: header.Remaining()}, effects
+	}
+	if !abort.NotRun {
+		header.Spent += min(abort.Tokens, open.Reserved)
+	}
+	header.Open = nil
+	header.LastMs = nowMs
+	return Reply{Turn: header.Turn, Remaining: header.Remaining()}, Effects{}
+}
+
+func (l *Ledger) end(nowMs int64, end *End) (Reply, Effects) {
+	header, ok := l.programs[end.Program]
+	if !ok {
+		return refuse(result.NotFound, "no program %s", end.Program)
+	}
+	if end.Tenant != "" && header.Tenant != end.Tenant {
+		return refuse(result.ForeignProgram, "program %s is not of tenant %q", end.Program, end.Tenant)
+	}
+	if header.Ended {
+		return Reply{Turn: header.Turn, Ended: true, Remaining: header.Remaining()}, Effects{}
+	}
+	effects := header.close(nowMs, end.Reason)
+	return Reply{Turn: header.Turn, Ended: true, Remaining: header.Remaining()}, effects
+}
+
+// close ends the program; a call under way loses its turn.
+func (h *Header) close(nowMs int64, reason string) Effects {
+	var effects Effects
+	if h.Open != nil && h.Open.Once {
+		effects = h.closeUnknown(nowMs)
+	} else if h.Open != nil {
+		h.Spent += h.Open.Reserved
+		h.Open = nil
+	}
+	h.Ended = true
+	h.EndReason = reason
+	h.LastMs = nowMs
+	return effects
+}
+
+// SweepDue reports whether a Sweep now would change anything.
+func (l *Ledger) SweepDue(nowMs, retainMs int64) bool {
+	for _, header := range l.programs {
+		if header.idle(nowMs) || header.forgettable(nowMs, retainMs) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Header) idle(nowMs int64) bool {
+	return !h.Ended && h.Open == nil && h.Limits.IdleMs > 0 && nowMs-h.LastMs > h.Limits.IdleMs
+}
+
+func (h *Header) forgettable(nowMs, retainMs int64) bool {
+	return h.Ended && nowMs-h.LastMs > retainMs
+}
+
+func (l *Ledger) sweep(nowMs int64, sweep *Sweep) (Reply, Effects) {
+	var effects Effects
+	for _, id := range l.IDs() {
+		header := l.programs[id]
+		if header.idle(nowMs) {
+			header.close(nowMs, "idle")
+			continue
+		}
+		if header.forgettable(nowMs, sweep.RetainMs) {
+			effects.Forget = append(effects.Forget, Forgotten{Program: id, LastTurn: header.Turn})
+			delete(l.programs, id)
+		}
+	}
+	return Reply{}, effects
+}
--- /dev/null
+++ b/internal/program/ledger_test.go
@@ -0,0 +1,219 @@
+package program
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+// harness applies commands and keeps what a test must be able to see.
+type harness struct {
+	ledger  *Ledger
+	index   uint64
+	records map[string][]TurnRecord
+	granted map[string]int
+	notRun  map[string]int
+}
+
+func newHarness() *harness {
+	return &harness{ledger: NewLedger(), records: map[string][]TurnRecord{}, granted: map[string]int{}, notRun: map[string]int{}}
+}
+
+func (h *harness) apply(command Command) Reply {
+	h.index++
+	command.NowMs = int64(h.index) * 10
+	reply, effects := h.ledger.Apply(h.index, command)
+	if effects.Write != nil {
+		h.records[effects.Program] = append(h.records[effects.Program], *effects.Write)
+	}
+	return reply
+}
+
+func limits() Limits {
+	return Limits{BudgetTokens: 100, MaxTurns: 8, WallMs: 1 << 40, IdleMs: 1 << 40}
+}
+
+func beginOf(program, request, content string) *Begin {
+	return &Begin{
+		Program: program, Tenant: "t", Service: "s", Request: request, Create: true, Limits: limits(),
+		Digest: ContentDigest("s", "", []Message{{Role: "user", Content: content}}), NewTokens: 2, MaxTokens: 10, Scheduler: "a",
+	}
+}
+
+func commitOf(program string, fence uint64, content string) *Commit {
+	return &Commit{
+		Program: program, Fence: fence, Messages: []Message{{Role: "user", Content: content}},
+		Answer: Message{Role: "assistant", Content: "re " + content}, NewTokens: 2, Usage: Usage{CompletionTokens: 5},
+	}
+}
+
+func TestLedger(t *testing.T) {
+	Convey("a request is answered once, and the same id gives the recorded turn", t, func() {
+		h := newHarness()
+		first := h.apply(Command{Begin: beginOf("p", "r1", "x")})
+		So(first.Error, ShouldBeNil)
+		So(h.apply(Command{Begin: beginOf("p", "r2", "y")}).Error.Code, ShouldEqual, result.TurnOpen)
+		So(h.apply(Command{Commit: commitOf("p", first.Fence, "x")}).Error, ShouldBeNil)
+		So(h.apply(Command{Begin: beginOf("p", "r1", "x")}).Answered, ShouldEqual, first.Turn)
+		So(h.apply(Command{Begin: beginOf("p", "r1", "other")}).Error.Code, ShouldEqual, result.RequestConflict)
+		So(h.apply(Command{Commit: commitOf("p", first.Fence, "x")}).Error.Code, ShouldEqual, result.StaleFence)
+	})
+	Convey("a lost attempt is charged in full and its late commit is refused", t, func() {
+		h := newHarness()
+		first := h.apply(Command{Begin: beginOf("p", "r1", "x")})
+		again := beginOf("p", "r1", "x")
+		again.TakeOver = true
+		second := h.apply(Command{Begin: again})
+		So(second.Error, ShouldBeNil)
+		So(second.Remaining, ShouldEqual, 100-12-12)
+		So(h.apply(Command{Commit: commitOf("p", first.Fence, "x")}).Error.Code, ShouldEqual, result.StaleFence)
+		So(h.apply(Command{Commit: commitOf("p", second.Fence, "x")}).Remaining, ShouldEqual, 100-12-7)
+	})
+	Convey("a call that is not repeatable is never granted twice", t, func() {
+		h := newHarness()
+		once := beginOf("p", "r1", "x")
+		once.Once = true
+		So(h.apply(Command{Begin: once}).Error, ShouldBeNil)
+		again := *once
+		again.TakeOver = true
+		So(h.apply(Command{Begin: &again}).Error.Code, ShouldEqual, result.OutcomeUnknown)
+		So(h.apply(Command{Begin: &again}).Answered, ShouldEqual, 1)
+		So(h.records["p"][0].Code, ShouldEqual, result.OutcomeUnknown)
+	})
+	Convey("a whole history is checked against the ledger's", t, func() {
+		h := newHarness()
+		first := h.apply(Command{Begin: beginOf("p", "r1", "x")})
+		h.apply(Command{Commit: commitOf("p", first.Fence, "x")})
+		sent := []Message{{Role: "user", Content: "x"}, {Role: "assistant", Content: "re x"}, {Role: "user", Content: "y"}}
+		begin := beginOf("p", "r2", "y")
+		begin.PrefixDigests = PrefixDigests(sent)
+		reply := h.apply(Command{Begin: begin})
+		So(reply.Error, ShouldBeNil)
+		So(reply.Skip, ShouldEqual, 2)
+		h.apply(Command{Abort: &Abort{Program: "p", Fence: reply.Fence, NotRun: true}})
+		sent[1].Content = "something else"
+		begin.PrefixDigests = PrefixDigests(sent)
+		So(h.apply(Command{Begin: begin}).Error.Code, ShouldEqual, result.HistoryMismatch)
+	})
+	Convey("a sub-agent sees its parent's history up to the fork and nothing later", t, func() {
+		h := newHarness()
+		first := h.apply(Command{Begin: beginOf("p", "r1", "x")})
+		h.apply(Command{Commit: commitOf("p", first.Fence, "x")})
+		child := beginOf("p", "r2", "child")
+		child.Thread = "bearing"
+		forked := h.apply(Command{Begin: child})
+		h.apply(Command{Commit: commitOf("p", forked.Fence, "child")})
+		second := h.apply(Command{Begin: beginOf("p", "r3", "main")})
+		h.apply(Command{Commit: commitOf("p", second.Fence, "main")})
+		header, _ := h.ledger.Get("p")
+		lineage, _ := header.Lineage("bearing")
+		So(len(Conversation(lineage, h.records["p"])), ShouldEqual, 4)
+		lineage, _ = header.Lineage("")
+		conversation := Conversation(lineage, h.records["p"])
+		So(conversation[2].Content, ShouldEqual, "main")
+		So(ChainDigest(0, conversation...), ShouldEqual, header.Threads[""].Digest)
+		orphan := beginOf("p", "r4", "z")
+		orphan.Thread = "q"
+		orphan.Parent = "nowhere"
+		So(h.apply(Command{Begin: orphan}).Error.Code, ShouldEqual, result.UnknownThread)
+	})
+	Convey("idle programs end and are forgotten later", t, func() {
+		h := newHarness()
+		begin := beginOf("p", "r1", "x")
+		begin.Limits.IdleMs = 50
+		first := h.apply(Command{Begin: begin})
+		h.apply(Command{Commit: commitOf("p", first.Fence, "x")})
+		h.index += 10
+		So(h.ledger.SweepDue(int64(h.index)*10, 1000), ShouldBeTrue)
+		h.apply(Command{Sweep: &Sweep{RetainMs: 1000}})
+		So(h.ledger.Released([]string{"p", "q"}), ShouldResemble, []string{"p", "q"})
+		So(h.apply(Command{Begin: beginOf("p", "r2", "y")}).Error.Code, ShouldEqual, result.ProgramClosed)
+		h.index += 200
+		h.apply(Command{Sweep: &Sweep{RetainMs: 1000}})
+		So(h.ledger.Len(), ShouldEqual, 0)
+	})
+}
+
+// TestAnySequence checks the ledger's invariants after any commands.
+func TestAnySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness()
+		fences := []uint64{0}
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			id := rapid.SampledFrom([]string{"p", "q"}).Draw(t, "program")
+			request := fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "request"))
+			fence := rapid.SampledFrom(fences).Draw(t, "fence")
+			before, existed := h.ledger.Get(id)
+			var turnBefore uint64
+			if existed {
+				turnBefore = before.Turn
+			}
+			switch rapid.IntRange(0, 5).Draw(t, "command") {
+			case 0, 1, 2:
+				begin := beginOf(id, request, "content of "+request)
+				begin.Once = request < "r3"
+				begin.TakeOver = rapid.Bool().Draw(t, "take over")
+				if rapid.Bool().Draw(t, "retry") {
+					begin.RetryOf = fence
+					begin.LostTokens = 3
+				}
+				reply := h.apply(Command{Begin: begin})
+				if reply.Error == nil && reply.Answered == 0 {
+					fences = append(fences, reply.Fence)
+					h.granted[id+request]++
+					if begin.Once && h.granted[id+request] > 1+h.notRun[id+request] {
+						t.Fatalf("%s of %s, not repeatable, was granted %d times", request, id, h.granted[id+request])
+					}
+				}
+			case 3:
+				h.apply(Command{Commit: commitOf(id, fence, "c")})
+			case 4:
+				notRun := rapid.Bool().Draw(t, "not run")
+				header, ok := h.ledger.Get(id)
+				if ok && header.Open != nil && header.Open.Fence == fence && notRun {
+					h.notRun[id+header.Open.Request]++
+				}
+				h.apply(Command{Abort: &Abort{Program: id, Fence: fence, NotRun: notRun, Tokens: 4}})
+			default:
+				if rapid.IntRange(0, 9).Draw(t, "end") == 0 {
+					h.apply(Command{End: &End{Program: id, Tenant: "t"}})
+				}
+			}
+			header, ok := h.ledger.Get(id)
+			if !ok {
+				continue
+			}
+			if header.Remaining() < 0 {
+				t.Fatalf("budget of %s exceeded by %d", id, -header.Remaining())
+			}
+			if header.Turn < turnBefore || header.Turn > turnBefore+1 {
+				t.Fatalf("turn of %s went from %d to %d", id, turnBefore, header.Turn)
+			}
+			lineage, _ := header.Lineage("")
+			if ChainDigest(0, Conversation(lineage, h.records[id])...) != header.Threads[""].Digest {
+				t.Fatalf("records of %s differ from its digest", id)
+			}
+			for position, record := range h.records[id] {
+				if record.Turn != uint64(position+1) {
+					t.Fatalf("record %d of %s has turn %d", position, id, record.Turn)
+				}
+			}
+		}
+		data, err := h.ledger.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		copied := NewLedger()
+		if err := copied.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		again, _ := copied.Snapshot()
+		if string(again) != string(data) {
+			t.Fatal("a restored ledger differs from its snapshot")
+		}
+	})
+}
--- /dev/null
+++ b/internal/program/snapshot.go
@@ -0,0 +1,37 @@
+package program
+
+import (
+	"bytes"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Snapshot encodes the headers in ascending order of id.
+func (l *Ledger) Snapshot() ([]byte, error) {
+	headers := make([]*Header, 0, len(l.programs))
+	for _, id := range l.IDs() {
+		headers = append(headers, l.programs[id])
+	}
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.SetSortMapKeys(true)
+	if err := encoder.Encode(headers); err != nil {
+		return nil, err
+	}
+	return buffer.Bytes(), nil
+}
+
+// Restore replaces the state by a snapshot; empty data gives an empty ledger.
+func (l *Ledger) Restore(data []byte) error {
+	var headers []*Header
+	if len(data) > 0 {
+		if err := msgpack.Unmarshal(data, &headers); err != nil {
+			return err
+		}
+	}
+	l.programs = make(map[string]*Header, len(headers))
+	for _, header := range headers {
+		l.programs[header.ID] = header
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,231 @@
+// Package result defines the numbered result codes that every process of
+// ochrebay uses towards callers, operators and its own peers. Each code states
+// whether the call it answers ran (design section 9). docs/RESULT-CODES.md is
+// the table for people; a test holds the two together.
+package result
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Outcome says what became of the call that an error answers.
+type Outcome string
+
+// The three outcomes an error can state.
+const (
+	// NotRun means that no engine started the call, now or later.
+	NotRun Outcome = "not_run"
+	// Ran means that an engine ran the call.
+	Ran Outcome = "ran"
+	// Unknown means that an engine may have run the call.
+	Unknown Outcome = "unknown"
+)
+
+// Code is the number of a result. Numbers are never reused.
+type Code int
+
+// The codes, grouped by hundreds: 10xx the caller's input, 11xx the program's
+// state, 12xx capacity, 13xx failures inside the fleet, 14xx operators.
+const (
+	OK Code = 0
+
+	MalformedRequest  Code = 1001
+	BodyTooLarge      Code = 1002
+	UnknownService    Code = 1003
+	InvalidHeader     Code = 1004
+	NotFound          Code = 1005
+	HistoryMismatch   Code = 1006
+	RequestConflict   Code = 1007
+	ForeignProgram    Code = 1008
+	MethodNotAllowed  Code = 1009
+	UnknownThread     Code = 1010
+	ProgramClosed     Code = 1101
+	BudgetExhausted   Code = 1102
+	TurnLimit         Code = 1103
+	WallTimeLimit     Code = 1104
+	DeadlinePassed    Code = 1105
+	TurnOpen          Code = 1106
+	StaleFence        Code = 1107
+	Overloaded        Code = 1201
+	TenantLimit       Code = 1202
+	DeadlineTooClose  Code = 1203
+	NoEngine          Code = 1204
+	Draining          Code = 1205
+	NotLeader         Code = 1301
+	NoQuorum          Code = 1302
+	EngineFailed      Code = 1303
+	OutcomeUnknown    Code = 1304
+	Internal          Code = 1305
+	NoScheduler       Code = 1306
+	EngineRefused     Code = 1307
+	Cancelled         Code = 1308
+	SettingsInvalid   Code = 1401
+	SettingsConflict  Code = 1402
+	ChangeNumberReuse Code = 1403
+	StaleOrder        Code = 1404
+	NotInForce        Code = 1405
+)
+
+// Entry describes one code.
+type Entry struct {
+	Code    Code
+	Name    string
+	Outcome Outcome
+	// HTTPStatus is the status sent to callers and operators.
+	HTTPStatus int
+	// RetryAfter is the default time after which coming back is worth it; zero
+	// means that the same request will not succeed later.
+	RetryAfter time.Duration
+	Meaning    string
+}
+
+// Table lists every code in numeric order.
+var Table = []Entry{
+	{MalformedRequest, "malformed_request", NotRun, 400, 0, "The body is not the JSON that the path takes."},
+	{BodyTooLarge, "body_too_large", NotRun, 413, 0, "The body is over the configured limit."},
+	{UnknownService, "unknown_service", NotRun, 404, 0, "The field model names no service in the settings."},
+	{InvalidHeader, "invalid_header", NotRun, 400, 0, "A request header does not parse or is out of range."},
+	{NotFound, "not_found", NotRun, 404, 0, "No such path, program or settings node."},
+	{HistoryMismatch, "history_mismatch", NotRun, 409, 0, "The history sent differs from the ledger's."},
+	{RequestConflict, "request_conflict", NotRun, 409, 0, "The request id was used before with other content."},
+	{ForeignProgram, "foreign_program", NotRun, 403, 0, "The program belongs to another tenant or service."},
+	{MethodNotAllowed, "method_not_allowed", NotRun, 405, 0, "The path does not take this method."},
+	{UnknownThread, "unknown_thread", NotRun, 404, 0, "The parent thread does not exist in this program."},
+	{ProgramClosed, "program_closed", NotRun, 410, 0, "The program has ended."},
+	{BudgetExhausted, "budget_exhausted", NotRun, 402, 0, "The program's token budget does not cover the call."},
+	{TurnLimit, "turn_limit", NotRun, 402, 0, "The program has used all its turns."},
+	{WallTimeLimit, "wall_time_limit", NotRun, 402, 0, "The program has run longer than its service allows."},
+	{DeadlinePassed, "deadline_passed", NotRun, 408, 0, "The call's deadline was past before it started."},
+	{TurnOpen, "turn_open", NotRun, 409, 200 * time.Millisecond, "Another call of the program is under way."},
+	{StaleFence, "stale_fence", Unknown, 409, 0, "A newer attempt owns the turn; this attempt's result was dropped."},
+	{Overloaded, "overloaded", NotRun, 429, time.Second, "The queue is too long for the call to finish in time."},
+	{TenantLimit, "tenant_limit", NotRun, 429, time.Second, "The tenant or service is over its limit."},
+	{DeadlineTooClose, "deadline_too_close", NotRun, 429, time.Second, "The expected finish is after the call's deadline."},
+	{NoEngine, "no_engine", NotRun, 503, 2 * time.Second, "No engine of the service's pool is ready."},
+	{Draining, "draining", NotRun, 503, 500 * time.Millisecond, "The process is stopping and takes no new calls."},
+	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica asked is not the leader of the group."},
+	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm in time."},
+	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; every attempt allowed was used."},
+	{OutcomeUnknown, "outcome_unknown", Unknown, 502, 0, "The call is not repeatable and its engine was lost: it may have run."},
+	{Internal, "internal", Unknown, 500, time.Second, "A fault inside ochrebay; the log has the details."},
+	{NoScheduler, "no_scheduler", NotRun, 503, time.Second, "No scheduler can be reached from the sidecar."},
+	{EngineRefused, "engine_refused", NotRun, 503, 500 * time.Millisecond, "The engine said that it did not start the call."},
+	{Cancelled, "cancelled", Unknown, 499, 0, "The caller went away before the answer was complete."},
+	{SettingsInvalid, "settings_invalid", NotRun, 400, 0, "The change would make the tree invalid; nothing was changed."},
+	{SettingsConflict, "settings_conflict", NotRun, 409, 0, "The node has changed since the version given; the answer shows the winner."},
+	{ChangeNumberReuse, "change_number_reuse", NotRun, 409, 0, "The operator used this change number before with other content."},
+	{StaleOrder, "stale_order", NotRun, 409, 0, "The engine has accepted an order with a higher fence."},
+	{NotInForce, "not_in_force", Ran, 504, 0, "The change is accepted, but not every live daemon reported it in time."},
+}
+
+var entries = func() map[Code]Entry {
+	byCode := make(map[Code]Entry, len(Table))
+	for _, entry := range Table {
+		byCode[entry.Code] = entry
+	}
+	return byCode
+}()
+
+// Describe returns the entry of a code; a code that is not in the table is
+// described as Internal.
+func Describe(code Code) Entry {
+	entry, ok := entries[code]
+	if !ok {
+		return entries[Internal]
+	}
+	return entry
+}
+
+// String returns the code's name.
+func (c Code) String() string {
+	if c == OK {
+		return "ok"
+	}
+	return Describe(c).Name
+}
+
+// Error is the typed error that crosses process boundaries.
+type Error struct {
+	Code         Code    `json:"code" msgpack:"c"`
+	Type         string  `json:"type" msgpack:"-"`
+	Message      string  `json:"message" msgpack:"m"`
+	Outcome      Outcome `json:"outcome" msgpack:"o"`
+	RetryAfterMs int64   `json:"retry_after_ms" msgpack:"r"`
+}
+
+// New returns an error with the code's own outcome and retry time.
+func New(code Code, format string, arguments ...any) *Error {
+	entry := Describe(code)
+	return &Error{
+		Code:         code,
+		Type:         entry.Name,
+		Message:      fmt.Sprintf(format, arguments...),
+		Outcome:      entry.Outcome,
+		RetryAfterMs: entry.RetryAfter.Milliseconds(),
+	}
+}
+
+// WithOutcome returns a copy that states another outcome.
+func (e *Error) WithOutcome(outcome Outcome) *Error {
+	changed := *e
+	changed.Outcome = outcome
+	return &changed
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (e *Error) WithRetryAfter(wait time.Duration) *Error {
+	changed := *e
+	changed.RetryAfterMs = wait.Milliseconds()
+	return &changed
+}
+
+// Error returns name, number and message in one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), e.Message)
+}
+
+// HTTPStatus returns the status that goes with the error.
+func (e *Error) HTTPStatus() int {
+	return Describe(e.Code).HTTPStatus
+}
+
+// Body is the JSON shape of an error answer.
+type Body struct {
+	Error *Error `json:"error"`
+}
+
+// From returns the result carried anywhere in err's chain, and Internal where
+// there is none. A nil err gives nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	for cause := err; cause != nil; {
+		if typed, ok := cause.(*Error); ok {
+			typed.Type = Describe(typed.Code).Name
+			return typed
+		}
+		unwrapped, ok := cause.(interface{ Unwrap() error })
+		if ok {
+			cause = unwrapped.Unwrap()
+			continue
+		}
+		decorated := errorx.Cast(cause)
+		if decorated == nil {
+			break
+		}
+		cause = decorated.Cause()
+	}
+	return New(Internal, "%v", err)
+}
+
+// CodeOf returns the code in err's chain, OK for nil.
+func CodeOf(err error) Code {
+	if err == nil {
+		return OK
+	}
+	return From(err).Code
+}
--- /dev/null
+++ b/internal/storage/storage_test.go
@@ -0,0 +1,69 @@
+package storage
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+)
+
+func entry(index, term uint64, data string) consensus.Entry {
+	return consensus.Entry{Index: index, Term: term, Data: []byte(data)}
+}
+
+func TestStore(t *testing.T) {
+	Convey("what was written is read back after reopening", t, func() {
+		folder := t.TempDir()
+		store, err := Open(folder)
+		So(err, ShouldBeNil)
+		identity := store.Replica()
+		So(identity, ShouldNotEqual, consensus.None)
+		hard := consensus.HardState{Term: 3, Vote: 7, Commit: 2}
+		So(store.Write([]GroupWrite{
+			{Group: 1, HardState: &hard, Entries: []consensus.Entry{entry(1, 1, "a"), entry(2, 1, "b"), entry(3, 1, "c")}},
+			{Group: 2, Entries: []consensus.Entry{entry(1, 1, "other")}, Records: []Record{
+				{Program: "p", Turn: 1, Value: []byte("one")}, {Program: "p", Turn: 2, Value: []byte("two")},
+				{Program: "p2", Turn: 1, Value: []byte("not p")},
+			}},
+		}), ShouldBeNil)
+		Convey("a conflicting suffix is replaced whole", func() {
+			So(store.Write([]GroupWrite{{Group: 1, Entries: []consensus.Entry{entry(2, 2, "B")}}}), ShouldBeNil)
+			restored, err := store.Load(1)
+			So(err, ShouldBeNil)
+			So(len(restored.Entries), ShouldEqual, 2)
+			So(string(restored.Entries[1].Data), ShouldEqual, "B")
+			So(restored.HardState, ShouldResemble, hard)
+		})
+		Convey("a snapshot takes the place of the entries that it covers", func() {
+			snapshot := consensus.Snapshot{Index: 2, Term: 1, Data: []byte("state")}
+			So(store.Write([]GroupWrite{{Group: 1, Snapshot: &snapshot}}), ShouldBeNil)
+			restored, err := store.Load(1)
+			So(err, ShouldBeNil)
+			So(string(restored.Snapshot.Data), ShouldEqual, "state")
+			So(len(restored.Entries), ShouldEqual, 1)
+		})
+		Convey("records come back in turn order for one program only", func() {
+			records, err := store.Records(2, "p", 0)
+			So(err, ShouldBeNil)
+			So(len(records), ShouldEqual, 2)
+			So(string(records[1].Value), ShouldEqual, "two")
+			later, err := store.Records(2, "p", 1)
+			So(err, ShouldBeNil)
+			So(len(later), ShouldEqual, 1)
+			all, err := store.AllRecords(2)
+			So(err, ShouldBeNil)
+			So(len(all), ShouldEqual, 3)
+		})
+		Convey("a second process is kept out, and the identity stays", func() {
+			_, err := Open(folder)
+			So(err, ShouldEqual, ErrInUse)
+			So(store.Close(), ShouldBeNil)
+			again, err := Open(folder)
+			So(err, ShouldBeNil)
+			So(again.Replica(), ShouldEqual, identity)
+			store = again
+		})
+		Reset(func() { _ = store.Close() })
+	})
+}
