--- /dev/null
+++ b/cmd/ochrebay/emulate.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-kit/log"
+
+	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/emulator"
+)
+
+// standIn is one of the processes that stand in for what ochrebay doesn't own.
+type standIn interface {
+	Run(ctx context.Context) error
+}
+
+func registerEmulate(app *kingpin.Application, registered commands) {
+	command := app.Command("emulate", "Run a stand-in for what ochrebay doesn't own.")
+	kinds := []struct {
+		role string
+		help string
+		make func(config.Process, log.Logger) standIn
+	}{
+		{config.RoleEngine, "A model engine.", func(p config.Process, l log.Logger) standIn { return emulator.NewEngine(p, l) }},
+		{config.RoleWeights, "The weight store.", func(p config.Process, l log.Logger) standIn { return emulator.NewWeights(p, l) }},
+		{config.RoleTools, "Tool services.", func(p config.Process, l log.Logger) standIn { return emulator.NewTools(p, l) }},
+		{config.RolePlatform, "The platform's list of machines.", func(p config.Process, l log.Logger) standIn { return emulator.NewPlatform(p, l) }},
+	}
+	for _, kind := range kinds {
+		sub := command.Command(kind.role, kind.help+"\n\nExample: ochrebay emulate "+kind.role+" --config.file etc/"+kind.role+".yaml")
+		flags := registerProcessFlags(sub)
+		registered[sub.FullCommand()] = func(ctx context.Context) error {
+			process, logger, err := flags.load(kind.role)
+			if err != nil {
+				return err
+			}
+			return kind.make(process, logger).Run(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/ochrebay/load.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/ochrebay/ochrebay/internal/control"
+	"github.com/ochrebay/ochrebay/internal/workload"
+)
+
+// loadFlags describe one run of load.
+type loadFlags struct {
+	deployment *string
+	data       *string
+	scale      *float64
+	seed       *uint64
+	load       *float64
+	duration   *time.Duration
+	demo       *bool
+	output     *string
+}
+
+func registerLoad(app *kingpin.Application, registered commands) {
+	command := app.Command("load", "Drive a running fleet with its deployment's workload, and check what callers see.\n\nExample: ochrebay load --deployment deployments/small.yaml --data run --duration 20s")
+	flags := loadFlags{
+		deployment: command.Flag("deployment", "Deployment file.").Required().String(),
+		data:       command.Flag("data", "Folder of the fleet.").Required().String(),
+		scale:      command.Flag("time-scale", "The fleet's time scale.").Default("1").Float64(),
+		seed:       command.Flag("seed", "Seed of the workload.").Default("1").Uint64(),
+		load:       command.Flag("load", "Arrival rate relative to the deployment's.").Default("1").Float64(),
+		duration:   command.Flag("duration", "How long programs arrive, in the workload's time.").Default("20s").Duration(),
+		demo:       command.Flag("demo", "Run one program with a tool and a sub-agent, and print each answer.").Bool(),
+		output:     command.Flag("output", "table or json.").Default("table").Enum("table", "json"),
+	}
+	registered[command.FullCommand()] = func(ctx context.Context) error { return runLoad(ctx, flags) }
+}
+
+func runLoad(ctx context.Context, flags loadFlags) error {
+	deployment, err := workload.LoadDeployment(*flags.deployment)
+	if err != nil {
+		return settingsError{err}
+	}
+	driver, err := newDriver(*flags.data, *flags.scale)
+	if err != nil {
+		return settingsError{err}
+	}
+	if *flags.demo {
+		return runDemo(ctx, driver, deployment)
+	}
+	programs := workload.Generate(deployment, *flags.seed, *flags.load, flags.duration.Milliseconds())
+	driver.Label = fmt.Sprintf("load-%d-%d", *flags.seed, time.Now().UnixNano())
+	report := workload.NewReport(driver.RunAll(ctx, programs), driver.Violations())
+	if *flags.output == "json" {
+		raw, err := json.Marshal(report)
+		if err != nil {
+			return err
+		}
+		fmt.Println(string(raw))
+	} else {
+		report.Print(os.Stdout)
+	}
+	if len(report.Violations) > 0 {
+		return errors.New("ochrebay: the load saw violations")
+	}
+	return nil
+}
+
+// newDriver finds the sidecars and tools of a running fleet.
+func newDriver(data string, scale float64) (*workload.Driver, error) {
+	sidecars, err := readAddresses(data, "sidecar-")
+	if err != nil {
+		return nil, err
+	}
+	if len(sidecars) == 0 {
+		return nil, errors.New("ochrebay: the fleet has no sidecar")
+	}
+	driver := &workload.Driver{TimeScale: scale}
+	for _, line := range sidecars {
+		driver.Sidecars = append(driver.Sidecars, workload.NewClient(line.address))
+	}
+	tools, err := readAddresses(data, "tools")
+	if err != nil {
+		return nil, err
+	}
+	if len(tools) > 0 {
+		driver.Tools = tools[0].address
+	}
+	return driver, nil
+}
+
+// runDemo drives one program of several dependent turns, with a tool between
+// them and a sub-agent, and shows its ledger entry.
+func runDemo(ctx context.Context, driver *workload.Driver, deployment workload.Deployment) error {
+	service := deployment.Workload[0]
+	tool := "lookup"
+	if len(service.Tools) > 0 {
+		tool = service.Tools[0]
+	}
+	driver.Print = os.Stdout
+	driver.Label = fmt.Sprintf("demo-%d", time.Now().UnixNano())
+	program := workload.Program{Service: service.Service, Tenant: "demo", Steps: []workload.Step{
+		{PromptTokens: 300, OutputTokens: 60},
+		{PromptTokens: 80, OutputTokens: 40, Tool: tool, PauseMs: 300, SubAgent: []workload.Step{
+			{PromptTokens: 60, OutputTokens: 30},
+			{PromptTokens: 40, OutputTokens: 30, Tool: tool, PauseMs: 200},
+		}},
+		{PromptTokens: 50, OutputTokens: 50},
+		{PromptTokens: 40, OutputTokens: 40, Tool: tool, PauseMs: 100},
+	}}
+	fmt.Printf("one %s program: %d calls, a tool and a sub-agent\n", program.Service, program.Calls())
+	outcome := driver.Run(ctx, program)
+	fmt.Printf("program %s: %.0f ms, of which tools %.0f ms\n", outcome.ID, outcome.LatencyMs, outcome.ToolMs)
+	if outcome.Err != nil {
+		return outcome.Err
+	}
+	raw, err := driver.Sidecars[0].Show(ctx, outcome.ID, program.Tenant)
+	if err != nil {
+		return err
+	}
+	var view control.ProgramView
+	if err := json.Unmarshal(raw, &view); err != nil {
+		return err
+	}
+	fmt.Println("\nits ledger entry:")
+	table := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	printProgram(table, view)
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, violation := range driver.Violations() {
+		fmt.Println("violation:", violation)
+	}
+	if len(driver.Violations()) > 0 || !view.Ended || view.Turn != uint64(program.Calls()) {
+		return errors.New("ochrebay: the program did not go as it should")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/ochrebay/status.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/ochrebay/ochrebay/internal/control"
+)
+
+func registerStatus(app *kingpin.Application, registered commands) {
+	status := app.Command("status", "Show daemons, the settings revision in force on each, and log groups.\n\nExample: ochrebay status --data run")
+	statusFlags := registerOperatorFlags(status)
+	registered[status.FullCommand()] = withoutContext(func() error {
+		return show(statusFlags, "GET", "/v1/status", nil, printStatus)
+	})
+	engines := app.Command("engines", "List engines and the schedulers that own them.\n\nExample: ochrebay engines --data run")
+	enginesFlags := registerOperatorFlags(engines)
+	registered[engines.FullCommand()] = withoutContext(func() error {
+		return show(enginesFlags, "GET", "/v1/engines", nil, printEngines)
+	})
+}
+
+func printStatus(table *tabwriter.Writer, view control.StatusView) {
+	row(table, "settings revision", view.Revision)
+	row(table, "directory", view.Directory)
+	row(table)
+	row(table, "NAME", "ROLE", "ZONE", "ADDRESS", "ALIVE", "REVISION", "SIDECARS", "DETAIL")
+	for _, daemon := range view.Daemons {
+		sidecars := "-"
+		if daemon.Role == "scheduler" {
+			sidecars = fmt.Sprintf("%d at %d", daemon.Sidecars, daemon.SidecarRevision)
+		}
+		detail := daemon.Detail
+		if len(daemon.Lagging) > 0 {
+			detail += " behind: " + strings.Join(daemon.Lagging, ", ")
+		}
+		row(table, daemon.Name, daemon.Role, daemon.Zone, daemon.Address, daemon.Alive, daemon.Revision, sidecars, detail)
+	}
+	row(table)
+	row(table, "GROUP", "LEADER", "TERM", "COMMITTED", "REPLICAS")
+	for _, group := range view.Groups {
+		var replicas []string
+		for _, replica := range group.Replicas {
+			name := replica.Member
+			if replica.Learner {
+				name += " (learner)"
+			}
+			replicas = append(replicas, name)
+		}
+		row(table, group.Group, group.Leader, group.Term, group.Committed, strings.Join(replicas, ", "))
+	}
+}
+
+func printEngines(table *tabwriter.Writer, view control.EnginesView) {
+	row(table, "NAME", "ZONE", "POOL", "ADDRESS", "OWNER", "EPOCH", "LEAVING")
+	for _, engine := range view.Engines {
+		row(table, engine.Name, engine.Zone, engine.Pool, engine.Address, engine.Owner, engine.Epoch, engine.Leaving)
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,260 @@
+// Package config is the settings file of one process: YAML, with defaults below
+// it and flags above it, validated whole before anything starts. What operators
+// change at run time is not here but in the settings tree.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// The roles of processes.
+const (
+	RoleControl   = "control"
+	RoleScheduler = "scheduler"
+	RoleSidecar   = "sidecar"
+	RoleEngine    = "engine"
+	RoleWeights   = "weights"
+	RoleTools     = "tools"
+	RolePlatform  = "platform"
+)
+
+// Process is the settings file of one process.
+type Process struct {
+	Role   string `yaml:"role" validate:"required,oneof=control scheduler sidecar engine weights tools platform"`
+	Name   string `yaml:"name" validate:"required,hostname_rfc1123"`
+	Zone   string `yaml:"zone" validate:"required"`
+	Listen Listen `yaml:"listen"`
+	// Data is needed by control processes only.
+	Data    Data    `yaml:"data"`
+	Cluster Cluster `yaml:"cluster"`
+	Network Network `yaml:"network"`
+	Log     Log     `yaml:"log"`
+	// Schedulers are the inner addresses by which a sidecar finds its first
+	// scheduler; later it follows the directory.
+	Schedulers []Peer `yaml:"schedulers" validate:"dive"`
+	// Platform is the HTTP address of the platform's list of machines.
+	Platform string   `yaml:"platform" validate:"omitempty,ipport"`
+	Emulator Emulator `yaml:"emulator"`
+
+	file string
+}
+
+// Listen holds a process's own addresses; port 0 lets the kernel choose.
+type Listen struct {
+	// Address is for the inner protocol.
+	Address string `yaml:"address" validate:"required,ipport"`
+	// HTTP is for callers, operators and metrics.
+	HTTP string `yaml:"http" validate:"required,ipport"`
+}
+
+// Data is the one folder that holds all of a process's files.
+type Data struct {
+	Path string `yaml:"path"`
+}
+
+// Peer is another process by address and zone.
+type Peer struct {
+	Name    string `yaml:"name" json:"name" validate:"required"`
+	Zone    string `yaml:"zone" json:"zone" validate:"required"`
+	Address string `yaml:"address" json:"address" validate:"required,ipport"`
+	// HTTP is set for control processes: where operators ask.
+	HTTP string `yaml:"http" json:"http" validate:"omitempty,ipport"`
+}
+
+// Cluster describes the control processes.
+type Cluster struct {
+	Members []Peer `yaml:"members" validate:"dive"`
+	// LedgerGroups is fixed when the cluster is first formed.
+	LedgerGroups int `yaml:"ledger_groups" validate:"min=1,max=4096"`
+	// LeaseMs is how long a scheduler may be silent before it is taken over.
+	LeaseMs int64 `yaml:"lease_ms" validate:"min=200,max=600000"`
+}
+
+// Network stands in for distance on one machine.
+type Network struct {
+	// ZoneDelayMs is added one way between processes of different zones, and
+	// ClientDelayMs between callers and sidecars.
+	ZoneDelayMs   float64 `yaml:"zone_delay_ms" validate:"min=0,max=10000"`
+	ClientDelayMs float64 `yaml:"client_delay_ms" validate:"min=0,max=10000"`
+}
+
+// Log chooses what is logged.
+type Log struct {
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+}
+
+// Emulator configures the stand-ins.
+type Emulator struct {
+	// TimeScale makes virtual seconds pass faster than real ones.
+	TimeScale float64 `yaml:"time_scale" validate:"gt=0,max=100000"`
+	// Hardware names an entry of the emulator's table.
+	Hardware string `yaml:"hardware" validate:"omitempty"`
+	Pool     string `yaml:"pool"`
+	// Weights is the HTTP address of the weight store.
+	Weights string `yaml:"weights" validate:"omitempty,ipport"`
+	// Instances is the list that the platform serves at first.
+	Instances []Instance `yaml:"instances" validate:"dive"`
+	// LagMs is how late load reports and platform lists are.
+	LagMs int64 `yaml:"lag_ms" validate:"min=0,max=600000"`
+	// Instant makes an engine answer at once, for measuring what ochrebay adds.
+	Instant bool `yaml:"instant"`
+	// BytesPerSecond is the weight store's rate over all loads.
+	BytesPerSecond int64 `yaml:"bytes_per_second" validate:"min=0"`
+}
+
+// Instance is one machine on the platform's list.
+type Instance struct {
+	Name    string `yaml:"name" validate:"required"`
+	Zone    string `yaml:"zone" validate:"required"`
+	Address string `yaml:"address" validate:"required,ipport"`
+	Pool    string `yaml:"pool" validate:"required"`
+}
+
+// Defaults returns a Process with everything set that has a default.
+func Defaults() Process {
+	return Process{
+		Listen:   Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
+		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
+		Log:      Log{Level: "info"},
+		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
+	}
+}
+
+// Problem is one fault of a settings file, printed in one line.
+type Problem struct {
+	File   string
+	Field  string
+	Value  string
+	Reason string
+}
+
+// Error names file, field, value and reason in one line.
+func (p Problem) Error() string {
+	text := p.File + ": "
+	if p.Field != "" {
+		text += p.Field + ": "
+	}
+	if p.Value != "" {
+		text += fmt.Sprintf("%q: ", p.Value)
+	}
+	return text + p.Reason
+}
+
+// Load reads a settings file over the defaults, lets override change it, and
+// validates the whole. Every problem found is joined into the error.
+func Load(file string, override func(*Process)) (Process, error) {
+	process := Defaults()
+	process.file = file
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return process, Problem{File: file, Reason: "can't be read: " + lastPart(err)}
+	}
+	if err := yaml.UnmarshalWithOptions(raw, &process, yaml.Strict()); err != nil {
+		return process, Problem{File: file, Reason: firstLine(err)}
+	}
+	if override != nil {
+		override(&process)
+	}
+	return process, process.Validate()
+}
+
+func lastPart(err error) string {
+	text := err.Error()
+	return text[strings.LastIndex(text, ": ")+1:]
+}
+
+func firstLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line
+}
+
+// Validate checks the file as a whole.
+func (p Process) Validate() error {
+	var problems []error
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("yaml") })
+	_ = check.RegisterValidation("ipport", func(level validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(level.Field().String())
+		return err == nil
+	})
+	err := check.Struct(p)
+	var invalid validator.ValidationErrors
+	if errors.As(err, &invalid) {
+		for _, field := range invalid {
+			problems = append(problems, p.problem(field))
+		}
+	}
+	return errors.Join(append(problems, p.checkRole()...)...)
+}
+
+func (p Process) problem(field validator.FieldError) Problem {
+	_, name, _ := strings.Cut(field.Namespace(), ".")
+	reasons := map[string]string{
+		"required":         "is missing",
+		"ipport":           "is not IP:port; host names are not resolved",
+		"oneof":            "is none of: " + field.Param(),
+		"min":              "is below " + field.Param(),
+		"max":              "is above " + field.Param(),
+		"gt":               "must be above " + field.Param(),
+		"hostname_rfc1123": "may hold letters, digits and dashes only",
+	}
+	reason, ok := reasons[field.Tag()]
+	if !ok {
+		reason = "fails the check " + field.Tag()
+	}
+	value := fmt.Sprint(field.Value())
+	if field.Tag() == "required" {
+		value = ""
+	}
+	return Problem{File: p.file, Field: name, Value: value, Reason: reason}
+}
+
+// checkRole holds what one role needs and others don't.
+func (p Process) checkRole() []error {
+	var problems []error
+	missing := func(field, reason string) {
+		problems = append(problems, Problem{File: p.file, Field: field, Reason: reason})
+	}
+	needsCluster := p.Role == RoleControl || p.Role == RoleScheduler
+	if needsCluster && len(p.Cluster.Members) == 0 {
+		missing("cluster.members", "is missing: the control processes")
+	}
+	if p.Role == RoleControl {
+		if p.Data.Path == "" {
+			missing("data.path", "is missing: a control process keeps its state there")
+		}
+		if !p.isMember() {
+			problems = append(problems, Problem{File: p.file, Field: "cluster.members", Value: p.Name, Reason: "lacks this process"})
+		}
+	}
+	if p.Role == RoleSidecar && len(p.Schedulers) == 0 {
+		missing("schedulers", "is missing: a sidecar needs one scheduler to begin with")
+	}
+	seen := map[string]bool{}
+	for position, member := range p.Cluster.Members {
+		if seen[member.Name] {
+			problems = append(problems, Problem{
+				File: p.file, Field: fmt.Sprintf("cluster.members[%d].name", position), Value: member.Name, Reason: "stands twice",
+			})
+		}
+		seen[member.Name] = true
+	}
+	return problems
+}
+
+func (p Process) isMember() bool {
+	for _, member := range p.Cluster.Members {
+		if member.Name == p.Name {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -151,6 +151,22 @@
 	return n.role == Leader && ok && follower.match+lag >= n.log.lastIndex()
 }
 
+// TermAt returns the term of the entry at index, zero where it is not held.
+func (n *Node) TermAt(index uint64) uint64 {
+	term, _ := n.log.term(index)
+	return term
+}
+
+// RecentlyActive reports whether the leader has heard from a replica within the
+// last one or two election timeouts.
+func (n *Node) RecentlyActive(id ReplicaID) bool {
+	if id == n.options.ID {
+		return true
+	}
+	follower, ok := n.progress[id]
+	return n.role == Leader && ok && (follower.active || follower.wasActive)
+}
+
 // Tick advances the replica's clock by one.
 func (n *Node) Tick() {
 	if n.quiescent {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -14,6 +14,7 @@
 	// answers.
 	waitingSnapshot bool
 	active          bool
+	wasActive       bool
 	answered        bool
 }
 
@@ -124,6 +125,7 @@
 		}
 	}
 	for _, follower := range n.progress {
+		follower.wasActive = follower.active
 		follower.active = false
 	}
 	return active >= n.log.configuration().Quorum()
--- /dev/null
+++ b/internal/control/core.go
@@ -0,0 +1,398 @@
+// Package control is the process that holds ochrebay's durable state: replicas
+// of the settings group and of the program ledger groups (design sections 2, 4
+// and 5). Core is its control state as a state machine without goroutine, clock
+// or socket; Daemon runs it over TCP and a real disk, the simulator over virtual
+// ones.
+package control
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/settings"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+// RequestID names a request whose reply the shell will route.
+type RequestID uint64
+
+// Outlet takes what the core sends. Its methods must not call back.
+type Outlet interface {
+	Send(member string, kind protocol.Kind, message any)
+	Reply(request RequestID, reply any)
+}
+
+// Storage is the disk as the core sees it. Write returns after the sync.
+type Storage interface {
+	Replica() consensus.ReplicaID
+	Bootstrap() (consensus.Configuration, bool, error)
+	SetBootstrap(configuration consensus.Configuration) error
+	Write(writes []storage.GroupWrite) error
+	Load(group storage.GroupID) (consensus.Restored, error)
+	Records(group storage.GroupID, program string, after uint64) ([]storage.Record, error)
+	AllRecords(group storage.GroupID) ([]storage.Record, error)
+}
+
+// Member is one control process of the cluster.
+type Member struct {
+	Name    string `yaml:"name" json:"name" validate:"required"`
+	Zone    string `yaml:"zone" json:"zone" validate:"required"`
+	Address string `yaml:"address" json:"address" validate:"required"`
+}
+
+// Options configure a Core.
+type Options struct {
+	Name         string
+	Members      []Member
+	LedgerGroups int
+	// TickMs is the length of a consensus tick.
+	TickMs         int64
+	ElectionTicks  int
+	HeartbeatTicks int
+	QuiesceTicks   int
+	// LeaseMs is how long a scheduler may be silent before it is taken over.
+	LeaseMs int64
+	// CompactEntries is how many applied entries a group keeps at most.
+	CompactEntries uint64
+
+	// The rest turn mechanisms off, for runs that show what they are for.
+	DisablePreVote      bool
+	DisableCheckQuorum  bool
+	DisableReadConfirm  bool
+	DisableFence        bool
+	DisableBudget       bool
+	DisableOnce         bool
+	DisableVersionCheck bool
+	DisableSync         bool
+}
+
+// DefaultOptions returns the timings of a fleet whose zones are a few
+// milliseconds apart.
+func DefaultOptions(name string, members []Member, ledgerGroups int) Options {
+	return Options{
+		Name: name, Members: members, LedgerGroups: ledgerGroups,
+		TickMs: 50, ElectionTicks: 12, HeartbeatTicks: 2, QuiesceTicks: 40,
+		LeaseMs: 3000, CompactEntries: 4096,
+	}
+}
+
+const (
+	helloEveryMs    = 200
+	presenceEveryMs = 200
+	suspectAfterMs  = 800
+	planEveryMs     = 200
+	sweepEveryMs    = 2000
+	balanceEveryMs  = 3000
+	proposalWaitMs  = 5000
+	maxAppendBytes  = 1 << 20
+	maxInflight     = 64
+	candidateHellos = 3
+)
+
+// Core is the control state of one control process.
+type Core struct {
+	options Options
+	storage Storage
+	outlet  Outlet
+	nowMs   int64
+	formed  bool
+	groups  []*group
+	system  *systemMachine
+
+	lastTickMs     int64
+	lastHelloMs    int64
+	lastPresenceMs int64
+	lastPlanMs     int64
+	lastSweepMs    int64
+	lastBalanceMs  int64
+	heardMs        map[string]int64
+	revisions      map[string]uint64
+	unformed       map[string]consensus.ReplicaID
+	candidates     map[string]*candidate
+	outgoing       map[string][]protocol.PeerMessage
+
+	tracker  *membership.Tracker
+	permits  *reconcile.Permits
+	syncs    []pendingSync
+	planning uint64
+	draining bool
+}
+
+// candidate is a replica on a new disk that asks to be let in.
+type candidate struct {
+	replica consensus.ReplicaID
+	hellos  int
+	lastMs  int64
+}
+
+// NewCore returns the core as its disk describes it.
+func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) (*Core, error) {
+	core := &Core{
+		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
+		heardMs: map[string]int64{}, revisions: map[string]uint64{}, unformed: map[string]consensus.ReplicaID{},
+		candidates: map[string]*candidate{}, outgoing: map[string][]protocol.PeerMessage{},
+	}
+	for _, member := range options.Members {
+		core.heardMs[member.Name] = nowMs
+	}
+	bootstrap, formed, err := disk.Bootstrap()
+	if err != nil {
+		return nil, err
+	}
+	if formed {
+		return core, core.form(bootstrap)
+	}
+	return core, nil
+}
+
+// form builds the groups; an empty bootstrap configuration makes a replica that
+// waits to be let in.
+func (c *Core) form(bootstrap consensus.Configuration) error {
+	c.system = newSystemMachine(c.options)
+	for id := 0; id <= c.options.LedgerGroups; id++ {
+		group, err := c.newGroup(storage.GroupID(id), bootstrap)
+		if err != nil {
+			return err
+		}
+		c.groups = append(c.groups, group)
+	}
+	c.formed = true
+	return nil
+}
+
+func (c *Core) newGroup(id storage.GroupID, bootstrap consensus.Configuration) (*group, error) {
+	restored, err := c.storage.Load(id)
+	if err != nil {
+		return nil, err
+	}
+	var state machine = c.system
+	if id > 0 {
+		state = newLedgerMachine(c.options)
+	}
+	if restored.Snapshot.Index == 0 {
+		restored.Snapshot.Configuration = bootstrap
+	}
+	if err := state.Restore(restored.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	node := consensus.NewNode(consensus.Options{
+		ID: c.storage.Replica(), Seed: uint64(id)*1_000_003 + 17,
+		ElectionTicks: c.options.ElectionTicks, HeartbeatTicks: c.options.HeartbeatTicks,
+		QuiesceTicks: c.options.QuiesceTicks, MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight,
+		DisablePreVote: c.options.DisablePreVote, DisableCheckQuorum: c.options.DisableCheckQuorum,
+		DisableReadConfirm: c.options.DisableReadConfirm,
+	}, restored)
+	return &group{id: id, node: node, state: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{}}, nil
+}
+
+// Formed reports whether the process takes part in a cluster.
+func (c *Core) Formed() bool { return c.formed }
+
+// Leads reports whether this process leads a group.
+func (c *Core) Leads(id storage.GroupID) bool {
+	return c.formed && int(id) < len(c.groups) && c.groups[id].node.Role() == consensus.Leader
+}
+
+// Ready reports whether every group has a leader that this process knows.
+func (c *Core) Ready() bool {
+	if !c.formed {
+		return false
+	}
+	for _, group := range c.groups {
+		if group.node.Leader() == consensus.None {
+			return false
+		}
+	}
+	return true
+}
+
+// Revision returns the settings revision in force here.
+func (c *Core) Revision() uint64 {
+	if !c.formed {
+		return 0
+	}
+	return c.system.tree.Revision()
+}
+
+// Tree returns the settings tree for reading.
+func (c *Core) Tree() *settings.Tree { return c.system.tree }
+
+// Directory returns the directory for reading.
+func (c *Core) Directory() *membership.Directory { return c.system.directory }
+
+// Ledger returns a ledger group's state for reading.
+func (c *Core) Ledger(id storage.GroupID) *program.Ledger {
+	return c.groups[id].state.(*ledgerMachine).ledger
+}
+
+// Groups returns how many groups the process holds, the settings group included.
+func (c *Core) Groups() int { return len(c.groups) }
+
+// Node returns a group's consensus replica for reading.
+func (c *Core) Node(id storage.GroupID) *consensus.Node { return c.groups[id].node }
+
+// leaderName returns the member that leads a group, "" where unknown.
+func (c *Core) leaderName(group *group) string {
+	replica, ok := group.node.Configuration().Find(group.node.Leader())
+	if !ok {
+		return ""
+	}
+	return replica.Member
+}
+
+// Tick advances the core's clock.
+func (c *Core) Tick(nowMs int64) {
+	c.nowMs = nowMs
+	c.sendHellos()
+	if !c.formed {
+		return
+	}
+	// A process that was frozen ticks once, not once for each tick it missed:
+	// it must hear what has happened before it acts on its timers.
+	if nowMs-c.lastTickMs >= c.options.TickMs {
+		c.lastTickMs = nowMs
+		for _, group := range c.groups {
+			group.node.Tick()
+		}
+	}
+	c.checkPeers()
+	c.tickLeader()
+	c.expireSyncs()
+	c.expireProposals()
+}
+
+// checkPeers wakes quiet groups when a peer process falls silent: a group that
+// has gone quiet relies on the process's presence messages.
+func (c *Core) checkPeers() {
+	if c.nowMs-c.lastPresenceMs >= presenceEveryMs {
+		c.lastPresenceMs = c.nowMs
+		for _, member := range c.options.Members {
+			if member.Name != c.options.Name {
+				c.outlet.Send(member.Name, protocol.KindPeer, protocol.PeerBatch{From: c.options.Name, Revision: c.Revision()})
+			}
+		}
+	}
+	for _, member := range c.options.Members {
+		silent := member.Name != c.options.Name && c.nowMs-c.heardMs[member.Name] > suspectAfterMs
+		if !silent {
+			continue
+		}
+		for _, group := range c.groups {
+			group.node.Wake()
+		}
+		return
+	}
+}
+
+// Peer takes a batch of consensus messages from another control process.
+func (c *Core) Peer(batch protocol.PeerBatch, nowMs int64) {
+	c.nowMs = nowMs
+	c.heardMs[batch.From] = nowMs
+	c.revisions[batch.From] = batch.Revision
+	if !c.formed {
+		return
+	}
+	for _, message := range batch.Messages {
+		if int(message.Group) >= len(c.groups) || message.Message.To != c.storage.Replica() {
+			continue
+		}
+		c.groups[message.Group].node.Step(message.Message)
+	}
+}
+
+// queuePeer gathers a consensus message for its member's batch.
+func (c *Core) queuePeer(group *group, message consensus.Message) {
+	replica, ok := group.node.Configuration().Find(message.To)
+	member := replica.Member
+	if !ok {
+		member = group.senders[message.To]
+	}
+	if member == "" {
+		return
+	}
+	c.outgoing[member] = append(c.outgoing[member], protocol.PeerMessage{Group: uint32(group.id), Message: message})
+}
+
+func (c *Core) sendPeers() {
+	members := make([]string, 0, len(c.outgoing))
+	for member := range c.outgoing {
+		members = append(members, member)
+	}
+	slices.Sort(members)
+	for _, member := range members {
+		c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
+			From: c.options.Name, Revision: c.Revision(), Messages: c.outgoing[member],
+		})
+	}
+	clear(c.outgoing)
+}
+
+// Listed takes the platform's list of engines.
+func (c *Core) Listed(instances []membership.Instance) {
+	if c.tracker != nil {
+		c.tracker.Listed(instances)
+	}
+}
+
+// Drain hands leadership over, as a planned stop begins.
+func (c *Core) Drain() {
+	c.draining = true
+	for _, group := range c.groups {
+		c.handOver(group)
+	}
+}
+
+// Drained reports whether this process leads nothing any more.
+func (c *Core) Drained() bool {
+	for _, group := range c.groups {
+		if group.node.Role() == consensus.Leader {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) handOver(group *group) {
+	if group.node.Role() != consensus.Leader {
+		return
+	}
+	for _, replica := range group.node.Configuration().Replicas {
+		alive := c.nowMs-c.heardMs[replica.Member] < suspectAfterMs
+		if replica.ID != group.node.ID() && alive && group.node.TransferLeadership(replica.ID) {
+			return
+		}
+	}
+}
+
+// balance hands groups to the member whose turn it is by the group's number, so
+// that no process leads them all.
+func (c *Core) balance() {
+	if c.nowMs-c.lastBalanceMs < balanceEveryMs {
+		return
+	}
+	c.lastBalanceMs = c.nowMs
+	for _, group := range c.groups {
+		if group.node.Role() != consensus.Leader {
+			continue
+		}
+		voters := group.node.Configuration()
+		var names []string
+		ids := map[string]consensus.ReplicaID{}
+		for _, replica := range voters.Replicas {
+			if !replica.Learner {
+				names = append(names, replica.Member)
+				ids[replica.Member] = replica.ID
+			}
+		}
+		slices.SortFunc(names, strings.Compare)
+		preferred := names[int(group.id)%len(names)]
+		if preferred != c.options.Name && c.nowMs-c.heardMs[preferred] < suspectAfterMs {
+			group.node.TransferLeadership(ids[preferred])
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/reconcile"
+)
+
+// tickLeader does what only leaders do from time to time.
+func (c *Core) tickLeader() {
+	c.admitCandidates()
+	c.sweep()
+	if c.draining {
+		for _, group := range c.groups {
+			c.handOver(group)
+		}
+		return
+	}
+	c.balance()
+	if c.groups[0].node.Role() != consensus.Leader {
+		c.tracker = nil
+		c.permits = nil
+		return
+	}
+	if c.tracker == nil {
+		c.tracker = membership.NewTracker(c.options.LeaseMs, c.nowMs)
+		c.permits = reconcile.NewPermits(c.nowMs)
+		c.planning = 0
+	}
+	c.plan()
+}
+
+// plan proposes the next update of the directory, one at a time.
+func (c *Core) plan() {
+	if c.planning != 0 || c.nowMs-c.lastPlanMs < planEveryMs {
+		return
+	}
+	// Invariant: a leader plans from a directory that holds every update of the
+	// leaders before it.
+	if c.groups[0].node.TermAt(c.groups[0].node.Applied()) != c.groups[0].node.Term() {
+		return
+	}
+	c.lastPlanMs = c.nowMs
+	update := c.tracker.Plan(c.system.directory, c.nowMs)
+	if update.Empty() {
+		return
+	}
+	failure := c.propose(c.groups[0], &systemCommand{Update: &update}, func(any) { c.planning = 0 })
+	if failure == nil {
+		c.planning = c.groups[0].node.LastIndex()
+	}
+}
+
+// systemApplied lets waiting heartbeats hear of a change.
+func (c *Core) systemApplied(uint64) {
+	if c.groups[0].node.Role() == consensus.Leader {
+		c.answerSyncs(false)
+	}
+}
+
+// sweep ends idle programs in the groups led here.
+func (c *Core) sweep() {
+	if c.nowMs-c.lastSweepMs < sweepEveryMs {
+		return
+	}
+	c.lastSweepMs = c.nowMs
+	retainMs := *c.system.tree.Effective("/").RetainMs
+	for _, group := range c.groups[1:] {
+		ledger := group.state.(*ledgerMachine).ledger
+		if group.node.Role() != consensus.Leader || !ledger.SweepDue(c.nowMs, retainMs) {
+			continue
+		}
+		command := program.Command{NowMs: c.nowMs, Sweep: &program.Sweep{RetainMs: retainMs}}
+		_ = c.propose(group, &command, func(any) {})
+	}
+}
--- /dev/null
+++ b/internal/control/reads.go
@@ -0,0 +1,269 @@
+package control
+
+import (
+	"encoding/json"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/settings"
+)
+
+// SettingsView shows one node to operators.
+type SettingsView struct {
+	Revision uint64 `json:"revision"`
+	Path     string `json:"path"`
+	// Exists tells a node of its own from one that only inherits.
+	Exists    bool            `json:"exists"`
+	Version   uint64          `json:"version"`
+	Operator  string          `json:"operator,omitempty"`
+	Own       settings.Fields `json:"own"`
+	Effective settings.Fields `json:"effective"`
+	Children  []string        `json:"children,omitempty"`
+}
+
+// HistoryView lists accepted changes, newest last.
+type HistoryView struct {
+	Revision uint64              `json:"revision"`
+	Changes  []settings.Accepted `json:"changes"`
+}
+
+// DaemonView is one daemon as the leader of the settings group sees it.
+type DaemonView struct {
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+	Alive    bool   `json:"alive"`
+	Revision uint64 `json:"revision"`
+	Detail   string `json:"detail"`
+	// Sidecars and SidecarRevision describe the sidecars behind a scheduler, and
+	// Lagging names some that are behind.
+	Sidecars        int      `json:"sidecars,omitempty"`
+	SidecarRevision uint64   `json:"sidecar_revision,omitempty"`
+	Lagging         []string `json:"lagging,omitempty"`
+}
+
+// GroupView is one log group as this process sees it.
+type GroupView struct {
+	Group     uint32              `json:"group"`
+	Leader    string              `json:"leader"`
+	Term      uint64              `json:"term"`
+	Committed uint64              `json:"committed"`
+	Replicas  []consensus.Replica `json:"replicas"`
+}
+
+// StatusView is the whole system at a glance.
+type StatusView struct {
+	Revision  uint64       `json:"revision"`
+	Directory uint64       `json:"directory"`
+	Leader    string       `json:"leader"`
+	Daemons   []DaemonView `json:"daemons"`
+	Groups    []GroupView  `json:"groups"`
+}
+
+// EnginesView lists engines and their owners.
+type EnginesView struct {
+	Directory uint64              `json:"directory"`
+	Engines   []membership.Engine `json:"engines"`
+}
+
+// ProgramView is one program's ledger entry.
+type ProgramView struct {
+	program.Header
+	State     string       `json:"state"`
+	Remaining int64        `json:"budget_left"`
+	OpenTurn  uint64       `json:"open_turn,omitempty"`
+	Threads   []ThreadView `json:"threads"`
+	Group     uint32       `json:"group"`
+	// Turns is set where the records were asked for.
+	Turns []program.TurnRecord `json:"turns,omitempty"`
+}
+
+// ThreadView is one thread of a program.
+type ThreadView struct {
+	Name     string         `json:"name"`
+	Parent   string         `json:"parent,omitempty"`
+	ForkTurn uint64         `json:"fork_turn,omitempty"`
+	Messages int            `json:"messages"`
+	Lineage  []program.Span `json:"lineage"`
+}
+
+// ProgramsView lists programs of one group.
+type ProgramsView struct {
+	Programs []ProgramView `json:"programs"`
+}
+
+func (c *Core) readRequest(id RequestID, request *protocol.ReadRequest) {
+	group, leader, failure := c.leading(request.Group)
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.ReadReply{Error: failure, Leader: leader})
+		return
+	}
+	c.read(group, func(failure *result.Error) {
+		if failure != nil {
+			c.outlet.Reply(id, &protocol.ReadReply{Error: failure})
+			return
+		}
+		c.outlet.Reply(id, c.readReply(group, request))
+	})
+}
+
+func (c *Core) readReply(group *group, request *protocol.ReadRequest) *protocol.ReadReply {
+	view, failure := c.view(group, request)
+	if failure != nil {
+		return &protocol.ReadReply{Error: failure}
+	}
+	body, err := json.Marshal(view)
+	if err != nil {
+		return &protocol.ReadReply{Error: result.New(result.Internal, "%v", err)}
+	}
+	return &protocol.ReadReply{Body: body}
+}
+
+func (c *Core) view(group *group, request *protocol.ReadRequest) (any, *result.Error) {
+	switch request.Topic {
+	case protocol.ReadSettings:
+		return c.settingsView(request.Path)
+	case protocol.ReadHistory:
+		return HistoryView{Revision: c.Revision(), Changes: c.system.tree.History(request.Path)}, nil
+	case protocol.ReadStatus:
+		return c.statusView(), nil
+	case protocol.ReadEngines:
+		return EnginesView{Directory: c.system.directory.Version, Engines: c.system.directory.EngineList()}, nil
+	}
+	if group.id == 0 {
+		return nil, result.New(result.NotFound, "no such topic")
+	}
+	if request.Topic == protocol.ReadPrograms {
+		return c.programsView(group, request.Limit), nil
+	}
+	return c.programView(group, request.Program, request.Limit > 0)
+}
+
+func (c *Core) settingsView(path string) (any, *result.Error) {
+	tree := c.system.tree
+	node, exists := tree.Get(path)
+	paths := tree.Paths(path)
+	if !exists && len(paths) == 0 {
+		return nil, result.New(result.NotFound, "no node at or below %s", path)
+	}
+	view := SettingsView{
+		Revision: tree.Revision(), Path: path, Exists: exists, Version: node.Version,
+		Operator: node.Operator, Own: node.Fields, Effective: tree.Effective(path),
+	}
+	for _, child := range paths {
+		if child != path {
+			view.Children = append(view.Children, child)
+		}
+	}
+	return view, nil
+}
+
+func (c *Core) statusView() StatusView {
+	view := StatusView{
+		Revision: c.Revision(), Directory: c.system.directory.Version, Leader: c.leaderName(c.groups[0]),
+	}
+	for _, member := range c.options.Members {
+		view.Daemons = append(view.Daemons, c.memberView(member))
+	}
+	reports := map[string]membership.Report{}
+	if c.tracker != nil {
+		reports = c.tracker.Reports(c.nowMs)
+	}
+	for _, scheduler := range c.system.directory.SchedulerList() {
+		view.Daemons = append(view.Daemons, schedulerView(scheduler, reports))
+	}
+	for _, group := range c.groups {
+		view.Groups = append(view.Groups, GroupView{
+			Group: uint32(group.id), Leader: c.leaderName(group), Term: group.node.Term(),
+			Committed: group.node.Commit(), Replicas: group.node.Configuration().Replicas,
+		})
+	}
+	return view
+}
+
+func (c *Core) memberView(member Member) DaemonView {
+	view := DaemonView{Name: member.Name, Role: "control", Zone: member.Zone, Address: member.Address}
+	if member.Name == c.options.Name {
+		view.Alive = true
+		view.Revision = c.Revision()
+		return view
+	}
+	view.Alive = c.nowMs-c.heardMs[member.Name] < suspectAfterMs
+	view.Revision = c.revisions[member.Name]
+	return view
+}
+
+func schedulerView(scheduler membership.Scheduler, reports map[string]membership.Report) DaemonView {
+	view := DaemonView{Name: scheduler.Name, Role: "scheduler", Zone: scheduler.Zone, Address: scheduler.Address}
+	if scheduler.Draining {
+		view.Detail = "draining"
+	}
+	report, ok := reports[scheduler.Name]
+	if !ok {
+		return view
+	}
+	view.Alive = true
+	view.Revision = report.Heartbeat.Revision
+	view.Sidecars = report.Heartbeat.Sidecars
+	view.SidecarRevision = report.Heartbeat.SidecarRevision
+	view.Lagging = report.Heartbeat.Lagging
+	return view
+}
+
+func (c *Core) programsView(group *group, limit int) ProgramsView {
+	ledger := group.state.(*ledgerMachine).ledger
+	var view ProgramsView
+	for _, id := range ledger.IDs() {
+		if len(view.Programs) == limit {
+			return view
+		}
+		header, _ := ledger.Get(id)
+		view.Programs = append(view.Programs, newProgramView(group, header))
+	}
+	return view
+}
+
+func newProgramView(group *group, header *program.Header) ProgramView {
+	view := ProgramView{Header: *header, State: "waiting", Remaining: header.Remaining(), Group: uint32(group.id)}
+	if header.Open != nil {
+		view.State = "running"
+		view.OpenTurn = header.Open.Turn
+	}
+	if header.Ended {
+		view.State = "ended"
+	}
+	for _, thread := range header.Threads {
+		lineage, _ := header.Lineage(thread.Name)
+		view.Threads = append(view.Threads, ThreadView{
+			Name: thread.Name, Parent: thread.Parent, ForkTurn: thread.ForkTurn, Messages: thread.Messages, Lineage: lineage,
+		})
+	}
+	return view
+}
+
+func (c *Core) programView(group *group, id string, withTurns bool) (any, *result.Error) {
+	header, ok := group.state.(*ledgerMachine).ledger.Get(id)
+	if !ok {
+		return nil, result.New(result.NotFound, "no program %s", id)
+	}
+	view := newProgramView(group, header)
+	if !withTurns {
+		return view, nil
+	}
+	records, err := c.records(group, id, 0)
+	if err != nil {
+		return nil, result.New(result.Internal, "reading records: %v", err)
+	}
+	for _, raw := range records {
+		var record program.TurnRecord
+		if err := protocol.Decode(raw, &record); err != nil {
+			return nil, result.New(result.Internal, "decoding a record: %v", err)
+		}
+		view.Turns = append(view.Turns, record)
+	}
+	return view, nil
+}
--- /dev/null
+++ b/internal/control/requests.go
@@ -0,0 +1,235 @@
+package control
+
+import (
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/settings"
+)
+
+// Request takes one request of a scheduler, a control process or an operator;
+// the reply comes through the outlet, now or later.
+func (c *Core) Request(id RequestID, request any, nowMs int64) {
+	c.nowMs = nowMs
+	switch typed := request.(type) {
+	case *protocol.LedgerRequest:
+		c.ledgerRequest(id, typed)
+	case *protocol.SyncRequest:
+		c.syncRequest(id, typed)
+	case *protocol.ReleasedRequest:
+		c.releasedRequest(id, typed)
+	case *protocol.PermitRequest:
+		c.permitRequest(id, typed)
+	case *protocol.SettingsRequest:
+		c.settingsRequest(id, typed)
+	case *protocol.ReadRequest:
+		c.readRequest(id, typed)
+	}
+}
+
+// leading returns the group if this process leads it, and otherwise the error
+// and the leader's name for the reply.
+func (c *Core) leading(id uint32) (*group, string, *result.Error) {
+	if !c.formed || int(id) >= len(c.groups) {
+		return nil, "", result.New(result.NotLeader, "%s holds no group %d", c.options.Name, id)
+	}
+	group := c.groups[id]
+	if group.node.Role() != consensus.Leader {
+		return nil, c.leaderName(group), result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, id)
+	}
+	return group, "", nil
+}
+
+func (c *Core) ledgerRequest(id RequestID, request *protocol.LedgerRequest) {
+	group, leader, failure := c.leading(request.Group)
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.LedgerReply{Reply: program.Reply{Error: failure}, Leader: leader})
+		return
+	}
+	request.Command.NowMs = c.nowMs
+	failure = c.propose(group, &request.Command, func(reply any) {
+		c.answerLedger(id, group, request, reply)
+	})
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.LedgerReply{Reply: program.Reply{Error: failure}})
+	}
+}
+
+func (c *Core) answerLedger(id RequestID, group *group, request *protocol.LedgerRequest, outcome any) {
+	answer := &protocol.LedgerReply{}
+	switch typed := outcome.(type) {
+	case program.Reply:
+		answer.Reply = typed
+	case *result.Error:
+		answer.Reply.Error = typed
+	}
+	if begin := request.Command.Begin; begin != nil && answer.Reply.Error == nil {
+		records, err := c.grantRecords(group, request, answer.Reply)
+		if err != nil {
+			answer.Reply.Error = result.New(result.Internal, "reading records: %v", err)
+		}
+		answer.Records = records
+	}
+	c.outlet.Reply(id, answer)
+}
+
+func (c *Core) grantRecords(group *group, request *protocol.LedgerRequest, reply program.Reply) ([][]byte, error) {
+	name := request.Command.Begin.Program
+	if reply.Answered > 0 {
+		records, err := c.records(group, name, reply.Answered-1)
+		if len(records) > 1 {
+			records = records[:1]
+		}
+		return records, err
+	}
+	if reply.Turn <= request.KnownTurn+1 {
+		return nil, nil
+	}
+	return c.records(group, name, request.KnownTurn)
+}
+
+func (c *Core) releasedRequest(id RequestID, request *protocol.ReleasedRequest) {
+	group, leader, failure := c.leading(request.Group)
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.ReleasedReply{Error: failure, Leader: leader})
+		return
+	}
+	c.read(group, func(failure *result.Error) {
+		if failure != nil {
+			c.outlet.Reply(id, &protocol.ReleasedReply{Error: failure})
+			return
+		}
+		ledger := group.state.(*ledgerMachine).ledger
+		c.outlet.Reply(id, &protocol.ReleasedReply{Released: ledger.Released(request.Programs)})
+	})
+}
+
+func (c *Core) settingsRequest(id RequestID, request *protocol.SettingsRequest) {
+	group, leader, failure := c.leading(0)
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.SettingsReply{Reply: settings.Reply{Error: failure}, Leader: leader})
+		return
+	}
+	if request.Validate {
+		winner, failure := c.system.tree.Check(request.Change)
+		c.outlet.Reply(id, &protocol.SettingsReply{Reply: settings.Reply{Error: failure, Winner: winner, Revision: c.Revision()}})
+		return
+	}
+	request.Change.AtMs = c.nowMs
+	failure = c.propose(group, &systemCommand{Change: &request.Change}, func(outcome any) {
+		answer := &protocol.SettingsReply{}
+		switch typed := outcome.(type) {
+		case settings.Reply:
+			answer.Reply = typed
+		case *result.Error:
+			answer.Reply.Error = typed
+		}
+		c.outlet.Reply(id, answer)
+	})
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.SettingsReply{Reply: settings.Reply{Error: failure}})
+	}
+}
+
+func (c *Core) permitRequest(id RequestID, request *protocol.PermitRequest) {
+	_, leader, failure := c.leading(0)
+	if failure != nil || c.tracker == nil {
+		c.outlet.Reply(id, &protocol.PermitReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+		return
+	}
+	if request.Release {
+		c.permits.Release(request.Engine)
+		c.outlet.Reply(id, &protocol.PermitReply{Granted: true})
+		return
+	}
+	fields := c.system.tree.Effective("/pools/" + request.Pool)
+	engines := 0
+	for _, engine := range c.system.directory.Engines {
+		if engine.Pool == request.Pool && !engine.Leaving {
+			engines++
+		}
+	}
+	granted := c.permits.Grant(request.Engine, request.Pool, reconcile.Limits{
+		Engines: engines, Ready: c.tracker.Ready(request.Pool, c.nowMs),
+		Floor: int(*fields.ReadyFloor), Concurrent: int(*fields.ConcurrentLoads),
+	}, c.nowMs)
+	c.outlet.Reply(id, &protocol.PermitReply{Granted: granted})
+}
+
+// pendingSync is a scheduler's heartbeat that waits for news.
+type pendingSync struct {
+	id         RequestID
+	request    *protocol.SyncRequest
+	deadlineMs int64
+}
+
+func (c *Core) syncRequest(id RequestID, request *protocol.SyncRequest) {
+	group, leader, failure := c.leading(0)
+	if failure != nil || c.tracker == nil {
+		c.outlet.Reply(id, &protocol.SyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+		return
+	}
+	c.tracker.Heard(request.Heartbeat, c.nowMs)
+	if request.Fresh {
+		c.read(group, func(failure *result.Error) {
+			if failure != nil {
+				c.outlet.Reply(id, &protocol.SyncReply{Error: failure})
+				return
+			}
+			c.outlet.Reply(id, c.syncReply(request))
+		})
+		return
+	}
+	if c.hasNews(request) {
+		c.outlet.Reply(id, c.syncReply(request))
+		return
+	}
+	c.syncs = append(c.syncs, pendingSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs})
+}
+
+func (c *Core) hasNews(request *protocol.SyncRequest) bool {
+	return c.system.tree.Revision() > request.Revision || c.system.directory.Version > request.Directory
+}
+
+func (c *Core) syncReply(request *protocol.SyncRequest) *protocol.SyncReply {
+	reply := &protocol.SyncReply{Feed: protocol.NewFeed(c.system.tree, request.Revision)}
+	directory := c.system.directory
+	reply.Feed.Directory = directory.Version
+	reply.Feed.Groups = uint32(c.options.LedgerGroups)
+	if directory.Version > request.Directory {
+		reply.Feed.Schedulers = directory.SchedulerList()
+		reply.Engines = directory.OwnedBy(request.Heartbeat.Scheduler.Name)
+	}
+	return reply
+}
+
+// answerSyncs answers every heartbeat for which there is news, and those that
+// have waited long enough.
+func (c *Core) answerSyncs(all bool) {
+	var waiting []pendingSync
+	for _, pending := range c.syncs {
+		if !all && c.nowMs < pending.deadlineMs && !c.hasNews(pending.request) {
+			waiting = append(waiting, pending)
+			continue
+		}
+		c.outlet.Reply(pending.id, c.syncReply(pending.request))
+	}
+	c.syncs = waiting
+}
+
+func (c *Core) expireSyncs() {
+	if len(c.syncs) == 0 {
+		return
+	}
+	if c.groups[0].node.Role() == consensus.Leader {
+		c.answerSyncs(false)
+		return
+	}
+	leader := c.leaderName(c.groups[0])
+	for _, pending := range c.syncs {
+		c.outlet.Reply(pending.id, &protocol.SyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+	}
+	c.syncs = nil
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+const leaseMs = 1000
+
+func heartbeat(name, zone string) Heartbeat {
+	return Heartbeat{Scheduler: Scheduler{Name: name, Zone: zone, Address: "127.0.0.1:1", Start: 1}}
+}
+
+func instances(count int) []Instance {
+	var list []Instance
+	for position := range count {
+		list = append(list, Instance{Name: fmt.Sprint("engine-", position), Zone: []string{"a", "b"}[position%2], Pool: "p"})
+	}
+	return list
+}
+
+func TestTakeover(t *testing.T) {
+	Convey("engines go to schedulers of their zone, and a lost scheduler's are taken over under a higher epoch", t, func() {
+		directory := NewDirectory()
+		tracker := NewTracker(leaseMs, 0)
+		tracker.Heard(heartbeat("s1", "a"), 0)
+		tracker.Heard(heartbeat("s2", "b"), 0)
+		tracker.Listed(instances(6))
+		directory.Apply(tracker.Plan(directory, 0))
+		So(len(directory.OwnedBy("s1")), ShouldEqual, 3)
+		So(directory.OwnedBy("s2")[0].Zone, ShouldEqual, "b")
+		epoch := directory.OwnedBy("s1")[0].Epoch
+		tracker.Heard(heartbeat("s2", "b"), 900)
+		So(tracker.Plan(directory, 1000).Empty(), ShouldBeTrue)
+		directory.Apply(tracker.Plan(directory, 1100))
+		So(len(directory.OwnedBy("s2")), ShouldEqual, 6)
+		So(directory.Engines["engine-0"].Epoch, ShouldBeGreaterThan, epoch)
+		tracker.Heard(heartbeat("s1", "a"), 1200)
+		directory.Apply(tracker.Plan(directory, 1200))
+		So(len(directory.OwnedBy("s1")), ShouldEqual, 3)
+	})
+	Convey("a new leader waits a whole lease before it drops anybody", t, func() {
+		directory := NewDirectory()
+		directory.Apply(Update{Schedulers: []Scheduler{heartbeat("s1", "a").Scheduler}})
+		tracker := NewTracker(leaseMs, 5000)
+		So(tracker.Plan(directory, 5900).Empty(), ShouldBeTrue)
+		So(tracker.Plan(directory, 6100).RemoveSchedulers, ShouldResemble, []string{"s1"})
+	})
+	Convey("a draining scheduler hands its engines over", t, func() {
+		directory := NewDirectory()
+		tracker := NewTracker(leaseMs, 0)
+		tracker.Heard(heartbeat("s1", "a"), 0)
+		tracker.Heard(heartbeat("s2", "b"), 0)
+		tracker.Listed(instances(4))
+		directory.Apply(tracker.Plan(directory, 0))
+		leaving := heartbeat("s1", "a")
+		leaving.Scheduler.Draining = true
+		tracker.Heard(leaving, 10)
+		directory.Apply(tracker.Plan(directory, 10))
+		So(len(directory.OwnedBy("s2")), ShouldEqual, 4)
+	})
+}
+
+// TestPlanSettles: whatever came before, planning twice in a row changes
+// nothing more, every engine has a live owner, and epochs never fall.
+func TestPlanSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		directory := NewDirectory()
+		tracker := NewTracker(leaseMs, 0)
+		now := int64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now += int64(rapid.IntRange(0, 600).Draw(t, "pause"))
+			name := fmt.Sprint("s", rapid.IntRange(1, 4).Draw(t, "scheduler"))
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				tracker.Listed(instances(rapid.IntRange(0, 12).Draw(t, "engines")))
+			default:
+				tracker.Heard(heartbeat(name, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")), now)
+			}
+			epochs := map[string]uint64{}
+			for _, engine := range directory.Engines {
+				epochs[engine.Name] = engine.Epoch
+			}
+			for round := 0; ; round++ {
+				update := tracker.Plan(directory, now)
+				if update.Empty() {
+					break
+				}
+				if round > 20 {
+					t.Fatalf("the plan doesn't settle: %+v", update)
+				}
+				directory.Apply(update)
+			}
+			for _, engine := range directory.Engines {
+				if engine.Epoch < epochs[engine.Name] {
+					t.Fatalf("epoch of %s fell", engine.Name)
+				}
+				if _, ok := directory.Schedulers[engine.Owner]; !ok && len(directory.Schedulers) > 0 {
+					t.Fatalf("%s is owned by %q, which is not alive", engine.Name, engine.Owner)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/tracker.go
@@ -0,0 +1,236 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+)
+
+// Heartbeat is what a scheduler reports to the leader of the settings group.
+type Heartbeat struct {
+	Scheduler Scheduler `msgpack:"s"`
+	// Revision is the settings revision in force at the scheduler.
+	Revision uint64 `msgpack:"r"`
+	// Sidecars counts the sidecars that follow the tree through this scheduler;
+	// SidecarRevision is the lowest revision in force among them, and Lagging
+	// names some of those below the scheduler's own.
+	Sidecars        int      `msgpack:"c"`
+	SidecarRevision uint64   `msgpack:"m"`
+	Lagging         []string `msgpack:"l,omitempty"`
+	// Ready counts engines ready to serve, by pool.
+	Ready map[string]int `msgpack:"e,omitempty"`
+	// Queue and InFlight sum up the cell.
+	Queue    int `msgpack:"q"`
+	InFlight int `msgpack:"f"`
+}
+
+// Instance is one machine on the platform's list.
+type Instance struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Pool    string `json:"pool"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Report is the last heartbeat of a scheduler and when it came.
+type Report struct {
+	Heartbeat Heartbeat
+	AtMs      int64
+}
+
+// Tracker is the leader's soft state; a new leader starts with an empty one.
+type Tracker struct {
+	leaseMs   int64
+	startMs   int64
+	reports   map[string]Report
+	instances []Instance
+	listed    bool
+}
+
+// NewTracker returns the tracker of a leader that began to lead at nowMs.
+func NewTracker(leaseMs, nowMs int64) *Tracker {
+	return &Tracker{leaseMs: leaseMs, startMs: nowMs, reports: map[string]Report{}}
+}
+
+// Heard notes a heartbeat.
+func (t *Tracker) Heard(heartbeat Heartbeat, nowMs int64) {
+	t.reports[heartbeat.Scheduler.Name] = Report{Heartbeat: heartbeat, AtMs: nowMs}
+}
+
+// Listed notes the platform's list of engines.
+func (t *Tracker) Listed(instances []Instance) {
+	t.instances = instances
+	t.listed = true
+}
+
+// Reports returns the last report of each scheduler that is alive.
+func (t *Tracker) Reports(nowMs int64) map[string]Report {
+	alive := map[string]Report{}
+	for name, report := range t.reports {
+		if nowMs-report.AtMs <= t.leaseMs {
+			alive[name] = report
+		}
+	}
+	return alive
+}
+
+// Ready sums up the ready engines of a pool over all live schedulers.
+func (t *Tracker) Ready(pool string, nowMs int64) int {
+	ready := 0
+	for _, report := range t.Reports(nowMs) {
+		ready += report.Heartbeat.Ready[pool]
+	}
+	return ready
+}
+
+// Plan returns the update that brings the directory into line with what was
+// heard. A scheduler is dropped only when this leader has itself waited a whole
+// lease for its heartbeat.
+func (t *Tracker) Plan(directory *Directory, nowMs int64) Update {
+	var update Update
+	alive := map[string]Scheduler{}
+	for _, scheduler := range directory.SchedulerList() {
+		report, heard := t.reports[scheduler.Name]
+		since := t.startMs
+		if heard {
+			since = report.AtMs
+		}
+		if nowMs-since > t.leaseMs {
+			update.RemoveSchedulers = append(update.RemoveSchedulers, scheduler.Name)
+			continue
+		}
+		alive[scheduler.Name] = scheduler
+	}
+	for name, report := range t.Reports(nowMs) {
+		reported := report.Heartbeat.Scheduler
+		if current, ok := directory.Schedulers[name]; !ok || current != reported {
+			update.Schedulers = append(update.Schedulers, reported)
+		}
+		alive[name] = reported
+	}
+	slices.SortFunc(update.Schedulers, func(a, b Scheduler) int { return strings.Compare(a.Name, b.Name) })
+	t.planEngines(directory, alive, &update)
+	return update
+}
+
+func (t *Tracker) planEngines(directory *Directory, alive map[string]Scheduler, update *Update) {
+	desired := map[string]Engine{}
+	for _, engine := range directory.Engines {
+		desired[engine.Name] = engine
+	}
+	if t.listed {
+		desired = t.fromList(directory)
+		for name := range directory.Engines {
+			if _, ok := desired[name]; !ok {
+				update.RemoveEngines = append(update.RemoveEngines, name)
+			}
+		}
+		slices.Sort(update.RemoveEngines)
+	}
+	assignOwners(desired, alive)
+	for _, engine := range sortedEngines(desired) {
+		if current, ok := directory.Engines[engine.Name]; !ok || current != engine {
+			update.Engines = append(update.Engines, engine)
+		}
+	}
+}
+
+func (t *Tracker) fromList(directory *Directory) map[string]Engine {
+	engines := map[string]Engine{}
+	for _, instance := range t.instances {
+		current := directory.Engines[instance.Name]
+		engines[instance.Name] = Engine{
+			Name: instance.Name, Zone: instance.Zone, Address: instance.Address, Pool: instance.Pool,
+			Leaving: instance.Leaving, Owner: current.Owner, Epoch: current.Epoch,
+		}
+	}
+	return engines
+}
+
+func sortedEngines(engines map[string]Engine) []Engine {
+	list := make([]Engine, 0, len(engines))
+	for _, engine := range engines {
+		list = append(list, engine)
+	}
+	slices.SortFunc(list, func(a, b Engine) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// assignOwners gives each engine without a live owner to the scheduler with the
+// fewest engines of its pool, one of its own zone first, and moves engines where
+// a zone's schedulers are out of balance by more than one.
+func assignOwners(engines map[string]Engine, alive map[string]Scheduler) {
+	candidates := candidateNames(alive)
+	if len(candidates) == 0 {
+		return
+	}
+	owned := map[string]int{}
+	inPool := map[string]int{}
+	for _, engine := range engines {
+		if holder, ok := alive[engine.Owner]; ok && !holder.Draining {
+			owned[engine.Owner]++
+			inPool[engine.Owner+"/"+engine.Pool]++
+		}
+	}
+	for _, engine := range sortedEngines(engines) {
+		holder, held := alive[engine.Owner]
+		held = held && !holder.Draining
+		best := bestOwner(engine, candidates, alive, owned, inPool)
+		if held && !worthMoving(engine, best, alive, inPool) {
+			continue
+		}
+		if held {
+			owned[engine.Owner]--
+			inPool[engine.Owner+"/"+engine.Pool]--
+		}
+		engine.Owner = best
+		owned[best]++
+		inPool[best+"/"+engine.Pool]++
+		engines[engine.Name] = engine
+	}
+}
+
+func candidateNames(alive map[string]Scheduler) []string {
+	var names []string
+	for name, scheduler := range alive {
+		if !scheduler.Draining {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func bestOwner(engine Engine, candidates []string, alive map[string]Scheduler, owned, inPool map[string]int) string {
+	best := candidates[0]
+	for _, name := range candidates[1:] {
+		if betterOwner(engine, name, best, alive, owned, inPool) {
+			best = name
+		}
+	}
+	return best
+}
+
+func betterOwner(engine Engine, name, than string, alive map[string]Scheduler, owned, inPool map[string]int) bool {
+	nameLocal := alive[name].Zone == engine.Zone
+	thanLocal := alive[than].Zone == engine.Zone
+	if nameLocal != thanLocal {
+		return nameLocal
+	}
+	if a, b := inPool[name+"/"+engine.Pool], inPool[than+"/"+engine.Pool]; a != b {
+		return a < b
+	}
+	return owned[name] < owned[than]
+}
+
+// worthMoving reports whether an engine with a live owner should move: home to
+// its own zone, or within its zone where that evens out a difference of more
+// than one.
+func worthMoving(engine Engine, best string, alive map[string]Scheduler, inPool map[string]int) bool {
+	ownerLocal := alive[engine.Owner].Zone == engine.Zone
+	bestLocal := alive[best].Zone == engine.Zone
+	if ownerLocal != bestLocal {
+		return bestLocal
+	}
+	return inPool[engine.Owner+"/"+engine.Pool] > inPool[best+"/"+engine.Pool]+1
+}
--- a/internal/program/digest.go
+++ b/internal/program/digest.go
@@ -69,3 +69,8 @@
 	}
 	return false
 }
+
+// GroupOf returns the ledger group, 1 to groups, that a program belongs to.
+func GroupOf(id string, groups uint32) uint32 {
+	return uint32(xxhash.Sum64String(id)%uint64(groups)) + 1
+}
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -10,6 +10,7 @@
 
 // Thread is one conversation of a program; the main one is named "".
 type Thread struct {
+	Name     string `msgpack:"n"`
 	Parent   string `msgpack:"p"`
 	ForkTurn uint64 `msgpack:"f"`
 	Messages int    `msgpack:"m"`
@@ -27,6 +28,8 @@
 	Reserved  int64  `msgpack:"v"`
 	Scheduler string `msgpack:"s"`
 	SinceMs   int64  `msgpack:"n"`
+	Nonce     uint64 `msgpack:"z"`
+	Skip      int    `msgpack:"k"`
 }
 
 // answered remembers one finished request in 16 bytes.
@@ -38,21 +41,24 @@
 
 // Header is the state of one program.
 type Header struct {
-	ID        string             `msgpack:"i" json:"id"`
-	Tenant    string             `msgpack:"t" json:"tenant"`
-	Service   string             `msgpack:"s" json:"service"`
-	Limits    Limits             `msgpack:"l" json:"limits"`
-	Spent     int64              `msgpack:"p" json:"spent_tokens"`
-	Turn      uint64             `msgpack:"n" json:"turn"`
-	Open      *OpenTurn          `msgpack:"o" json:"-"`
-	Threads   map[string]*Thread `msgpack:"h" json:"-"`
-	Answered  []answered         `msgpack:"a" json:"-"`
-	Scheduler string             `msgpack:"w" json:"scheduler"`
-	Engine    string             `msgpack:"e" json:"engine"`
-	CreatedMs int64              `msgpack:"c" json:"created_ms"`
-	LastMs    int64              `msgpack:"m" json:"last_ms"`
-	Ended     bool               `msgpack:"d" json:"ended"`
-	EndReason string             `msgpack:"r" json:"end_reason"`
+	ID        string     `msgpack:"i" json:"id"`
+	Tenant    string     `msgpack:"t" json:"tenant"`
+	Service   string     `msgpack:"s" json:"service"`
+	Limits    Limits     `msgpack:"l" json:"limits"`
+	Spent     int64      `msgpack:"p" json:"spent_tokens"`
+	Turn      uint64     `msgpack:"n" json:"turn"`
+	Open      *OpenTurn  `msgpack:"o" json:"-"`
+	Threads   []*Thread  `msgpack:"h" json:"-"`
+	Answered  []answered `msgpack:"a" json:"-"`
+	Scheduler string     `msgpack:"w" json:"scheduler"`
+	Engine    string     `msgpack:"e" json:"engine"`
+	CreatedMs int64      `msgpack:"c" json:"created_ms"`
+	LastMs    int64      `msgpack:"m" json:"last_ms"`
+	// ClosedFence is the fence of the turn closed last, so that a commit which
+	// is proposed again gets its first answer.
+	ClosedFence uint64 `msgpack:"g" json:"-"`
+	Ended       bool   `msgpack:"d" json:"ended"`
+	EndReason   string `msgpack:"r" json:"end_reason"`
 }
 
 // Remaining returns the budget that is neither spent nor reserved.
@@ -145,7 +151,7 @@
 		}
 		header = &Header{
 			ID: begin.Program, Tenant: begin.Tenant, Service: begin.Service, Limits: begin.Limits,
-			Threads: map[string]*Thread{"": {}}, CreatedMs: nowMs, LastMs: nowMs,
+			Threads: []*Thread{{}}, CreatedMs: nowMs, LastMs: nowMs,
 		}
 	}
 	if header.Tenant != begin.Tenant || header.Service != begin.Service {
@@ -157,7 +163,11 @@
 	if header.Ended {
 		return refuse(result.ProgramClosed, "program %s ended: %s", begin.Program, header.EndReason)
 	}
-	if header.Open != nil {
+	if header.Open != nil && begin.Nonce != 0 && header.Open.Nonce == begin.Nonce {
+		return header.granted(begin.Thread), Effects{}
+	}
+	lost := header.Open
+	if lost != nil {
 		reply, effects, done := l.resolveOpen(header, nowMs, begin)
 		if done {
 			return reply, effects
@@ -166,10 +176,25 @@
 	reply, effects := l.grant(index, nowMs, header, begin)
 	if reply.Error == nil {
 		l.programs[begin.Program] = header
+		return reply, effects
+	}
+	if lost != nil && lost.Request == begin.Request {
+		return header.refuseRetry(nowMs, lost, reply)
 	}
 	return reply, effects
 }
 
+// refuseRetry closes the turn of a request whose earlier attempt was lost and
+// which may not be tried again. Invariant: "not run" is never said of a request
+// that an engine may have started, not at a later resend either.
+func (h *Header) refuseRetry(nowMs int64, lost *OpenTurn, reply Reply) (Reply, Effects) {
+	lost.Reserved = 0
+	h.Open = lost
+	effects := h.closeUnknown(nowMs)
+	reply.Error = reply.Error.WithOutcome(result.Unknown)
+	return reply, effects
+}
+
 func requestHash(request string) uint64 {
 	return xxhash.Sum64String(request)
 }
@@ -268,17 +293,23 @@
 	if code != result.OK {
 		return refuse(code, "the history sent differs from the %d messages of thread %q", thread.Messages, begin.Thread)
 	}
-	header.Threads[begin.Thread] = thread
+	header.addThread(thread)
 	header.Scheduler = begin.Scheduler
 	header.LastMs = nowMs
 	header.Open = &OpenTurn{
 		Turn: header.Turn + 1, Fence: index, Request: begin.Request, Digest: begin.Digest, Thread: begin.Thread,
 		Once: begin.Once, Reserved: reserved, Scheduler: begin.Scheduler, SinceMs: nowMs,
+		Nonce: begin.Nonce, Skip: skip,
 	}
+	return header.granted(begin.Thread), Effects{}
+}
+
+// granted describes the open turn to the scheduler that holds it.
+func (h *Header) granted(thread string) Reply {
 	return Reply{
-		Turn: header.Open.Turn, Fence: index, Skip: skip,
-		Lineage: header.lineage(begin.Thread), Remaining: header.Remaining(),
-	}, Effects{}
+		Turn: h.Open.Turn, Fence: h.Open.Fence, Skip: h.Open.Skip,
+		Lineage: h.lineage(thread), Remaining: h.Remaining(),
+	}
 }
 
 func (h *Header) overLimit(nowMs int64) result.Code {
@@ -291,16 +322,31 @@
 	return result.OK
 }
 
+func (h *Header) findThread(name string) *Thread {
+	for _, thread := range h.Threads {
+		if thread.Name == name {
+			return thread
+		}
+	}
+	return nil
+}
+
+func (h *Header) addThread(thread *Thread) {
+	if h.findThread(thread.Name) == nil {
+		h.Threads = append(h.Threads, thread)
+	}
+}
+
 // thread returns the call's thread, a new one forked from its parent at need.
 func (h *Header) thread(begin *Begin) (*Thread, result.Code) {
-	if thread, ok := h.Threads[begin.Thread]; ok {
+	if thread := h.findThread(begin.Thread); thread != nil {
 		return thread, result.OK
 	}
-	parent, ok := h.Threads[begin.Parent]
-	if !ok {
+	parent := h.findThread(begin.Parent)
+	if parent == nil {
 		return nil, result.UnknownThread
 	}
-	return &Thread{Parent: begin.Parent, ForkTurn: h.Turn, Messages: parent.Messages, Digest: parent.Digest}, result.OK
+	return &Thread{Name: begin.Thread, Parent: begin.Parent, ForkTurn: h.Turn, Messages: parent.Messages, Digest: parent.Digest}, result.OK
 }
 
 func (t *Thread) skip(prefixDigests []uint64) (int, result.Code) {
@@ -319,8 +365,8 @@
 	var spans []Span
 	for {
 		spans = append(spans, Span{Thread: name, Last: last})
-		thread, ok := h.Threads[name]
-		if name == "" || !ok {
+		thread := h.findThread(name)
+		if name == "" || thread == nil {
 			slices.Reverse(spans)
 			return spans
 		}
@@ -331,7 +377,7 @@
 
 // Lineage returns the spans of a thread's history; false for no such thread.
 func (h *Header) Lineage(thread string) ([]Span, bool) {
-	if _, ok := h.Threads[thread]; !ok {
+	if h.findThread(thread) == nil {
 		return nil, false
 	}
 	return h.lineage(thread), true
@@ -347,19 +393,32 @@
 	return header, header.Open.Fence == fence || l.DisableFence
 }
 
+// closedAlready answers a commit or abort that was carried out before.
+func (l *Ledger) closedAlready(id string, fence uint64) (Reply, bool) {
+	header, ok := l.programs[id]
+	if !ok || fence == 0 || header.ClosedFence != fence {
+		return Reply{}, false
+	}
+	return Reply{Turn: header.Turn, Ended: header.Ended, Remaining: header.Remaining()}, true
+}
+
 func (l *Ledger) commit(nowMs int64, commit *Commit) (Reply, Effects) {
+	if reply, done := l.closedAlready(commit.Program, commit.Fence); done {
+		return reply, Effects{}
+	}
 	header, ok := l.openWithFence(commit.Program, commit.Fence)
 	if !ok {
 		return refuse(result.StaleFence, "fence %d of program %s is not in force", commit.Fence, commit.Program)
 	}
 	open := header.Open
 	header.Open = nil
+	header.ClosedFence = commit.Fence
 	header.Turn = open.Turn
 	header.Spent += min(commit.NewTokens+commit.Usage.CompletionTokens, open.Reserved)
 	header.LastMs = nowMs
 	header.Engine = commit.Engine
 	header.remember(open)
-	thread := header.Threads[open.Thread]
+	thread := header.findThread(open.Thread)
 	thread.Messages += len(commit.Messages) + 1
 	thread.Digest = ChainDigest(ChainDigest(thread.Digest, commit.Messages...), commit.Answer)
 	if commit.End {
@@ -376,11 +435,15 @@
 }
 
 func (l *Ledger) abort(nowMs int64, abort *Abort) (Reply, Effects) {
+	if reply, done := l.closedAlready(abort.Program, abort.Fence); done {
+		return reply, Effects{}
+	}
 	header, ok := l.openWithFence(abort.Program, abort.Fence)
 	if !ok {
 		return refuse(result.StaleFence, "fence %d of program %s is not in force", abort.Fence, abort.Program)
 	}
 	open := header.Open
+	header.ClosedFence = abort.Fence
 	if open.Once && !abort.NotRun {
 		effects := header.closeUnknown(nowMs)
 		return Reply{Turn: header.Turn, Remaining: header.Remaining()}, effects
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -1,8 +1,6 @@
 package program
 
 import (
-	"bytes"
-
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -12,13 +10,7 @@
 	for _, id := range l.IDs() {
 		headers = append(headers, l.programs[id])
 	}
-	var buffer bytes.Buffer
-	encoder := msgpack.NewEncoder(&buffer)
-	encoder.SetSortMapKeys(true)
-	if err := encoder.Encode(headers); err != nil {
-		return nil, err
-	}
-	return buffer.Bytes(), nil
+	return msgpack.Marshal(headers)
 }
 
 // Restore replaces the state by a snapshot; empty data gives an empty ledger.
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -59,6 +59,9 @@
 	// LostTokens the tokens which that attempt is known to have used.
 	RetryOf    uint64 `msgpack:"f,omitempty"`
 	LostTokens int64  `msgpack:"u,omitempty"`
+	// Nonce makes a Begin that is proposed again, because its reply was lost,
+	// return the grant of the first.
+	Nonce uint64 `msgpack:"z,omitempty"`
 	// KnownTurn is the last turn whose record the scheduler has cached.
 	KnownTurn uint64 `msgpack:"y,omitempty"`
 }
--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,265 @@
+package protocol
+
+import (
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/settings"
+)
+
+// Kind numbers the messages; the numbers are never reused.
+type Kind uint8
+
+// The messages of the inner protocol.
+const (
+	// KindClosed is never sent: the transport gives it to every open call when
+	// its connection ends.
+	KindClosed Kind = 0
+
+	KindPeer     Kind = 1
+	KindHello    Kind = 2
+	KindLedger   Kind = 3
+	KindSync     Kind = 4
+	KindReleased Kind = 5
+	KindPermit   Kind = 6
+	KindSettings Kind = 7
+	KindRead     Kind = 8
+
+	KindCall     Kind = 20
+	KindPiece    Kind = 21
+	KindAnswer   Kind = 22
+	KindCancel   Kind = 23
+	KindFollow   Kind = 24
+	KindProgram  Kind = 25
+	KindEnd      Kind = 26
+	KindResponse Kind = 40
+)
+
+// PeerMessage is one consensus message of one group.
+type PeerMessage struct {
+	Group   uint32            `msgpack:"g"`
+	Message consensus.Message `msgpack:"m"`
+}
+
+// PeerBatch carries all groups' messages from one control process to another.
+type PeerBatch struct {
+	From string `msgpack:"f"`
+	// Revision is the settings revision in force at the sender.
+	Revision uint64        `msgpack:"r,omitempty"`
+	Messages []PeerMessage `msgpack:"m,omitempty"`
+}
+
+// Hello asks a control process what it knows of the cluster, before the asker
+// takes part in it.
+type Hello struct {
+	From    string              `msgpack:"f"`
+	Replica consensus.ReplicaID `msgpack:"r"`
+	// Formed says that the sender's disk has been part of a cluster.
+	Formed    bool                    `msgpack:"b"`
+	Bootstrap consensus.Configuration `msgpack:"c"`
+	// Joining says that not every group counts the sender's replica as a voter.
+	Joining bool `msgpack:"j,omitempty"`
+}
+
+// LedgerRequest proposes a command to a ledger group.
+type LedgerRequest struct {
+	Group   uint32          `msgpack:"g"`
+	Command program.Command `msgpack:"c"`
+	// KnownTurn bounds the records returned with a grant.
+	KnownTurn uint64 `msgpack:"k,omitempty"`
+}
+
+// LedgerReply answers a LedgerRequest, from the group's leader or with the code
+// NotLeader and a hint.
+type LedgerReply struct {
+	Reply  program.Reply `msgpack:"r"`
+	Leader string        `msgpack:"l,omitempty"`
+	// Records are encoded program.TurnRecords: the history after KnownTurn for a
+	// grant, the one turn for a request that was answered before.
+	Records [][]byte `msgpack:"h,omitempty"`
+}
+
+// SyncRequest is a scheduler's heartbeat; the reply is held until there is
+// something newer than Revision and Directory, or until HoldMs have passed.
+type SyncRequest struct {
+	Heartbeat membership.Heartbeat `msgpack:"h"`
+	Revision  uint64               `msgpack:"r"`
+	Directory uint64               `msgpack:"d"`
+	HoldMs    int64                `msgpack:"w"`
+	// Fresh asks that the reply be confirmed by a quorum: a daemon's first sync.
+	Fresh bool `msgpack:"f,omitempty"`
+}
+
+// SyncReply carries settings and directory to a scheduler.
+type SyncReply struct {
+	Error  *result.Error `msgpack:"e,omitempty"`
+	Leader string        `msgpack:"l,omitempty"`
+	Feed   Feed          `msgpack:"f"`
+	// Engines are the scheduler's own, where Directory is newer.
+	Engines []membership.Engine `msgpack:"g,omitempty"`
+}
+
+// Feed is the news that fans out from control to schedulers to sidecars.
+type Feed struct {
+	// Snapshot is a whole tree (settings.Tree.FollowerState), where the changes
+	// since the follower's revision are no longer kept.
+	Snapshot []byte              `msgpack:"s,omitempty"`
+	Changes  []settings.Accepted `msgpack:"c,omitempty"`
+	// Directory is the directory's version; Schedulers is set where it is newer
+	// than the follower's.
+	Directory  uint64                 `msgpack:"d"`
+	Schedulers []membership.Scheduler `msgpack:"h,omitempty"`
+	// Groups is the number of ledger groups.
+	Groups uint32 `msgpack:"g"`
+}
+
+// ReleasedRequest asks a ledger group which programs have ended.
+type ReleasedRequest struct {
+	Group    uint32   `msgpack:"g"`
+	Programs []string `msgpack:"p"`
+}
+
+// ReleasedReply answers a ReleasedRequest.
+type ReleasedReply struct {
+	Error    *result.Error `msgpack:"e,omitempty"`
+	Leader   string        `msgpack:"l,omitempty"`
+	Released []string      `msgpack:"r,omitempty"`
+}
+
+// PermitRequest asks the leader of the settings group for leave to take one
+// engine of a pool out of service for a load.
+type PermitRequest struct {
+	Scheduler string `msgpack:"s"`
+	Engine    string `msgpack:"e"`
+	Pool      string `msgpack:"p"`
+	// Release gives a permit back.
+	Release bool `msgpack:"r,omitempty"`
+}
+
+// PermitReply answers a PermitRequest.
+type PermitReply struct {
+	Error   *result.Error `msgpack:"e,omitempty"`
+	Leader  string        `msgpack:"l,omitempty"`
+	Granted bool          `msgpack:"g"`
+}
+
+// SettingsRequest proposes a change of the tree.
+type SettingsRequest struct {
+	Change settings.Change `msgpack:"c"`
+	// Validate only checks the change.
+	Validate bool `msgpack:"v,omitempty"`
+}
+
+// SettingsReply answers a SettingsRequest.
+type SettingsReply struct {
+	Leader string         `msgpack:"l,omitempty"`
+	Reply  settings.Reply `msgpack:"r"`
+}
+
+// ReadTopic names what a ReadRequest wants.
+type ReadTopic uint8
+
+// The topics of reads.
+const (
+	ReadSettings ReadTopic = iota + 1
+	ReadHistory
+	ReadStatus
+	ReadEngines
+	ReadPrograms
+	ReadProgram
+	ReadTree
+)
+
+// ReadRequest asks a group's leader for a linearizable read.
+type ReadRequest struct {
+	Topic   ReadTopic `msgpack:"t"`
+	Path    string    `msgpack:"p,omitempty"`
+	Program string    `msgpack:"g,omitempty"`
+	Limit   int       `msgpack:"l,omitempty"`
+	Group   uint32    `msgpack:"n,omitempty"`
+}
+
+// ReadReply answers a ReadRequest; Body is JSON for operators.
+type ReadReply struct {
+	Error   *result.Error `msgpack:"e,omitempty"`
+	Leader  string        `msgpack:"l,omitempty"`
+	Body    []byte        `msgpack:"b,omitempty"`
+	Records [][]byte      `msgpack:"h,omitempty"`
+}
+
+// CallRequest is one call of a program, from sidecar to scheduler.
+type CallRequest struct {
+	Program   string            `msgpack:"p"`
+	Create    bool              `msgpack:"c,omitempty"`
+	Tenant    string            `msgpack:"t,omitempty"`
+	Service   string            `msgpack:"s"`
+	Thread    string            `msgpack:"h,omitempty"`
+	Parent    string            `msgpack:"a,omitempty"`
+	Request   string            `msgpack:"r"`
+	Once      bool              `msgpack:"o,omitempty"`
+	End       bool              `msgpack:"e,omitempty"`
+	Messages  []program.Message `msgpack:"m"`
+	MaxTokens int64             `msgpack:"x,omitempty"`
+	// Budget lowers the service token budget when the program is created.
+	Budget int64 `msgpack:"b,omitempty"`
+	// DeadlineMs is the time left, milliseconds.
+	DeadlineMs int64 `msgpack:"d"`
+	// Offset is how many bytes of the answer the sidecar has already.
+	Offset int `msgpack:"f,omitempty"`
+	// Attempt numbers the sidecar's sends of this request, from 0.
+	Attempt int `msgpack:"n,omitempty"`
+}
+
+// Piece is a part of an answer; Offset is its first byte's place in the answer.
+type Piece struct {
+	Offset int    `msgpack:"o"`
+	Text   string `msgpack:"t"`
+}
+
+// Answer is the final message of a call.
+type Answer struct {
+	Error   *result.Error `msgpack:"e,omitempty"`
+	Content string        `msgpack:"c,omitempty"`
+	Usage   program.Usage `msgpack:"u"`
+	Turn    uint64        `msgpack:"t,omitempty"`
+	Engine  string        `msgpack:"g,omitempty"`
+	Ended   bool          `msgpack:"d,omitempty"`
+	// Remaining is the program's budget after the call, tokens.
+	Remaining int64 `msgpack:"r,omitempty"`
+}
+
+// Cancel tells a scheduler that the caller of a request has gone.
+type Cancel struct {
+	Program string `msgpack:"p"`
+	Request string `msgpack:"r"`
+}
+
+// FollowRequest is a sidecar's heartbeat to its scheduler; like a SyncRequest
+// it is held until there is news.
+type FollowRequest struct {
+	Sidecar   string `msgpack:"s"`
+	Revision  uint64 `msgpack:"r"`
+	Directory uint64 `msgpack:"d"`
+	HoldMs    int64  `msgpack:"w"`
+}
+
+// FollowReply answers a FollowRequest.
+type FollowReply struct {
+	Error *result.Error `msgpack:"e,omitempty"`
+	Feed  Feed          `msgpack:"f"`
+}
+
+// ProgramRequest asks a scheduler for a program's header or history.
+type ProgramRequest struct {
+	Program string `msgpack:"p"`
+	Tenant  string `msgpack:"t,omitempty"`
+	// End ends the program.
+	End bool `msgpack:"e,omitempty"`
+}
+
+// ProgramReply answers a ProgramRequest; Body is JSON.
+type ProgramReply struct {
+	Error *result.Error `msgpack:"e,omitempty"`
+	Body  []byte        `msgpack:"b,omitempty"`
+}
--- /dev/null
+++ b/internal/protocol/transport.go
@@ -0,0 +1,301 @@
+package protocol
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	sendQueueFrames = 4096
+	bufferBytes     = 64 << 10
+	writeTimeout    = 10 * time.Second
+)
+
+// ErrClosed means that the connection has ended.
+var ErrClosed = errors.New("protocol: connection closed")
+
+// Counters count what a process has sent and received, for /metrics.
+type Counters struct {
+	BytesOut    atomic.Int64
+	BytesIn     atomic.Int64
+	MessagesOut atomic.Int64
+	MessagesIn  atomic.Int64
+}
+
+// Traffic counts all inner connections of this process.
+var Traffic Counters
+
+type queued struct {
+	frame Frame
+	due   time.Time
+}
+
+// Connection is one TCP connection with a writer and a reader of its own.
+// Handlers run on the reader's goroutine and must not block.
+type Connection struct {
+	socket net.Conn
+	delay  time.Duration
+	out    chan queued
+	done   chan struct{}
+	once   sync.Once
+
+	mutex    sync.Mutex
+	nextCall uint64
+	calls    map[uint64]func(Frame)
+	onClose  []func()
+}
+
+func newConnection(socket net.Conn, delay time.Duration) *Connection {
+	return &Connection{
+		socket: socket, delay: delay,
+		out: make(chan queued, sendQueueFrames), done: make(chan struct{}),
+		calls: map[uint64]func(Frame){},
+	}
+}
+
+// Dial connects to a peer by IP:port. delay is added to each direction, to
+// stand in for the distance between zones.
+func Dial(address string, timeout, delay time.Duration) (*Connection, error) {
+	socket, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	connection := newConnection(socket, delay)
+	go connection.writeLoop()
+	go connection.readLoop(connection.dispatchReply)
+	return connection, nil
+}
+
+// RemoteAddress returns the peer's IP:port.
+func (c *Connection) RemoteAddress() string {
+	return c.socket.RemoteAddr().String()
+}
+
+// Close ends the connection; every open call gets KindClosed.
+func (c *Connection) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		_ = c.socket.Close()
+		c.mutex.Lock()
+		calls := c.calls
+		hooks := c.onClose
+		c.calls = nil
+		c.onClose = nil
+		c.mutex.Unlock()
+		for call, handler := range calls {
+			handler(Frame{Call: call, Kind: KindClosed, Last: true})
+		}
+		for _, hook := range hooks {
+			hook()
+		}
+	})
+}
+
+// Closed is closed when the connection has ended.
+func (c *Connection) Closed() <-chan struct{} { return c.done }
+
+// OnClose runs hook once when the connection ends, at once if it has.
+func (c *Connection) OnClose(hook func()) {
+	c.mutex.Lock()
+	ended := c.calls == nil
+	if !ended {
+		c.onClose = append(c.onClose, hook)
+	}
+	c.mutex.Unlock()
+	if ended {
+		hook()
+	}
+}
+
+// Call sends a request; handler gets each frame of the answer, the last one
+// marked, or KindClosed where the connection ends first.
+func (c *Connection) Call(kind Kind, request any, handler func(Frame)) uint64 {
+	body, err := Encode(request)
+	if err != nil {
+		handler(Frame{Kind: KindClosed, Last: true})
+		return 0
+	}
+	return c.CallRaw(kind, body, handler)
+}
+
+// CallRaw is Call with a request that is encoded already.
+func (c *Connection) CallRaw(kind Kind, body []byte, handler func(Frame)) uint64 {
+	c.mutex.Lock()
+	if c.calls == nil {
+		c.mutex.Unlock()
+		handler(Frame{Kind: KindClosed, Last: true})
+		return 0
+	}
+	c.nextCall++
+	call := c.nextCall
+	c.calls[call] = handler
+	c.mutex.Unlock()
+	// Where the frame can't be queued, Close has told the handler.
+	_ = c.enqueue(Frame{Call: call, Kind: kind, Body: body})
+	return call
+}
+
+// Send sends a one-way message.
+func (c *Connection) Send(kind Kind, message any) error {
+	return c.Reply(0, kind, message, true)
+}
+
+// Reply sends a frame of a call that the peer has made.
+func (c *Connection) Reply(call uint64, kind Kind, message any, last bool) error {
+	body, err := Encode(message)
+	if err != nil {
+		return err
+	}
+	return c.enqueue(Frame{Call: call, Kind: kind, Last: last, Body: body})
+}
+
+// enqueue closes a connection whose peer doesn't read: a sender never blocks.
+func (c *Connection) enqueue(frame Frame) error {
+	select {
+	case <-c.done:
+		return ErrClosed
+	default:
+	}
+	select {
+	case c.out <- queued{frame: frame, due: time.Now().Add(c.delay)}:
+		return nil
+	default:
+		c.Close()
+		return ErrClosed
+	}
+}
+
+func (c *Connection) writeLoop() {
+	writer := bufio.NewWriterSize(c.socket, bufferBytes)
+	var buffer []byte
+	for {
+		select {
+		case <-c.done:
+			return
+		case next := <-c.out:
+			if c.delay > 0 {
+				time.Sleep(time.Until(next.due))
+			}
+			buffer = AppendFrame(buffer[:0], next.frame)
+			Traffic.BytesOut.Add(int64(len(buffer)))
+			Traffic.MessagesOut.Add(1)
+			_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := writer.Write(buffer); err != nil {
+				c.Close()
+				return
+			}
+		}
+		// Flush once nothing else waits, so that busy connections batch.
+		if len(c.out) == 0 {
+			if err := writer.Flush(); err != nil {
+				c.Close()
+				return
+			}
+		}
+	}
+}
+
+func (c *Connection) readLoop(dispatch func(Frame)) {
+	defer c.Close()
+	deliver := dispatch
+	if c.delay > 0 {
+		delayed := make(chan queued, sendQueueFrames)
+		defer close(delayed)
+		go deliverDelayed(delayed, dispatch)
+		deliver = func(frame Frame) { delayed <- queued{frame, time.Now().Add(c.delay)} }
+	}
+	reader := bufio.NewReaderSize(c.socket, bufferBytes)
+	for {
+		frame, err := ReadFrame(reader)
+		if err != nil {
+			return
+		}
+		Traffic.BytesIn.Add(int64(len(frame.Body)) + lengthBytes)
+		Traffic.MessagesIn.Add(1)
+		deliver(frame)
+	}
+}
+
+func deliverDelayed(delayed <-chan queued, dispatch func(Frame)) {
+	for next := range delayed {
+		time.Sleep(time.Until(next.due))
+		dispatch(next.frame)
+	}
+}
+
+func (c *Connection) dispatchReply(frame Frame) {
+	c.mutex.Lock()
+	handler := c.calls[frame.Call]
+	if frame.Last {
+		delete(c.calls, frame.Call)
+	}
+	c.mutex.Unlock()
+	if handler != nil {
+		handler(frame)
+	}
+}
+
+// Handler takes one request; it answers with connection.Reply, now or later.
+type Handler func(connection *Connection, frame Frame)
+
+// Server accepts inner connections.
+type Server struct {
+	listener net.Listener
+	handler  Handler
+	mutex    sync.Mutex
+	open     map[*Connection]bool
+}
+
+// Listen binds to IP:port; port 0 lets the kernel choose.
+func Listen(address string, handler Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &Server{listener: listener, handler: handler, open: map[*Connection]bool{}}
+	go server.accept()
+	return server, nil
+}
+
+// Address returns the bound IP:port.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+func (s *Server) accept() {
+	for {
+		socket, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		connection := newConnection(socket, 0)
+		s.mutex.Lock()
+		s.open[connection] = true
+		s.mutex.Unlock()
+		connection.OnClose(func() {
+			s.mutex.Lock()
+			delete(s.open, connection)
+			s.mutex.Unlock()
+		})
+		go connection.writeLoop()
+		go connection.readLoop(func(frame Frame) { s.handler(connection, frame) })
+	}
+}
+
+// Close stops accepting and ends every connection.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mutex.Lock()
+	var open []*Connection
+	for connection := range s.open {
+		open = append(open, connection)
+	}
+	s.mutex.Unlock()
+	for _, connection := range open {
+		connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/core.go
@@ -0,0 +1,294 @@
+// Package scheduler is the process that owns a cell of engines under a lease and
+// decides which of them runs each call (design sections 3, 4 and 8). It holds
+// nothing that must survive: the ledger judges order, budget and at-most-once.
+// Core is its control state without goroutine, clock or socket; Daemon runs it
+// over TCP and HTTP, the simulator over virtual ones.
+package scheduler
+
+import (
+	"github.com/ochrebay/ochrebay/internal/engine"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/settings"
+)
+
+// SinkID names the place to which a call's answer goes: one call of one sidecar.
+type SinkID uint64
+
+// ControlID names a request to a control process.
+type ControlID uint64
+
+// AttemptID names one run of a call on an engine.
+type AttemptID uint64
+
+// Run is what an engine is asked to do.
+type Run struct {
+	Attempt AttemptID
+	Engine  membership.Engine
+	Request engine.CompletionRequest
+}
+
+// Outlet takes what the core sends. Its methods must not call back.
+type Outlet interface {
+	// Control sends a request to a control process; the answer, or its absence,
+	// comes back as ControlReply.
+	Control(member string, id ControlID, kind protocol.Kind, request any)
+	// Reply sends a message to a sidecar.
+	Reply(sink SinkID, kind protocol.Kind, message any, last bool)
+	// Start runs a call; pieces and the outcome come back as Piece and Ended.
+	Start(run Run)
+	// Stop closes a run's stream; no outcome is needed.
+	Stop(attempt AttemptID)
+	// Order gives an engine a fenced order, Release tells it to drop programs.
+	Order(target membership.Engine, order engine.Order)
+	Release(target membership.Engine, programs []string)
+}
+
+// Options configure a Core.
+type Options struct {
+	Name    string
+	Zone    string
+	Address string
+	// Start identifies the process; it differs at each start.
+	Start uint64
+	// Members are the control processes, one's own zone first.
+	Members []string
+	// SyncHoldMs is how long control may hold a heartbeat that brings no news.
+	SyncHoldMs int64
+	// CacheBytes bounds the histories kept in memory.
+	CacheBytes int64
+	Policy     scheduling.Policy
+
+	// The rest turn mechanisms off, for runs that show what they are for.
+	DisableOrder       bool
+	DisableAudit       bool
+	DisableLeavingStop bool
+	DisableRevision    bool
+}
+
+// DefaultOptions returns the timings in use.
+func DefaultOptions(name, zone, address string, start uint64, members []string) Options {
+	return Options{
+		Name: name, Zone: zone, Address: address, Start: start, Members: members,
+		SyncHoldMs: 1000, CacheBytes: 64 << 20, Policy: scheduling.DefaultPolicy(),
+	}
+}
+
+const (
+	controlTimeoutMs  = 3000
+	controlPauseMs    = 100
+	openTurnPauseMs   = 150
+	auditEveryMs      = 2000
+	reconcileEveryMs  = 250
+	engineSilenceMs   = 3000
+	followSilenceMs   = 5000
+	maxLagging        = 8
+	commitPatienceMs  = 60_000
+	programIdleMs     = 600_000
+	forgetEveryMs     = 5000
+	expectedOutputMin = 16
+)
+
+// Core is the control state of one scheduler.
+type Core struct {
+	options Options
+	outlet  Outlet
+	nowMs   int64
+
+	tree      *settings.Tree
+	effective map[string]settings.Fields
+	directory uint64
+	groups    uint32
+	peers     []membership.Scheduler
+	engines   map[string]*ownedEngine
+	cell      scheduling.Cell
+	tenants   *scheduling.Tenants
+
+	programs map[string]*localProgram
+	// busy are the programs with a call under way.
+	busy         map[string]*localProgram
+	cacheBytes   int64
+	lastForgetMs int64
+	waiting      map[uint64]*call
+	attempts     map[AttemptID]*call
+	sinks        map[SinkID]*call
+	nextCall     uint64
+	nextAttempt  AttemptID
+
+	control     map[ControlID]*controlRequest
+	nextControl ControlID
+	leaders     map[uint32]string
+	memberTurn  int
+
+	follows     map[string]*follower
+	synced      bool
+	syncing     bool
+	draining    bool
+	lastAuditMs int64
+	lastPlanMs  int64
+
+	// Counters are read through Stats.
+	counters Stats
+}
+
+// Stats counts what the scheduler did; the gauges are of now.
+type Stats struct {
+	Started     uint64
+	Answered    uint64
+	Refused     uint64
+	Retried     uint64
+	Released    uint64
+	TakenOver   uint64
+	Waiting     int
+	InFlight    int
+	Engines     int
+	Ready       int
+	Revision    uint64
+	Synced      bool
+	PromptsRead int64
+	CachedRead  int64
+}
+
+// ownedEngine is one engine of the cell.
+type ownedEngine struct {
+	info     membership.Engine
+	state    engine.State
+	heardMs  int64
+	known    bool
+	schedule *scheduling.Engine
+	// permit and draining are reconcile's progress.
+	permit        bool
+	permitPending bool
+	draining      bool
+	orderedAtMs   int64
+}
+
+// follower is a sidecar that follows the tree through this scheduler.
+type follower struct {
+	revision  uint64
+	heardMs   int64
+	sink      SinkID
+	request   *protocol.FollowRequest
+	untilMs   int64
+	isWaiting bool
+}
+
+// NewCore returns a scheduler that knows nothing yet.
+func NewCore(options Options, outlet Outlet, nowMs int64) *Core {
+	return &Core{
+		options: options, outlet: outlet, nowMs: nowMs,
+		tree: settings.NewTree(), effective: map[string]settings.Fields{},
+		engines: map[string]*ownedEngine{}, tenants: scheduling.NewTenants(),
+		cell:     scheduling.Cell{Policy: options.Policy},
+		programs: map[string]*localProgram{}, busy: map[string]*localProgram{}, waiting: map[uint64]*call{}, attempts: map[AttemptID]*call{},
+		sinks: map[SinkID]*call{}, control: map[ControlID]*controlRequest{}, leaders: map[uint32]string{},
+		follows: map[string]*follower{},
+	}
+}
+
+// Ready reports whether the scheduler knows the settings and may take calls.
+func (c *Core) Ready() bool { return c.synced && !c.draining }
+
+// Stats returns counters and gauges.
+func (c *Core) Stats() Stats {
+	stats := c.counters
+	stats.Waiting = len(c.waiting)
+	stats.InFlight = len(c.attempts)
+	stats.Engines = len(c.engines)
+	stats.Revision = c.tree.Revision()
+	stats.Synced = c.synced
+	for _, owned := range c.engines {
+		if owned.schedule.Ready {
+			stats.Ready++
+		}
+	}
+	return stats
+}
+
+// Tree returns the settings in force here, for reading.
+func (c *Core) Tree() *settings.Tree { return c.tree }
+
+// Idle reports whether no call is under way, so that a drained process may end.
+func (c *Core) Idle() bool { return len(c.sinks) == 0 && len(c.attempts) == 0 && !c.committing() }
+
+func (c *Core) committing() bool {
+	return len(c.busy) > 0
+}
+
+// Drain stops taking calls; those under way go on to their end.
+func (c *Core) Drain() {
+	c.draining = true
+}
+
+// Tick advances the core's clock.
+func (c *Core) Tick(nowMs int64) {
+	c.nowMs = nowMs
+	c.heartbeat()
+	c.tickControl()
+	c.tickPrograms()
+	c.tickFollows()
+	c.tickEngines()
+	c.tickDeadlines()
+	c.dispatch()
+}
+
+// fields returns the effective settings of a path, computed once a revision.
+func (c *Core) fields(path string) settings.Fields {
+	if known, ok := c.effective[path]; ok {
+		return known
+	}
+	fields := c.tree.Effective(path)
+	c.effective[path] = fields
+	return fields
+}
+
+// applyFeed takes news from control. Invariant: the revision only grows; what is
+// older than the revision in force is dropped.
+func (c *Core) applyFeed(feed protocol.Feed) {
+	before := c.tree.Revision()
+	c.tree = feed.ApplyTo(c.tree, c.options.DisableRevision)
+	if c.tree.Revision() != before {
+		clear(c.effective)
+	}
+	if feed.Groups > 0 {
+		c.groups = feed.Groups
+	}
+	if feed.Directory > c.directory {
+		c.directory = feed.Directory
+		c.peers = feed.Schedulers
+	}
+	root := c.fields("/")
+	c.cell.Policy.AgeingMs = *root.AgeingMs
+	c.cell.Policy.QueueLimit = int(*root.QueueLimit)
+}
+
+func (c *Core) groupOf(id string) uint32 {
+	return program.GroupOf(id, c.groups)
+}
+
+// alive reports whether the directory lists a scheduler under its present start.
+func (c *Core) alive(name string) bool {
+	for _, peer := range c.peers {
+		if peer.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// target returns what the settings ask of a pool's engines.
+func (c *Core) target(pool string) reconcile.Target {
+	fields := c.fields("/pools/" + pool)
+	if fields.Model == nil {
+		return reconcile.Target{}
+	}
+	return reconcile.Target{Model: *fields.Model, Adapter: *fields.Adapter, Version: *fields.Version, Role: *fields.Role}
+}
+
+func (c *Core) finish(sink SinkID, failure *result.Error) {
+	c.outlet.Reply(sink, protocol.KindAnswer, &protocol.Answer{Error: failure}, true)
+}
--- /dev/null
+++ b/internal/scheduling/limits.go
@@ -0,0 +1,125 @@
+package scheduling
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+func msDuration(ms int64) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
+
+// drainMs estimates how long the pool needs for the calls that wait now.
+func (c *Cell) drainMs(pool string) int64 {
+	var total int64
+	for _, call := range c.Waiting {
+		if call.Pool == pool {
+			total += c.costMicros(call)
+		}
+	}
+	return total / 1000 / int64(max(1, c.slots(pool)))
+}
+
+// aheadMs estimates how long the calls take that would go before this one.
+func (c *Cell) aheadMs(call *Call, nowMs int64) int64 {
+	var total int64
+	own := c.effectiveRank(call, nowMs)
+	for _, other := range c.Waiting {
+		if other.Pool == call.Pool && c.effectiveRank(other, nowMs) <= own {
+			total += c.costMicros(other)
+		}
+	}
+	return total / 1000 / int64(max(1, c.slots(call.Pool)))
+}
+
+func (c *Cell) slots(pool string) int {
+	slots := 0
+	for _, engine := range c.Engines {
+		if engine.Pool == pool && engine.Ready && !engine.Closed {
+			slots += engine.Slots
+		}
+	}
+	return slots
+}
+
+// costMicros is the time a call takes on the pool's first engine in a full batch.
+func (c *Cell) costMicros(call *Call) int64 {
+	for _, engine := range c.Engines {
+		if engine.Pool == call.Pool && engine.Ready {
+			step := engine.StepMicros + int64(engine.Slots)*engine.SequenceMicros
+			return call.OutputTokens*step + call.PromptTokens*1_000_000/max(1, engine.PrefillPerSecond)
+		}
+	}
+	return 0
+}
+
+// TenantLimits are a tenant's limits for the whole fleet; zero is no limit.
+type TenantLimits struct {
+	InFlight        int64
+	TokensPerSecond int64
+}
+
+type tenantState struct {
+	inFlight int64
+	limiter  *rate.Limiter
+	perSec   int64
+}
+
+// Tenants counts what tenants use at one scheduler. Each of n schedulers allows
+// its n-th part of a limit, at least one call, so that the sum holds without a
+// message between schedulers.
+type Tenants struct {
+	states map[string]*tenantState
+}
+
+// NewTenants returns counts of zero.
+func NewTenants() *Tenants {
+	return &Tenants{states: map[string]*tenantState{}}
+}
+
+// Take counts a call of a tenant, or refuses it.
+func (t *Tenants) Take(tenant string, limits TenantLimits, tokens int64, schedulers int, nowMs int64) *result.Error {
+	if limits.InFlight == 0 && limits.TokensPerSecond == 0 {
+		return nil
+	}
+	state, ok := t.states[tenant]
+	if !ok {
+		state = &tenantState{}
+		t.states[tenant] = state
+	}
+	share := func(limit int64) int64 { return max(1, limit/int64(max(1, schedulers))) }
+	if limits.InFlight > 0 && state.inFlight >= share(limits.InFlight) {
+		return result.New(result.TenantLimit, "tenant %q has %d calls in flight here", tenant, state.inFlight)
+	}
+	if limits.TokensPerSecond > 0 {
+		perSecond := share(limits.TokensPerSecond)
+		if state.limiter == nil || state.perSec != perSecond {
+			state.perSec = perSecond
+			state.limiter = rate.NewLimiter(rate.Limit(perSecond), int(max(perSecond, tokens)))
+		}
+		at := time.UnixMilli(nowMs)
+		if !state.limiter.AllowN(at, int(tokens)) {
+			missing := float64(tokens) - state.limiter.TokensAt(at)
+			wait := time.Duration(missing / float64(perSecond) * float64(time.Second))
+			return result.New(result.TenantLimit, "tenant %q is over %d tokens a second", tenant, limits.TokensPerSecond).
+				WithRetryAfter(max(wait, time.Millisecond))
+		}
+	}
+	state.inFlight++
+	return nil
+}
+
+// Give counts the end of a call that Take allowed.
+func (t *Tenants) Give(tenant string) {
+	state, ok := t.states[tenant]
+	if !ok {
+		return
+	}
+	state.inFlight = max(0, state.inFlight-1)
+	if state.inFlight == 0 && state.limiter == nil {
+		delete(t.states, tenant)
+	}
+}
--- /dev/null
+++ b/internal/settings/tree_test.go
@@ -0,0 +1,137 @@
+package settings
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+func base() *Tree {
+	tree := NewTree()
+	tree.Apply(Change{Operator: "setup", Number: 1, Nodes: []NodeChange{
+		{Path: "/pools/agents", Fields: Fields{Model: pointer("m")}},
+		{Path: "/services/triage", Fields: Fields{Pool: pointer("agents"), Rank: pointer(int64(2))}},
+	}})
+	return tree
+}
+
+func setRank(operator string, number, version uint64, path string, rank int64) Change {
+	return Change{Operator: operator, Number: number, Nodes: []NodeChange{{Path: path, Version: version, Fields: Fields{Rank: &rank, Pool: pointer("agents")}}}}
+}
+
+func TestTree(t *testing.T) {
+	Convey("a child inherits what it doesn't set", t, func() {
+		tree := base()
+		So(*tree.Effective("/services/triage/night").Rank, ShouldEqual, 2)
+		So(*tree.Effective("/services/other").Rank, ShouldEqual, 5)
+		So(tree.Apply(Change{Operator: "a", Number: 1, Nodes: []NodeChange{{Path: "/", Fields: Fields{MaxTurns: pointer(int64(9))}}}}).Error, ShouldBeNil)
+		So(*tree.Effective("/services/triage").MaxTurns, ShouldEqual, 9)
+	})
+	Convey("a resent change gets the first answer, and another under its number a conflict", t, func() {
+		tree := base()
+		first := tree.Apply(setRank("a", 7, 1, "/services/triage", 3))
+		So(first.Error, ShouldBeNil)
+		So(tree.Apply(setRank("a", 7, 1, "/services/triage", 3)), ShouldResemble, first)
+		So(tree.Apply(setRank("a", 7, 2, "/services/triage", 4)).Error.Code, ShouldEqual, result.ChangeNumberReuse)
+		So(tree.Revision(), ShouldEqual, first.Revision)
+	})
+	Convey("of two operators with the same version and number one wins and is shown", t, func() {
+		tree := base()
+		So(tree.Apply(setRank("a", 7, 1, "/services/triage", 3)).Error, ShouldBeNil)
+		lost := tree.Apply(setRank("b", 7, 1, "/services/triage", 4))
+		So(lost.Error.Code, ShouldEqual, result.SettingsConflict)
+		So(lost.Winner.Operator, ShouldEqual, "a")
+	})
+	Convey("an invalid change changes nothing and names path and field", t, func() {
+		tree := base()
+		bad := []Change{
+			{Operator: "a", Number: 1, Nodes: []NodeChange{{Path: "/services/x", Fields: Fields{Pool: pointer("nowhere")}}}},
+			{Operator: "a", Number: 2, Nodes: []NodeChange{{Path: "/pools/agents", Version: 1, Delete: true}}},
+			{Operator: "a", Number: 3, Nodes: []NodeChange{{Path: "/pools/b"}}},
+			{Operator: "a", Number: 4, Nodes: []NodeChange{{Path: "/services/triage", Version: 1, Fields: Fields{Rank: pointer(int64(99))}}}},
+			{Operator: "a", Number: 5, Nodes: []NodeChange{{Path: "no slash"}}},
+			{Operator: "a", Number: 6},
+			{Operator: "a", Number: 7, Nodes: []NodeChange{{Path: "/", Delete: true}}},
+		}
+		for _, change := range bad {
+			reply := tree.Apply(change)
+			So(reply.Error, ShouldNotBeNil)
+			So(reply.Error.Code, ShouldEqual, result.SettingsInvalid)
+		}
+		So(tree.Revision(), ShouldEqual, 1)
+		_, err := ParseFields([]byte(`{"rnak": 3}`))
+		So(err.Error(), ShouldContainSubstring, "rnak")
+	})
+	Convey("a follower takes each change once, in order, and nothing older", t, func() {
+		tree := base()
+		follower := NewTree()
+		changes, ok := tree.Since(0)
+		So(ok, ShouldBeTrue)
+		So(follower.Follow(changes[0]), ShouldBeTrue)
+		So(follower.Follow(changes[0]), ShouldBeFalse)
+		So(*follower.Effective("/services/triage").Rank, ShouldEqual, 2)
+	})
+}
+
+// TestRaces: whatever operators send and resend, in any order, each number of
+// each operator takes effect at most once and versions only grow.
+func TestRaces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := base()
+		follower := NewTree()
+		effects := map[string]uint64{}
+		var sent []Change
+		for range rapid.IntRange(1, 60).Draw(t, "changes") {
+			var change Change
+			if len(sent) > 0 && rapid.IntRange(0, 3).Draw(t, "resend") == 0 {
+				change = rapid.SampledFrom(sent).Draw(t, "resent")
+			} else {
+				path := rapid.SampledFrom([]string{"/services/triage", "/services/b"}).Draw(t, "path")
+				node, _ := tree.Get(path)
+				version := node.Version - uint64(rapid.IntRange(0, 1).Draw(t, "staleness"))
+				change = setRank(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "operator"),
+					uint64(rapid.IntRange(1, 12).Draw(t, "number")), version, path, int64(rapid.IntRange(0, 9).Draw(t, "rank")))
+			}
+			sent = append(sent, change)
+			before := tree.Revision()
+			reply := tree.Apply(change)
+			key := fmt.Sprint(change.Operator, change.Number)
+			if tree.Revision() != before {
+				if effects[key] != 0 {
+					t.Fatalf("%s took effect twice", key)
+				}
+				effects[key] = reply.Revision
+			}
+			if reply.Error == nil && effects[key] != reply.Revision {
+				t.Fatalf("%s was answered with revision %d, in force is %d", key, reply.Revision, effects[key])
+			}
+		}
+		changes, ok := tree.Since(0)
+		if !ok {
+			t.Fatal("changes are missing")
+		}
+		for _, accepted := range changes {
+			if !follower.Follow(accepted) {
+				t.Fatal("follower refused a change in order")
+			}
+		}
+		own, _ := tree.FollowerState()
+		other, _ := follower.FollowerState()
+		if string(own) != string(other) {
+			t.Fatal("the follower's tree differs")
+		}
+		data, _ := tree.Snapshot()
+		restored := NewTree()
+		if err := restored.Restore(data); err != nil {
+			t.Fatal(err)
+		}
+		again, _ := restored.Snapshot()
+		if string(again) != string(data) {
+			t.Fatal("a restored tree differs from its snapshot")
+		}
+	})
+}
--- /dev/null
+++ b/internal/sidecar/follow.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+// follow keeps one heartbeat under way at a scheduler; its answer brings the
+// settings and the list of schedulers.
+func (c *Core) follow() {
+	if c.following != 0 && c.nowMs-c.followedAt < followTimeoutMs+c.options.FollowHoldMs {
+		return
+	}
+	if c.following != 0 {
+		delete(c.sends, c.following)
+		c.followTurn++
+	}
+	target, ok := c.followTarget()
+	if !ok {
+		return
+	}
+	c.nextSend++
+	c.following = c.nextSend
+	c.followedAt = c.nowMs
+	c.sends[c.nextSend] = &send{id: c.nextSend, address: target.Address, name: target.Name, follow: true}
+	c.outlet.Send(target.Address, c.nextSend, protocol.KindFollow, &protocol.FollowRequest{
+		Sidecar: c.options.Name, Revision: c.tree.Revision(), Directory: c.directory, HoldMs: c.options.FollowHoldMs,
+	})
+}
+
+// followTarget goes round the schedulers of one's own zone first, and changes
+// only when one is lost.
+func (c *Core) followTarget() (membership.Scheduler, bool) {
+	var local, others []membership.Scheduler
+	for _, peer := range c.peers {
+		if peer.Zone == c.options.Zone && !peer.Draining {
+			local = append(local, peer)
+		} else {
+			others = append(others, peer)
+		}
+	}
+	all := append(local, others...)
+	if len(all) == 0 {
+		all = c.options.Seeds
+	}
+	if len(all) == 0 {
+		return membership.Scheduler{}, false
+	}
+	return all[c.followTurn%len(all)], true
+}
+
+// Followed takes news from a scheduler. Invariant: revision and directory only
+// grow here, whichever scheduler sends them.
+func (c *Core) Followed(id SendID, reply *protocol.FollowReply, nowMs int64) {
+	c.nowMs = nowMs
+	if id != c.following {
+		return
+	}
+	delete(c.sends, id)
+	c.following = 0
+	if reply.Error != nil {
+		c.followTurn++
+		return
+	}
+	feed := reply.Feed
+	c.tree = feed.ApplyTo(c.tree, false)
+	if feed.Directory > c.directory {
+		c.directory = feed.Directory
+		c.peers = feed.Schedulers
+	}
+	c.synced = true
+	c.follow()
+}
+
+// Addresses returns the schedulers' addresses in the order in which to ask them.
+func (c *Core) Addresses() []string {
+	peers := c.peers
+	if len(peers) == 0 {
+		peers = c.options.Seeds
+	}
+	var addresses []string
+	for _, peer := range peers {
+		if peer.Zone == c.options.Zone {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	for _, peer := range peers {
+		if peer.Zone != c.options.Zone {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,118 @@
+// Package telemetry gives every daemon its logfmt events, its metrics and the
+// three HTTP paths by which it is watched.
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+// NewLogger returns a logger that writes one logfmt line an event, with the
+// constant keys ts, level, component, process, msg and err.
+func NewLogger(writer io.Writer, component, process, minimum string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(writer))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(minimum, level.InfoValue())))
+	return log.With(logger, "ts", log.DefaultTimestampUTC, "component", component, "process", process)
+}
+
+// Info logs an event that operators may want to see.
+func Info(logger log.Logger, message string, keyValues ...any) {
+	_ = level.Info(logger).Log(append([]any{"msg", message}, keyValues...)...)
+}
+
+// Warn logs an event that operators should see.
+func Warn(logger log.Logger, message string, keyValues ...any) {
+	_ = level.Warn(logger).Log(append([]any{"msg", message}, keyValues...)...)
+}
+
+// Debug logs an event of one call.
+func Debug(logger log.Logger, message string, keyValues ...any) {
+	_ = level.Debug(logger).Log(append([]any{"msg", message}, keyValues...)...)
+}
+
+// Monitor serves /metrics, /healthz and /readyz.
+type Monitor struct {
+	Registry *prometheus.Registry
+	ready    func() bool
+	metrics  fasthttp.RequestHandler
+}
+
+// NewMonitor returns a monitor with the process's own metrics; ready tells
+// whether the daemon can do its work.
+func NewMonitor(ready func() bool) *Monitor {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	counter := func(name, help string, value func() int64) {
+		registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "ochrebay", Name: name, Help: help},
+			func() float64 { return float64(value()) }))
+	}
+	counter("inner_bytes_sent_total", "Bytes sent over the inner protocol.", protocol.Traffic.BytesOut.Load)
+	counter("inner_bytes_received_total", "Bytes received over the inner protocol.", protocol.Traffic.BytesIn.Load)
+	counter("inner_messages_sent_total", "Messages sent over the inner protocol.", protocol.Traffic.MessagesOut.Load)
+	counter("inner_messages_received_total", "Messages received over the inner protocol.", protocol.Traffic.MessagesIn.Load)
+	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+	return &Monitor{Registry: registry, ready: ready, metrics: fasthttpadaptor.NewFastHTTPHandler(handler)}
+}
+
+// Gauge registers a metric whose value is read when it is asked for.
+func (m *Monitor) Gauge(name, help string, value func() float64) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "ochrebay", Name: name, Help: help}, value))
+}
+
+// Counters registers a counter with one label.
+func (m *Monitor) Counters(name, help, label string) *prometheus.CounterVec {
+	counters := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ochrebay", Name: name, Help: help}, []string{label})
+	m.Registry.MustRegister(counters)
+	return counters
+}
+
+// Serve answers the monitor's paths and reports whether the path was one.
+func (m *Monitor) Serve(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case "/metrics":
+		m.metrics(ctx)
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		if !m.ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("not ready\n")
+			return true
+		}
+		ctx.SetBodyString("ready\n")
+	default:
+		return false
+	}
+	return true
+}
+
+// MemoryLine sums up the process's memory for a log line.
+func MemoryLine() string {
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return fmt.Sprintf("heap=%dMB", stats.HeapAlloc>>20)
+}
+
+// NowMs is the wall clock in milliseconds since 1970.
+func NowMs() int64 {
+	return time.Now().UnixMilli()
+}
+
+// OneLine joins a multi-line error for a log or terminal.
+func OneLine(err error) string {
+	return strings.ReplaceAll(err.Error(), "\n", "; ")
+}
--- /dev/null
+++ b/internal/workload/report.go
@@ -0,0 +1,151 @@
+package workload
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	histogramHighest = int64(time.Hour / time.Microsecond)
+	histogramDigits  = 3
+)
+
+// Quantiles are in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// histogram gathers times.
+type histogram struct {
+	values *hdrhistogram.Histogram
+}
+
+func newHistogram() histogram {
+	return histogram{hdrhistogram.New(1, histogramHighest, histogramDigits)}
+}
+
+func (h histogram) add(ms float64) {
+	_ = h.values.RecordValue(max(1, min(histogramHighest, int64(ms*1000))))
+}
+
+func (h histogram) quantiles() Quantiles {
+	at := func(percent float64) float64 { return float64(h.values.ValueAtQuantile(percent)) / 1000 }
+	return Quantiles{Count: h.values.TotalCount(), P50: at(50), P95: at(95), P99: at(99), Max: float64(h.values.Max()) / 1000}
+}
+
+// ServiceReport sums up the programs of one service.
+type ServiceReport struct {
+	Service    string    `json:"service"`
+	Programs   int       `json:"programs"`
+	Ended      int       `json:"ended"`
+	Refused    int       `json:"refused"`
+	Latency    Quantiles `json:"latency"`
+	FirstToken Quantiles `json:"first_token"`
+	Between    Quantiles `json:"between_tokens"`
+}
+
+// Report is what a run of load saw.
+type Report struct {
+	Programs      int             `json:"programs"`
+	Ended         int             `json:"ended"`
+	Calls         int             `json:"calls"`
+	Resent        int             `json:"resent"`
+	PromptTokens  int64           `json:"prompt_tokens"`
+	CachedTokens  int64           `json:"cached_tokens"`
+	OutputTokens  int64           `json:"output_tokens"`
+	Services      []ServiceReport `json:"services"`
+	Errors        map[string]int  `json:"errors"`
+	Violations    []string        `json:"violations"`
+	violationsAll int
+}
+
+const violationsShown = 20
+
+// NewReport sums up outcomes. Latency is counted for programs that ended; what
+// was refused is counted beside it.
+func NewReport(outcomes []Outcome, violations []string) Report {
+	report := Report{Errors: map[string]int{}, violationsAll: len(violations), Violations: violations}
+	byService := map[string][]Outcome{}
+	for _, outcome := range outcomes {
+		report.Programs++
+		report.Calls += outcome.Calls
+		report.Resent += outcome.Resent
+		report.PromptTokens += outcome.PromptTokens
+		report.CachedTokens += outcome.CachedTokens
+		report.OutputTokens += outcome.OutputTokens
+		if outcome.Err == nil {
+			report.Ended++
+		} else {
+			report.Errors[outcome.Err.Code.String()]++
+		}
+		byService[outcome.Program.Service] = append(byService[outcome.Program.Service], outcome)
+	}
+	for service, group := range byService {
+		report.Services = append(report.Services, newServiceReport(service, group))
+	}
+	slices.SortFunc(report.Services, func(a, b ServiceReport) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return report
+}
+
+func newServiceReport(service string, outcomes []Outcome) ServiceReport {
+	latency, first, between := newHistogram(), newHistogram(), newHistogram()
+	report := ServiceReport{Service: service, Programs: len(outcomes)}
+	for _, outcome := range outcomes {
+		for _, wait := range outcome.FirstTokens {
+			first.add(float64(wait.Microseconds()) / 1000)
+		}
+		for _, gap := range outcome.Gaps {
+			between.add(float64(gap.Microseconds()) / 1000)
+		}
+		if outcome.Err != nil {
+			report.Refused++
+			continue
+		}
+		report.Ended++
+		latency.add(outcome.LatencyMs)
+	}
+	report.Latency = latency.quantiles()
+	report.FirstToken = first.quantiles()
+	report.Between = between.quantiles()
+	return report
+}
+
+// Print writes the report as a table.
+func (r Report) Print(writer io.Writer) {
+	table := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	line := func(format string, arguments ...any) { _, _ = fmt.Fprintf(table, format+"\n", arguments...) }
+	line("programs %d\tended %d\tcalls %d\tresent %d", r.Programs, r.Ended, r.Calls, r.Resent)
+	line("prompt tokens %d\tof which cached %d\tgenerated %d", r.PromptTokens, r.CachedTokens, r.OutputTokens)
+	line("")
+	line("SERVICE\tPROGRAMS\tENDED\tREFUSED\tLATENCY p50\tp95\tp99 ms\tFIRST TOKEN p50\tp95 ms\tBETWEEN p50\tp95 ms")
+	for _, s := range r.Services {
+		line("%s\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f", s.Service, s.Programs, s.Ended, s.Refused,
+			s.Latency.P50, s.Latency.P95, s.Latency.P99, s.FirstToken.P50, s.FirstToken.P95, s.Between.P50, s.Between.P95)
+	}
+	for name, count := range r.Errors {
+		line("error %s\t%d", name, count)
+	}
+	for position, violation := range r.Violations {
+		if position == violationsShown {
+			line("... and %d more", r.violationsAll-violationsShown)
+			break
+		}
+		line("violation: %s", violation)
+	}
+	line("load: %d programs, %d calls, %d violations", r.Programs, r.Calls, r.violationsAll)
+	_ = table.Flush()
+}
