Send calls to another cell when theirs has no engine of the pool

Cause: a test with real processes killed the one engine of the pool in the program's cell; the next call waited its whole deadline (90,002 ms) in the queue of the scheduler that owned that engine, though the other zone had one ready. Ruled out: the exclusion of failed engines (the call was never sent), the engine client (the connection was refused at once and the engine marked down), and the settings' ready floor. Conclusion: cells need a way out; digests between cells stay for later.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -146,6 +146,9 @@
 		Pool: *fields.Pool, Rank: int(*fields.Rank), ArrivedMs: c.nowMs, DeadlineMs: c.nowMs + request.DeadlineMs,
 		PromptTokens: engine.CountMessages(request.Messages), OutputTokens: expectedOutput(request, *fields.MaxOutputTokens),
 	}
+	if c.isUnserved(probe.Pool) {
+		return c.noEngine(probe.Pool)
+	}
 	if refusal := c.cell.Admit(probe, c.nowMs); refusal != nil {
 		return refusal
 	}
--- a/internal/scheduler/control.go
+++ b/internal/scheduler/control.go
@@ -199,6 +199,24 @@
 		untilMs: nowMs + request.HoldMs, isWaiting: true,
 	}
 	c.tickFollows()
+	c.reportSidecars()
+}
+
+// reportSidecars tells control at once when the last sidecar has caught up with
+// the revision in force here, rather than with the next heartbeat: operators
+// wait for it.
+func (c *Core) reportSidecars() {
+	if !c.synced || c.reportedRevision == c.tree.Revision() {
+		return
+	}
+	for _, known := range c.follows {
+		if known.revision < c.tree.Revision() {
+			return
+		}
+	}
+	c.reportedRevision = c.tree.Revision()
+	message := &protocol.SyncRequest{Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.directory}
+	c.askControl(0, protocol.KindSync, message, controlTimeoutMs, func(any) {})
 }
 
 // tickFollows answers sidecars for which there is news, or whose wait is over.
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -91,6 +91,9 @@
 	programIdleMs     = 600_000
 	forgetEveryMs     = 5000
 	expectedOutputMin = 16
+	// noEngineGraceMs is how long calls wait for an engine to come back before
+	// they are sent to another cell.
+	noEngineGraceMs = 1500
 )
 
 // Core is the control state of one scheduler.
@@ -105,8 +108,10 @@
 	groups    uint32
 	peers     []membership.Scheduler
 	engines   map[string]*ownedEngine
-	cell      scheduling.Cell
-	tenants   *scheduling.Tenants
+	// readyMs is when the cell last had an open engine of a pool.
+	readyMs map[string]int64
+	cell    scheduling.Cell
+	tenants *scheduling.Tenants
 
 	programs map[string]*localProgram
 	// busy are the programs with a call under way.
@@ -124,12 +129,14 @@
 	leaders     map[uint32]string
 	memberTurn  int
 
-	follows     map[string]*follower
-	synced      bool
-	syncing     bool
-	draining    bool
-	lastAuditMs int64
-	lastPlanMs  int64
+	follows map[string]*follower
+	synced  bool
+	syncing bool
+	// reportedRevision is the last revision that all sidecars were reported at.
+	reportedRevision uint64
+	draining         bool
+	lastAuditMs      int64
+	lastPlanMs       int64
 
 	// Counters are read through Stats.
 	counters Stats
@@ -182,7 +189,7 @@
 	return &Core{
 		options: options, outlet: outlet, nowMs: nowMs,
 		tree: settings.NewTree(), effective: map[string]settings.Fields{},
-		engines: map[string]*ownedEngine{}, tenants: scheduling.NewTenants(),
+		engines: map[string]*ownedEngine{}, readyMs: map[string]int64{}, tenants: scheduling.NewTenants(),
 		cell:     scheduling.Cell{Policy: options.Policy},
 		programs: map[string]*localProgram{}, busy: map[string]*localProgram{}, waiting: map[uint64]*call{}, attempts: map[AttemptID]*call{},
 		sinks: map[SinkID]*call{}, control: map[ControlID]*controlRequest{}, leaders: map[uint32]string{},
--- a/internal/scheduler/engines.go
+++ b/internal/scheduler/engines.go
@@ -5,6 +5,7 @@
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
@@ -104,7 +105,11 @@
 		if before && !owned.schedule.Ready {
 			c.forgetWarm(name)
 		}
+		if owned.schedule.Ready && !owned.schedule.Closed {
+			c.readyMs[owned.info.Pool] = c.nowMs
+		}
 	}
+	c.giveBackUnserved()
 	if c.synced && c.nowMs-c.lastPlanMs >= reconcileEveryMs {
 		c.lastPlanMs = c.nowMs
 		for _, name := range sortedNames(c.engines) {
@@ -117,6 +122,40 @@
 	}
 }
 
+// isUnserved reports whether the cell has had no open engine of a pool for so long
+// that calls should go to another cell.
+func (c *Core) isUnserved(pool string) bool {
+	last, ok := c.readyMs[pool]
+	if !ok {
+		c.readyMs[pool] = c.nowMs
+		return false
+	}
+	return c.nowMs-last > noEngineGraceMs
+}
+
+// giveBackUnserved ends waiting calls that no engine of the cell can serve. They
+// have not run; their sidecars take them to another cell.
+func (c *Core) giveBackUnserved() {
+	if len(c.cell.Waiting) == 0 {
+		return
+	}
+	kept := c.cell.Waiting[:0]
+	for _, waiting := range c.cell.Waiting {
+		if !c.isUnserved(waiting.Pool) {
+			kept = append(kept, waiting)
+			continue
+		}
+		current := c.waiting[waiting.ID]
+		delete(c.waiting, waiting.ID)
+		c.abortCall(current, c.noEngine(waiting.Pool), true, 0)
+	}
+	c.cell.Waiting = kept
+}
+
+func (c *Core) noEngine(pool string) *result.Error {
+	return result.New(result.NoEngine, "%s has no ready engine of pool %s", c.options.Name, pool)
+}
+
 func (c *Core) forgetWarm(name string) {
 	for _, local := range c.programs {
 		delete(local.warm, name)
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -60,6 +60,8 @@
 	retryShare        = 0.2
 	retryReserve      = 20
 	maxAttempts       = 40
+	// maxCells bounds the cells that are asked for an engine in one call.
+	maxCells = 4
 )
 
 // Core is the control state of one sidecar.
@@ -107,7 +109,10 @@
 	// unknown is set when a send may have run at a scheduler that was lost.
 	unknown bool
 	last    *result.Error
-	avoid   string
+	// avoid names the schedulers that were lost or could not serve the call, and
+	// unserved counts the latter.
+	avoid    map[string]bool
+	unserved int
 }
 
 // send is one request under way at a scheduler.
@@ -160,7 +165,7 @@
 		c.outlet.Finish(id, &protocol.Answer{Error: result.New(result.DeadlinePassed, "the deadline was past on arrival")})
 		return
 	}
-	incoming := &call{id: id, request: request, deadlineMs: nowMs + request.DeadlineMs}
+	incoming := &call{id: id, request: request, deadlineMs: nowMs + request.DeadlineMs, avoid: map[string]bool{}}
 	c.calls[id] = incoming
 	c.send(incoming)
 }
@@ -205,7 +210,7 @@
 		if !peer.Draining {
 			class += 4
 		}
-		if peer.Name != current.avoid {
+		if !current.avoid[peer.Name] {
 			class += 2
 		}
 		score := xxhash.Sum64String(peer.Name + "\x00" + current.request.Program)
@@ -268,7 +273,7 @@
 	current := sent.call
 	current.sent = nil
 	if answer.Error != nil {
-		c.failed(current, answer.Error)
+		c.failed(current, sent.name, answer.Error)
 		return
 	}
 	rest, ok := assemble(current.received.String(), &protocol.Piece{Text: answer.Content})
@@ -290,8 +295,16 @@
 	result.Draining, result.NoScheduler, result.NotLeader, result.NoQuorum, result.StaleFence, result.TurnOpen,
 }
 
-func (c *Core) failed(current *call, failure *result.Error) {
+// failed decides what becomes of a call that a scheduler answered with an error.
+func (c *Core) failed(current *call, name string, failure *result.Error) {
 	current.last = failure
+	if failure.Code == result.NoEngine && current.unserved+1 < min(len(c.peers), maxCells) {
+		// Another cell may have engines of the pool; nothing has run here.
+		current.unserved++
+		current.avoid[name] = true
+		c.send(current)
+		return
+	}
 	if slices.Contains(repeatable, failure.Code) {
 		if failure.Outcome != result.NotRun {
 			current.unknown = true
@@ -319,7 +332,7 @@
 	current := sent.call
 	current.sent = nil
 	current.unknown = true
-	current.avoid = sent.name
+	current.avoid[sent.name] = true
 	current.last = result.New(result.NoScheduler, "scheduler %s was lost", sent.name)
 	c.retryLater(current)
 }
