Let a replica on a new disk answer the leader that admits it

Cause: a real-process test removed a control process's data folder; the process stayed a learner for good (92 s until the test gave up). Its configuration is empty until the first append arrives, so it did not know which member the leader's replica belongs to, and its answers were dropped in queuePeer; the map kept for that was never filled. Ruled out: the hello exchange (the log shows the process joined and the learner entry was committed in every group) and the leader's catch-up test (match stayed 0). Change: each consensus message notes its sender's member.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -187,7 +187,7 @@
 		DisablePreVote: c.options.DisablePreVote, DisableCheckQuorum: c.options.DisableCheckQuorum,
 		DisableReadConfirm: c.options.DisableReadConfirm,
 	}, restored)
-	return &group{id: id, node: node, state: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{}}, nil
+	return &group{id: id, node: node, state: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{}, senders: map[consensus.ReplicaID]string{}}, nil
 }
 
 // Formed reports whether the process takes part in a cluster.
@@ -301,7 +301,9 @@
 		if int(message.Group) >= len(c.groups) || message.Message.To != c.storage.Replica() {
 			continue
 		}
-		c.groups[message.Group].node.Step(message.Message)
+		group := c.groups[message.Group]
+		group.senders[message.Message.From] = batch.From
+		group.node.Step(message.Message)
 	}
 }
 
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -46,7 +46,8 @@
 	// unsaved are records that the next Write carries; until then reads must
 	// look here too.
 	unsaved []storage.Record
-	// senders remembers which member an unknown replica belongs to.
+	// senders remembers which member a replica belongs to: one that has just
+	// joined must answer a leader that its empty configuration doesn't name.
 	senders map[consensus.ReplicaID]string
 	// wantSnapshot marks that the next Write compacts the log.
 	wantSnapshot bool
--- a/internal/workload/driver.go
+++ b/internal/workload/driver.go
@@ -40,10 +40,12 @@
 	ID      string
 	// LatencyMs runs from the first call to the last answer; ToolMs is the part
 	// of it that tools took.
-	LatencyMs    float64
-	ToolMs       float64
-	Calls        int
-	Resent       int
+	LatencyMs float64
+	ToolMs    float64
+	Calls     int
+	Resent    int
+	// Cuts counts answers whose stream ended without its closing event.
+	Cuts         int
 	FirstTokens  []time.Duration
 	Gaps         []time.Duration
 	PromptTokens int64
@@ -181,6 +183,9 @@
 	for attempt := range resendLimit {
 		var err error
 		reply, err = r.client.Do(ctx, call)
+		if reply.Cut {
+			r.outcome.Cuts++
+		}
 		if err != nil || reply.Cut {
 			reply.Error = result.New(result.NoScheduler, "sidecar not reached: %v", err)
 			reply.Error.RetryAfterMs = 200
