Make a quiet leader speak up to a replica that has just started

Cause: its groups had gone quiet; its pre-votes were refused by replicas that believe in their leader, and nothing woke the leader, so it heard from nobody for good. Ruled out: lost messages (no failure but the restart was on) and the transfer of leadership at the stop (it had completed). Change: a pre-vote ends quiescence at whoever gets it; the leader's next heartbeat then tells the newcomer who leads.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -111,6 +111,9 @@
 const contextForced = 1
 
 func (n *Node) stepPreVote(message Message) {
+	// Invariant: whoever asks has not heard the leader, for it has just started or
+	// lost the heartbeat that ended the talk; a quiet leader must speak up again.
+	n.Wake()
 	granted := message.Term > n.term && n.upToDate(message) && (n.options.DisablePreVote || !n.hearsLeader())
 	reply := Message{Kind: MessagePreVoteResponse, From: n.options.ID, To: message.From, Term: message.Term, Reject: !granted}
 	if !granted {
