Let a new disk in after all first disks have been replaced

Cause: only members that knew the first configuration could show that there is a cluster, and a member that was let in later knows none. Change: a hello from any member that takes part is enough to adopt the empty configuration and wait to be let in; such a disk has promised nothing, so it must not vote before.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -68,7 +68,7 @@
 	DisableBudget       bool
 	DisableOnce         bool
 	DisableVersionCheck bool
-	DisableSync         bool
+	DisableOrder        bool
 }
 
 // DefaultOptions returns the timings of a fleet whose zones are a few
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -57,15 +57,14 @@
 		c.formFirst()
 		return
 	}
-	if len(hello.Bootstrap.Replicas) == 0 {
-		return
-	}
 	if _, own := hello.Bootstrap.Find(c.storage.Replica()); own {
 		c.adopt(hello.Bootstrap)
 		return
 	}
 	// Invariant: a disk that the first configuration doesn't name has promised
-	// nothing, so it must not vote before the groups let it in.
+	// nothing, so it must not vote before the groups let it in. A sender that was
+	// let in itself knows no first configuration; that there is a cluster is
+	// enough, or a third repair would wait for a disk that is long gone.
 	c.adopt(consensus.Configuration{})
 }
 
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -87,6 +87,7 @@
 	ledger.DisableFence = options.DisableFence
 	ledger.DisableBudget = options.DisableBudget
 	ledger.DisableOnce = options.DisableOnce
+	ledger.DisableOrder = options.DisableOrder
 	return &ledgerMachine{ledger: ledger}
 }
 
