Mend what the simulator found in schedulers, sidecars and the ledger

A Begin now carries the caller's deadline; a turn open beyond it counts as idle time. - Turns of a scheduler that had restarted under its name were waited for until the deadline: the holder is now known with its start, and a scheduler takes no call before the directory lists its present start. - Schedulers that started at the same instant used the same nonce for their Begins, so one was granted the other's turn and its commit was taken for one repeated. The nonce contains the name, and a fence closed by an abort confirms no commit. - A call whose engine had failed waited for its deadline once that engine was the only one of the cell: excluded engines are tried again when no other is open. - Sidecars waited for schedulers whose machine went in silence: sends to a scheduler that the directory no longer lists, or lists with a later start, are given up. Runs on engines that have been silent for 6 s are given up as well. - "Not run" was said though another cell had run the call: any other outcome from an earlier cell is remembered. - A stopping scheduler ended before sidecars had heard of it, since its heartbeat was held by control for up to a second: it reports at once, and ends 500 ms after the directory shows it as draining.

--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -28,8 +28,12 @@
 	Reserved  int64  `msgpack:"v"`
 	Scheduler string `msgpack:"s"`
 	SinceMs   int64  `msgpack:"n"`
-	Nonce     uint64 `msgpack:"z"`
-	Skip      int    `msgpack:"k"`
+	// Start identifies the holder's process, and UntilMs is when its caller stops
+	// waiting.
+	Start   uint64 `msgpack:"st,omitempty" json:"-"`
+	UntilMs int64  `msgpack:"un,omitempty" json:"until_ms,omitempty"`
+	Nonce   uint64 `msgpack:"z"`
+	Skip    int    `msgpack:"k"`
 }
 
 // answered remembers one finished request in 16 bytes.
@@ -57,8 +61,10 @@
 	// ClosedFence is the fence of the turn closed last, so that a commit which
 	// is proposed again gets its first answer.
 	ClosedFence uint64 `msgpack:"g" json:"-"`
-	Ended       bool   `msgpack:"d" json:"ended"`
-	EndReason   string `msgpack:"r" json:"end_reason"`
+	// ClosedByAbort tells how it was closed.
+	ClosedByAbort bool   `msgpack:"ca,omitempty" json:"-"`
+	Ended         bool   `msgpack:"d" json:"ended"`
+	EndReason     string `msgpack:"r" json:"end_reason"`
 }
 
 // Remaining returns the budget that is neither spent nor reserved.
@@ -80,6 +86,8 @@
 	DisableBudget bool
 	// DisableOnce lets a call that is not repeatable run again.
 	DisableOnce bool
+	// DisableOrder opens a turn although another is open.
+	DisableOrder bool
 }
 
 // NewLedger returns an empty ledger.
@@ -225,9 +233,10 @@
 		return reply, effects, true
 	}
 	ownRetry := begin.RetryOf != 0 && begin.RetryOf == open.Fence
-	if !ownRetry && !begin.TakeOver {
+	if !ownRetry && !begin.TakeOver && !l.DisableOrder {
 		reply, effects := refuse(result.TurnOpen, "turn %d of program %s is open", open.Turn, header.ID)
 		reply.Holder = open.Scheduler
+		reply.HolderStart = open.Start
 		reply.Open = open.Request
 		return reply, effects, true
 	}
@@ -299,7 +308,7 @@
 	header.Open = &OpenTurn{
 		Turn: header.Turn + 1, Fence: index, Request: begin.Request, Digest: begin.Digest, Thread: begin.Thread,
 		Once: begin.Once, Reserved: reserved, Scheduler: begin.Scheduler, SinceMs: nowMs,
-		Nonce: begin.Nonce, Skip: skip,
+		Nonce: begin.Nonce, Skip: skip, Start: begin.Start, UntilMs: nowMs + begin.DeadlineMs,
 	}
 	return header.granted(begin.Thread), Effects{}
 }
@@ -394,16 +403,16 @@
 }
 
 // closedAlready answers a commit or abort that was carried out before.
-func (l *Ledger) closedAlready(id string, fence uint64) (Reply, bool) {
+func (l *Ledger) closedAlready(id string, fence uint64, byAbort bool) (Reply, bool) {
 	header, ok := l.programs[id]
-	if !ok || fence == 0 || header.ClosedFence != fence {
+	if !ok || fence == 0 || header.ClosedFence != fence || header.ClosedByAbort != byAbort {
 		return Reply{}, false
 	}
 	return Reply{Turn: header.Turn, Ended: header.Ended, Remaining: header.Remaining()}, true
 }
 
 func (l *Ledger) commit(nowMs int64, commit *Commit) (Reply, Effects) {
-	if reply, done := l.closedAlready(commit.Program, commit.Fence); done {
+	if reply, done := l.closedAlready(commit.Program, commit.Fence, false); done {
 		return reply, Effects{}
 	}
 	header, ok := l.openWithFence(commit.Program, commit.Fence)
@@ -413,6 +422,7 @@
 	open := header.Open
 	header.Open = nil
 	header.ClosedFence = commit.Fence
+	header.ClosedByAbort = false
 	header.Turn = open.Turn
 	header.Spent += min(commit.NewTokens+commit.Usage.CompletionTokens, open.Reserved)
 	header.LastMs = nowMs
@@ -435,7 +445,7 @@
 }
 
 func (l *Ledger) abort(nowMs int64, abort *Abort) (Reply, Effects) {
-	if reply, done := l.closedAlready(abort.Program, abort.Fence); done {
+	if reply, done := l.closedAlready(abort.Program, abort.Fence, true); done {
 		return reply, Effects{}
 	}
 	header, ok := l.openWithFence(abort.Program, abort.Fence)
@@ -444,6 +454,7 @@
 	}
 	open := header.Open
 	header.ClosedFence = abort.Fence
+	header.ClosedByAbort = true
 	if open.Once && !abort.NotRun {
 		effects := header.closeUnknown(nowMs)
 		return Reply{Turn: header.Turn, Remaining: header.Remaining()}, effects
@@ -496,8 +507,14 @@
 	return false
 }
 
+// idle reports whether nobody has used the program for its idle time. A turn that
+// is open past its caller's deadline has lost its scheduler and doesn't count.
 func (h *Header) idle(nowMs int64) bool {
-	return !h.Ended && h.Open == nil && h.Limits.IdleMs > 0 && nowMs-h.LastMs > h.Limits.IdleMs
+	sinceMs := h.LastMs
+	if h.Open != nil {
+		sinceMs = max(sinceMs, h.Open.UntilMs)
+	}
+	return !h.Ended && h.Limits.IdleMs > 0 && nowMs-sinceMs > h.Limits.IdleMs
 }
 
 func (h *Header) forgettable(nowMs, retainMs int64) bool {
@@ -509,7 +526,11 @@
 	for _, id := range l.IDs() {
 		header := l.programs[id]
 		if header.idle(nowMs) {
-			header.close(nowMs, "idle")
+			effects = header.close(nowMs, "idle")
+			if effects.Write != nil {
+				// One record a command: the next sweep goes on.
+				return Reply{}, effects
+			}
 			continue
 		}
 		if header.forgettable(nowMs, sweep.RetainMs) {
--- a/internal/program/types.go
+++ b/internal/program/types.go
@@ -64,6 +64,10 @@
 	Nonce uint64 `msgpack:"z,omitempty"`
 	// KnownTurn is the last turn whose record the scheduler has cached.
 	KnownTurn uint64 `msgpack:"y,omitempty"`
+	// Start identifies the scheduler's process: a successor has its name.
+	Start uint64 `msgpack:"q,omitempty"`
+	// DeadlineMs is the time that the caller leaves for the call, milliseconds.
+	DeadlineMs int64 `msgpack:"j,omitempty"`
 }
 
 // Commit ends a turn with its answer.
@@ -127,6 +131,8 @@
 	Lineage []Span `msgpack:"l,omitempty"`
 	// Holder is the scheduler that has the open turn (code TurnOpen).
 	Holder string `msgpack:"h,omitempty"`
+	// HolderStart is the start of that scheduler's process.
+	HolderStart uint64 `msgpack:"i,omitempty"`
 	// Open is the request that has the open turn (code TurnOpen).
 	Open string `msgpack:"o,omitempty"`
 	// Ended says that the program is closed after this command.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -132,8 +132,8 @@
 	if c.draining {
 		return result.New(result.Draining, "%s is stopping", c.options.Name)
 	}
-	if !c.synced {
-		return result.New(result.NoScheduler, "%s has not heard the settings yet", c.options.Name)
+	if !c.synced || !c.listed {
+		return result.New(result.NoScheduler, "%s is not in the directory yet", c.options.Name)
 	}
 	if request.DeadlineMs <= 0 {
 		return result.New(result.DeadlinePassed, "the deadline was past on arrival")
@@ -196,7 +196,7 @@
 	current.newTokens = engine.CountMessages(request.Messages)
 	current.maxTokens = maxTokens(request, *fields.MaxOutputTokens)
 	c.nextCall++
-	current.nonce = c.options.Start<<20 ^ c.nextCall
+	current.nonce = c.nonceBase + c.nextCall
 	begin := &program.Begin{
 		Program: request.Program, Tenant: request.Tenant, Service: request.Service,
 		Thread: request.Thread, Parent: request.Parent, Request: request.Request, Create: request.Create,
@@ -205,7 +205,7 @@
 		},
 		Digest: current.digest, Once: request.Once, NewTokens: current.newTokens, MaxTokens: current.maxTokens,
 		Scheduler: c.options.Name, TakeOver: current.takeOver, RetryOf: current.retryOf, LostTokens: current.lost,
-		Nonce: current.nonce,
+		Nonce: current.nonce, Start: c.options.Start, DeadlineMs: max(0, current.deadlineMs-c.nowMs),
 	}
 	if request.Budget > 0 {
 		begin.Limits.BudgetTokens = min(begin.Limits.BudgetTokens, request.Budget)
@@ -258,7 +258,7 @@
 	holder := reply.Reply.Holder
 	// The holder may be this scheduler before its last start: nothing here has
 	// the turn, since a program has one active call.
-	current.takeOver = holder == c.options.Name || (holder != "" && !c.alive(holder))
+	current.takeOver = holder == c.options.Name || (holder != "" && !c.alive(holder, reply.Reply.HolderStart))
 	if current.takeOver {
 		c.counters.TakenOver++
 	}
--- a/internal/scheduler/control.go
+++ b/internal/scheduler/control.go
@@ -215,6 +215,11 @@
 		}
 	}
 	c.reportedRevision = c.tree.Revision()
+	c.reportNow()
+}
+
+// reportNow sends a heartbeat beside the one that control holds.
+func (c *Core) reportNow() {
 	message := &protocol.SyncRequest{Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.directory}
 	c.askControl(0, protocol.KindSync, message, controlTimeoutMs, func(any) {})
 }
@@ -242,6 +247,9 @@
 
 func (c *Core) feed(request *protocol.FollowRequest) protocol.Feed {
 	feed := protocol.NewFeed(c.tree, request.Revision)
+	if c.options.DisableRevision && c.tree.Revision() != request.Revision {
+		feed.Snapshot, _ = c.tree.FollowerState()
+	}
 	feed.Directory = c.directory
 	feed.Groups = c.groups
 	if c.directory > request.Directory {
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -6,6 +6,10 @@
 package scheduler
 
 import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ochrebay/ochrebay/internal/engine"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -68,6 +72,7 @@
 	DisableAudit       bool
 	DisableLeavingStop bool
 	DisableRevision    bool
+	DisableOnce        bool
 }
 
 // DefaultOptions returns the timings in use.
@@ -79,12 +84,15 @@
 }
 
 const (
-	controlTimeoutMs  = 3000
-	controlPauseMs    = 100
-	openTurnPauseMs   = 150
-	auditEveryMs      = 2000
-	reconcileEveryMs  = 250
-	engineSilenceMs   = 3000
+	controlTimeoutMs = 3000
+	controlPauseMs   = 100
+	openTurnPauseMs  = 150
+	auditEveryMs     = 2000
+	reconcileEveryMs = 250
+	engineSilenceMs  = 3000
+	// engineLostMs is how long an engine may be silent before its runs are given
+	// up: a machine that lost its power closes no connection.
+	engineLostMs      = 6000
 	followSilenceMs   = 5000
 	maxLagging        = 8
 	commitPatienceMs  = 60_000
@@ -94,6 +102,10 @@
 	// noEngineGraceMs is how long calls wait for an engine to come back before
 	// they are sent to another cell.
 	noEngineGraceMs = 1500
+	// drainSettleMs is how long sidecars get to hear that this scheduler drains,
+	// and drainPatienceMs how long control gets to list it so.
+	drainSettleMs   = 500
+	drainPatienceMs = 5000
 )
 
 // Core is the control state of one scheduler.
@@ -122,7 +134,9 @@
 	attempts     map[AttemptID]*call
 	sinks        map[SinkID]*call
 	nextCall     uint64
-	nextAttempt  AttemptID
+	// nonceBase differs between schedulers, and between starts of one.
+	nonceBase   uint64
+	nextAttempt AttemptID
 
 	control     map[ControlID]*controlRequest
 	nextControl ControlID
@@ -131,12 +145,19 @@
 
 	follows map[string]*follower
 	synced  bool
+	// listed is set once the directory names this start of the process: before
+	// that, others would take its turns for those of a lost one.
+	listed  bool
 	syncing bool
 	// reportedRevision is the last revision that all sidecars were reported at.
 	reportedRevision uint64
 	draining         bool
-	lastAuditMs      int64
-	lastPlanMs       int64
+	// drainMs is when draining began, and drainListedMs when the directory first
+	// showed it.
+	drainMs       int64
+	drainListedMs int64
+	lastAuditMs   int64
+	lastPlanMs    int64
 
 	// Counters are read through Stats.
 	counters Stats
@@ -193,12 +214,12 @@
 		cell:     scheduling.Cell{Policy: options.Policy},
 		programs: map[string]*localProgram{}, busy: map[string]*localProgram{}, waiting: map[uint64]*call{}, attempts: map[AttemptID]*call{},
 		sinks: map[SinkID]*call{}, control: map[ControlID]*controlRequest{}, leaders: map[uint32]string{},
-		follows: map[string]*follower{},
+		follows: map[string]*follower{}, nonceBase: xxhash.Sum64String(fmt.Sprint(options.Name, options.Start)),
 	}
 }
 
 // Ready reports whether the scheduler knows the settings and may take calls.
-func (c *Core) Ready() bool { return c.synced && !c.draining }
+func (c *Core) Ready() bool { return c.synced && c.listed && !c.draining }
 
 // Stats returns counters and gauges.
 func (c *Core) Stats() Stats {
@@ -219,8 +240,24 @@
 // Tree returns the settings in force here, for reading.
 func (c *Core) Tree() *settings.Tree { return c.tree }
 
-// Idle reports whether no call is under way, so that a drained process may end.
-func (c *Core) Idle() bool { return len(c.sinks) == 0 && len(c.attempts) == 0 && !c.committing() }
+// Idle reports whether no call is under way, so that a process that drains may
+// end. Invariant: it doesn't end while sidecars may still believe that it takes
+// calls, unless control can't be reached to tell them.
+func (c *Core) Idle() bool {
+	if c.draining && !c.drainKnown() {
+		return false
+	}
+	return len(c.sinks) == 0 && len(c.attempts) == 0 && !c.committing()
+}
+
+// drainKnown reports whether the directory has listed this scheduler as draining
+// for long enough to have reached the sidecars.
+func (c *Core) drainKnown() bool {
+	if c.drainListedMs != 0 {
+		return c.nowMs-c.drainListedMs >= drainSettleMs
+	}
+	return c.nowMs-c.drainMs >= drainPatienceMs
+}
 
 func (c *Core) committing() bool {
 	return len(c.busy) > 0
@@ -228,7 +265,12 @@
 
 // Drain stops taking calls; those under way go on to their end.
 func (c *Core) Drain() {
+	if c.draining {
+		return
+	}
 	c.draining = true
+	c.drainMs = c.nowMs
+	c.reportNow()
 }
 
 // Tick advances the core's clock.
@@ -239,6 +281,7 @@
 	c.tickPrograms()
 	c.tickFollows()
 	c.tickEngines()
+	c.tickSilent()
 	c.tickDeadlines()
 	c.dispatch()
 }
@@ -267,6 +310,8 @@
 	if feed.Directory > c.directory {
 		c.directory = feed.Directory
 		c.peers = feed.Schedulers
+		c.listed = c.listed || c.alive(c.options.Name, c.options.Start)
+		c.noteDrainListed()
 	}
 	root := c.fields("/")
 	c.cell.Policy.AgeingMs = *root.AgeingMs
@@ -277,10 +322,18 @@
 	return program.GroupOf(id, c.groups)
 }
 
-// alive reports whether the directory lists a scheduler under its present start.
-func (c *Core) alive(name string) bool {
+func (c *Core) noteDrainListed() {
+	for _, peer := range c.peers {
+		if peer.Name == c.options.Name && peer.Draining && c.drainListedMs == 0 {
+			c.drainListedMs = c.nowMs
+		}
+	}
+}
+
+// alive reports whether the directory lists a scheduler and no later start of it.
+func (c *Core) alive(name string, start uint64) bool {
 	for _, peer := range c.peers {
-		if peer.Name == name {
+		if peer.Name == name && peer.Start <= start {
 			return true
 		}
 	}
--- a/internal/scheduler/daemon.go
+++ b/internal/scheduler/daemon.go
@@ -28,7 +28,6 @@
 	statePoll      = 300 * time.Millisecond
 	dialTimeout    = time.Second
 	drainTimeout   = 60 * time.Second
-	drainNotice    = 1500 * time.Millisecond
 )
 
 // Daemon runs a Core over TCP towards control and sidecars, and HTTP towards
@@ -150,11 +149,16 @@
 // the calls under way.
 func (d *Daemon) drain(ctx context.Context) {
 	telemetry.Info(d.logger, "draining")
-	d.events <- func(core *Core, _ int64) { core.Drain() }
+	begun := make(chan struct{})
+	d.events <- func(core *Core, _ int64) {
+		core.Drain()
+		d.idle.Store(false)
+		close(begun)
+	}
+	<-begun
 	deadline := time.Now().Add(drainTimeout)
-	notice := time.Now().Add(drainNotice)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if time.Now().After(notice) && d.idle.Load() {
+		if d.idle.Load() {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/internal/scheduler/runs.go
+++ b/internal/scheduler/runs.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"slices"
 	"strings"
 
@@ -129,9 +130,10 @@
 	}
 	current.ran = true
 	limit := *c.fields("/services/" + current.request.Service).RetryAttempts
-	if current.request.Once || current.retries >= limit {
+	once := current.request.Once && !c.options.DisableOnce
+	if once || current.retries >= limit {
 		failure := result.New(result.EngineFailed, "engine %s: %v", current.engine, outcome.Err)
-		if current.request.Once {
+		if once {
 			failure = result.New(result.OutcomeUnknown, "engine %s was lost: %v", current.engine, outcome.Err)
 		}
 		c.abortCall(current, failure, false, c.usedTokens(current))
@@ -143,16 +145,8 @@
 	c.begin(current)
 }
 
-// requeue puts a call back among those that wait. Where every engine has failed
-// it once, all may be tried again.
+// requeue puts a call back among those that wait.
 func (c *Core) requeue(current *call) {
-	usable := false
-	for _, candidate := range c.cell.Engines {
-		usable = usable || (candidate.Pool == current.schedule.Pool && candidate.Ready && !current.schedule.Excluded[candidate.Name])
-	}
-	if !usable {
-		clear(current.schedule.Excluded)
-	}
 	c.waiting[current.schedule.ID] = current
 	c.cell.Waiting = append(c.cell.Waiting, current.schedule)
 }
@@ -367,6 +361,29 @@
 	}
 }
 
+// tickSilent gives up the runs of engines that have been silent for too long.
+func (c *Core) tickSilent() {
+	for _, attempt := range sortedIDs(c.attempts) {
+		current := c.attempts[attempt]
+		owned, ok := c.engines[current.engine]
+		since := current.startedMs
+		if ok {
+			since = max(since, owned.heardMs)
+		}
+		if c.nowMs-since <= engineLostMs {
+			continue
+		}
+		if !ok {
+			// The engine has another owner now, which hears it; the stream goes on.
+			continue
+		}
+		c.stopAttempt(current)
+		c.attemptFailed(current, engine.Outcome{Started: true, Err: errEngineSilent})
+	}
+}
+
+var errEngineSilent = errors.New("the engine has been silent for too long")
+
 // tickDeadlines ends calls that run past their deadline.
 func (c *Core) tickDeadlines() {
 	for _, attempt := range sortedIDs(c.attempts) {
--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -187,12 +187,23 @@
 // place returns the engine that should run the call now, nil where it should
 // wait; open reports whether any engine of the pool has a free slot.
 func (c *Cell) place(call *Call) (best *Engine, open bool) {
+	best, open, usable := c.placeAmong(call, false)
+	if usable || len(call.Excluded) == 0 {
+		return best, open
+	}
+	// Every open engine has failed the call once: all may be tried again.
+	best, open, _ = c.placeAmong(call, true)
+	return best, open
+}
+
+func (c *Cell) placeAmong(call *Call, excluded bool) (best *Engine, open, usable bool) {
 	var bestFree, bestAny *Engine
 	var freeMicros, anyMicros int64
 	for _, engine := range c.Engines {
-		if engine.Pool != call.Pool || !engine.Ready || engine.Closed || call.Excluded[engine.Name] {
+		if engine.Pool != call.Pool || !engine.Ready || engine.Closed || call.Excluded[engine.Name] != excluded {
 			continue
 		}
+		usable = true
 		micros := c.FinishMicros(engine, call)
 		if bestAny == nil || micros < anyMicros {
 			bestAny, anyMicros = engine, micros
@@ -205,14 +216,14 @@
 		}
 	}
 	if bestFree == nil {
-		return nil, open
+		return nil, open, usable
 	}
 	// A call waits for the engine that holds its prefix while starting elsewhere
 	// would end much later.
 	if bestAny != bestFree && float64(freeMicros) > c.Policy.MoveFactor*float64(anyMicros) {
-		return nil, open
+		return nil, open, usable
 	}
-	return bestFree, open
+	return bestFree, open, usable
 }
 
 // FinishMicros estimates how long a call would take on an engine: the backlog
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -46,6 +46,7 @@
 	// The rest turn mechanisms off, for runs that show what they are for.
 	DisableAssembly bool
 	DisableOutcome  bool
+	DisableRevision bool
 }
 
 // DefaultOptions returns the timings in use.
@@ -120,8 +121,10 @@
 	id      SendID
 	address string
 	name    string
-	call    *call
-	follow  bool
+	// start is the scheduler's start, zero where it is not known yet.
+	start  uint64
+	call   *call
+	follow bool
 }
 
 // NewCore returns a sidecar that knows only its seeds.
@@ -185,7 +188,7 @@
 	current.attempts++
 	current.nextMs = 0
 	c.nextSend++
-	current.sent = &send{id: c.nextSend, address: target.Address, name: target.Name, call: current}
+	current.sent = &send{id: c.nextSend, address: target.Address, name: target.Name, start: target.Start, call: current}
 	c.sends[c.nextSend] = current.sent
 	c.outlet.Send(target.Address, c.nextSend, protocol.KindCall, &request)
 }
@@ -298,6 +301,9 @@
 // failed decides what becomes of a call that a scheduler answered with an error.
 func (c *Core) failed(current *call, name string, failure *result.Error) {
 	current.last = failure
+	if failure.Outcome != result.NotRun {
+		current.unknown = true
+	}
 	if failure.Code == result.NoEngine && current.unserved+1 < min(len(c.peers), maxCells) {
 		// Another cell may have engines of the pool; nothing has run here.
 		current.unserved++
@@ -306,9 +312,6 @@
 		return
 	}
 	if slices.Contains(repeatable, failure.Code) {
-		if failure.Outcome != result.NotRun {
-			current.unknown = true
-		}
 		c.retryLater(current)
 		return
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -63,15 +63,34 @@
 		return
 	}
 	feed := reply.Feed
-	c.tree = feed.ApplyTo(c.tree, false)
+	c.tree = feed.ApplyTo(c.tree, c.options.DisableRevision)
 	if feed.Directory > c.directory {
 		c.directory = feed.Directory
 		c.peers = feed.Schedulers
+		c.loseDelisted()
 	}
 	c.synced = true
 	c.follow()
 }
 
+// loseDelisted gives up what was sent to schedulers that the directory no longer
+// lists, or lists with a later start: a machine that lost its power closes no
+// connection.
+func (c *Core) loseDelisted() {
+	listed := map[string]uint64{}
+	for _, peer := range c.peers {
+		listed[peer.Name] = peer.Start
+	}
+	for _, id := range sortedIDs(c.sends) {
+		sent := c.sends[id]
+		start, ok := listed[sent.name]
+		restarted := sent.start != 0 && start > sent.start
+		if sent.call != nil && (!ok || restarted) {
+			c.Lost(id, c.nowMs)
+		}
+	}
+}
+
 // Addresses returns the schedulers' addresses in the order in which to ask them.
 func (c *Core) Addresses() []string {
 	peers := c.peers
