Add the deterministic simulator, with checkers for what must always hold

`ochrebay simulate` runs the daemons' own cores in virtual time with simulated network, disks, clocks, engines, callers and operators, and 29 kinds of failures, some of them aimed at the worst moment (a scheduler frozen until a later call of its program runs elsewhere; the settings leader cut off from its peers only). Checkers watch the ten invariants and progress from outside. `ochrebay replay` tells a run in words; a violation is cut down to the failures it needs.

--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -43,6 +43,8 @@
 	registerConfig(app, registered)
 	registerPlan(app, registered)
 	registerLoad(app, registered)
+	registerSimulate(app, registered)
+	registerReplay(app, registered)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "ochrebay: %v; try --help\n", err)
--- /dev/null
+++ b/internal/simulation/disk.go
@@ -0,0 +1,192 @@
+package simulation
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+// errCrash is what a write returns when the process dies in it.
+var errCrash = errors.New("simulation: the process died in a write")
+
+// disk is one control process's durable state. A write is atomic, as bbolt's
+// two meta pages make it: a torn one is as if it had not been.
+type disk struct {
+	replica   consensus.ReplicaID
+	bootstrap *consensus.Configuration
+	groups    map[storage.GroupID]*diskGroup
+	// crashIn counts the writes until the process dies in one; crashAfter says
+	// that the write still reached the disk.
+	crashIn    int
+	crashAfter bool
+	// unsynced, where the sync is turned off, holds what a crash loses.
+	keepUnsynced bool
+	unsynced     [][]storage.GroupWrite
+	writes       int64
+}
+
+type diskGroup struct {
+	hard     consensus.HardState
+	snapshot consensus.Snapshot
+	entries  []consensus.Entry
+	records  map[string]map[uint64][]byte
+}
+
+func newDisk(replica consensus.ReplicaID) *disk {
+	return &disk{replica: replica, groups: map[storage.GroupID]*diskGroup{}}
+}
+
+// Replica returns the disk's incarnation.
+func (d *disk) Replica() consensus.ReplicaID { return d.replica }
+
+// Bootstrap returns the first configuration that the disk knows.
+func (d *disk) Bootstrap() (consensus.Configuration, bool, error) {
+	if d.bootstrap == nil {
+		return consensus.Configuration{}, false, nil
+	}
+	return *d.bootstrap, true, nil
+}
+
+// SetBootstrap notes the first configuration.
+func (d *disk) SetBootstrap(configuration consensus.Configuration) error {
+	d.bootstrap = &configuration
+	return nil
+}
+
+// Write carries out writes, or dies in one of them.
+func (d *disk) Write(writes []storage.GroupWrite) error {
+	if len(writes) == 0 {
+		return nil
+	}
+	d.writes++
+	if d.crashIn > 0 {
+		d.crashIn--
+		if d.crashIn == 0 {
+			if d.crashAfter {
+				d.apply(writes)
+			}
+			return errCrash
+		}
+	}
+	if d.keepUnsynced {
+		d.unsynced = append(d.unsynced, writes)
+		if len(d.unsynced) > 4 {
+			d.apply(d.unsynced[0])
+			d.unsynced = d.unsynced[1:]
+		}
+		return nil
+	}
+	d.apply(writes)
+	return nil
+}
+
+func (d *disk) apply(writes []storage.GroupWrite) {
+	for position := range writes {
+		d.group(writes[position].Group).write(&writes[position])
+	}
+}
+
+func (d *disk) group(id storage.GroupID) *diskGroup {
+	group, ok := d.groups[id]
+	if !ok {
+		group = &diskGroup{records: map[string]map[uint64][]byte{}}
+		d.groups[id] = group
+	}
+	return group
+}
+
+func (g *diskGroup) write(write *storage.GroupWrite) {
+	if write.Snapshot != nil {
+		g.snapshot = *write.Snapshot
+		g.dropUpTo(write.Snapshot.Index)
+	}
+	if len(write.Entries) > 0 {
+		first := write.Entries[0].Index
+		g.entries = slices.DeleteFunc(slices.Clone(g.entries), func(e consensus.Entry) bool { return e.Index >= first })
+		g.entries = append(g.entries, write.Entries...)
+	}
+	if write.HardState != nil {
+		g.hard = *write.HardState
+	}
+	if write.CompactTo > 0 {
+		g.dropUpTo(write.CompactTo)
+	}
+	if write.ReplaceRecords {
+		g.records = map[string]map[uint64][]byte{}
+	}
+	for _, record := range write.Records {
+		if record.Value == nil {
+			delete(g.records[record.Program], record.Turn)
+			continue
+		}
+		if g.records[record.Program] == nil {
+			g.records[record.Program] = map[uint64][]byte{}
+		}
+		g.records[record.Program][record.Turn] = record.Value
+	}
+}
+
+func (g *diskGroup) dropUpTo(index uint64) {
+	g.entries = slices.DeleteFunc(slices.Clone(g.entries), func(e consensus.Entry) bool { return e.Index <= index })
+}
+
+// Load returns a group's state as of its last write.
+func (d *disk) Load(id storage.GroupID) (consensus.Restored, error) {
+	group, ok := d.groups[id]
+	if !ok {
+		return consensus.Restored{}, nil
+	}
+	return consensus.Restored{HardState: group.hard, Snapshot: group.snapshot, Entries: slices.Clone(group.entries)}, nil
+}
+
+// Records returns a program's turn records after a turn.
+func (d *disk) Records(id storage.GroupID, program string, after uint64) ([]storage.Record, error) {
+	var records []storage.Record
+	for _, write := range d.unsynced {
+		for _, part := range write {
+			if part.Group != id {
+				continue
+			}
+			for _, record := range part.Records {
+				if record.Program == program && record.Turn > after {
+					records = append(records, record)
+				}
+			}
+		}
+	}
+	for turn, value := range d.group(id).records[program] {
+		if turn > after {
+			records = append(records, storage.Record{Program: program, Turn: turn, Value: value})
+		}
+	}
+	slices.SortFunc(records, func(a, b storage.Record) int { return int(int64(a.Turn) - int64(b.Turn)) })
+	return records, nil
+}
+
+// AllRecords returns every turn record of a group.
+func (d *disk) AllRecords(id storage.GroupID) ([]storage.Record, error) {
+	var records []storage.Record
+	for program, turns := range d.group(id).records {
+		for turn, value := range turns {
+			records = append(records, storage.Record{Program: program, Turn: turn, Value: value})
+		}
+	}
+	slices.SortFunc(records, func(a, b storage.Record) int {
+		if a.Program != b.Program {
+			if a.Program < b.Program {
+				return -1
+			}
+			return 1
+		}
+		return int(int64(a.Turn) - int64(b.Turn))
+	})
+	return records, nil
+}
+
+// crash loses what was not synced.
+func (d *disk) crash() {
+	d.unsynced = nil
+	d.crashIn = 0
+}
--- /dev/null
+++ b/internal/simulation/simulation_test.go
@@ -0,0 +1,134 @@
+package simulation
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/workload"
+)
+
+func deployment(t *testing.T, name string) workload.Deployment {
+	t.Helper()
+	loaded, err := workload.LoadDeployment("../../deployments/" + name + ".yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return loaded
+}
+
+func TestSameSeedSameRun(t *testing.T) {
+	Convey("a seed gives the same run each time, and another seed another", t, func() {
+		small := deployment(t, "small")
+		first := Run(small, 5, Options{})
+		again := Run(small, 5, Options{Story: true})
+		other := Run(small, 6, Options{})
+		So(again.Digest, ShouldEqual, first.Digest)
+		So(again.Events, ShouldEqual, first.Events)
+		So(other.Digest, ShouldNotEqual, first.Digest)
+		So(len(again.Story), ShouldBeGreaterThan, 10)
+		So(first.Answered, ShouldBeGreaterThan, 0)
+	})
+}
+
+// mechanism is a mechanism with failures and seeds among which its absence shows.
+type mechanism struct {
+	name      string
+	invariant string
+	faults    string
+	last      uint64
+}
+
+// mechanisms lists them with the invariant that breaks without each; sync breaks
+// whatever the lost write held.
+var mechanisms = []mechanism{
+	{"order", invariantOrder, "callers", 4},
+	{"fence", invariantHistory, "zombie,callers,operators", 20},
+	{"sync", "", "kill,write,operators", 24},
+	{"budget", invariantBudget, "loop,callers", 24},
+	{"audit", invariantMemory, "kill", 4},
+	{"assembly", invariantAnswer, "scheduler-busy,engine-busy,kill", 30},
+	{"outcome", invariantNotRun, "cell-busy", 8},
+	{"once", invariantOnce, "engine-busy,scheduler-busy", 10},
+	{"leaving", invariantLeaving, "leaving", 10},
+	{"drain", invariantPlanned, "rolling", 20},
+	{"revision", invariantSettings, "stale-feed", 10},
+	{"version", invariantSettings, "operators", 6},
+	{"read-confirm", invariantSettings, "split", 24},
+}
+
+func TestEachMechanismIsNeeded(t *testing.T) {
+	small := deployment(t, "small")
+	for _, m := range mechanisms {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			faults := strings.Split(m.faults, ",")
+			without := RunMany(small, 1, m.last, Options{Faults: faults, Disable: []string{m.name}}, 1)
+			if len(without.Failed) == 0 {
+				t.Fatalf("without it, no violation within seeds 1..%d", m.last)
+			}
+			for _, failed := range without.Failed {
+				found := failed.Violations[0].Invariant
+				if m.invariant != "" && found != m.invariant {
+					t.Errorf("seed %d: %s is broken, not %s: %s", failed.Seed, found, m.invariant, failed.Violations[0].Detail)
+				}
+			}
+			with := RunMany(small, 1, m.last, Options{Faults: faults}, 1)
+			for _, failed := range with.Failed {
+				t.Errorf("with it, seed %d: %+v", failed.Seed, failed.Violations[0])
+			}
+		})
+	}
+}
+
+// found lists faults that the simulator has found, each with seeds that showed it
+// until its cause was mended.
+var found = []struct {
+	cause      string
+	deployment string
+	faults     string
+	seeds      []uint64
+}{
+	{"a quiet leader did not speak up to a replica that had just started", "small", "rolling", []uint64{1, 3, 4, 8}},
+	{"once all first disks were replaced, a further new one was never let in", "small", "disk,second-disk,rolling", []uint64{2, 3, 6, 8}},
+	{"a replica on a new disk could not answer the leader that admits it", "small", "disk", []uint64{1, 2, 3, 4}},
+	{"a turn whose scheduler and caller were lost stayed open for good, and its engine memory held", "small", "scheduler-busy,callers,kill", []uint64{44, 71, 108}},
+	{"turns of a scheduler that had restarted were waited for, not taken over", "small", "scheduler-busy,kill", []uint64{6, 7, 14, 15}},
+	{"schedulers that started at the same instant used the same numbers for their Begins", "small", "engine,freeze,platform", []uint64{46, 60}},
+	{"a call whose engine had failed waited for ever once that engine was the only one", "small", "engine-busy", []uint64{2, 4, 8, 9}},
+	{"a sidecar waited for a scheduler whose machine had gone in silence", "vantul", "zone", []uint64{88}},
+	{"a sidecar waited for an earlier start of a scheduler whose machine had gone in silence", "small", "zone,stale-feed,cell-busy", []uint64{85, 86, 107}},
+	{"a stopping scheduler ended before sidecars had heard that it drains", "small", "rolling,leaving", []uint64{16, 19, 22}},
+	{"not run was said after another cell had run the call", "vantul", "cell-busy", []uint64{27, 36, 41}},
+}
+
+func TestFaultsFoundStayMended(t *testing.T) {
+	for _, f := range found {
+		loaded := deployment(t, f.deployment)
+		for _, seed := range f.seeds {
+			t.Run(fmt.Sprintf("%s/%s/%d", f.deployment, f.faults, seed), func(t *testing.T) {
+				t.Parallel()
+				outcome := Run(loaded, seed, Options{Faults: strings.Split(f.faults, ",")})
+				if len(outcome.Violations) > 0 {
+					t.Errorf("%s: %+v", f.cause, outcome.Violations[0])
+				}
+			})
+		}
+	}
+}
+
+func TestShrinkKeepsWhatIsNeeded(t *testing.T) {
+	Convey("a violation's failures are cut down to those that it needs", t, func() {
+		small := deployment(t, "small")
+		options := Options{Disable: []string{"audit"}}
+		failed := Run(small, 1, options)
+		So(len(failed.Violations), ShouldBeGreaterThan, 0)
+		shortest := Shrink(small, failed, options)
+		So(len(shortest.Violations), ShouldBeGreaterThan, 0)
+		So(shortest.Violations[0].Invariant, ShouldEqual, failed.Violations[0].Invariant)
+		So(len(shortest.Applied), ShouldBeLessThanOrEqualTo, len(failed.Applied))
+		So(shortest.Applied, ShouldBeEmpty)
+	})
+}
