Call no service unknown before the settings have been heard

A sidecar published an empty list of services at its first tick, before its first answer from a scheduler, and refused by it. Ruled out: a scheduler that serves an older tree (the simulator checks that, and the refusal came from the sidecar's own list), lost settings (later calls were served). Change: the list is published from the first revision on; before that, calls go to the core, which waits for a scheduler within their deadline.

--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -156,14 +156,15 @@
 }
 
 // publish renews the snapshot; the services are listed anew only when the
-// settings have changed.
+// settings have changed. Invariant: no service is called unknown before the
+// settings have been heard.
 func (d *Daemon) publish(revision uint64) {
 	previous := d.view.Load()
 	current := &view{
 		ready: d.core.Ready(), idle: d.core.Idle(), draining: d.core.draining,
 		bodyLimit: previous.bodyLimit, services: previous.services,
 	}
-	if tree := d.core.Tree(); tree.Revision() != revision {
+	if tree := d.core.Tree(); tree.Revision() > 0 && tree.Revision() != revision {
 		current.services = map[string]bool{}
 		for _, name := range tree.Children("/services") {
 			current.services[name] = true
