--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -152,12 +152,14 @@
 // validates the whole. Every problem found is joined into the error.
 func Load(file string, override func(*Process)) (Process, error) {
 	process := Defaults()
-	process.file = file
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return process, Problem{File: file, Reason: "can't be read: " + lastPart(err)}
 	}
-	if err := yaml.UnmarshalWithOptions(raw, &process, yaml.Strict()); err != nil {
+	err = yaml.UnmarshalWithOptions(raw, &process, yaml.Strict())
+	// A document without content empties the whole struct.
+	process.file = file
+	if err != nil {
 		return process, Problem{File: file, Reason: firstLine(err)}
 	}
 	if override != nil {
--- a/internal/scheduling/limits.go
+++ b/internal/scheduling/limits.go
@@ -80,11 +80,9 @@
 	return &Tenants{states: map[string]*tenantState{}}
 }
 
-// Take counts a call of a tenant, or refuses it.
+// Take counts a call of a tenant, or refuses it. Calls without a limit count as
+// well, since a limit may be set while they run.
 func (t *Tenants) Take(tenant string, limits TenantLimits, tokens int64, schedulers int, nowMs int64) *result.Error {
-	if limits.InFlight == 0 && limits.TokensPerSecond == 0 {
-		return nil
-	}
 	state, ok := t.states[tenant]
 	if !ok {
 		state = &tenantState{}
@@ -98,11 +96,13 @@
 		perSecond := share(limits.TokensPerSecond)
 		if state.limiter == nil || state.perSec != perSecond {
 			state.perSec = perSecond
-			state.limiter = rate.NewLimiter(rate.Limit(perSecond), int(max(perSecond, tokens)))
+			state.limiter = rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
 		}
 		at := time.UnixMilli(nowMs)
-		if !state.limiter.AllowN(at, int(tokens)) {
-			missing := float64(tokens) - state.limiter.TokensAt(at)
+		// A call of more than a second's tokens takes a whole second's.
+		wanted := min(tokens, perSecond)
+		if !state.limiter.AllowN(at, int(wanted)) {
+			missing := float64(wanted) - state.limiter.TokensAt(at)
 			wait := time.Duration(missing / float64(perSecond) * float64(time.Second))
 			return result.New(result.TenantLimit, "tenant %q is over %d tokens a second", tenant, limits.TokensPerSecond).
 				WithRetryAfter(max(wait, time.Millisecond))
