Tell followers what changed in the directory, and plan only when something did

Ruled out: the settings themselves (87 bytes a scheduler and change, straight line), heartbeats (12.7 bytes/s a scheduler). Change: a Roster keeps the version of each entry and recent removals and hands on differences; a scheduler's engines are sent only when they changed. Replies and requests of control are made in one place. The metric store_syncs counts now; it had stayed at zero.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -120,6 +120,8 @@
 	permits  *reconcile.Permits
 	syncs    []pendingSync
 	planning uint64
+	// synced counts the writes that were synced.
+	synced   uint64
 	draining bool
 }
 
@@ -230,6 +232,9 @@
 	return c.groups[id].state.(*ledgerMachine).ledger
 }
 
+// Syncs counts the writes that were synced since the start.
+func (c *Core) Syncs() uint64 { return c.synced }
+
 // Groups returns how many groups the process holds, the settings group included.
 func (c *Core) Groups() int { return len(c.groups) }
 
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -41,6 +41,7 @@
 
 // status is the snapshot that traffic goroutines read.
 type status struct {
+	syncs    uint64
 	formed   bool
 	ready    bool
 	revision uint64
@@ -62,7 +63,6 @@
 	events  chan event
 	status  atomic.Pointer[status]
 	peers   map[string]*peerLink
-	writes  atomic.Int64
 
 	// The control loop alone uses these.
 	nextRequest RequestID
@@ -105,7 +105,7 @@
 	d.monitor.Gauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().leading) })
 	d.monitor.Gauge("programs", "Program headers held.", func() float64 { return float64(d.status.Load().programs) })
 	d.monitor.Gauge("entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
-	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.writes.Load()) })
+	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().syncs) })
 }
 
 func (d *Daemon) delayTo(zone string) time.Duration {
@@ -230,7 +230,7 @@
 }
 
 func (d *Daemon) publish() {
-	current := &status{formed: d.core.Formed(), ready: d.core.Ready(), revision: d.core.Revision()}
+	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision()}
 	if current.formed {
 		current.drained = d.core.Drained()
 		for id := range d.core.groups {
@@ -267,7 +267,7 @@
 // handle takes a frame from another process.
 func (d *Daemon) handle(connection *protocol.Connection, frame protocol.Frame) {
 	next := event{}
-	message := requestOf(frame.Kind)
+	message := protocol.NewRequest(frame.Kind)
 	switch frame.Kind {
 	case protocol.KindPeer:
 		next.batch = &protocol.PeerBatch{}
@@ -289,25 +289,6 @@
 	d.post(next)
 }
 
-// requestOf returns an empty request of a kind, nil for none.
-func requestOf(kind protocol.Kind) any {
-	switch kind {
-	case protocol.KindLedger:
-		return &protocol.LedgerRequest{}
-	case protocol.KindSync:
-		return &protocol.SyncRequest{}
-	case protocol.KindReleased:
-		return &protocol.ReleasedRequest{}
-	case protocol.KindPermit:
-		return &protocol.PermitRequest{}
-	case protocol.KindSettings:
-		return &protocol.SettingsRequest{}
-	case protocol.KindRead:
-		return &protocol.ReadRequest{}
-	}
-	return nil
-}
-
 // peerLink is the connection to one other control process; it redials by itself.
 type peerLink struct {
 	address string
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -130,6 +130,9 @@
 	if err := c.storage.Write(writes); err != nil {
 		return false, err
 	}
+	if len(writes) > 0 {
+		c.synced++
+	}
 	for position, group := range active {
 		if err := c.afterSync(group, readies[position]); err != nil {
 			return false, err
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -190,17 +190,20 @@
 }
 
 func (c *Core) hasNews(request *protocol.SyncRequest) bool {
-	return c.system.tree.Revision() > request.Revision || c.system.directory.Version > request.Directory
+	directory := c.system.directory
+	return c.system.tree.Revision() > request.Revision || directory.Roster().Changed() > request.Directory ||
+		directory.OwnerChanged(request.Heartbeat.Scheduler.Name) > request.Directory
 }
 
 func (c *Core) syncReply(request *protocol.SyncRequest) *protocol.SyncReply {
 	reply := &protocol.SyncReply{Feed: protocol.NewFeed(c.system.tree, request.Revision)}
 	directory := c.system.directory
-	reply.Feed.Directory = directory.Version
+	reply.Feed.Roster = directory.Roster().Since(request.Directory)
 	reply.Feed.Groups = uint32(c.options.LedgerGroups)
-	if directory.Version > request.Directory {
-		reply.Feed.Schedulers = directory.SchedulerList()
-		reply.Engines = directory.OwnedBy(request.Heartbeat.Scheduler.Name)
+	name := request.Heartbeat.Scheduler.Name
+	if directory.OwnerChanged(name) > request.Directory {
+		reply.EnginesChanged = true
+		reply.Engines = directory.OwnedBy(name)
 	}
 	return reply
 }
--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -54,21 +54,34 @@
 	Version    uint64               `json:"version" msgpack:"v"`
 	Schedulers map[string]Scheduler `json:"schedulers" msgpack:"s"`
 	Engines    map[string]Engine    `json:"engines" msgpack:"e"`
+
+	// The rest says what changed when; it is not replicated, since a follower
+	// whose version is unknown here gets everything.
+	roster       *Roster
+	ownerChanged map[string]uint64
+	ownersBase   uint64
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
-	return &Directory{Schedulers: map[string]Scheduler{}, Engines: map[string]Engine{}}
+	return &Directory{
+		Schedulers: map[string]Scheduler{}, Engines: map[string]Engine{},
+		roster: NewRoster(), ownerChanged: map[string]uint64{},
+	}
 }
 
 // Apply carries out one update.
 func (d *Directory) Apply(update Update) {
 	d.Version++
+	d.roster.version = d.Version
 	for _, scheduler := range update.Schedulers {
 		d.Schedulers[scheduler.Name] = scheduler
+		d.roster.put(scheduler, d.Version)
 	}
 	for _, name := range update.RemoveSchedulers {
 		delete(d.Schedulers, name)
+		delete(d.ownerChanged, name)
+		d.roster.remove(name, d.Version)
 	}
 	for _, engine := range update.Engines {
 		previous, ok := d.Engines[engine.Name]
@@ -78,12 +91,23 @@
 			engine.Epoch = d.Version
 		}
 		d.Engines[engine.Name] = engine
+		d.ownerChanged[previous.Owner] = d.Version
+		d.ownerChanged[engine.Owner] = d.Version
 	}
 	for _, name := range update.RemoveEngines {
+		d.ownerChanged[d.Engines[name].Owner] = d.Version
 		delete(d.Engines, name)
 	}
 }
 
+// Roster returns the schedulers with what changed when.
+func (d *Directory) Roster() *Roster { return d.roster }
+
+// OwnerChanged is the version at which a scheduler's engines changed last.
+func (d *Directory) OwnerChanged(scheduler string) uint64 {
+	return max(d.ownersBase, d.ownerChanged[scheduler])
+}
+
 // OwnedBy returns a scheduler's engines in ascending order of name.
 func (d *Directory) OwnedBy(scheduler string) []Engine {
 	var owned []Engine
@@ -98,12 +122,7 @@
 
 // SchedulerList returns the schedulers in ascending order of name.
 func (d *Directory) SchedulerList() []Scheduler {
-	list := make([]Scheduler, 0, len(d.Schedulers))
-	for _, scheduler := range d.Schedulers {
-		list = append(list, scheduler)
-	}
-	slices.SortFunc(list, func(a, b Scheduler) int { return strings.Compare(a.Name, b.Name) })
-	return list
+	return d.roster.List()
 }
 
 // EngineList returns the engines in ascending order of name.
@@ -139,5 +158,7 @@
 	for _, engine := range encoded.Engines {
 		d.Engines[engine.Name] = engine
 	}
+	d.roster.replace(encoded.Schedulers, encoded.Version)
+	d.ownersBase = encoded.Version
 	return nil
 }
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -45,20 +45,31 @@
 	reports   map[string]Report
 	instances []Instance
 	listed    bool
+	// changed is set when something was heard that may call for an update;
+	// planned is the directory version that was found in line.
+	changed bool
+	planned uint64
 }
 
 // NewTracker returns the tracker of a leader that began to lead at nowMs.
 func NewTracker(leaseMs, nowMs int64) *Tracker {
-	return &Tracker{leaseMs: leaseMs, startMs: nowMs, reports: map[string]Report{}}
+	return &Tracker{leaseMs: leaseMs, startMs: nowMs, reports: map[string]Report{}, changed: true}
 }
 
 // Heard notes a heartbeat.
 func (t *Tracker) Heard(heartbeat Heartbeat, nowMs int64) {
+	previous, known := t.reports[heartbeat.Scheduler.Name]
+	if !known || previous.Heartbeat.Scheduler != heartbeat.Scheduler || nowMs-previous.AtMs > t.leaseMs {
+		t.changed = true
+	}
 	t.reports[heartbeat.Scheduler.Name] = Report{Heartbeat: heartbeat, AtMs: nowMs}
 }
 
 // Listed notes the platform's list of engines.
 func (t *Tracker) Listed(instances []Instance) {
+	if !t.listed || !slices.Equal(t.instances, instances) {
+		t.changed = true
+	}
 	t.instances = instances
 	t.listed = true
 }
@@ -88,6 +99,9 @@
 // lease for its heartbeat.
 func (t *Tracker) Plan(directory *Directory, nowMs int64) Update {
 	var update Update
+	if !t.changed && t.planned == directory.Version && !t.anyExpired(directory, nowMs) {
+		return update
+	}
 	alive := map[string]Scheduler{}
 	for _, scheduler := range directory.SchedulerList() {
 		report, heard := t.reports[scheduler.Name]
@@ -110,9 +124,28 @@
 	}
 	slices.SortFunc(update.Schedulers, func(a, b Scheduler) int { return strings.Compare(a.Name, b.Name) })
 	t.planEngines(directory, alive, &update)
+	if update.Empty() {
+		t.changed = false
+		t.planned = directory.Version
+	}
 	return update
 }
 
+// anyExpired reports whether a scheduler of the directory has been silent for a
+// lease.
+func (t *Tracker) anyExpired(directory *Directory, nowMs int64) bool {
+	for name := range directory.Schedulers {
+		since := t.startMs
+		if report, heard := t.reports[name]; heard {
+			since = report.AtMs
+		}
+		if nowMs-since > t.leaseMs {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Tracker) planEngines(directory *Directory, alive map[string]Scheduler, update *Update) {
 	desired := map[string]Engine{}
 	for _, engine := range directory.Engines {
@@ -155,82 +188,3 @@
 	slices.SortFunc(list, func(a, b Engine) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
-
-// assignOwners gives each engine without a live owner to the scheduler with the
-// fewest engines of its pool, one of its own zone first, and moves engines where
-// a zone's schedulers are out of balance by more than one.
-func assignOwners(engines map[string]Engine, alive map[string]Scheduler) {
-	candidates := candidateNames(alive)
-	if len(candidates) == 0 {
-		return
-	}
-	owned := map[string]int{}
-	inPool := map[string]int{}
-	for _, engine := range engines {
-		if holder, ok := alive[engine.Owner]; ok && !holder.Draining {
-			owned[engine.Owner]++
-			inPool[engine.Owner+"/"+engine.Pool]++
-		}
-	}
-	for _, engine := range sortedEngines(engines) {
-		holder, held := alive[engine.Owner]
-		held = held && !holder.Draining
-		best := bestOwner(engine, candidates, alive, owned, inPool)
-		if held && !worthMoving(engine, best, alive, inPool) {
-			continue
-		}
-		if held {
-			owned[engine.Owner]--
-			inPool[engine.Owner+"/"+engine.Pool]--
-		}
-		engine.Owner = best
-		owned[best]++
-		inPool[best+"/"+engine.Pool]++
-		engines[engine.Name] = engine
-	}
-}
-
-func candidateNames(alive map[string]Scheduler) []string {
-	var names []string
-	for name, scheduler := range alive {
-		if !scheduler.Draining {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
-func bestOwner(engine Engine, candidates []string, alive map[string]Scheduler, owned, inPool map[string]int) string {
-	best := candidates[0]
-	for _, name := range candidates[1:] {
-		if betterOwner(engine, name, best, alive, owned, inPool) {
-			best = name
-		}
-	}
-	return best
-}
-
-func betterOwner(engine Engine, name, than string, alive map[string]Scheduler, owned, inPool map[string]int) bool {
-	nameLocal := alive[name].Zone == engine.Zone
-	thanLocal := alive[than].Zone == engine.Zone
-	if nameLocal != thanLocal {
-		return nameLocal
-	}
-	if a, b := inPool[name+"/"+engine.Pool], inPool[than+"/"+engine.Pool]; a != b {
-		return a < b
-	}
-	return owned[name] < owned[than]
-}
-
-// worthMoving reports whether an engine with a live owner should move: home to
-// its own zone, or within its zone where that evens out a difference of more
-// than one.
-func worthMoving(engine Engine, best string, alive map[string]Scheduler, inPool map[string]int) bool {
-	ownerLocal := alive[engine.Owner].Zone == engine.Zone
-	bestLocal := alive[best].Zone == engine.Zone
-	if ownerLocal != bestLocal {
-		return bestLocal
-	}
-	return inPool[engine.Owner+"/"+engine.Pool] > inPool[best+"/"+engine.Pool]+1
-}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -96,8 +96,9 @@
 	Error  *result.Error `msgpack:"e,omitempty"`
 	Leader string        `msgpack:"l,omitempty"`
 	Feed   Feed          `msgpack:"f"`
-	// Engines are the scheduler's own, where Directory is newer.
-	Engines []membership.Engine `msgpack:"g,omitempty"`
+	// Engines are the scheduler's own, where EnginesChanged is set.
+	Engines        []membership.Engine `msgpack:"g,omitempty"`
+	EnginesChanged bool                `msgpack:"n,omitempty"`
 }
 
 // Feed is the news that fans out from control to schedulers to sidecars.
@@ -106,10 +107,8 @@
 	// since the follower's revision are no longer kept.
 	Snapshot []byte              `msgpack:"s,omitempty"`
 	Changes  []settings.Accepted `msgpack:"c,omitempty"`
-	// Directory is the directory's version; Schedulers is set where it is newer
-	// than the follower's.
-	Directory  uint64                 `msgpack:"d"`
-	Schedulers []membership.Scheduler `msgpack:"h,omitempty"`
+	// Roster tells of schedulers that came, changed or went.
+	Roster membership.RosterNews `msgpack:"d"`
 	// Groups is the number of ledger groups.
 	Groups uint32 `msgpack:"g"`
 }
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -154,7 +154,7 @@
 	}
 	tenant := c.fields("/tenants/" + tenantName(request.Tenant))
 	limits := scheduling.TenantLimits{InFlight: *tenant.TenantInFlight, TokensPerSecond: *tenant.TokensPerSecond}
-	return c.tenants.Take(request.Tenant, limits, probe.PromptTokens+probe.OutputTokens, len(c.peers), c.nowMs)
+	return c.tenants.Take(request.Tenant, limits, probe.PromptTokens+probe.OutputTokens, len(c.roster.List()), c.nowMs)
 }
 
 func tenantName(tenant string) string {
--- a/internal/scheduler/control.go
+++ b/internal/scheduler/control.go
@@ -136,7 +136,7 @@
 	}
 	c.syncing = true
 	message := &protocol.SyncRequest{
-		Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.directory,
+		Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.roster.Version(),
 		HoldMs: c.options.SyncHoldMs, Fresh: !c.synced,
 	}
 	c.askControl(0, protocol.KindSync, message, 2*controlTimeoutMs, func(reply any) {
@@ -145,9 +145,9 @@
 		if !ok || typed.Error != nil {
 			return
 		}
-		newer := typed.Feed.Directory > c.directory
+		newer := typed.Feed.Roster.Version > c.roster.Version()
 		c.applyFeed(typed.Feed)
-		if newer {
+		if newer && typed.EnginesChanged {
 			c.setEngines(typed.Engines)
 		}
 		c.synced = true
@@ -220,7 +220,7 @@
 
 // reportNow sends a heartbeat beside the one that control holds.
 func (c *Core) reportNow() {
-	message := &protocol.SyncRequest{Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.directory}
+	message := &protocol.SyncRequest{Heartbeat: c.heartbeatReport(), Revision: c.tree.Revision(), Directory: c.roster.Version()}
 	c.askControl(0, protocol.KindSync, message, controlTimeoutMs, func(any) {})
 }
 
@@ -234,7 +234,7 @@
 			}
 			continue
 		}
-		news := c.tree.Revision() > known.request.Revision || c.directory > known.request.Directory
+		news := c.tree.Revision() > known.request.Revision || c.roster.Changed() > known.request.Directory
 		if !c.synced || (!news && c.nowMs < known.untilMs && !c.draining) {
 			continue
 		}
@@ -250,10 +250,7 @@
 	if c.options.DisableRevision && c.tree.Revision() != request.Revision {
 		feed.Snapshot, _ = c.tree.FollowerState()
 	}
-	feed.Directory = c.directory
+	feed.Roster = c.roster.Since(request.Directory)
 	feed.Groups = c.groups
-	if c.directory > request.Directory {
-		feed.Schedulers = c.peers
-	}
 	return feed
 }
--- a/internal/scheduler/core.go
+++ b/internal/scheduler/core.go
@@ -116,9 +116,8 @@
 
 	tree      *settings.Tree
 	effective map[string]settings.Fields
-	directory uint64
+	roster    *membership.Roster
 	groups    uint32
-	peers     []membership.Scheduler
 	engines   map[string]*ownedEngine
 	// readyMs is when the cell last had an open engine of a pool.
 	readyMs map[string]int64
@@ -209,7 +208,7 @@
 func NewCore(options Options, outlet Outlet, nowMs int64) *Core {
 	return &Core{
 		options: options, outlet: outlet, nowMs: nowMs,
-		tree: settings.NewTree(), effective: map[string]settings.Fields{},
+		tree: settings.NewTree(), roster: membership.NewRoster(), effective: map[string]settings.Fields{},
 		engines: map[string]*ownedEngine{}, readyMs: map[string]int64{}, tenants: scheduling.NewTenants(),
 		cell:     scheduling.Cell{Policy: options.Policy},
 		programs: map[string]*localProgram{}, busy: map[string]*localProgram{}, waiting: map[uint64]*call{}, attempts: map[AttemptID]*call{},
@@ -307,9 +306,7 @@
 	if feed.Groups > 0 {
 		c.groups = feed.Groups
 	}
-	if feed.Directory > c.directory {
-		c.directory = feed.Directory
-		c.peers = feed.Schedulers
+	if c.roster.Take(feed.Roster) {
 		c.listed = c.listed || c.alive(c.options.Name, c.options.Start)
 		c.noteDrainListed()
 	}
@@ -323,21 +320,16 @@
 }
 
 func (c *Core) noteDrainListed() {
-	for _, peer := range c.peers {
-		if peer.Name == c.options.Name && peer.Draining && c.drainListedMs == 0 {
-			c.drainListedMs = c.nowMs
-		}
+	own, ok := c.roster.Find(c.options.Name)
+	if ok && own.Draining && c.drainListedMs == 0 {
+		c.drainListedMs = c.nowMs
 	}
 }
 
 // alive reports whether the directory lists a scheduler and no later start of it.
 func (c *Core) alive(name string, start uint64) bool {
-	for _, peer := range c.peers {
-		if peer.Name == name && peer.Start <= start {
-			return true
-		}
-	}
-	return false
+	peer, ok := c.roster.Find(name)
+	return ok && peer.Start <= start
 }
 
 // target returns what the settings ask of a pool's engines.
--- a/internal/scheduler/daemon.go
+++ b/internal/scheduler/daemon.go
@@ -311,7 +311,7 @@
 			go d.post(func(core *Core, nowMs int64) { core.ControlReply(id, nil, nowMs) })
 			return
 		}
-		reply := replyOf(kind)
+		reply := protocol.NewReply(kind)
 		if protocol.Decode(frame.Body, reply) != nil {
 			reply = nil
 		}
@@ -319,20 +319,6 @@
 	})
 }
 
-func replyOf(kind protocol.Kind) any {
-	switch kind {
-	case protocol.KindLedger:
-		return &protocol.LedgerReply{}
-	case protocol.KindSync:
-		return &protocol.SyncReply{}
-	case protocol.KindReleased:
-		return &protocol.ReleasedReply{}
-	case protocol.KindPermit:
-		return &protocol.PermitReply{}
-	}
-	return &protocol.ReadReply{}
-}
-
 // Start is the core's outlet to engines.
 func (d *Daemon) Start(run Run) {
 	ctx, cancel := context.WithCancel(d.running)
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -67,16 +67,16 @@
 
 // Core is the control state of one sidecar.
 type Core struct {
-	options   Options
-	outlet    Outlet
-	nowMs     int64
-	tree      *settings.Tree
-	directory uint64
-	peers     []membership.Scheduler
-	calls     map[CallerID]*call
-	sends     map[SendID]*send
-	nextSend  SendID
-	random    uint64
+	options  Options
+	outlet   Outlet
+	nowMs    int64
+	tree     *settings.Tree
+	roster   *membership.Roster
+	peers    []membership.Scheduler
+	calls    map[CallerID]*call
+	sends    map[SendID]*send
+	nextSend SendID
+	random   uint64
 
 	following  SendID
 	followedAt int64
@@ -130,7 +130,7 @@
 // NewCore returns a sidecar that knows only its seeds.
 func NewCore(options Options, outlet Outlet, nowMs int64) *Core {
 	return &Core{
-		options: options, outlet: outlet, nowMs: nowMs, tree: settings.NewTree(), peers: options.Seeds,
+		options: options, outlet: outlet, nowMs: nowMs, tree: settings.NewTree(), roster: membership.NewRoster(), peers: options.Seeds,
 		calls: map[CallerID]*call{}, sends: map[SendID]*send{}, retries: retryReserve,
 		random: xxhash.Sum64String(options.Name),
 	}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -24,7 +24,7 @@
 	c.followedAt = c.nowMs
 	c.sends[c.nextSend] = &send{id: c.nextSend, address: target.Address, name: target.Name, follow: true}
 	c.outlet.Send(target.Address, c.nextSend, protocol.KindFollow, &protocol.FollowRequest{
-		Sidecar: c.options.Name, Revision: c.tree.Revision(), Directory: c.directory, HoldMs: c.options.FollowHoldMs,
+		Sidecar: c.options.Name, Revision: c.tree.Revision(), Directory: c.roster.Version(), HoldMs: c.options.FollowHoldMs,
 	})
 }
 
@@ -64,9 +64,8 @@
 	}
 	feed := reply.Feed
 	c.tree = feed.ApplyTo(c.tree, c.options.DisableRevision)
-	if feed.Directory > c.directory {
-		c.directory = feed.Directory
-		c.peers = feed.Schedulers
+	if c.roster.Take(feed.Roster) {
+		c.peers = c.roster.List()
 		c.loseDelisted()
 	}
 	c.synced = true
