--- /dev/null
+++ b/cmd/ochrebay/capacity.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/ochrebay/ochrebay/internal/capacity"
+)
+
+func registerCapacity(app *kingpin.Application, registered commands) {
+	command := app.Command("capacity", "Measure how state, messages, processor time and memory grow, for docs/CAPACITY.md.\n\nExample: ochrebay capacity --quick")
+	quick := command.Flag("quick", "Smaller sizes, under a minute.").Bool()
+	part := command.Flag("part", "Only this part: program headers, turns of a program, tenants, engine reports, synced writes, fan-out, engines of a cell, ledger groups, calls, runs.").String()
+	plots := command.Flag("plots", "Folder for one SVG a slope.").String()
+	output := command.Flag("output", "table or json.").Default("table").Enum("table", "json")
+	registered[command.FullCommand()] = func(context.Context) error {
+		report, err := capacity.Measure(*quick, *part, os.Stderr)
+		if err != nil {
+			return err
+		}
+		if *plots != "" {
+			if err := report.Plots(*plots); err != nil {
+				return err
+			}
+		}
+		if *output == "json" {
+			return printJSON(report)
+		}
+		report.Print(os.Stdout)
+		return nil
+	}
+}
--- a/cmd/ochrebay/load.go
+++ b/cmd/ochrebay/load.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/ochrebay/ochrebay/internal/control"
+	"github.com/ochrebay/ochrebay/internal/engine"
 	"github.com/ochrebay/ochrebay/internal/workload"
 )
 
@@ -24,6 +25,7 @@
 	load       *float64
 	duration   *time.Duration
 	demo       *bool
+	callers    *int
 	output     *string
 }
 
@@ -37,6 +39,7 @@
 		load:       command.Flag("load", "Arrival rate relative to the deployment's.").Default("1").Float64(),
 		duration:   command.Flag("duration", "How long programs arrive, in the workload's time.").Default("20s").Duration(),
 		demo:       command.Flag("demo", "Run one program with a tool and a sub-agent, and print each answer.").Bool(),
+		callers:    command.Flag("callers", "Instead of the workload: this many callers, each sending its next call at once; for deployments whose engines answer at once.").Int(),
 		output:     command.Flag("output", "table or json.").Default("table").Enum("table", "json"),
 	}
 	registered[command.FullCommand()] = func(ctx context.Context) error { return runLoad(ctx, flags) }
@@ -54,15 +57,16 @@
 	if *flags.demo {
 		return runDemo(ctx, driver, deployment)
 	}
+	if *flags.callers > 0 {
+		return runPath(ctx, driver, deployment, flags)
+	}
 	programs := workload.Generate(deployment, *flags.seed, *flags.load, flags.duration.Milliseconds())
 	driver.Label = fmt.Sprintf("load-%d-%d", *flags.seed, time.Now().UnixNano())
 	report := workload.NewReport(driver.RunAll(ctx, programs), driver.Violations())
 	if *flags.output == "json" {
-		raw, err := json.Marshal(report)
-		if err != nil {
+		if err := printJSON(report); err != nil {
 			return err
 		}
-		fmt.Println(string(raw))
 	} else {
 		report.Print(os.Stdout)
 	}
@@ -142,3 +146,35 @@
 	}
 	return nil
 }
+
+// runPath measures what ochrebay adds to calls whose engine answers at once.
+func runPath(ctx context.Context, driver *workload.Driver, deployment workload.Deployment, flags loadFlags) error {
+	engines, err := readAddresses(*flags.data, "engine-")
+	if err != nil {
+		return settingsError{err}
+	}
+	controls, err := readAddresses(*flags.data, "control-")
+	if err != nil {
+		return settingsError{err}
+	}
+	if len(engines) == 0 || len(controls) == 0 {
+		return errors.New("ochrebay: the fleet has no engine or no control process")
+	}
+	var addresses []string
+	for _, line := range controls {
+		addresses = append(addresses, line.address)
+	}
+	state, err := engine.NewClient().State(ctx, engines[0].address)
+	if err != nil {
+		return err
+	}
+	report, err := driver.MeasurePath(ctx, deployment.Workload[0].Service, state.Target.Model, engines[0].address, addresses, *flags.callers, *flags.duration)
+	if err != nil {
+		return err
+	}
+	if *flags.output == "json" {
+		return printJSON(report)
+	}
+	report.Print(os.Stdout)
+	return nil
+}
--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -45,6 +45,7 @@
 	registerLoad(app, registered)
 	registerSimulate(app, registered)
 	registerReplay(app, registered)
+	registerCapacity(app, registered)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "ochrebay: %v; try --help\n", err)
--- a/cmd/ochrebay/operator.go
+++ b/cmd/ochrebay/operator.go
@@ -126,3 +126,13 @@
 	}
 	_, _ = fmt.Fprintln(table)
 }
+
+// printJSON prints a value in one line, for --output json.
+func printJSON(value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(raw))
+	return nil
+}
--- a/cmd/ochrebay/simulate.go
+++ b/cmd/ochrebay/simulate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -67,11 +66,9 @@
 	}
 	summary := simulation.RunMany(deployment, first, last, options, parallel)
 	if *flags.output == "json" {
-		raw, err := json.Marshal(summary)
-		if err != nil {
+		if err := printJSON(summary); err != nil {
 			return err
 		}
-		fmt.Println(string(raw))
 	} else {
 		printSimulation(deployment, summary, options)
 	}
--- /dev/null
+++ b/internal/capacity/report.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Measure takes every slope and run, or the one part named; quick takes smaller
+// sizes. progress gets a line for each part.
+func Measure(quick bool, only string, progress io.Writer) (Report, error) {
+	report := Report{Quick: quick, Machine: fmt.Sprintf("%s/%s, %d processors, %s", runtime.GOOS, runtime.GOARCH, runtime.NumCPU(), runtime.Version())}
+	scale := func(full, small []int) []int {
+		if quick {
+			return small
+		}
+		return full
+	}
+	for _, part := range []struct {
+		name    string
+		measure func() ([]Slope, error)
+	}{
+		{"program headers", func() ([]Slope, error) {
+			return ledgerSlopes(scale([]int{25_000, 50_000, 100_000, 200_000}, []int{1000, 2000, 4000, 8000}))
+		}},
+		{"turns of a program", func() ([]Slope, error) {
+			return []Slope{turnSlope(scale([]int{4000}, []int{400})[0], []int{10, 50, 110, 220})}, nil
+		}},
+		{"tenants", func() ([]Slope, error) {
+			return tenantSlopes(scale([]int{6000, 12_000, 24_000, 48_000}, []int{500, 1000, 2000, 4000}))
+		}},
+		{"engine reports", func() ([]Slope, error) { return reportSlopes([]int{0, 50, 100, 200}), nil }},
+		{"synced writes", func() ([]Slope, error) { return storeSlopes([]int{1, 8, 32, 128}, 2048) }},
+		{"fan-out", func() ([]Slope, error) {
+			return fanOutSlopes(scale([]int{50, 100, 200, 400, 700}, []int{10, 20, 40, 80}))
+		}},
+		{"engines of a cell", func() ([]Slope, error) { return cellSlopes([]int{5, 10, 20, 40}) }},
+		{"ledger groups", func() ([]Slope, error) {
+			return groupSlopes(scale([]int{64, 128, 256, 512, 1024}, []int{8, 16, 32, 64}))
+		}},
+		{"calls", func() ([]Slope, error) { return turnSlopes(scale([]int{5, 10, 20, 40}, []int{2, 4, 6, 8})) }},
+	} {
+		if only != "" && only != part.name {
+			continue
+		}
+		_, _ = fmt.Fprintln(progress, "capacity: measuring", part.name)
+		slopes, err := part.measure()
+		if err != nil {
+			return report, fmt.Errorf("%s: %w", part.name, err)
+		}
+		report.Slopes = append(report.Slopes, slopes...)
+	}
+	var err error
+	if only == "" || only == "runs" {
+		err = report.takeRuns(quick, progress)
+	}
+	report.PeakMB = peakMB()
+	return report, err
+}
+
+func (r *Report) takeRuns(quick bool, progress io.Writer) error {
+	fleet := shape{schedulers: schedulersAtSize, engines: enginesAtSize, zones: zonesAtSize}
+	groups, programs, tenants := groupsAtSize, programsAtSize, tenantsAtSize
+	if quick {
+		fleet = shape{schedulers: 36, engines: 72, zones: zonesAtSize}
+		groups, programs, tenants = 64, 10_000, 1000
+	}
+	for _, part := range []struct {
+		name string
+		body func() ([]Value, error)
+	}{
+		{"1 million program headers", func() ([]Value, error) { return manyPrograms(programs) }},
+		{"48,000 tenants", func() ([]Value, error) { return manyTenants(tenants) }},
+		{"1,024 ledger groups in one process", func() ([]Value, error) { return manyGroups(groups) }},
+		{"700 schedulers, 12,000 engines, 18 zones", func() ([]Value, error) { return wholeFleet(fleet) }},
+	} {
+		_, _ = fmt.Fprintln(progress, "capacity: running", part.name)
+		outcome, err := run(part.name, part.body)
+		if err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+		r.Runs = append(r.Runs, outcome)
+	}
+	return nil
+}
+
+// Print writes the report as tables.
+func (r Report) Print(out io.Writer) {
+	_, _ = fmt.Fprintf(out, "machine: %s; peak memory %.0f MB\n\n", r.Machine, r.PeakMB)
+	table := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "ROLE\tWHAT\tUNIT\tPER\tSLOPE\tBASE\tRANGE\tR2\tRESIDUAL\tFIT")
+	for _, slope := range r.Slopes {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%.4g\t%.4g\t%.4g..%.4g\t%.3f\t%.1f%%\t%s\n", slope.Role, slope.Name, slope.Unit, slope.Driver,
+			slope.PerDriver, slope.Base, slope.Points[0].X, slope.Points[len(slope.Points)-1].X, slope.R2, 100*slope.Residual, slope.Verdict())
+	}
+	_ = table.Flush()
+	for _, run := range r.Runs {
+		_, _ = fmt.Fprintf(out, "\n%s (heap after it %.0f MB, %.1f s of processor)\n", run.Name, run.HeapMB, run.ProcessorSeconds)
+		for _, value := range run.Values {
+			_, _ = fmt.Fprintf(out, "  %-76s %12.4g %s\n", value.Name, value.Value, value.Unit)
+		}
+	}
+}
+
+const (
+	plotWidth  = 12 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	folderMode = 0o755
+)
+
+// Plots writes one SVG for each slope below a folder.
+func (r Report) Plots(folder string) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return err
+	}
+	for _, slope := range r.Slopes {
+		if err := slope.plot(folder); err != nil {
+			return fmt.Errorf("%s: %w", slope.Name, err)
+		}
+	}
+	return nil
+}
+
+// FileName is the slope's name as a file.
+func (s Slope) FileName() string {
+	name := strings.ToLower(s.Name + " by " + s.Driver)
+	return "capacity-" + strings.NewReplacer(" ", "-", ",", "", "/", "-per-").Replace(name) + ".svg"
+}
+
+func (s Slope) plot(folder string) error {
+	picture := plot.New()
+	picture.Title.Text = s.Name
+	picture.X.Label.Text = s.Driver
+	picture.Y.Label.Text = s.Unit
+	picture.X.Min = 0
+	picture.Y.Min = 0
+	points := make(plotter.XYs, len(s.Points))
+	for position, point := range s.Points {
+		points[position].X = point.X
+		points[position].Y = point.Y
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	last := s.Points[len(s.Points)-1].X
+	line, err := plotter.NewLine(plotter.XYs{{X: 0, Y: s.Base}, {X: last, Y: s.at(last)}})
+	if err != nil {
+		return err
+	}
+	picture.Add(plotter.NewGrid(), line, scatter)
+	return picture.Save(plotWidth, plotHeight, filepath.Join(folder, s.FileName()))
+}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -73,14 +74,20 @@
 	checks     *checks
 
 	faultsApplied int
-	calm          bool
-	calmAtUs      int64
-	quiet         bool
+	// measured turns on the counting of processor time, and observed the checks.
+	measured bool
+	observed bool
+	// quietEngines leaves out the polling of engines' state.
+	quietEngines bool
+
+	calm     bool
+	calmAtUs int64
+	quiet    bool
 }
 
 func newWorld(options Options, deployment workload.Deployment, seed uint64) *world {
 	w := &world{
-		options: options, deployment: deployment, seed: seed,
+		options: options, deployment: deployment, seed: seed, observed: true,
 		random: rand.New(rand.NewPCG(seed, 0x73696d)), digest: xxhash.New(), byName: map[string]*process{},
 	}
 	w.network = newNetwork(w)
@@ -155,6 +162,7 @@
 	nextID  uint64
 	start   func()
 	stopped func()
+	usage   Usage
 }
 
 // arrival is a message that has reached a process's machine; lost tells its
@@ -202,7 +210,25 @@
 	if p.frozen {
 		return
 	}
+	p.timed(run)
+}
+
+// timed adds the processor time of a step to the process's account.
+func (p *process) timed(run func()) {
+	if !p.world.measured {
+		run()
+		return
+	}
+	begun := time.Now()
 	run()
+	p.usage.Busy += time.Since(begun)
+}
+
+// sent counts a message that the process sends, as encoded.
+func (p *process) sent(raw []byte) []byte {
+	p.usage.Messages++
+	p.usage.Bytes += int64(len(raw))
+	return raw
 }
 
 // receive hands a message to the process.
@@ -214,7 +240,7 @@
 		p.inbox = append(p.inbox, arrival{run: run, lost: lost})
 		return
 	}
-	run()
+	p.timed(run)
 }
 
 func (p *process) freeze() { p.frozen = true }
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -46,6 +46,8 @@
 	Pool     string `yaml:"pool"`
 	Hardware string `yaml:"hardware"`
 	Count    int    `yaml:"count"`
+	// Instant engines answer at once, for measuring what ochrebay adds.
+	Instant bool `yaml:"instant"`
 }
 
 // Range is drawn from log-uniformly.
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -138,6 +138,7 @@
 			process.Emulator.Pool = group.Pool
 			process.Emulator.Weights = b.weights
 			process.Emulator.LagMs = planLag
+			process.Emulator.Instant = group.Instant
 			b.instances = append(b.instances, config.Instance{Name: name, Zone: group.Zone, Address: process.Listen.HTTP, Pool: group.Pool})
 		}
 	}
