--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -81,12 +81,14 @@
 		{"48,000 tenants", func() ([]Value, error) { return manyTenants(tenants) }},
 		{"1,024 ledger groups in one process", func() ([]Value, error) { return manyGroups(groups) }},
 		{"700 schedulers, 12,000 engines, 18 zones", func() ([]Value, error) { return wholeFleet(fleet) }},
+		{"12,000 engines reporting into 700 cells", func() ([]Value, error) { return reportingEngines(fleet) }},
 	} {
 		_, _ = fmt.Fprintln(progress, "capacity: running", part.name)
 		outcome, err := run(part.name, part.body)
 		if err != nil {
 			return fmt.Errorf("%s: %w", part.name, err)
 		}
+		_, _ = fmt.Fprintf(progress, "capacity: %s took %.0f s of processor\n", part.name, outcome.ProcessorSeconds)
 		r.Runs = append(r.Runs, outcome)
 	}
 	return nil
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -14,13 +14,31 @@
 	return Value{Name: name, Value: float64(took.Microseconds()) / 1000, Unit: "ms (virtual)"}
 }
 
-// wholeFleet is the letter's fleet with hollow daemons and engines: changes one
-// by one and in a burst, and then failures.
-func wholeFleet(s shape) ([]Value, error) {
+// reportingEngines lets every engine of the fleet report to its owner four times
+// a second for a short while.
+func reportingEngines(s shape) ([]Value, error) {
 	fleet, err := start(s, simulation.HollowOptions{})
 	if err != nil {
 		return nil, err
 	}
+	const length = 3 * time.Second
+	fleet.Reset()
+	fleet.Run(length)
+	used := fleet.Schedulers()
+	return []Value{
+		{Name: "engines", Value: float64(s.engines)},
+		{Name: "one scheduler with its engines' reports (decoding aside), processor", Value: 100 * used.Busy.Seconds() / length.Seconds() / float64(s.schedulers), Unit: "% of a core"},
+	}, nil
+}
+
+// wholeFleet is the letter's fleet with hollow daemons; its engines are listed and
+// owned, and their reports left out. Changes are made one by one and in a burst,
+// and then there are failures.
+func wholeFleet(s shape) ([]Value, error) {
+	fleet, err := start(s, simulation.HollowOptions{QuietEngines: true})
+	if err != nil {
+		return nil, err
+	}
 	const rest = 10 * time.Second
 	fleet.Reset()
 	fleet.Run(rest)
