--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -59,14 +59,14 @@
 		report.Slopes = append(report.Slopes, slopes...)
 	}
 	var err error
-	if only == "" || only == "runs" {
-		err = report.takeRuns(quick, progress)
+	if len(report.Slopes) == 0 || only == "" {
+		err = report.takeRuns(quick, only, progress)
 	}
 	report.PeakMB = peakMB()
 	return report, err
 }
 
-func (r *Report) takeRuns(quick bool, progress io.Writer) error {
+func (r *Report) takeRuns(quick bool, only string, progress io.Writer) error {
 	fleet := shape{schedulers: schedulersAtSize, engines: enginesAtSize, zones: zonesAtSize}
 	groups, programs, tenants := groupsAtSize, programsAtSize, tenantsAtSize
 	if quick {
@@ -83,6 +83,9 @@
 		{"700 schedulers, 12,000 engines, 18 zones", func() ([]Value, error) { return wholeFleet(fleet) }},
 		{"12,000 engines reporting into 700 cells", func() ([]Value, error) { return reportingEngines(fleet) }},
 	} {
+		if only != "" && only != "runs" && only != part.name {
+			continue
+		}
 		_, _ = fmt.Fprintln(progress, "capacity: running", part.name)
 		outcome, err := run(part.name, part.body)
 		if err != nil {
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -77,11 +77,11 @@
 		{Name: "settings leader at 0.75 changes a second, sent", Value: float64(leader.Bytes) / seconds, Unit: "bytes/s"},
 	}
 	fleet.Reset()
-	var last int64
+	all := fleet.Revision() + burstChanges
 	for range burstChanges {
-		last = fleet.Set(probe)
+		fleet.Set(probe)
 	}
-	took, ok := fleet.Until(forceLimit, func() bool { return fleet.InForce(probe, last) })
+	took, ok := fleet.Until(forceLimit, func() bool { return fleet.Revision() >= all && fleet.AtRevision(all) })
 	if !ok {
 		return nil, fmt.Errorf("capacity: the burst was not in force after %s", forceLimit)
 	}
--- a/internal/simulation/hollow.go
+++ b/internal/simulation/hollow.go
@@ -130,10 +130,11 @@
 	return total
 }
 
-// Set makes a change of a settings node and returns its value.
+// Set makes a change of a settings node and returns its value. Operators take
+// turns, since the tree remembers a bounded count of numbers for each.
 func (h *Hollow) Set(path string) int64 {
-	o := h.world.operators[0]
 	value := h.world.nextValue()
+	o := h.world.operators[value%int64(len(h.world.operators))]
 	o.number++
 	content := settings.Change{Operator: o.name, Number: o.number, Nodes: []settings.NodeChange{{
 		Path: path, Version: settings.AnyVersion, Fields: settings.Fields{TenantInFlight: &value},
@@ -154,6 +155,27 @@
 	return true
 }
 
+// Revision is the highest settings revision that any control process has.
+func (h *Hollow) Revision() uint64 {
+	highest := uint64(0)
+	for _, node := range h.world.controls {
+		if node.alive && node.core.Formed() {
+			highest = max(highest, node.core.Revision())
+		}
+	}
+	return highest
+}
+
+// AtRevision reports whether every live scheduler that serves has a revision.
+func (h *Hollow) AtRevision(revision uint64) bool {
+	for _, node := range h.world.schedulers {
+		if node.alive && node.core.Ready() && node.core.Tree().Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
 // Synced reports whether every live scheduler serves.
 func (h *Hollow) Synced() bool {
 	for _, node := range h.world.schedulers {
