Host replicas of log groups in a package of their own

Copying it was ruled out. Change: internal/replication holds it; control's core drives a Host. Behaviour as it was, but for a bound on the bytes of applied entries (off in control).

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -14,6 +14,7 @@
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/settings"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -101,7 +102,7 @@
 	outlet  Outlet
 	nowMs   int64
 	formed  bool
-	groups  []*group
+	host    *replication.Host
 	system  *systemMachine
 
 	lastTickMs     int64
@@ -114,14 +115,11 @@
 	revisions      map[string]uint64
 	unformed       map[string]consensus.ReplicaID
 	candidates     map[string]*candidate
-	outgoing       map[string][]protocol.PeerMessage
 
 	tracker  *membership.Tracker
 	permits  *reconcile.Permits
 	syncs    []pendingSync
 	planning uint64
-	// synced counts the writes that were synced.
-	synced   uint64
 	draining bool
 }
 
@@ -137,8 +135,11 @@
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		heardMs: map[string]int64{}, revisions: map[string]uint64{}, unformed: map[string]consensus.ReplicaID{},
-		candidates: map[string]*candidate{}, outgoing: map[string][]protocol.PeerMessage{},
+		candidates: map[string]*candidate{},
 	}
+	core.host = replication.NewHost(hostOptions(options), disk, core.sendBatch)
+	core.host.OnApplied = core.applied
+	core.setNow(nowMs)
 	for _, member := range options.Members {
 		core.heardMs[member.Name] = nowMs
 	}
@@ -152,52 +153,45 @@
 	return core, nil
 }
 
+func hostOptions(options Options) replication.Options {
+	return replication.Options{
+		Name: options.Name, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks,
+		QuiesceTicks: options.QuiesceTicks, MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight,
+		ProposalWaitMs: proposalWaitMs, CompactEntries: options.CompactEntries,
+		DisablePreVote: options.DisablePreVote, DisableCheckQuorum: options.DisableCheckQuorum,
+		DisableReadConfirm: options.DisableReadConfirm,
+	}
+}
+
+// setNow advances the clock that the core and its host share.
+func (c *Core) setNow(nowMs int64) {
+	c.nowMs = nowMs
+	c.host.NowMs = nowMs
+}
+
 // form builds the groups; an empty bootstrap configuration makes a replica that
 // waits to be let in.
 func (c *Core) form(bootstrap consensus.Configuration) error {
 	c.system = newSystemMachine(c.options)
 	for id := 0; id <= c.options.LedgerGroups; id++ {
-		group, err := c.newGroup(storage.GroupID(id), bootstrap)
-		if err != nil {
+		var state replication.Machine = c.system
+		if id > 0 {
+			state = newLedgerMachine(c.options)
+		}
+		if _, err := c.host.Add(storage.GroupID(id), state, bootstrap); err != nil {
 			return err
 		}
-		c.groups = append(c.groups, group)
 	}
 	c.formed = true
 	return nil
 }
 
-func (c *Core) newGroup(id storage.GroupID, bootstrap consensus.Configuration) (*group, error) {
-	restored, err := c.storage.Load(id)
-	if err != nil {
-		return nil, err
-	}
-	var state machine = c.system
-	if id > 0 {
-		state = newLedgerMachine(c.options)
-	}
-	if restored.Snapshot.Index == 0 {
-		restored.Snapshot.Configuration = bootstrap
-	}
-	if err := state.Restore(restored.Snapshot.Data); err != nil {
-		return nil, err
-	}
-	node := consensus.NewNode(consensus.Options{
-		ID: c.storage.Replica(), Seed: uint64(id)*1_000_003 + 17,
-		ElectionTicks: c.options.ElectionTicks, HeartbeatTicks: c.options.HeartbeatTicks,
-		QuiesceTicks: c.options.QuiesceTicks, MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight,
-		DisablePreVote: c.options.DisablePreVote, DisableCheckQuorum: c.options.DisableCheckQuorum,
-		DisableReadConfirm: c.options.DisableReadConfirm,
-	}, restored)
-	return &group{id: id, node: node, state: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{}, senders: map[consensus.ReplicaID]string{}}, nil
-}
-
 // Formed reports whether the process takes part in a cluster.
 func (c *Core) Formed() bool { return c.formed }
 
 // Leads reports whether this process leads a group.
 func (c *Core) Leads(id storage.GroupID) bool {
-	return c.formed && int(id) < len(c.groups) && c.groups[id].node.Role() == consensus.Leader
+	return c.formed && int(id) < len(c.host.Groups) && c.host.Groups[id].Node.Role() == consensus.Leader
 }
 
 // Ready reports whether every group has a leader that this process knows.
@@ -205,8 +199,8 @@
 	if !c.formed {
 		return false
 	}
-	for _, group := range c.groups {
-		if group.node.Leader() == consensus.None {
+	for _, group := range c.host.Groups {
+		if group.Node.Leader() == consensus.None {
 			return false
 		}
 	}
@@ -229,21 +223,21 @@
 
 // Ledger returns a ledger group's state for reading.
 func (c *Core) Ledger(id storage.GroupID) *program.Ledger {
-	return c.groups[id].state.(*ledgerMachine).ledger
+	return c.host.Groups[id].State.(*ledgerMachine).ledger
 }
 
 // Syncs counts the writes that were synced since the start.
-func (c *Core) Syncs() uint64 { return c.synced }
+func (c *Core) Syncs() uint64 { return c.host.Synced }
 
 // Groups returns how many groups the process holds, the settings group included.
-func (c *Core) Groups() int { return len(c.groups) }
+func (c *Core) Groups() int { return len(c.host.Groups) }
 
 // Node returns a group's consensus replica for reading.
-func (c *Core) Node(id storage.GroupID) *consensus.Node { return c.groups[id].node }
+func (c *Core) Node(id storage.GroupID) *consensus.Node { return c.host.Groups[id].Node }
 
 // leaderName returns the member that leads a group, "" where unknown.
-func (c *Core) leaderName(group *group) string {
-	replica, ok := group.node.Configuration().Find(group.node.Leader())
+func (c *Core) leaderName(group *replication.Group) string {
+	replica, ok := group.Node.Configuration().Find(group.Node.Leader())
 	if !ok {
 		return ""
 	}
@@ -252,7 +246,7 @@
 
 // Tick advances the core's clock.
 func (c *Core) Tick(nowMs int64) {
-	c.nowMs = nowMs
+	c.setNow(nowMs)
 	c.sendHellos()
 	if !c.formed {
 		return
@@ -261,14 +255,14 @@
 	// it must hear what has happened before it acts on its timers.
 	if nowMs-c.lastTickMs >= c.options.TickMs {
 		c.lastTickMs = nowMs
-		for _, group := range c.groups {
-			group.node.Tick()
+		for _, group := range c.host.Groups {
+			group.Node.Tick()
 		}
 	}
 	c.checkPeers()
 	c.tickLeader()
 	c.expireSyncs()
-	c.expireProposals()
+	c.host.Expire()
 }
 
 // checkPeers wakes quiet groups when a peer process falls silent: a group that
@@ -287,8 +281,8 @@
 		if !silent {
 			continue
 		}
-		for _, group := range c.groups {
-			group.node.Wake()
+		for _, group := range c.host.Groups {
+			group.Node.Wake()
 		}
 		return
 	}
@@ -296,47 +290,26 @@
 
 // Peer takes a batch of consensus messages from another control process.
 func (c *Core) Peer(batch protocol.PeerBatch, nowMs int64) {
-	c.nowMs = nowMs
+	c.setNow(nowMs)
 	c.heardMs[batch.From] = nowMs
 	c.revisions[batch.From] = batch.Revision
 	if !c.formed {
 		return
 	}
-	for _, message := range batch.Messages {
-		if int(message.Group) >= len(c.groups) || message.Message.To != c.storage.Replica() {
-			continue
-		}
-		group := c.groups[message.Group]
-		group.senders[message.Message.From] = batch.From
-		group.node.Step(message.Message)
-	}
+	c.host.Step(batch)
 }
 
-// queuePeer gathers a consensus message for its member's batch.
-func (c *Core) queuePeer(group *group, message consensus.Message) {
-	replica, ok := group.node.Configuration().Find(message.To)
-	member := replica.Member
-	if !ok {
-		member = group.senders[message.To]
-	}
-	if member == "" {
-		return
-	}
-	c.outgoing[member] = append(c.outgoing[member], protocol.PeerMessage{Group: uint32(group.id), Message: message})
+// sendBatch is the host's way to another control process.
+func (c *Core) sendBatch(member string, messages []protocol.PeerMessage) {
+	c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
+		From: c.options.Name, Revision: c.Revision(), Messages: messages,
+	})
 }
 
-func (c *Core) sendPeers() {
-	members := make([]string, 0, len(c.outgoing))
-	for member := range c.outgoing {
-		members = append(members, member)
-	}
-	slices.Sort(members)
-	for _, member := range members {
-		c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
-			From: c.options.Name, Revision: c.Revision(), Messages: c.outgoing[member],
-		})
-	}
-	clear(c.outgoing)
+// Flush carries out what the groups have ready: sends, one synced write for all
+// groups, and only then acknowledgements and replies.
+func (c *Core) Flush() error {
+	return c.host.Flush()
 }
 
 // Listed takes the platform's list of engines.
@@ -349,28 +322,28 @@
 // Drain hands leadership over, as a planned stop begins.
 func (c *Core) Drain() {
 	c.draining = true
-	for _, group := range c.groups {
+	for _, group := range c.host.Groups {
 		c.handOver(group)
 	}
 }
 
 // Drained reports whether this process leads nothing any more.
 func (c *Core) Drained() bool {
-	for _, group := range c.groups {
-		if group.node.Role() == consensus.Leader {
+	for _, group := range c.host.Groups {
+		if group.Node.Role() == consensus.Leader {
 			return false
 		}
 	}
 	return true
 }
 
-func (c *Core) handOver(group *group) {
-	if group.node.Role() != consensus.Leader {
+func (c *Core) handOver(group *replication.Group) {
+	if group.Node.Role() != consensus.Leader {
 		return
 	}
-	for _, replica := range group.node.Configuration().Replicas {
+	for _, replica := range group.Node.Configuration().Replicas {
 		alive := c.nowMs-c.heardMs[replica.Member] < suspectAfterMs
-		if replica.ID != group.node.ID() && alive && group.node.TransferLeadership(replica.ID) {
+		if replica.ID != group.Node.ID() && alive && group.Node.TransferLeadership(replica.ID) {
 			return
 		}
 	}
@@ -383,11 +356,11 @@
 		return
 	}
 	c.lastBalanceMs = c.nowMs
-	for _, group := range c.groups {
-		if group.node.Role() != consensus.Leader {
+	for _, group := range c.host.Groups {
+		if group.Node.Role() != consensus.Leader {
 			continue
 		}
-		voters := group.node.Configuration()
+		voters := group.Node.Configuration()
 		var names []string
 		ids := map[string]consensus.ReplicaID{}
 		for _, replica := range voters.Replicas {
@@ -397,9 +370,9 @@
 			}
 		}
 		slices.SortFunc(names, strings.Compare)
-		preferred := names[int(group.id)%len(names)]
+		preferred := names[int(group.ID)%len(names)]
 		if preferred != c.options.Name && c.nowMs-c.heardMs[preferred] < suspectAfterMs {
-			group.node.TransferLeadership(ids[preferred])
+			group.Node.TransferLeadership(ids[preferred])
 		}
 	}
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -233,11 +233,11 @@
 	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision()}
 	if current.formed {
 		current.drained = d.core.Drained()
-		for id := range d.core.groups {
+		for id := range d.core.host.Groups {
 			if d.core.Leads(storage.GroupID(id)) {
 				current.leading++
 			}
-			current.applied += d.core.groups[id].node.Applied()
+			current.applied += d.core.host.Groups[id].Node.Applied()
 			if id > 0 {
 				current.programs += d.core.Ledger(storage.GroupID(id)).Len()
 			}
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/ochrebay/ochrebay/internal/replication"
 	"slices"
 	"strings"
 
@@ -36,8 +37,8 @@
 
 // admitted reports whether every group counts this replica as a voter.
 func (c *Core) admitted() bool {
-	for _, group := range c.groups {
-		if !group.node.Configuration().IsVoter(c.storage.Replica()) {
+	for _, group := range c.host.Groups {
+		if !group.Node.Configuration().IsVoter(c.storage.Replica()) {
 			return false
 		}
 	}
@@ -46,7 +47,7 @@
 
 // Hello takes another process's introduction.
 func (c *Core) Hello(hello protocol.Hello, nowMs int64) {
-	c.nowMs = nowMs
+	c.setNow(nowMs)
 	c.heardMs[hello.From] = nowMs
 	if c.formed {
 		c.helloWhenFormed(hello)
@@ -81,8 +82,8 @@
 		c.candidates[hello.From] = known
 	}
 	known.hellos++
-	for _, group := range c.groups {
-		group.node.Wake()
+	for _, group := range c.host.Groups {
+		group.Node.Wake()
 	}
 	known.lastMs = c.nowMs
 }
@@ -111,7 +112,7 @@
 		return
 	}
 	if err := c.form(configuration); err != nil {
-		c.groups = nil
+		c.host.Groups = nil
 		c.formed = false
 	}
 }
@@ -119,7 +120,7 @@
 // admitCandidates brings replicas on new disks into the groups led here: the old
 // incarnation is voted out, the new one learns, and then votes.
 func (c *Core) admitCandidates() {
-	for _, name := range sortedKeys(c.candidates) {
+	for _, name := range replication.SortedKeys(c.candidates) {
 		known := c.candidates[name]
 		if c.nowMs-known.lastMs > 5*helloEveryMs {
 			delete(c.candidates, name)
@@ -128,31 +129,31 @@
 		if known.hellos < candidateHellos {
 			continue
 		}
-		for _, group := range c.groups {
-			if group.node.Role() == consensus.Leader {
+		for _, group := range c.host.Groups {
+			if group.Node.Role() == consensus.Leader {
 				c.admit(group, name, known.replica)
 			}
 		}
 	}
 }
 
-func (c *Core) admit(group *group, name string, replica consensus.ReplicaID) {
-	configuration := group.node.Configuration()
+func (c *Core) admit(group *replication.Group, name string, replica consensus.ReplicaID) {
+	configuration := group.Node.Configuration()
 	for _, other := range configuration.Replicas {
 		if other.Member != name || other.ID == replica {
 			continue
 		}
 		// Invariant: a replica that still answers has not lost its disk.
-		if !group.node.RecentlyActive(other.ID) {
-			_ = group.node.ProposeConfiguration(configuration.Without(other.ID))
+		if !group.Node.RecentlyActive(other.ID) {
+			_ = group.Node.ProposeConfiguration(configuration.Without(other.ID))
 		}
 		return
 	}
 	current, ok := configuration.Find(replica)
 	switch {
 	case !ok:
-		_ = group.node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name, Learner: true}))
-	case current.Learner && group.node.CaughtUp(replica, 0):
-		_ = group.node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name}))
+		_ = group.Node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name, Learner: true}))
+	case current.Learner && group.Node.CaughtUp(replica, 0):
+		_ = group.Node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name}))
 	}
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -5,6 +5,7 @@
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/replication"
 )
 
 // tickLeader does what only leaders do from time to time.
@@ -12,13 +13,13 @@
 	c.admitCandidates()
 	c.sweep()
 	if c.draining {
-		for _, group := range c.groups {
+		for _, group := range c.host.Groups {
 			c.handOver(group)
 		}
 		return
 	}
 	c.balance()
-	if c.groups[0].node.Role() != consensus.Leader {
+	if c.host.Groups[0].Node.Role() != consensus.Leader {
 		c.tracker = nil
 		c.permits = nil
 		return
@@ -38,7 +39,7 @@
 	}
 	// Invariant: a leader plans from a directory that holds every update of the
 	// leaders before it.
-	if c.groups[0].node.TermAt(c.groups[0].node.Applied()) != c.groups[0].node.Term() {
+	if c.host.Groups[0].Node.TermAt(c.host.Groups[0].Node.Applied()) != c.host.Groups[0].Node.Term() {
 		return
 	}
 	c.lastPlanMs = c.nowMs
@@ -46,15 +47,15 @@
 	if update.Empty() {
 		return
 	}
-	failure := c.propose(c.groups[0], &systemCommand{Update: &update}, func(any) { c.planning = 0 })
+	failure := c.host.Propose(c.host.Groups[0], &systemCommand{Update: &update}, func(any) { c.planning = 0 })
 	if failure == nil {
-		c.planning = c.groups[0].node.LastIndex()
+		c.planning = c.host.Groups[0].Node.LastIndex()
 	}
 }
 
-// systemApplied lets waiting heartbeats hear of a change.
-func (c *Core) systemApplied(uint64) {
-	if c.groups[0].node.Role() == consensus.Leader {
+// applied lets waiting heartbeats hear of a change of the settings group.
+func (c *Core) applied(group *replication.Group) {
+	if group.ID == 0 && c.host.Groups[0].Node.Role() == consensus.Leader {
 		c.answerSyncs(false)
 	}
 }
@@ -66,12 +67,12 @@
 	}
 	c.lastSweepMs = c.nowMs
 	retainMs := *c.system.tree.Effective("/").RetainMs
-	for _, group := range c.groups[1:] {
-		ledger := group.state.(*ledgerMachine).ledger
-		if group.node.Role() != consensus.Leader || !ledger.SweepDue(c.nowMs, retainMs) {
+	for _, group := range c.host.Groups[1:] {
+		ledger := group.State.(*ledgerMachine).ledger
+		if group.Node.Role() != consensus.Leader || !ledger.SweepDue(c.nowMs, retainMs) {
 			continue
 		}
 		command := program.Command{NowMs: c.nowMs, Sweep: &program.Sweep{RetainMs: retainMs}}
-		_ = c.propose(group, &command, func(any) {})
+		_ = c.host.Propose(group, &command, func(any) {})
 	}
 }
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"github.com/ochrebay/ochrebay/internal/replication"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -102,7 +103,7 @@
 		c.outlet.Reply(id, &protocol.ReadReply{Error: failure, Leader: leader})
 		return
 	}
-	c.read(group, func(failure *result.Error) {
+	c.host.Read(group, func(failure *result.Error) {
 		if failure != nil {
 			c.outlet.Reply(id, &protocol.ReadReply{Error: failure})
 			return
@@ -111,7 +112,7 @@
 	})
 }
 
-func (c *Core) readReply(group *group, request *protocol.ReadRequest) *protocol.ReadReply {
+func (c *Core) readReply(group *replication.Group, request *protocol.ReadRequest) *protocol.ReadReply {
 	view, failure := c.view(group, request)
 	if failure != nil {
 		return &protocol.ReadReply{Error: failure}
@@ -123,7 +124,7 @@
 	return &protocol.ReadReply{Body: body}
 }
 
-func (c *Core) view(group *group, request *protocol.ReadRequest) (any, *result.Error) {
+func (c *Core) view(group *replication.Group, request *protocol.ReadRequest) (any, *result.Error) {
 	switch request.Topic {
 	case protocol.ReadSettings:
 		return c.settingsView(request.Path)
@@ -134,7 +135,7 @@
 	case protocol.ReadEngines:
 		return EnginesView{Directory: c.system.directory.Version, Engines: c.system.directory.EngineList()}, nil
 	}
-	if group.id == 0 {
+	if group.ID == 0 {
 		return nil, result.New(result.NotFound, "no such topic")
 	}
 	if request.Topic == protocol.ReadPrograms {
@@ -164,7 +165,7 @@
 
 func (c *Core) statusView() StatusView {
 	view := StatusView{
-		Revision: c.Revision(), Directory: c.system.directory.Version, Leader: c.leaderName(c.groups[0]),
+		Revision: c.Revision(), Directory: c.system.directory.Version, Leader: c.leaderName(c.host.Groups[0]),
 	}
 	for _, member := range c.options.Members {
 		view.Daemons = append(view.Daemons, c.memberView(member))
@@ -176,10 +177,10 @@
 	for _, scheduler := range c.system.directory.SchedulerList() {
 		view.Daemons = append(view.Daemons, schedulerView(scheduler, reports))
 	}
-	for _, group := range c.groups {
+	for _, group := range c.host.Groups {
 		view.Groups = append(view.Groups, GroupView{
-			Group: uint32(group.id), Leader: c.leaderName(group), Term: group.node.Term(),
-			Committed: group.node.Commit(), Replicas: group.node.Configuration().Replicas,
+			Group: uint32(group.ID), Leader: c.leaderName(group), Term: group.Node.Term(),
+			Committed: group.Node.Commit(), Replicas: group.Node.Configuration().Replicas,
 		})
 	}
 	return view
@@ -214,8 +215,8 @@
 	return view
 }
 
-func (c *Core) programsView(group *group, limit int) ProgramsView {
-	ledger := group.state.(*ledgerMachine).ledger
+func (c *Core) programsView(group *replication.Group, limit int) ProgramsView {
+	ledger := group.State.(*ledgerMachine).ledger
 	var view ProgramsView
 	for _, id := range ledger.IDs() {
 		if len(view.Programs) == limit {
@@ -227,8 +228,8 @@
 	return view
 }
 
-func newProgramView(group *group, header *program.Header) ProgramView {
-	view := ProgramView{Header: *header, State: "waiting", Remaining: header.Remaining(), Group: uint32(group.id)}
+func newProgramView(group *replication.Group, header *program.Header) ProgramView {
+	view := ProgramView{Header: *header, State: "waiting", Remaining: header.Remaining(), Group: uint32(group.ID)}
 	if header.Open != nil {
 		view.State = "running"
 		view.OpenTurn = header.Open.Turn
@@ -245,8 +246,8 @@
 	return view
 }
 
-func (c *Core) programView(group *group, id string, withTurns bool) (any, *result.Error) {
-	header, ok := group.state.(*ledgerMachine).ledger.Get(id)
+func (c *Core) programView(group *replication.Group, id string, withTurns bool) (any, *result.Error) {
+	header, ok := group.State.(*ledgerMachine).ledger.Get(id)
 	if !ok {
 		return nil, result.New(result.NotFound, "no program %s", id)
 	}
@@ -254,7 +255,7 @@
 	if !withTurns {
 		return view, nil
 	}
-	records, err := c.records(group, id, 0)
+	records, err := c.host.Records(group, id, 0)
 	if err != nil {
 		return nil, result.New(result.Internal, "reading records: %v", err)
 	}
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -5,6 +5,7 @@
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
+	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/settings"
 )
@@ -12,7 +13,7 @@
 // Request takes one request of a scheduler, a control process or an operator;
 // the reply comes through the outlet, now or later.
 func (c *Core) Request(id RequestID, request any, nowMs int64) {
-	c.nowMs = nowMs
+	c.setNow(nowMs)
 	switch typed := request.(type) {
 	case *protocol.LedgerRequest:
 		c.ledgerRequest(id, typed)
@@ -31,12 +32,12 @@
 
 // leading returns the group if this process leads it, and otherwise the error
 // and the leader's name for the reply.
-func (c *Core) leading(id uint32) (*group, string, *result.Error) {
-	if !c.formed || int(id) >= len(c.groups) {
+func (c *Core) leading(id uint32) (*replication.Group, string, *result.Error) {
+	if !c.formed || int(id) >= len(c.host.Groups) {
 		return nil, "", result.New(result.NotLeader, "%s holds no group %d", c.options.Name, id)
 	}
-	group := c.groups[id]
-	if group.node.Role() != consensus.Leader {
+	group := c.host.Groups[id]
+	if group.Node.Role() != consensus.Leader {
 		return nil, c.leaderName(group), result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, id)
 	}
 	return group, "", nil
@@ -49,7 +50,7 @@
 		return
 	}
 	request.Command.NowMs = c.nowMs
-	failure = c.propose(group, &request.Command, func(reply any) {
+	failure = c.host.Propose(group, &request.Command, func(reply any) {
 		c.answerLedger(id, group, request, reply)
 	})
 	if failure != nil {
@@ -57,7 +58,7 @@
 	}
 }
 
-func (c *Core) answerLedger(id RequestID, group *group, request *protocol.LedgerRequest, outcome any) {
+func (c *Core) answerLedger(id RequestID, group *replication.Group, request *protocol.LedgerRequest, outcome any) {
 	answer := &protocol.LedgerReply{}
 	switch typed := outcome.(type) {
 	case program.Reply:
@@ -75,10 +76,10 @@
 	c.outlet.Reply(id, answer)
 }
 
-func (c *Core) grantRecords(group *group, request *protocol.LedgerRequest, reply program.Reply) ([][]byte, error) {
+func (c *Core) grantRecords(group *replication.Group, request *protocol.LedgerRequest, reply program.Reply) ([][]byte, error) {
 	name := request.Command.Begin.Program
 	if reply.Answered > 0 {
-		records, err := c.records(group, name, reply.Answered-1)
+		records, err := c.host.Records(group, name, reply.Answered-1)
 		if len(records) > 1 {
 			records = records[:1]
 		}
@@ -87,7 +88,7 @@
 	if reply.Turn <= request.KnownTurn+1 {
 		return nil, nil
 	}
-	return c.records(group, name, request.KnownTurn)
+	return c.host.Records(group, name, request.KnownTurn)
 }
 
 func (c *Core) releasedRequest(id RequestID, request *protocol.ReleasedRequest) {
@@ -96,12 +97,12 @@
 		c.outlet.Reply(id, &protocol.ReleasedReply{Error: failure, Leader: leader})
 		return
 	}
-	c.read(group, func(failure *result.Error) {
+	c.host.Read(group, func(failure *result.Error) {
 		if failure != nil {
 			c.outlet.Reply(id, &protocol.ReleasedReply{Error: failure})
 			return
 		}
-		ledger := group.state.(*ledgerMachine).ledger
+		ledger := group.State.(*ledgerMachine).ledger
 		c.outlet.Reply(id, &protocol.ReleasedReply{Released: ledger.Released(request.Programs)})
 	})
 }
@@ -118,7 +119,7 @@
 		return
 	}
 	request.Change.AtMs = c.nowMs
-	failure = c.propose(group, &systemCommand{Change: &request.Change}, func(outcome any) {
+	failure = c.host.Propose(group, &systemCommand{Change: &request.Change}, func(outcome any) {
 		answer := &protocol.SettingsReply{}
 		switch typed := outcome.(type) {
 		case settings.Reply:
@@ -173,7 +174,7 @@
 	}
 	c.tracker.Heard(request.Heartbeat, c.nowMs)
 	if request.Fresh {
-		c.read(group, func(failure *result.Error) {
+		c.host.Read(group, func(failure *result.Error) {
 			if failure != nil {
 				c.outlet.Reply(id, &protocol.SyncReply{Error: failure})
 				return
@@ -226,11 +227,11 @@
 	if len(c.syncs) == 0 {
 		return
 	}
-	if c.groups[0].node.Role() == consensus.Leader {
+	if c.host.Groups[0].Node.Role() == consensus.Leader {
 		c.answerSyncs(false)
 		return
 	}
-	leader := c.leaderName(c.groups[0])
+	leader := c.leaderName(c.host.Groups[0])
 	for _, pending := range c.syncs {
 		c.outlet.Reply(pending.id, &protocol.SyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 	}
--- a/internal/control/group.go
+++ b/internal/replication/group.go
@@ -1,4 +1,8 @@
-package control
+// Package replication hosts the replicas of log groups in one process: it drives
+// their consensus nodes, writes all groups' entries in one synced write, applies
+// what is committed and answers proposals and linearizable reads. It has no
+// goroutine, clock or socket; its owner feeds it messages and ticks.
+package replication
 
 import (
 	"slices"
@@ -11,8 +15,8 @@
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
 
-// machine is the replicated state of one group.
-type machine interface {
+// Machine is the replicated state of one group.
+type Machine interface {
 	// Apply carries out an entry; the reply goes to the proposer, the records to
 	// the disk.
 	Apply(index uint64, data []byte) (reply any, records []storage.Record)
@@ -35,11 +39,11 @@
 	done    func(err *result.Error)
 }
 
-// group is one replica of one log group with its state machine.
-type group struct {
-	id      storage.GroupID
-	node    *consensus.Node
-	state   machine
+// Group is one replica of one log group with its state machine.
+type Group struct {
+	ID      storage.GroupID
+	Node    *consensus.Node
+	State   Machine
 	waiting map[uint64]proposal
 	reads   map[uint64]pendingRead
 	readID  uint64
@@ -51,6 +55,8 @@
 	senders map[consensus.ReplicaID]string
 	// wantSnapshot marks that the next Write compacts the log.
 	wantSnapshot bool
+	// appliedBytes counts the data of the entries applied since the last compaction.
+	appliedBytes int
 	savedTerm    uint64
 	savedVote    consensus.ReplicaID
 }
@@ -61,36 +67,36 @@
 	Records []storage.Record `msgpack:"r"`
 }
 
-// propose appends a command; answer gets the state machine's reply, or an error
+// Propose appends a command; answer gets the state machine's reply, or an error
 // of the code NoQuorum where the outcome can't be known.
-func (c *Core) propose(group *group, command any, answer func(reply any)) *result.Error {
+func (h *Host) Propose(group *Group, command any, answer func(reply any)) *result.Error {
 	data, err := protocol.Encode(command)
 	if err != nil {
 		return result.New(result.Internal, "%v", err)
 	}
-	index, term, err := group.node.Propose(data)
+	index, term, err := group.Node.Propose(data)
 	if err != nil {
-		return result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, group.id)
+		return result.New(result.NotLeader, "%s does not lead group %d", h.options.Name, group.ID)
 	}
-	group.waiting[index] = proposal{term: term, sinceMs: c.nowMs, answer: answer}
+	group.waiting[index] = proposal{term: term, sinceMs: h.NowMs, answer: answer}
 	return nil
 }
 
-// read calls done once this replica's state is linearizable.
-func (c *Core) read(group *group, done func(err *result.Error)) {
+// Read calls done once this replica's state is linearizable.
+func (h *Host) Read(group *Group, done func(err *result.Error)) {
 	group.readID++
-	if err := group.node.ReadIndex(group.readID); err != nil {
-		done(result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, group.id))
+	if err := group.Node.ReadIndex(group.readID); err != nil {
+		done(result.New(result.NotLeader, "%s does not lead group %d", h.options.Name, group.ID))
 		return
 	}
-	group.reads[group.readID] = pendingRead{sinceMs: c.nowMs, done: done}
+	group.reads[group.readID] = pendingRead{sinceMs: h.NowMs, done: done}
 }
 
 // Flush carries out what the groups have ready: sends, one synced write for all
 // groups, and only then acknowledgements and replies.
-func (c *Core) Flush() error {
+func (h *Host) Flush() error {
 	for range 64 {
-		worked, err := c.flushOnce()
+		worked, err := h.flushOnce()
 		if err != nil {
 			return err
 		}
@@ -101,19 +107,19 @@
 	return nil
 }
 
-func (c *Core) flushOnce() (bool, error) {
-	var active []*group
+func (h *Host) flushOnce() (bool, error) {
+	var active []*Group
 	var readies []consensus.Ready
 	var writes []storage.GroupWrite
-	for _, group := range c.groups {
-		if !group.node.HasReady() && !group.wantSnapshot {
+	for _, group := range h.Groups {
+		if !group.Node.HasReady() && !group.wantSnapshot {
 			continue
 		}
-		ready := group.node.Ready()
+		ready := group.Node.Ready()
 		for _, message := range ready.Messages {
-			c.queuePeer(group, message)
+			h.queuePeer(group, message)
 		}
-		write, needed, err := c.groupWrite(group, ready)
+		write, needed, err := h.groupWrite(group, ready)
 		if err != nil {
 			return false, err
 		}
@@ -123,28 +129,28 @@
 		active = append(active, group)
 		readies = append(readies, ready)
 	}
-	c.sendPeers()
+	h.sendPeers()
 	if len(active) == 0 {
 		return false, nil
 	}
-	if err := c.storage.Write(writes); err != nil {
+	if err := h.storage.Write(writes); err != nil {
 		return false, err
 	}
 	if len(writes) > 0 {
-		c.synced++
+		h.Synced++
 	}
 	for position, group := range active {
-		if err := c.afterSync(group, readies[position]); err != nil {
+		if err := h.afterSync(group, readies[position]); err != nil {
 			return false, err
 		}
 	}
-	c.sendPeers()
+	h.sendPeers()
 	return true, nil
 }
 
 // groupWrite turns a Ready into the group's part of the write.
-func (c *Core) groupWrite(group *group, ready consensus.Ready) (storage.GroupWrite, bool, error) {
-	write := storage.GroupWrite{Group: group.id, Entries: ready.Entries}
+func (h *Host) groupWrite(group *Group, ready consensus.Ready) (storage.GroupWrite, bool, error) {
+	write := storage.GroupWrite{Group: group.ID, Entries: ready.Entries}
 	needed := len(ready.Entries) > 0
 	// The commit index alone needs no sync: it is found again after a restart.
 	if ready.HardState != nil {
@@ -153,7 +159,7 @@
 	}
 	if ready.Snapshot != nil {
 		needed = true
-		if err := c.installSnapshot(group, ready.Snapshot, &write); err != nil {
+		if err := h.installSnapshot(group, ready.Snapshot, &write); err != nil {
 			return write, false, err
 		}
 	} else if group.wantSnapshot {
@@ -173,12 +179,12 @@
 	return write, needed, nil
 }
 
-func (c *Core) installSnapshot(group *group, snapshot *consensus.Snapshot, write *storage.GroupWrite) error {
+func (h *Host) installSnapshot(group *Group, snapshot *consensus.Snapshot, write *storage.GroupWrite) error {
 	var transfer snapshotTransfer
 	if err := msgpack.Unmarshal(snapshot.Data, &transfer); err != nil {
 		return err
 	}
-	if err := group.state.Restore(transfer.State); err != nil {
+	if err := group.State.Restore(transfer.State); err != nil {
 		return err
 	}
 	stored := *snapshot
@@ -191,28 +197,29 @@
 }
 
 // compact writes the state machine as a snapshot and forgets the entries.
-func (g *group) compact(write *storage.GroupWrite) error {
+func (g *Group) compact(write *storage.GroupWrite) error {
 	g.wantSnapshot = false
-	data, err := g.state.Snapshot()
+	g.appliedBytes = 0
+	data, err := g.State.Snapshot()
 	if err != nil {
 		return err
 	}
-	index := g.node.Applied()
+	index := g.Node.Applied()
 	write.Snapshot = &consensus.Snapshot{
-		Index: index, Term: g.node.TermAt(index), Configuration: g.node.ConfigurationAt(index), Data: data,
+		Index: index, Term: g.Node.TermAt(index), Configuration: g.Node.ConfigurationAt(index), Data: data,
 	}
-	g.node.Compact(index)
+	g.Node.Compact(index)
 	return nil
 }
 
-func (c *Core) afterSync(group *group, ready consensus.Ready) error {
+func (h *Host) afterSync(group *Group, ready consensus.Ready) error {
 	for _, message := range ready.MessagesAfterSync {
-		c.queuePeer(group, message)
+		h.queuePeer(group, message)
 	}
 	for _, entry := range ready.Committed {
-		c.applyEntry(group, entry)
+		h.applyEntry(group, entry)
 	}
-	group.node.Advance(ready)
+	group.Node.Advance(ready)
 	for _, state := range ready.ReadStates {
 		pending, ok := group.reads[state.Context]
 		if ok {
@@ -221,23 +228,25 @@
 			group.reads[state.Context] = pending
 		}
 	}
-	c.answerReads(group)
+	h.answerReads(group)
 	for _, to := range ready.SnapshotsWanted {
-		if err := c.sendSnapshot(group, to); err != nil {
+		if err := h.sendSnapshot(group, to); err != nil {
 			return err
 		}
 	}
-	if group.node.Applied()-group.node.SnapshotIndex() > c.options.CompactEntries {
+	entries := group.Node.Applied() - group.Node.SnapshotIndex()
+	if entries > h.options.CompactEntries || (h.options.CompactBytes > 0 && group.appliedBytes > h.options.CompactBytes) {
 		group.wantSnapshot = true
 	}
 	return nil
 }
 
-func (c *Core) applyEntry(group *group, entry consensus.Entry) {
+func (h *Host) applyEntry(group *Group, entry consensus.Entry) {
 	var reply any
+	group.appliedBytes += len(entry.Data)
 	if entry.Kind == consensus.EntryCommand {
 		var records []storage.Record
-		reply, records = group.state.Apply(entry.Index, entry.Data)
+		reply, records = group.State.Apply(entry.Index, entry.Data)
 		group.unsaved = append(group.unsaved, records...)
 	}
 	waiting, ok := group.waiting[entry.Index]
@@ -246,29 +255,29 @@
 		waiting.answer(reply)
 	} else if ok {
 		// Another leader's entry took the place: the command did not happen.
-		waiting.answer(result.New(result.NotLeader, "leadership of group %d moved on", group.id))
+		waiting.answer(result.New(result.NotLeader, "leadership of group %d moved on", group.ID))
 	}
-	if group.id == 0 {
-		c.systemApplied(entry.Index)
+	if h.OnApplied != nil {
+		h.OnApplied(group)
 	}
 }
 
-func (c *Core) answerReads(group *group) {
-	for _, id := range sortedKeys(group.reads) {
+func (h *Host) answerReads(group *Group) {
+	for _, id := range SortedKeys(group.reads) {
 		pending := group.reads[id]
-		if pending.known && group.node.Applied() >= pending.index {
+		if pending.known && group.Node.Applied() >= pending.index {
 			delete(group.reads, id)
 			pending.done(nil)
 		}
 	}
 }
 
-func (c *Core) sendSnapshot(group *group, to consensus.ReplicaID) error {
-	state, err := group.state.Snapshot()
+func (h *Host) sendSnapshot(group *Group, to consensus.ReplicaID) error {
+	state, err := group.State.Snapshot()
 	if err != nil {
 		return err
 	}
-	records, err := c.storage.AllRecords(group.id)
+	records, err := h.storage.AllRecords(group.ID)
 	if err != nil {
 		return err
 	}
@@ -277,40 +286,40 @@
 	if err != nil {
 		return err
 	}
-	index := group.node.Applied()
-	group.node.SendSnapshot(to, consensus.Snapshot{
-		Index: index, Term: group.node.TermAt(index), Configuration: group.node.ConfigurationAt(index), Data: data,
+	index := group.Node.Applied()
+	group.Node.SendSnapshot(to, consensus.Snapshot{
+		Index: index, Term: group.Node.TermAt(index), Configuration: group.Node.ConfigurationAt(index), Data: data,
 	})
 	return nil
 }
 
-// expireProposals gives up on what no quorum confirmed in time or on what this
+// Expire gives up on what no quorum confirmed in time or on what this
 // replica can't see through because it doesn't lead any more.
-func (c *Core) expireProposals() {
-	for _, group := range c.groups {
-		leads := group.node.Role() == consensus.Leader
-		for _, index := range sortedKeys(group.waiting) {
+func (h *Host) Expire() {
+	for _, group := range h.Groups {
+		leads := group.Node.Role() == consensus.Leader
+		for _, index := range SortedKeys(group.waiting) {
 			waiting := group.waiting[index]
-			if leads && c.nowMs-waiting.sinceMs < proposalWaitMs {
+			if leads && h.NowMs-waiting.sinceMs < h.options.ProposalWaitMs {
 				continue
 			}
 			delete(group.waiting, index)
-			waiting.answer(result.New(result.NoQuorum, "group %d did not confirm in time", group.id))
+			waiting.answer(result.New(result.NoQuorum, "group %d did not confirm in time", group.ID))
 		}
-		for _, id := range sortedKeys(group.reads) {
+		for _, id := range SortedKeys(group.reads) {
 			pending := group.reads[id]
-			if leads && c.nowMs-pending.sinceMs < proposalWaitMs {
+			if leads && h.NowMs-pending.sinceMs < h.options.ProposalWaitMs {
 				continue
 			}
 			delete(group.reads, id)
-			pending.done(result.New(result.NotLeader, "group %d has no confirmed leader here", group.id))
+			pending.done(result.New(result.NotLeader, "group %d has no confirmed leader here", group.ID))
 		}
 	}
 }
 
-// records returns a program's turn records after a turn, unsaved ones included.
-func (c *Core) records(group *group, program string, after uint64) ([][]byte, error) {
-	stored, err := c.storage.Records(group.id, program, after)
+// Records returns a program's turn records after a turn, unsaved ones included.
+func (h *Host) Records(group *Group, program string, after uint64) ([][]byte, error) {
+	stored, err := h.storage.Records(group.ID, program, after)
 	if err != nil {
 		return nil, err
 	}
@@ -324,17 +333,19 @@
 		}
 	}
 	var values [][]byte
-	for _, turn := range sortedKeys(byTurn) {
+	for _, turn := range SortedKeys(byTurn) {
 		values = append(values, byTurn[turn])
 	}
 	return values, nil
 }
 
+// ordered are the keys that SortedKeys takes.
 type ordered interface {
 	~uint64 | ~string
 }
 
-func sortedKeys[K ordered, V any](values map[K]V) []K {
+// SortedKeys returns the keys of a map in ascending order, so that runs repeat.
+func SortedKeys[K ordered, V any](values map[K]V) []K {
 	keys := make([]K, 0, len(values))
 	for key := range values {
 		keys = append(keys, key)
--- /dev/null
+++ b/internal/replication/host.go
@@ -0,0 +1,149 @@
+package replication
+
+import (
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+// Storage is the disk as a host sees it. Write returns after the sync.
+type Storage interface {
+	Replica() consensus.ReplicaID
+	Write(writes []storage.GroupWrite) error
+	Load(group storage.GroupID) (consensus.Restored, error)
+	Records(group storage.GroupID, program string, after uint64) ([]storage.Record, error)
+	AllRecords(group storage.GroupID) ([]storage.Record, error)
+}
+
+// Options configure a Host. Times are in milliseconds.
+type Options struct {
+	// Name is the member that this process is in the groups' configurations.
+	Name           string
+	ElectionTicks  int
+	HeartbeatTicks int
+	QuiesceTicks   int
+	MaxAppendBytes int
+	MaxInflight    int
+	// ProposalWaitMs is how long a proposal or a read may wait for a quorum.
+	ProposalWaitMs int64
+	// CompactEntries and CompactBytes bound what a group keeps of applied entries;
+	// zero bytes is no bound.
+	CompactEntries uint64
+	CompactBytes   int
+
+	DisablePreVote     bool
+	DisableCheckQuorum bool
+	DisableReadConfirm bool
+}
+
+// Host holds the replicas of one process.
+type Host struct {
+	options  Options
+	storage  Storage
+	send     func(member string, messages []protocol.PeerMessage)
+	outgoing map[string][]protocol.PeerMessage
+
+	// NowMs is the owner's clock.
+	NowMs int64
+	// Groups are the replicas hosted, in ascending order of their ids.
+	Groups []*Group
+	// Synced counts the writes that were synced.
+	Synced uint64
+	// OnApplied is called after an entry of a group was applied.
+	OnApplied func(group *Group)
+}
+
+// NewHost returns a host without groups; send carries messages to a member.
+func NewHost(options Options, disk Storage, send func(member string, messages []protocol.PeerMessage)) *Host {
+	return &Host{options: options, storage: disk, send: send, outgoing: map[string][]protocol.PeerMessage{}}
+}
+
+// Add starts the replica of a group as the disk describes it; bootstrap is the
+// configuration of a group of which the disk knows nothing.
+func (h *Host) Add(id storage.GroupID, state Machine, bootstrap consensus.Configuration) (*Group, error) {
+	restored, err := h.storage.Load(id)
+	if err != nil {
+		return nil, err
+	}
+	if restored.Snapshot.Index == 0 {
+		restored.Snapshot.Configuration = bootstrap
+	}
+	if err := state.Restore(restored.Snapshot.Data); err != nil {
+		return nil, err
+	}
+	node := consensus.NewNode(consensus.Options{
+		ID: h.storage.Replica(), Seed: uint64(id)*1_000_003 + 17,
+		ElectionTicks: h.options.ElectionTicks, HeartbeatTicks: h.options.HeartbeatTicks,
+		QuiesceTicks: h.options.QuiesceTicks, MaxAppendBytes: h.options.MaxAppendBytes, MaxInflight: h.options.MaxInflight,
+		DisablePreVote: h.options.DisablePreVote, DisableCheckQuorum: h.options.DisableCheckQuorum,
+		DisableReadConfirm: h.options.DisableReadConfirm,
+	}, restored)
+	group := &Group{
+		ID: id, Node: node, State: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{},
+		senders: map[consensus.ReplicaID]string{},
+	}
+	h.Groups = append(h.Groups, group)
+	slices.SortFunc(h.Groups, func(a, b *Group) int { return int(a.ID) - int(b.ID) })
+	return group, nil
+}
+
+// Remove stops hosting a group; the caller deletes what the disk holds.
+func (h *Host) Remove(id storage.GroupID) {
+	h.Groups = slices.DeleteFunc(h.Groups, func(group *Group) bool { return group.ID == id })
+}
+
+// Find returns a hosted group, nil where there is none.
+func (h *Host) Find(id storage.GroupID) *Group {
+	for _, group := range h.Groups {
+		if group.ID == id {
+			return group
+		}
+	}
+	return nil
+}
+
+// Leads reports whether this process leads the group.
+func (g *Group) Leads() bool { return g.Node.Role() == consensus.Leader }
+
+// LeaderMember returns the member that leads the group, "" where unknown.
+func (g *Group) LeaderMember() string {
+	replica, ok := g.Node.Configuration().Find(g.Node.Leader())
+	if !ok {
+		return ""
+	}
+	return replica.Member
+}
+
+// Step takes the consensus messages of a batch that are for this process.
+func (h *Host) Step(batch protocol.PeerBatch) {
+	for _, message := range batch.Messages {
+		group := h.Find(storage.GroupID(message.Group))
+		if group == nil || message.Message.To != h.storage.Replica() {
+			continue
+		}
+		group.senders[message.Message.From] = batch.From
+		group.Node.Step(message.Message)
+	}
+}
+
+// queuePeer gathers a consensus message for its member's batch.
+func (h *Host) queuePeer(group *Group, message consensus.Message) {
+	replica, ok := group.Node.Configuration().Find(message.To)
+	member := replica.Member
+	if !ok {
+		member = group.senders[message.To]
+	}
+	if member == "" {
+		return
+	}
+	h.outgoing[member] = append(h.outgoing[member], protocol.PeerMessage{Group: uint32(group.ID), Message: message})
+}
+
+func (h *Host) sendPeers() {
+	for _, member := range SortedKeys(h.outgoing) {
+		h.send(member, h.outgoing[member])
+	}
+	clear(h.outgoing)
+}
