--- a/cmd/ochrebay/control.go
+++ b/cmd/ochrebay/control.go
@@ -29,14 +29,24 @@
 	}
 	daemon, err := control.NewDaemon(process, logger)
 	if errors.Is(err, storage.ErrInUse) {
-		return settingsError{config.Problem{
-			File: *flags.file, Field: "data.path", Value: process.Data.Path, Reason: "another process uses this data folder",
-		}}
+		return dataInUse(flags, process)
 	}
 	if err != nil {
 		return err
 	}
+	daemon.Frontends = controlFrontends(process, daemon)
+	if process.Cluster.Discovered() {
+		stopWatching := watchSettings(ctx, flags, logger, daemon.SetSeeds)
+		defer stopWatching()
+	}
 	err = daemon.Run(ctx)
 	telemetry.Info(logger, "stopped", "err", err)
 	return err
 }
+
+// dataInUse is the fault of a data folder that another process holds.
+func dataInUse(flags processFlags, process config.Process) error {
+	return settingsError{config.Problem{
+		File: *flags.file, Field: "data.path", Value: process.Data.Path, Reason: "another process uses this data folder",
+	}}
+}
--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -34,6 +34,8 @@
 	app.HelpFlag.Short('h')
 	registered := commands{}
 	registerControl(app, registered)
+	registerGateway(app, registered)
+	registerLedger(app, registered)
 	registerScheduler(app, registered)
 	registerSidecar(app, registered)
 	registerEmulate(app, registered)
--- /dev/null
+++ b/cmd/ochrebay/platform.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/control"
+	"github.com/ochrebay/ochrebay/internal/daemon"
+	"github.com/ochrebay/ochrebay/internal/gateway"
+	"github.com/ochrebay/ochrebay/platform"
+)
+
+// interfacePlatform chooses the platform's names, formats and calls; this file is
+// the one place that wires them to the product.
+const interfacePlatform = "platform"
+
+// directorySeconds is how long callers may hold an answer of the directory.
+const directorySeconds = 1
+
+// gatewayHeaders returns the headers by which a gateway speaks.
+func gatewayHeaders(process config.Process) gateway.Headers {
+	if process.Interface == interfacePlatform {
+		return platform.Headers()
+	}
+	return gateway.DefaultHeaders()
+}
+
+// gatewayFrontends returns what a gateway serves besides its callers.
+func gatewayFrontends(process config.Process, served *gateway.Daemon) []daemon.Frontend {
+	if process.Interface != interfacePlatform || process.Listen.Readiness == "" {
+		return nil
+	}
+	return []daemon.Frontend{{Address: process.Listen.Readiness, Handler: platform.ReadinessHandler(served.Ready)}}
+}
+
+// controlFrontends returns what a control process serves besides its own interface.
+func controlFrontends(process config.Process, served *control.Daemon) []daemon.Frontend {
+	if process.Interface != interfacePlatform {
+		return nil
+	}
+	var frontends []daemon.Frontend
+	if process.Listen.Operators != "" {
+		frontends = append(frontends, daemon.Frontend{Address: process.Listen.Operators, Handler: platform.ControlHandler(served)})
+	}
+	if process.Listen.Directory != "" {
+		frontends = append(frontends, daemon.Frontend{
+			Address: process.Listen.Directory, Handler: platform.DirectoryHandler(served, directorySeconds),
+		})
+	}
+	return frontends
+}
--- a/cmd/ochrebay/process.go
+++ b/cmd/ochrebay/process.go
@@ -11,6 +11,9 @@
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "OCHREBAY_CONFIG"
+
 // processFlags are the flags that every daemon takes over its settings file.
 type processFlags struct {
 	file    *string
@@ -24,7 +27,7 @@
 
 func registerProcessFlags(command *kingpin.CmdClause) processFlags {
 	return processFlags{
-		file:    command.Flag("config.file", "Settings file of this process (YAML).").Required().String(),
+		file:    command.Flag("config.file", "Settings file of this process (YAML).").Envar(settingsVariable).Required().String(),
 		name:    command.Flag("name", "Name of this process; over the file.").String(),
 		zone:    command.Flag("zone", "Zone of this process; over the file.").String(),
 		address: command.Flag("listen.address", "IP:port of the inner protocol; over the file.").String(),
@@ -56,7 +59,7 @@
 		problem := config.Problem{File: *f.file, Field: "role", Value: process.Role, Reason: "this command starts a " + role}
 		return process, nil, settingsError{problem}
 	}
-	return process, telemetry.NewLogger(os.Stderr, role, process.Name, process.Log.Level), nil
+	return process, telemetry.NewLogger(os.Stdout, role, process.Name, process.Log.Level), nil
 }
 
 func registerConfig(app *kingpin.Application, registered commands) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"os"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
@@ -18,6 +19,8 @@
 // The roles of processes.
 const (
 	RoleControl   = "control"
+	RoleLedger    = "ledger"
+	RoleGateway   = "gateway"
 	RoleScheduler = "scheduler"
 	RoleSidecar   = "sidecar"
 	RoleEngine    = "engine"
@@ -28,11 +31,11 @@
 
 // Process is the settings file of one process.
 type Process struct {
-	Role   string `yaml:"role" validate:"required,oneof=control scheduler sidecar engine weights tools platform"`
+	Role   string `yaml:"role" validate:"required,oneof=control ledger gateway scheduler sidecar engine weights tools platform"`
 	Name   string `yaml:"name" validate:"required,hostname_rfc1123"`
 	Zone   string `yaml:"zone" validate:"required"`
 	Listen Listen `yaml:"listen"`
-	// Data is needed by control processes only.
+	// Data is needed by control and ledger processes only.
 	Data    Data    `yaml:"data"`
 	Cluster Cluster `yaml:"cluster"`
 	Network Network `yaml:"network"`
@@ -43,6 +46,12 @@
 	// Platform is the HTTP address of the platform's list of machines.
 	Platform string   `yaml:"platform" validate:"omitempty,ipport"`
 	Emulator Emulator `yaml:"emulator"`
+	// Region is the zone's region, where there are several.
+	Region string `yaml:"region,omitempty"`
+	// Interface names the interface towards callers, engines and operators of a
+	// discovered cluster: the product's own, or that of a platform.
+	Interface string `yaml:"interface,omitempty" validate:"omitempty,oneof=own platform"`
+	Limits    Limits `yaml:"limits"`
 
 	file string
 }
@@ -53,6 +62,32 @@
 	Address string `yaml:"address" validate:"required,ipport"`
 	// HTTP is for callers, operators and metrics.
 	HTTP string `yaml:"http" validate:"required,ipport"`
+	// Callers and Readiness are a gateway's: for requests, and for whoever asks
+	// whether it takes any.
+	Callers   string `yaml:"callers,omitempty" validate:"omitempty,ipport"`
+	Readiness string `yaml:"readiness,omitempty" validate:"omitempty,ipport"`
+	// Operators and Directory are a control process's: for operators and engines,
+	// and for callers that ask where to go.
+	Operators string `yaml:"operators,omitempty" validate:"omitempty,ipport"`
+	Directory string `yaml:"directory,omitempty" validate:"omitempty,ipport"`
+}
+
+// Limits are what the machine grants the process.
+type Limits struct {
+	// MemoryMB is the memory above which the process is killed; 0 for no bound.
+	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// HeaderBytes bounds the header of a caller's request.
+	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
+	// GraceSeconds is how long a stopping process may take before it is killed.
+	GraceSeconds float64 `yaml:"grace_s" validate:"min=0,max=3600"`
+}
+
+// graceMargin is what a stopping process leaves of its grace.
+const graceMargin = 1200 * time.Millisecond
+
+// Grace returns how long a stopping process may go on serving.
+func (l Limits) Grace() time.Duration {
+	return max(time.Duration(l.GraceSeconds*float64(time.Second))-graceMargin, 0)
 }
 
 // Data is the one folder that holds all of a process's files.
@@ -72,12 +107,26 @@
 // Cluster describes the control processes.
 type Cluster struct {
 	Members []Peer `yaml:"members" validate:"dive"`
+	// Seeds are the inner addresses of the control processes to ask first, for a
+	// cluster whose members are discovered; Members is empty then.
+	Seeds []string `yaml:"seeds" validate:"dive,ipport"`
+	// SeedPort is the port of the inner protocol at the seeds, where their addresses
+	// name another port of theirs; 0 takes the addresses as they are.
+	SeedPort uint16 `yaml:"seed_port"`
+	// Bootstrap says that the whole cluster starts for the first time, with empty
+	// disks.
+	Bootstrap bool `yaml:"bootstrap"`
+	// ToleratedMachines is how many machines with a disk may be lost at once.
+	ToleratedMachines int `yaml:"tolerated_machines" validate:"min=0,max=9"`
 	// LedgerGroups is fixed when the cluster is first formed.
 	LedgerGroups int `yaml:"ledger_groups" validate:"min=1,max=4096"`
 	// LeaseMs is how long a scheduler may be silent before it is taken over.
 	LeaseMs int64 `yaml:"lease_ms" validate:"min=200,max=600000"`
 }
 
+// Discovered reports whether members are found through seeds instead of listed.
+func (c Cluster) Discovered() bool { return len(c.Seeds) > 0 }
+
 // Network stands in for distance on one machine.
 type Network struct {
 	// ZoneDelayMs is added one way between processes of different zones, and
@@ -122,6 +171,7 @@
 func Defaults() Process {
 	return Process{
 		Listen:   Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
+		Limits:   Limits{MemoryMB: 512, HeaderBytes: 16 << 10, GraceSeconds: 10},
 		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
 		Log:      Log{Level: "info"},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
@@ -165,7 +215,22 @@
 	if override != nil {
 		override(&process)
 	}
-	return process, process.Validate()
+	if err := process.Validate(); err != nil {
+		return process, err
+	}
+	process.Cluster.resolveSeeds()
+	return process, nil
+}
+
+// resolveSeeds turns the seeds into addresses of the inner protocol.
+func (c *Cluster) resolveSeeds() {
+	if c.SeedPort == 0 {
+		return
+	}
+	for position, seed := range c.Seeds {
+		address := netip.MustParseAddrPort(seed)
+		c.Seeds[position] = netip.AddrPortFrom(address.Addr(), c.SeedPort).String()
+	}
 }
 
 func lastPart(err error) string {
@@ -225,6 +290,18 @@
 	missing := func(field, reason string) {
 		problems = append(problems, Problem{File: p.file, Field: field, Reason: reason})
 	}
+	if p.Role == RoleGateway || p.Role == RoleLedger {
+		problems = append(problems, p.checkDiscovered()...)
+	}
+	if p.Role == RoleControl && p.Cluster.Discovered() {
+		if len(p.Cluster.Members) > 0 {
+			missing("cluster.members", "can't stand beside cluster.seeds")
+		}
+		if p.Data.Path == "" {
+			missing("data.path", "is missing: a control process keeps its state there")
+		}
+		return problems
+	}
 	needsCluster := p.Role == RoleControl || p.Role == RoleScheduler
 	if needsCluster && len(p.Cluster.Members) == 0 {
 		missing("cluster.members", "is missing: the control processes")
@@ -252,6 +329,24 @@
 	return problems
 }
 
+// checkDiscovered holds what gateways and ledger hosts need.
+func (p Process) checkDiscovered() []error {
+	var problems []error
+	missing := func(field, reason string) {
+		problems = append(problems, Problem{File: p.file, Field: field, Reason: reason})
+	}
+	if !p.Cluster.Discovered() {
+		missing("cluster.seeds", "is missing: the control processes to ask first")
+	}
+	if p.Role == RoleLedger && p.Data.Path == "" {
+		missing("data.path", "is missing: a ledger process keeps its state there")
+	}
+	if p.Role == RoleGateway && p.Listen.Callers == "" {
+		missing("listen.callers", "is missing: where callers send their requests")
+	}
+	return problems
+}
+
 func (p Process) isMember() bool {
 	for _, member := range p.Cluster.Members {
 		if member.Name == p.Name {
--- /dev/null
+++ b/internal/control/api.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+)
+
+const (
+	// orderTimeout is below the second after which callers turn to another process.
+	orderTimeout = 900 * time.Millisecond
+	// maxDirectoryAddresses bounds one answer to a caller that asks where to go.
+	maxDirectoryAddresses = 64
+	// fewGatewaysNear is how many gateways of the caller's own zone are enough.
+	fewGatewaysNear = 2
+)
+
+// order has the leader carry out a fleet order.
+func (d *Daemon) order(order *protocol.FleetOrder) *protocol.FleetOrderReply {
+	answer := d.askWithin(orderTimeout, protocol.KindFleetOrder, order, func() any { return &protocol.FleetOrderReply{} },
+		func(reply any) (*result.Error, string) {
+			typed := reply.(*protocol.FleetOrderReply)
+			return typed.Error, typed.Leader
+		})
+	if answer == nil {
+		return &protocol.FleetOrderReply{Error: result.New(result.NoQuorum, "no leader answered")}
+	}
+	return answer.(*protocol.FleetOrderReply)
+}
+
+// ReportEngine takes an engine's report of itself; it returns once what is new of
+// it is committed.
+func (d *Daemon) ReportEngine(engine membership.ServingEngine) *result.Error {
+	failure := d.order(&protocol.FleetOrder{Report: &engine}).Error
+	if engine.Draining || failure != nil {
+		telemetry.Info(d.logger, "engine report", "engine", engine.ID, "backend", engine.Backend, "draining", engine.Draining,
+			"sequence", engine.Sequence, "err", failure)
+	}
+	return failure
+}
+
+// EngineLeaves takes an engine's word that it ends.
+func (d *Daemon) EngineLeaves(id string) *result.Error {
+	failure := d.order(&protocol.FleetOrder{Leave: id}).Error
+	telemetry.Info(d.logger, "engine leaves", "engine", id, "err", failure)
+	return failure
+}
+
+// ReplaceRouting puts a whole routing table in force where its generation is above
+// the one held.
+func (d *Daemon) ReplaceRouting(table *routing.Table) *result.Error {
+	if failure := table.Validate(); failure != nil {
+		telemetry.Info(d.logger, "routing refused", "generation", table.Generation, "err", failure)
+		return failure
+	}
+	failure := d.order(&protocol.FleetOrder{Routing: table}).Error
+	telemetry.Info(d.logger, "routing replaced", "generation", table.Generation, "routes", len(table.Routes), "err", failure)
+	return failure
+}
+
+// ReadRouting returns the table in force, confirmed by a quorum; nil where there
+// has been none.
+func (d *Daemon) ReadRouting() (*routing.Table, *result.Error) {
+	reply := d.order(&protocol.FleetOrder{ReadRouting: true})
+	return reply.Routing, reply.Error
+}
+
+// Retire begins to empty a ledger host.
+func (d *Daemon) Retire(name string) *result.Error {
+	failure := d.order(&protocol.FleetOrder{Retire: name}).Error
+	telemetry.Info(d.logger, "retire ordered", "host", name, "err", failure)
+	return failure
+}
+
+// RetireDone reports whether a ledger host is empty.
+func (d *Daemon) RetireDone(name string) (bool, *result.Error) {
+	reply := d.order(&protocol.FleetOrder{RetireState: name})
+	return reply.Done, reply.Error
+}
+
+// Gateways returns the addresses of ready gateways for a caller: those of its zone,
+// and the others after them where the zone has few. It answers from what this
+// process knows.
+func (d *Daemon) Gateways(zone, region string) []string {
+	var near, far, farther []string
+	for _, gateway := range d.status.Load().gateways {
+		switch {
+		case !gateway.Ready:
+		case gateway.Zone == zone:
+			near = append(near, gateway.Address)
+		case gateway.Region == region:
+			far = append(far, gateway.Address)
+		default:
+			farther = append(farther, gateway.Address)
+		}
+	}
+	addresses := near
+	if len(addresses) < fewGatewaysNear {
+		addresses = slices.Concat(near, far)
+	}
+	if len(addresses) < fewGatewaysNear {
+		addresses = slices.Concat(near, far, farther)
+	}
+	return addresses[:min(len(addresses), maxDirectoryAddresses)]
+}
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -15,6 +15,7 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
 	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/settings"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -51,6 +52,16 @@
 	Name         string
 	Members      []Member
 	LedgerGroups int
+	// Discovered says that Members are only the processes to ask first: more may
+	// join, and members that are gone for good are replaced.
+	Discovered bool
+	// MayForm says that this process may take part in making the first
+	// configuration; without it, it waits to be let in.
+	MayForm bool
+	// MinVoters is how many voters the settings group keeps, whoever is silent.
+	MinVoters int
+	// Fleet configures the leader's care for gateways, engines and ledger hosts.
+	Fleet membership.FleetOptions
 	// TickMs is the length of a consensus tick.
 	TickMs         int64
 	ElectionTicks  int
@@ -78,7 +89,7 @@
 	return Options{
 		Name: name, Members: members, LedgerGroups: ledgerGroups,
 		TickMs: 50, ElectionTicks: 12, HeartbeatTicks: 2, QuiesceTicks: 40,
-		LeaseMs: 3000, CompactEntries: 4096,
+		LeaseMs: 3000, CompactEntries: 4096, MayForm: true,
 	}
 }
 
@@ -92,6 +103,8 @@
 	proposalWaitMs  = 5000
 	maxAppendBytes  = 1 << 20
 	maxInflight     = 64
+	compactBytes    = 8 << 20
+	keptTables      = 4
 	candidateHellos = 3
 )
 
@@ -105,6 +118,7 @@
 	host    *replication.Host
 	system  *systemMachine
 
+	startMs        int64
 	lastTickMs     int64
 	lastHelloMs    int64
 	lastPresenceMs int64
@@ -116,11 +130,22 @@
 	unformed       map[string]consensus.ReplicaID
 	candidates     map[string]*candidate
 
-	tracker  *membership.Tracker
-	permits  *reconcile.Permits
-	syncs    []pendingSync
-	planning uint64
-	draining bool
+	tracker *membership.Tracker
+	permits *reconcile.Permits
+	syncs   []pendingSync
+	// fleetTracker is the leader's soft state of the fleet, nil elsewhere.
+	fleetTracker  *membership.FleetTracker
+	fleetSyncs    []pendingFleetSync
+	fleetPlanning bool
+	// tables are the routing tables that were in force lately, the newest last.
+	tables      []*routing.Table
+	lastFleetMs int64
+	planning    uint64
+	draining    bool
+	// leaderSeenMs is when the settings group was last known to have a leader.
+	leaderSeenMs int64
+	// leadingSinceMs is when this process began to lead the settings group.
+	leadingSinceMs int64
 }
 
 // candidate is a replica on a new disk that asks to be let in.
@@ -133,7 +158,7 @@
 // NewCore returns the core as its disk describes it.
 func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) (*Core, error) {
 	core := &Core{
-		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
+		options: options, storage: disk, outlet: outlet, nowMs: nowMs, startMs: nowMs, lastTickMs: nowMs,
 		heardMs: map[string]int64{}, revisions: map[string]uint64{}, unformed: map[string]consensus.ReplicaID{},
 		candidates: map[string]*candidate{},
 	}
@@ -157,7 +182,7 @@
 	return replication.Options{
 		Name: options.Name, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks,
 		QuiesceTicks: options.QuiesceTicks, MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight,
-		ProposalWaitMs: proposalWaitMs, CompactEntries: options.CompactEntries,
+		ProposalWaitMs: proposalWaitMs, CompactEntries: options.CompactEntries, CompactBytes: compactBytes,
 		DisablePreVote: options.DisablePreVote, DisableCheckQuorum: options.DisableCheckQuorum,
 		DisableReadConfirm: options.DisableReadConfirm,
 	}
@@ -215,6 +240,9 @@
 	return c.system.tree.Revision()
 }
 
+// Fleet returns the fleet for reading.
+func (c *Core) Fleet() *membership.Fleet { return c.system.fleet }
+
 // Tree returns the settings tree for reading.
 func (c *Core) Tree() *settings.Tree { return c.system.tree }
 
@@ -260,8 +288,10 @@
 		}
 	}
 	c.checkPeers()
+	c.noteLeader()
 	c.tickLeader()
 	c.expireSyncs()
+	c.expireFleetSyncs()
 	c.host.Expire()
 }
 
@@ -270,15 +300,14 @@
 func (c *Core) checkPeers() {
 	if c.nowMs-c.lastPresenceMs >= presenceEveryMs {
 		c.lastPresenceMs = c.nowMs
-		for _, member := range c.options.Members {
-			if member.Name != c.options.Name {
-				c.outlet.Send(member.Name, protocol.KindPeer, protocol.PeerBatch{From: c.options.Name, Revision: c.Revision()})
+		for _, member := range c.memberNames() {
+			if member != c.options.Name {
+				c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{From: c.options.Name, Revision: c.Revision()})
 			}
 		}
 	}
-	for _, member := range c.options.Members {
-		silent := member.Name != c.options.Name && c.nowMs-c.heardMs[member.Name] > suspectAfterMs
-		if !silent {
+	for _, member := range c.memberNames() {
+		if member == c.options.Name || c.silentMs(member) <= suspectAfterMs {
 			continue
 		}
 		for _, group := range c.host.Groups {
@@ -288,6 +317,31 @@
 	}
 }
 
+// memberNames returns the control processes: the ones configured, or the ones of
+// the settings group where members are discovered.
+func (c *Core) memberNames() []string {
+	var names []string
+	if !c.options.Discovered {
+		for _, member := range c.options.Members {
+			names = append(names, member.Name)
+		}
+		return names
+	}
+	for _, replica := range c.host.Groups[0].Node.Configuration().Replicas {
+		names = append(names, replica.Member)
+	}
+	return names
+}
+
+// silentMs returns how long another control process has not been heard.
+func (c *Core) silentMs(member string) int64 {
+	heard, ok := c.heardMs[member]
+	if !ok {
+		heard = c.startMs
+	}
+	return c.nowMs - heard
+}
+
 // Peer takes a batch of consensus messages from another control process.
 func (c *Core) Peer(batch protocol.PeerBatch, nowMs int64) {
 	c.setNow(nowMs)
@@ -342,7 +396,7 @@
 		return
 	}
 	for _, replica := range group.Node.Configuration().Replicas {
-		alive := c.nowMs-c.heardMs[replica.Member] < suspectAfterMs
+		alive := c.silentMs(replica.Member) < suspectAfterMs
 		if replica.ID != group.Node.ID() && alive && group.Node.TransferLeadership(replica.ID) {
 			return
 		}
@@ -371,7 +425,7 @@
 		}
 		slices.SortFunc(names, strings.Compare)
 		preferred := names[int(group.ID)%len(names)]
-		if preferred != c.options.Name && c.nowMs-c.heardMs[preferred] < suspectAfterMs {
+		if preferred != c.options.Name && c.silentMs(preferred) < suspectAfterMs {
 			group.Node.TransferLeadership(ids[preferred])
 		}
 	}
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/storage"
@@ -20,24 +20,15 @@
 )
 
 const (
-	eventQueue     = 8192
-	eventsPerFlush = 512
-	drainTimeout   = 5 * time.Second
-	dialTimeout    = time.Second
-	redialPause    = 200 * time.Millisecond
-)
+	drainTimeout = 5 * time.Second
 
-// event is one thing for the control loop; exactly one part is set.
-type event struct {
-	batch    *protocol.PeerBatch
-	hello    *protocol.Hello
-	request  any
-	reply    func(reply any)
-	listed   []membership.Instance
-	drain    bool
-	inspect  func(core *Core)
-	isListed bool
-}
+	// How long engines, gateways and ledger hosts may be silent, and how long the
+	// first placement waits for further ledger hosts, milliseconds.
+	engineSilentMs  = 10_000
+	gatewaySilentMs = 2_500
+	ledgerSilentMs  = 2_000
+	formationMs     = 1_500
+)
 
 // status is the snapshot that traffic goroutines read.
 type status struct {
@@ -49,10 +40,16 @@
 	leading  int
 	programs int
 	applied  uint64
+	// gateways is the directory for callers, as of the fleet's version.
+	gateways     []membership.Gateway
+	fleetVersion uint64
 }
 
 // Daemon runs a Core over TCP and a disk.
 type Daemon struct {
+	// Frontends are served besides the daemon's own interface.
+	Frontends []daemon.Frontend
+
 	process config.Process
 	logger  log.Logger
 	store   *storage.Store
@@ -60,9 +57,10 @@
 	monitor *telemetry.Monitor
 	server  *protocol.Server
 	web     *fasthttp.Server
-	events  chan event
+	loop    *daemon.Loop
 	status  atomic.Pointer[status]
-	peers   map[string]*peerLink
+	links   *daemon.Links
+	caller  *daemon.Caller
 
 	// The control loop alone uses these.
 	nextRequest RequestID
@@ -76,28 +74,77 @@
 	if err != nil {
 		return nil, err
 	}
-	daemon := &Daemon{
-		process: process, logger: logger, store: store,
-		events: make(chan event, eventQueue), peers: map[string]*peerLink{}, replies: map[RequestID]func(reply any){},
+	control := &Daemon{process: process, logger: logger, store: store, replies: map[RequestID]func(reply any){}}
+	control.status.Store(&status{})
+	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
+	control.caller = daemon.NewCaller()
+	control.core, err = NewCore(coreOptions(process), store, control, telemetry.NowMs())
+	if err != nil {
+		_ = store.Close()
+		return nil, err
 	}
-	daemon.status.Store(&status{})
+	control.loop = control.newLoop()
+	control.monitor = telemetry.NewMonitor(func() bool { return control.status.Load().ready })
+	control.registerMetrics()
+	return control, nil
+}
+
+// coreOptions returns the options of a fleet whose members are listed, or of one
+// that is discovered from seeds, whose members are named by their inner addresses.
+func coreOptions(process config.Process) Options {
 	var members []Member
-	for _, peer := range process.Cluster.Members {
-		members = append(members, Member{Name: peer.Name, Zone: peer.Zone, Address: peer.Address})
-		if peer.Name != process.Name {
-			daemon.peers[peer.Name] = newPeerLink(peer.Address, daemon.delayTo(peer.Zone))
+	if !process.Cluster.Discovered() {
+		for _, peer := range process.Cluster.Members {
+			members = append(members, Member{Name: peer.Name, Zone: peer.Zone, Address: peer.Address})
 		}
+		options := DefaultOptions(process.Name, members, process.Cluster.LedgerGroups)
+		options.LeaseMs = process.Cluster.LeaseMs
+		return options
 	}
-	options := DefaultOptions(process.Name, members, process.Cluster.LedgerGroups)
+	for _, seed := range process.Cluster.Seeds {
+		members = append(members, Member{Name: seed, Address: seed})
+	}
+	options := DefaultOptions(process.Listen.Address, members, 0)
 	options.LeaseMs = process.Cluster.LeaseMs
-	daemon.core, err = NewCore(options, store, daemon, telemetry.NowMs())
-	if err != nil {
-		_ = store.Close()
-		return nil, err
+	options.Discovered = true
+	options.MayForm = process.Cluster.Bootstrap
+	options.MinVoters = 2*process.Cluster.ToleratedMachines + 1
+	options.Fleet = membership.FleetOptions{
+		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
+		EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, LedgerSilentMs: ledgerSilentMs,
+		FormationMs: formationMs,
 	}
-	daemon.monitor = telemetry.NewMonitor(func() bool { return daemon.status.Load().ready })
-	daemon.registerMetrics()
-	return daemon, nil
+	return options
+}
+
+// SetSeeds takes the seeds of a settings file that has changed.
+func (d *Daemon) SetSeeds(seeds []string) {
+	d.loop.Post(func() { d.core.SetSeeds(seeds) })
+}
+
+// addressOf returns the inner address of another control process, "" where it is
+// unknown; discovered members are named by their addresses.
+func (d *Daemon) addressOf(member string) string {
+	if d.process.Cluster.Discovered() {
+		return member
+	}
+	for _, peer := range d.process.Cluster.Members {
+		if peer.Name == member {
+			return peer.Address
+		}
+	}
+	return ""
+}
+
+// delayOf returns the delay that stands in for the distance to another control
+// process.
+func (d *Daemon) delayOf(member string) time.Duration {
+	for _, peer := range d.process.Cluster.Members {
+		if peer.Name == member {
+			return d.delayTo(peer.Zone)
+		}
+	}
+	return 0
 }
 
 func (d *Daemon) registerMetrics() {
@@ -133,8 +180,9 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	tasks, taskContext := errgroup.WithContext(running)
-	tasks.Go(func() error { return d.loop(taskContext) })
+	tasks.Go(func() error { return d.loop.Run(taskContext) })
 	tasks.Go(func() error { return d.pollPlatform(taskContext) })
+	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, d.Frontends) })
 	tasks.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -145,9 +193,8 @@
 		return nil
 	})
 	err = tasks.Wait()
-	for _, peer := range d.peers {
-		peer.close()
-	}
+	d.links.Close()
+	d.caller.Close()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -157,7 +204,7 @@
 // drain waits until this process leads nothing, bounded in time.
 func (d *Daemon) drain(ctx context.Context) {
 	telemetry.Info(d.logger, "draining")
-	d.post(event{drain: true})
+	d.loop.Post(d.core.Drain)
 	deadline := time.Now().Add(drainTimeout)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if current := d.status.Load(); !current.formed || current.drained {
@@ -167,71 +214,35 @@
 	}
 }
 
-func (d *Daemon) post(next event) {
-	d.events <- next
-}
-
-// loop is the one goroutine that owns the core.
-func (d *Daemon) loop(ctx context.Context) error {
-	ticker := time.NewTicker(time.Duration(d.core.options.TickMs) * time.Millisecond)
-	defer ticker.Stop()
+// newLoop returns the one goroutine that owns the core.
+func (d *Daemon) newLoop() *daemon.Loop {
+	loop := daemon.NewLoop(time.Duration(d.core.options.TickMs) * time.Millisecond)
 	wasFormed := d.core.Formed()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			d.core.Tick(telemetry.NowMs())
-		case next := <-d.events:
-			d.take(next)
-			d.takeWaiting()
-		}
-		if err := d.core.Flush(); err != nil {
-			return errorx.Decorate(err, "writing to the data folder")
-		}
+	loop.Tick = func() { d.core.Tick(telemetry.NowMs()) }
+	loop.Flush = d.core.Flush
+	loop.Publish = func() {
 		if formed := d.core.Formed(); formed != wasFormed {
 			wasFormed = formed
 			telemetry.Info(d.logger, "cluster joined", "admitted", d.core.admitted())
 		}
 		d.publish()
 	}
+	return loop
 }
 
-// takeWaiting takes the events that have gathered, so that one sync serves them.
-func (d *Daemon) takeWaiting() {
-	for range eventsPerFlush {
-		select {
-		case next := <-d.events:
-			d.take(next)
-		default:
-			return
-		}
-	}
-}
-
-func (d *Daemon) take(next event) {
-	now := telemetry.NowMs()
-	switch {
-	case next.batch != nil:
-		d.core.Peer(*next.batch, now)
-	case next.hello != nil:
-		d.core.Hello(*next.hello, now)
-	case next.request != nil:
+// request hands a request to the core; reply is called from the loop.
+func (d *Daemon) request(request any, reply func(reply any)) {
+	d.loop.Post(func() {
 		d.nextRequest++
-		d.replies[d.nextRequest] = next.reply
-		d.core.Request(d.nextRequest, next.request, now)
-	case next.isListed:
-		d.core.Listed(next.listed)
-	case next.drain:
-		d.core.Drain()
-	case next.inspect != nil:
-		next.inspect(d.core)
-	}
+		d.replies[d.nextRequest] = reply
+		d.core.Request(d.nextRequest, request, telemetry.NowMs())
+	})
 }
 
 func (d *Daemon) publish() {
 	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision()}
 	if current.formed {
+		d.publishFleet(current)
 		current.drained = d.core.Drained()
 		for id := range d.core.host.Groups {
 			if d.core.Leads(storage.GroupID(id)) {
@@ -246,11 +257,19 @@
 	d.status.Store(current)
 }
 
+// publishFleet adds the directory; it is made anew only when the fleet has changed.
+func (d *Daemon) publishFleet(current *status) {
+	previous := d.status.Load()
+	current.fleetVersion = d.core.Fleet().Version()
+	current.gateways = previous.gateways
+	if current.fleetVersion != previous.fleetVersion {
+		current.gateways = d.core.Fleet().Gateways()
+	}
+}
+
 // Send is the core's outlet to other control processes.
 func (d *Daemon) Send(member string, kind protocol.Kind, message any) {
-	if peer, ok := d.peers[member]; ok {
-		peer.send(kind, message)
-	}
+	d.links.Send(member, kind, message)
 }
 
 // Reply is the core's outlet to whoever asked. The reply is encoded before it
@@ -266,86 +285,25 @@
 
 // handle takes a frame from another process.
 func (d *Daemon) handle(connection *protocol.Connection, frame protocol.Frame) {
-	next := event{}
-	message := protocol.NewRequest(frame.Kind)
 	switch frame.Kind {
 	case protocol.KindPeer:
-		next.batch = &protocol.PeerBatch{}
-		message = next.batch
+		var batch protocol.PeerBatch
+		if protocol.Decode(frame.Body, &batch) == nil {
+			d.loop.Post(func() { d.core.Peer(batch, telemetry.NowMs()) })
+			return
+		}
 	case protocol.KindHello:
-		next.hello = &protocol.Hello{}
-		message = next.hello
-	}
-	if message == nil || protocol.Decode(frame.Body, message) != nil {
-		connection.Close()
-		return
-	}
-	if next.batch == nil && next.hello == nil {
-		next.request = message
-		next.reply = func(reply any) {
-			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
+		var hello protocol.Hello
+		if protocol.Decode(frame.Body, &hello) == nil {
+			d.loop.Post(func() { d.core.Hello(hello, telemetry.NowMs()) })
+			return
+		}
+	default:
+		request := protocol.NewRequest(frame.Kind)
+		if request != nil && protocol.Decode(frame.Body, request) == nil {
+			d.request(request, func(reply any) { _ = connection.Reply(frame.Call, protocol.KindResponse, reply, true) })
+			return
 		}
 	}
-	d.post(next)
-}
-
-// peerLink is the connection to one other control process; it redials by itself.
-type peerLink struct {
-	address string
-	delay   time.Duration
-	mutex   sync.Mutex
-	current *protocol.Connection
-	dialing bool
-	closed  bool
-}
-
-func newPeerLink(address string, delay time.Duration) *peerLink {
-	return &peerLink{address: address, delay: delay}
-}
-
-// send drops the message where there is no connection: consensus repeats what
-// matters.
-func (p *peerLink) send(kind protocol.Kind, message any) {
-	p.mutex.Lock()
-	connection := p.current
-	if connection == nil && !p.dialing && !p.closed {
-		p.dialing = true
-		go p.dial()
-	}
-	p.mutex.Unlock()
-	if connection != nil {
-		_ = connection.Send(kind, message)
-	}
-}
-
-func (p *peerLink) dial() {
-	connection, err := protocol.Dial(p.address, dialTimeout, p.delay)
-	if err != nil {
-		time.Sleep(redialPause)
-	}
-	p.mutex.Lock()
-	p.dialing = false
-	if err == nil && !p.closed {
-		p.current = connection
-	}
-	p.mutex.Unlock()
-	if err == nil {
-		connection.OnClose(p.forget)
-	}
-}
-
-func (p *peerLink) forget() {
-	p.mutex.Lock()
-	p.current = nil
-	p.mutex.Unlock()
-}
-
-func (p *peerLink) close() {
-	p.mutex.Lock()
-	p.closed = true
-	connection := p.current
-	p.mutex.Unlock()
-	if connection != nil {
-		connection.Close()
-	}
+	connection.Close()
 }
--- /dev/null
+++ b/internal/control/fleet.go
@@ -0,0 +1,284 @@
+package control
+
+import (
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/settings"
+)
+
+const fleetPlanEveryMs = 200
+
+// pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
+type pendingFleetSync struct {
+	id         RequestID
+	request    *protocol.FleetSync
+	deadlineMs int64
+}
+
+// fleetOrder carries out one order of an engine or of the platform's operator.
+func (c *Core) fleetOrder(id RequestID, order *protocol.FleetOrder) {
+	group, leader, failure := c.leading(0)
+	if failure != nil || c.fleetTracker == nil {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+		return
+	}
+	switch {
+	case order.Report != nil:
+		c.engineReport(id, group, *order.Report)
+	case order.Leave != "":
+		c.engineLeaves(id, group, order.Leave)
+	case order.Routing != nil:
+		c.replaceRouting(id, group, order.Routing)
+	case order.ReadRouting:
+		c.readRouting(id, group)
+	case order.Retire != "":
+		c.retire(id, group, order.Retire)
+	case order.RetireState != "":
+		c.retireState(id, group, order.RetireState)
+	}
+}
+
+// proposeFleet proposes an update and answers an order once it is applied.
+func (c *Core) proposeFleet(id RequestID, group *replication.Group, update *membership.FleetUpdate) {
+	c.proposeOrder(id, group, &systemCommand{Fleet: update})
+}
+
+func (c *Core) proposeOrder(id RequestID, group *replication.Group, command *systemCommand) {
+	failure := c.host.Propose(group, command, func(outcome any) {
+		reply := &protocol.FleetOrderReply{}
+		switch typed := outcome.(type) {
+		case *result.Error:
+			reply.Error = typed
+		case settings.Reply:
+			reply.Error = typed.Error
+		}
+		c.outlet.Reply(id, reply)
+	})
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: failure})
+	}
+}
+
+// engineReport notes that an engine is alive and replicates what is new of it.
+// Invariant: a change, above all the word that it drains, is acknowledged only once
+// it is committed.
+func (c *Core) engineReport(id RequestID, group *replication.Group, engine membership.ServingEngine) {
+	c.fleetTracker.Heard(engine.ID, c.nowMs)
+	known, ok := c.system.fleet.Engine(engine.ID)
+	stale := ok && engine.Sequence < known.Sequence
+	same := known
+	same.Sequence = engine.Sequence
+	if c.system.fleet.HasLeft(engine.ID) || stale || (ok && same == engine) {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{})
+		return
+	}
+	c.proposeFleet(id, group, &membership.FleetUpdate{PutEngines: []membership.ServingEngine{engine}})
+}
+
+func (c *Core) engineLeaves(id RequestID, group *replication.Group, engine string) {
+	if c.system.fleet.HasLeft(engine) {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{})
+		return
+	}
+	c.proposeFleet(id, group, &membership.FleetUpdate{LeftEngines: []string{engine}})
+}
+
+// replaceRouting validates a table and puts it in force.
+func (c *Core) replaceRouting(id RequestID, group *replication.Group, table *routing.Table) {
+	if failure := table.Validate(); failure != nil {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: failure})
+		return
+	}
+	c.proposeOrder(id, group, &systemCommand{Change: &settings.Change{AtMs: c.nowMs, Routing: table}})
+}
+
+func (c *Core) readRouting(id RequestID, group *replication.Group) {
+	c.host.Read(group, func(failure *result.Error) {
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: failure, Routing: c.system.tree.Routing()})
+	})
+}
+
+func (c *Core) ledgerNamed(name string) (membership.LedgerHost, bool) {
+	for _, host := range c.system.fleet.Ledgers() {
+		if host.Name == name {
+			return host, true
+		}
+	}
+	return membership.LedgerHost{}, false
+}
+
+// retire begins to empty a ledger host.
+func (c *Core) retire(id RequestID, group *replication.Group, name string) {
+	host, known := c.ledgerNamed(name)
+	switch {
+	case !known:
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: result.New(result.NotFound, "no ledger host %s", name)})
+	case host.Retiring:
+		c.outlet.Reply(id, &protocol.FleetOrderReply{})
+	case !c.fleetTracker.Retire(c.system.fleet, host.Member, c.nowMs):
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: result.New(result.TooFewLeft, "too few ledger hosts would be left without %s", name)})
+	default:
+		host.Retiring = true
+		c.proposeFleet(id, group, &membership.FleetUpdate{PutLedgers: []membership.LedgerHost{host}})
+	}
+}
+
+func (c *Core) retireState(id RequestID, group *replication.Group, name string) {
+	c.host.Read(group, func(failure *result.Error) {
+		host, known := c.ledgerNamed(name)
+		if failure == nil && (!known || !host.Retiring) {
+			failure = result.New(result.NotFound, "%s is not being emptied", name)
+		}
+		done := failure == nil && c.fleetTracker != nil && c.fleetTracker.Emptied(c.system.fleet, host.Member)
+		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: failure, Done: done})
+	})
+}
+
+// fleetSync takes the heartbeat of a gateway or ledger host.
+func (c *Core) fleetSync(id RequestID, request *protocol.FleetSync) {
+	group, leader, failure := c.leading(0)
+	if failure != nil || c.fleetTracker == nil {
+		c.outlet.Reply(id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+		return
+	}
+	c.noteSender(group, request)
+	if request.Fresh {
+		c.host.Read(group, func(failure *result.Error) {
+			reply := &protocol.FleetSyncReply{Error: failure}
+			if failure == nil {
+				reply = c.fleetReply(request)
+				reply.Confirmed = true
+			}
+			c.outlet.Reply(id, reply)
+		})
+		return
+	}
+	if c.hasFleetNews(request) {
+		c.outlet.Reply(id, c.fleetReply(request))
+		return
+	}
+	c.fleetSyncs = append(c.fleetSyncs, pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs})
+}
+
+// noteSender replicates what is new of the sender of a heartbeat.
+func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
+	var update membership.FleetUpdate
+	if gateway := request.Gateway; gateway != nil {
+		c.fleetTracker.Heard(gateway.Name, c.nowMs)
+		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
+			update.PutGateways = append(update.PutGateways, *gateway)
+		}
+	}
+	if report := request.Ledger; report != nil {
+		c.fleetTracker.HeardLedger(*report, c.nowMs)
+		host := report.Host
+		known, ok := c.system.fleet.Ledger(host.Member)
+		// Invariant: only the operator's order makes a host retire; an empty disk
+		// under the same address is another host.
+		host.Retiring = ok && known.Retiring && known.Replica == host.Replica
+		if !ok || known != host {
+			update.PutLedgers = append(update.PutLedgers, host)
+		}
+	}
+	if !update.Empty() {
+		_ = c.host.Propose(group, &systemCommand{Fleet: &update}, func(any) {})
+	}
+}
+
+func (c *Core) hasFleetNews(request *protocol.FleetSync) bool {
+	table := c.system.tree.Routing()
+	newTable := request.WithRouting && table != nil && table.Generation > request.Generation
+	return newTable || c.system.fleet.ChangedSince(request.Version)
+}
+
+func (c *Core) fleetReply(request *protocol.FleetSync) *protocol.FleetSyncReply {
+	reply := &protocol.FleetSyncReply{Controls: c.memberNames()}
+	if c.system.fleet.Version() != request.Version {
+		news := c.system.fleet.Since(request.Version, false)
+		reply.Fleet = &news
+	}
+	table := c.system.tree.Routing()
+	if request.WithRouting && table != nil && table.Generation > request.Generation {
+		reply.Routing = routing.NewDelta(c.tableAt(request.Generation), table)
+	}
+	return reply
+}
+
+// answerFleetSyncs answers the heartbeats for which there is news and those that
+// have waited long enough.
+func (c *Core) answerFleetSyncs() {
+	c.keepTable()
+	waiting := c.fleetSyncs[:0]
+	for _, pending := range c.fleetSyncs {
+		if c.nowMs < pending.deadlineMs && !c.hasFleetNews(pending.request) {
+			waiting = append(waiting, pending)
+			continue
+		}
+		c.outlet.Reply(pending.id, c.fleetReply(pending.request))
+	}
+	clear(c.fleetSyncs[len(waiting):])
+	c.fleetSyncs = waiting
+}
+
+// expireFleetSyncs ends the waiting of heartbeats by the clock, or because this
+// process does not lead any more.
+func (c *Core) expireFleetSyncs() {
+	if len(c.fleetSyncs) == 0 {
+		return
+	}
+	if c.fleetTracker != nil {
+		c.answerFleetSyncs()
+		return
+	}
+	leader := c.leaderName(c.host.Groups[0])
+	for _, pending := range c.fleetSyncs {
+		c.outlet.Reply(pending.id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+	}
+	c.fleetSyncs = nil
+}
+
+// keepTable remembers the tables that were in force lately, so that followers get
+// differences.
+func (c *Core) keepTable() {
+	table := c.system.tree.Routing()
+	if table == nil || (len(c.tables) > 0 && c.tables[len(c.tables)-1].Generation == table.Generation) {
+		return
+	}
+	c.tables = append(c.tables, table.WithoutDocument())
+	if len(c.tables) > keptTables {
+		c.tables = c.tables[1:]
+	}
+}
+
+// tableAt returns a table that was in force lately, nil where it is not kept.
+func (c *Core) tableAt(generation uint64) *routing.Table {
+	for _, table := range c.tables {
+		if table.Generation == generation {
+			return table
+		}
+	}
+	return nil
+}
+
+// planFleet proposes what silence and lost hosts call for, one update at a time.
+func (c *Core) planFleet() {
+	if c.fleetPlanning || c.nowMs-c.lastFleetMs < fleetPlanEveryMs {
+		return
+	}
+	group := c.host.Groups[0]
+	// Invariant: a leader plans from a fleet that holds every update of the leaders
+	// before it.
+	if group.Node.TermAt(group.Node.Applied()) != group.Node.Term() {
+		return
+	}
+	c.lastFleetMs = c.nowMs
+	update := c.fleetTracker.Plan(c.system.fleet, c.nowMs)
+	if update.Empty() {
+		return
+	}
+	failure := c.host.Propose(group, &systemCommand{Fleet: &update}, func(any) { c.fleetPlanning = false })
+	c.fleetPlanning = failure == nil
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -22,14 +22,20 @@
 	if c.host.Groups[0].Node.Role() != consensus.Leader {
 		c.tracker = nil
 		c.permits = nil
+		c.fleetTracker = nil
 		return
 	}
 	if c.tracker == nil {
 		c.tracker = membership.NewTracker(c.options.LeaseMs, c.nowMs)
 		c.permits = reconcile.NewPermits(c.nowMs)
 		c.planning = 0
+		c.leadingSinceMs = c.nowMs
+		c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
+		c.fleetPlanning = false
 	}
+	c.replaceLost()
 	c.plan()
+	c.planFleet()
 }
 
 // plan proposes the next update of the directory, one at a time.
@@ -57,6 +63,7 @@
 func (c *Core) applied(group *replication.Group) {
 	if group.ID == 0 && c.host.Groups[0].Node.Role() == consensus.Leader {
 		c.answerSyncs(false)
+		c.answerFleetSyncs()
 	}
 }
 
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -13,25 +13,29 @@
 
 // systemCommand is an entry of the settings group.
 type systemCommand struct {
-	Change *settings.Change   `msgpack:"c,omitempty"`
-	Update *membership.Update `msgpack:"u,omitempty"`
+	Change *settings.Change        `msgpack:"c,omitempty"`
+	Update *membership.Update      `msgpack:"u,omitempty"`
+	Fleet  *membership.FleetUpdate `msgpack:"f,omitempty"`
 }
 
-// systemMachine is the state of the settings group: the tree and the directory.
+// systemMachine is the state of the settings group: the tree, the directory of
+// schedulers and their engines, and the fleet of gateways and ledgers.
 type systemMachine struct {
 	tree      *settings.Tree
 	directory *membership.Directory
+	fleet     *membership.Fleet
 }
 
 func newSystemMachine(options Options) *systemMachine {
 	tree := settings.NewTree()
 	tree.DisableVersionCheck = options.DisableVersionCheck
-	return &systemMachine{tree: tree, directory: membership.NewDirectory()}
+	return &systemMachine{tree: tree, directory: membership.NewDirectory(), fleet: membership.NewFleet()}
 }
 
 type systemSnapshot struct {
 	Tree      []byte `msgpack:"t"`
 	Directory []byte `msgpack:"d"`
+	Fleet     []byte `msgpack:"f,omitempty"`
 }
 
 // Apply carries out an entry of the settings group.
@@ -44,13 +48,17 @@
 		m.directory.Apply(*command.Update)
 		return nil, nil
 	}
+	if command.Fleet != nil {
+		m.fleet.Apply(*command.Fleet)
+		return nil, nil
+	}
 	if command.Change != nil {
 		return m.tree.Apply(*command.Change), nil
 	}
 	return nil, nil
 }
 
-// Snapshot encodes tree and directory.
+// Snapshot encodes tree, directory and fleet.
 func (m *systemMachine) Snapshot() ([]byte, error) {
 	tree, err := m.tree.Snapshot()
 	if err != nil {
@@ -60,10 +68,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return msgpack.Marshal(&systemSnapshot{Tree: tree, Directory: directory})
+	fleet, err := m.fleet.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(&systemSnapshot{Tree: tree, Directory: directory, Fleet: fleet})
 }
 
-// Restore replaces tree and directory.
+// Restore replaces tree, directory and fleet.
 func (m *systemMachine) Restore(data []byte) error {
 	var encoded systemSnapshot
 	if len(data) > 0 {
@@ -74,7 +86,10 @@
 	if err := m.tree.Restore(encoded.Tree); err != nil {
 		return err
 	}
-	return m.directory.Restore(encoded.Directory)
+	if err := m.directory.Restore(encoded.Directory); err != nil {
+		return err
+	}
+	return m.fleet.Restore(encoded.Fleet)
 }
 
 // ledgerMachine is the state of one ledger group.
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -27,6 +27,10 @@
 		c.settingsRequest(id, typed)
 	case *protocol.ReadRequest:
 		c.readRequest(id, typed)
+	case *protocol.FleetOrder:
+		c.fleetOrder(id, typed)
+	case *protocol.FleetSync:
+		c.fleetSync(id, typed)
 	}
 }
 
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -95,21 +95,26 @@
 // ask sends a request to this process's core, and on to the leader where that
 // is another process.
 func (d *Daemon) ask(kind protocol.Kind, request any, fresh func() any, failure func(any) (*result.Error, string)) any {
-	deadline := time.Now().Add(askTimeout)
+	return d.askWithin(askTimeout, kind, request, fresh, failure)
+}
+
+// askWithin is ask with a bound on its time; it returns nil where nobody answered.
+func (d *Daemon) askWithin(within time.Duration, kind protocol.Kind, request any, fresh func() any, failure func(any) (*result.Error, string)) any {
+	deadline := time.Now().Add(within)
 	var last any
 	for time.Now().Before(deadline) {
 		replies := make(chan any, 1)
-		d.post(event{request: request, reply: func(reply any) { replies <- copyOf(reply, fresh()) }})
+		d.request(request, func(reply any) { replies <- copyOf(reply, fresh()) })
 		select {
 		case last = <-replies:
-		case <-time.After(askTimeout):
+		case <-time.After(time.Until(deadline)):
 			return last
 		}
 		failed, leader := failure(last)
 		if failed == nil || failed.Code != result.NotLeader {
 			return last
 		}
-		if remote := d.askMember(leader, kind, request, fresh()); remote != nil {
+		if remote := d.askMember(leader, time.Until(deadline), kind, request, fresh()); remote != nil {
 			last = remote
 			if failed, _ = failure(remote); failed == nil || failed.Code != result.NotLeader {
 				return last
@@ -129,27 +134,16 @@
 	return into
 }
 
-func (d *Daemon) askMember(member string, kind protocol.Kind, request, into any) any {
-	peer, ok := d.peers[member]
-	if !ok {
-		return nil
-	}
-	connection, err := protocol.Dial(peer.address, dialTimeout, peer.delay)
-	if err != nil {
+// askMember asks another control process; nil where it does not answer.
+func (d *Daemon) askMember(member string, within time.Duration, kind protocol.Kind, request, into any) any {
+	address := d.addressOf(member)
+	if address == "" || member == d.core.options.Name {
 		return nil
 	}
-	defer connection.Close()
-	frames := make(chan protocol.Frame, 1)
-	connection.Call(kind, request, func(frame protocol.Frame) { frames <- frame })
-	select {
-	case frame := <-frames:
-		if frame.Kind != protocol.KindResponse || protocol.Decode(frame.Body, into) != nil {
-			return nil
-		}
-		return into
-	case <-time.After(askTimeout):
+	if d.caller.CallWithin(context.Background(), within, address, kind, request, into) != nil {
 		return nil
 	}
+	return into
 }
 
 func (d *Daemon) read(request *protocol.ReadRequest) *protocol.ReadReply {
@@ -271,7 +265,7 @@
 		case <-ticker.C:
 		}
 		leads := make(chan bool, 1)
-		d.post(event{inspect: func(core *Core) { leads <- core.Leads(0) }})
+		d.loop.Post(func() { leads <- d.core.Leads(0) })
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -288,6 +282,6 @@
 			telemetry.Warn(d.logger, "platform list not read", "err", err)
 			continue
 		}
-		d.post(event{listed: list.Instances, isListed: true})
+		d.loop.Post(func() { d.core.Listed(list.Instances) })
 	}
 }
--- /dev/null
+++ b/internal/daemon/caller.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+// ErrNoAnswer means that a process did not answer in time or ended the connection.
+var ErrNoAnswer = errors.New("daemon: no answer")
+
+// Caller keeps one connection to each process that this one asks.
+type Caller struct {
+	mutex       sync.Mutex
+	connections map[string]*callee
+	closed      bool
+}
+
+// callee is one process's connection or the attempt to make it.
+type callee struct {
+	done       chan struct{}
+	connection *protocol.Connection
+	err        error
+}
+
+// NewCaller returns a caller without connections.
+func NewCaller() *Caller { return &Caller{connections: map[string]*callee{}} }
+
+// connect returns the connection to an address; callers that come while it is made
+// wait for the same one.
+func (c *Caller) connect(ctx context.Context, address string) (*protocol.Connection, error) {
+	c.mutex.Lock()
+	known := c.connections[address]
+	if known == nil && !c.closed {
+		known = &callee{done: make(chan struct{})}
+		c.connections[address] = known
+		go c.dial(address, known)
+	}
+	c.mutex.Unlock()
+	if known == nil {
+		return nil, ErrNoAnswer
+	}
+	select {
+	case <-known.done:
+		return known.connection, known.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Caller) dial(address string, made *callee) {
+	made.connection, made.err = protocol.Dial(address, dialTimeout, 0)
+	if made.err != nil {
+		c.forget(address, made)
+		close(made.done)
+		return
+	}
+	close(made.done)
+	made.connection.OnClose(func() { c.forget(address, made) })
+}
+
+func (c *Caller) forget(address string, made *callee) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.connections[address] == made {
+		delete(c.connections, address)
+	}
+}
+
+// Drop closes the connection to an address, so that the next call makes a new one.
+func (c *Caller) Drop(address string) {
+	c.mutex.Lock()
+	known := c.connections[address]
+	delete(c.connections, address)
+	c.mutex.Unlock()
+	if known == nil {
+		return
+	}
+	go func() {
+		<-known.done
+		if known.connection != nil {
+			known.connection.Close()
+		}
+	}()
+}
+
+// Call sends a request and decodes its one answer into reply.
+func (c *Caller) Call(ctx context.Context, address string, kind protocol.Kind, request, reply any) error {
+	connection, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	answers := make(chan protocol.Frame, 1)
+	connection.Call(kind, request, func(frame protocol.Frame) {
+		select {
+		case answers <- frame:
+		default:
+		}
+	})
+	select {
+	case frame := <-answers:
+		if frame.Kind == protocol.KindClosed {
+			return ErrNoAnswer
+		}
+		return protocol.Decode(frame.Body, reply)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// CallWithin is Call with a bound on its time; a process that keeps silent loses
+// its connection, since it may be dark.
+func (c *Caller) CallWithin(ctx context.Context, within time.Duration, address string, kind protocol.Kind, request, reply any) error {
+	bounded, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	err := c.Call(bounded, address, kind, request, reply)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		c.Drop(address)
+	}
+	return err
+}
+
+// Close ends all connections.
+func (c *Caller) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	addresses := make([]string, 0, len(c.connections))
+	for address := range c.connections {
+		addresses = append(addresses, address)
+	}
+	c.mutex.Unlock()
+	for _, address := range addresses {
+		c.Drop(address)
+	}
+}
--- /dev/null
+++ b/internal/daemon/follower.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+)
+
+const (
+	syncHold      = 700 * time.Millisecond
+	syncTimeout   = 1500 * time.Millisecond
+	firstPause    = 20 * time.Millisecond
+	longestPause  = 300 * time.Millisecond
+	leaderUnknown = ""
+	maxRedirects  = 2
+)
+
+// Follower keeps a process in step with control: it reports to the leader of the
+// settings group and takes its news of fleet and routing table.
+type Follower struct {
+	// Seeds are the inner addresses of control processes to ask first.
+	Seeds []string
+	// Report fills in what the process says of itself.
+	Report func(request *protocol.FleetSync)
+	// WithRouting asks for the routing table too.
+	WithRouting bool
+	// OnNews takes a new view or table; confirmed says that a quorum has confirmed
+	// the news since the process started.
+	OnNews func(view *membership.FleetView, table *routing.Table, confirmed bool)
+	Logger log.Logger
+
+	caller    *Caller
+	mutex     sync.Mutex
+	controls  []string
+	leader    string
+	view      *membership.FleetView
+	table     *routing.Table
+	confirmed bool
+	// redirects counts the hints followed since the last answer of a leader.
+	redirects int
+	// poke ends the held heartbeat, so that a changed report is told at once.
+	poke chan struct{}
+}
+
+// NewFollower returns a follower that has heard nothing.
+func NewFollower(seeds []string, logger log.Logger) *Follower {
+	return &Follower{Seeds: seeds, Logger: logger, caller: NewCaller(), controls: slices.Clone(seeds), poke: make(chan struct{}, 1)}
+}
+
+// SetSeeds takes the seeds of a settings file that has changed.
+func (f *Follower) SetSeeds(seeds []string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.Seeds = seeds
+	for _, seed := range seeds {
+		if !slices.Contains(f.controls, seed) {
+			f.controls = append(f.controls, seed)
+		}
+	}
+}
+
+// Poke makes the follower report again at once.
+func (f *Follower) Poke() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	defer f.caller.Close()
+	pause := firstPause
+	for ctx.Err() == nil {
+		target := f.target()
+		if f.syncOnce(ctx, target) {
+			pause = firstPause
+			continue
+		}
+		f.lost(target)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause + rand.N(firstPause)):
+		}
+		pause = min(2*pause, longestPause)
+	}
+	return ctx.Err()
+}
+
+// target is the leader where it is known, and else any control process.
+func (f *Follower) target() string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.leader != leaderUnknown {
+		return f.leader
+	}
+	if len(f.controls) == 0 {
+		return leaderUnknown
+	}
+	return f.controls[rand.IntN(len(f.controls))]
+}
+
+func (f *Follower) lost(target string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.leader == target && target != leaderUnknown {
+		telemetry.Warn(f.Logger, "control leader lost", "leader", target)
+		f.leader = leaderUnknown
+	}
+}
+
+// syncOnce reports once and takes the answer; false where the target is no leader.
+func (f *Follower) syncOnce(ctx context.Context, target string) bool {
+	if target == leaderUnknown {
+		return false
+	}
+	request := f.request()
+	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	go f.endOnPoke(bounded, cancel)
+	var reply protocol.FleetSyncReply
+	err := f.caller.Call(bounded, target, protocol.KindFleetSync, request, &reply)
+	switch {
+	case err != nil && bounded.Err() == context.Canceled && ctx.Err() == nil:
+		return true
+	case err != nil:
+		f.caller.Drop(target)
+		return false
+	case reply.Error != nil:
+		return f.redirected(&reply)
+	}
+	f.take(target, &reply)
+	return true
+}
+
+func (f *Follower) endOnPoke(ctx context.Context, cancel context.CancelFunc) {
+	select {
+	case <-f.poke:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) request() *protocol.FleetSync {
+	f.mutex.Lock()
+	request := &protocol.FleetSync{HoldMs: syncHold.Milliseconds(), WithRouting: f.WithRouting, Fresh: !f.confirmed}
+	if f.view != nil {
+		request.Version = f.view.Version
+	}
+	if f.table != nil {
+		request.Generation = f.table.Generation
+	}
+	f.mutex.Unlock()
+	f.Report(request)
+	return request
+}
+
+// redirected follows the hint of a process that does not lead.
+func (f *Follower) redirected(reply *protocol.FleetSyncReply) bool {
+	if reply.Error.Code != result.NotLeader || reply.Leader == "" {
+		return false
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.redirects++
+	f.leader = reply.Leader
+	return f.redirects <= maxRedirects
+}
+
+// take puts the news in force. Invariant: neither fleet nor table ever steps back
+// within the life of the process.
+func (f *Follower) take(target string, reply *protocol.FleetSyncReply) {
+	f.mutex.Lock()
+	if f.leader != target || !f.confirmed {
+		telemetry.Info(f.Logger, "control leader found", "leader", target)
+	}
+	f.leader = target
+	f.redirects = 0
+	if len(reply.Controls) > 0 {
+		f.controls = slices.Clone(reply.Controls)
+		for _, seed := range f.Seeds {
+			if !slices.Contains(f.controls, seed) {
+				f.controls = append(f.controls, seed)
+			}
+		}
+	}
+	changed := false
+	if reply.Fleet != nil {
+		var news bool
+		f.view, news = f.view.Follow(*reply.Fleet)
+		changed = changed || news
+	}
+	if reply.Routing != nil {
+		var news bool
+		f.table, news = reply.Routing.Apply(f.table)
+		changed = changed || news
+	}
+	if reply.Confirmed && !f.confirmed {
+		f.confirmed = true
+		changed = true
+	}
+	view, table, confirmed := f.view, f.table, f.confirmed
+	f.mutex.Unlock()
+	if changed && confirmed {
+		f.OnNews(view, table, confirmed)
+	}
+}
--- /dev/null
+++ b/internal/daemon/frontend.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	frontendHeaderTimeout = 5 * time.Second
+	frontendIdleTimeout   = 60 * time.Second
+)
+
+// Frontend is an HTTP interface that a process offers besides its own.
+type Frontend struct {
+	Address string
+	Handler http.Handler
+}
+
+// ServeFrontends serves until ctx ends; requests under way are then cut off.
+func ServeFrontends(ctx context.Context, frontends []Frontend) error {
+	failures := make(chan error, len(frontends))
+	var servers []*http.Server
+	defer func() {
+		for _, server := range servers {
+			_ = server.Close()
+		}
+	}()
+	for _, frontend := range frontends {
+		listener, err := net.Listen("tcp", frontend.Address)
+		if err != nil {
+			return errorx.Decorate(err, "listening on %s", frontend.Address)
+		}
+		server := &http.Server{Handler: frontend.Handler, ReadHeaderTimeout: frontendHeaderTimeout, IdleTimeout: frontendIdleTimeout}
+		servers = append(servers, server)
+		go func() { failures <- server.Serve(listener) }()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case err := <-failures:
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}
+}
--- /dev/null
+++ b/internal/daemon/links.go
@@ -0,0 +1,114 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+const (
+	dialTimeout = time.Second
+	redialPause = 200 * time.Millisecond
+)
+
+// Links are the connections to other processes for messages that need no answer;
+// they redial by themselves.
+type Links struct {
+	mutex sync.Mutex
+	links map[string]*link
+	// address and delay describe a member.
+	address func(member string) string
+	delay   func(member string) time.Duration
+	closed  bool
+}
+
+// NewLinks returns links to members by address; delay stands in for distance.
+func NewLinks(address func(member string) string, delay func(member string) time.Duration) *Links {
+	return &Links{links: map[string]*link{}, address: address, delay: delay}
+}
+
+// Send sends a message; without a connection it is dropped, since consensus repeats
+// what matters.
+func (l *Links) Send(member string, kind protocol.Kind, message any) {
+	l.mutex.Lock()
+	peer, known := l.links[member]
+	if !known && !l.closed {
+		peer = &link{address: l.address(member), delay: l.delay(member)}
+		l.links[member] = peer
+	}
+	l.mutex.Unlock()
+	if peer != nil && peer.address != "" {
+		peer.send(kind, message)
+	}
+}
+
+// Close ends all connections.
+func (l *Links) Close() {
+	l.mutex.Lock()
+	l.closed = true
+	links := l.links
+	l.links = map[string]*link{}
+	l.mutex.Unlock()
+	for _, peer := range links {
+		peer.close()
+	}
+}
+
+// link is the connection to one other process.
+type link struct {
+	address string
+	delay   time.Duration
+	mutex   sync.Mutex
+	current *protocol.Connection
+	dialing bool
+	closed  bool
+}
+
+func (p *link) send(kind protocol.Kind, message any) {
+	p.mutex.Lock()
+	connection := p.current
+	if connection == nil && !p.dialing && !p.closed {
+		p.dialing = true
+		go p.dial()
+	}
+	p.mutex.Unlock()
+	if connection != nil {
+		_ = connection.Send(kind, message)
+	}
+}
+
+func (p *link) dial() {
+	connection, err := protocol.Dial(p.address, dialTimeout, p.delay)
+	if err != nil {
+		time.Sleep(redialPause)
+	}
+	p.mutex.Lock()
+	p.dialing = false
+	keep := err == nil && !p.closed
+	if keep {
+		p.current = connection
+	}
+	p.mutex.Unlock()
+	if keep {
+		connection.OnClose(p.forget)
+	} else if err == nil {
+		connection.Close()
+	}
+}
+
+func (p *link) forget() {
+	p.mutex.Lock()
+	p.current = nil
+	p.mutex.Unlock()
+}
+
+func (p *link) close() {
+	p.mutex.Lock()
+	p.closed = true
+	connection := p.current
+	p.mutex.Unlock()
+	if connection != nil {
+		connection.Close()
+	}
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,72 @@
+// Package daemon is the shell that ochrebay's processes share: the one goroutine
+// that owns a core, the links to other processes, the search for control's leader,
+// and a stop that drains first.
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	queuedEvents   = 8192
+	eventsPerFlush = 512
+)
+
+// Loop is the one goroutine that owns a core: it carries out what is posted to it,
+// ticks, and flushes after each batch of events, so that one sync serves them all.
+type Loop struct {
+	// Every is the time between ticks.
+	Every time.Duration
+	// Tick advances the core's clock.
+	Tick func()
+	// Flush carries out what the core has ready; an error ends the loop.
+	Flush func() error
+	// Publish is called after each flush, for snapshots that others read.
+	Publish func()
+
+	events chan func()
+}
+
+// NewLoop returns a loop that is not running yet.
+func NewLoop(every time.Duration) *Loop {
+	return &Loop{Every: every, events: make(chan func(), queuedEvents)}
+}
+
+// Post hands an event to the loop; it blocks while the queue is full.
+func (l *Loop) Post(event func()) { l.events <- event }
+
+// Run carries out events until ctx ends or a flush fails.
+func (l *Loop) Run(ctx context.Context) error {
+	ticker := time.NewTicker(l.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l.Tick()
+		case event := <-l.events:
+			event()
+			l.takeWaiting()
+		}
+		if err := l.Flush(); err != nil {
+			return errorx.Decorate(err, "carrying out what the core has ready")
+		}
+		l.Publish()
+	}
+}
+
+// takeWaiting takes the events that have gathered meanwhile.
+func (l *Loop) takeWaiting() {
+	for range eventsPerFlush {
+		select {
+		case event := <-l.events:
+			event()
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/upstream"
+)
+
+// attemptKind says how one send to an engine ended.
+type attemptKind uint8
+
+const (
+	// attemptAnswered means that the engine's answer was passed on or is held whole.
+	attemptAnswered attemptKind = iota
+	// attemptNotSent means that the engine saw nothing of the request.
+	attemptNotSent
+	// attemptRefused means that the engine says it did not run the request.
+	attemptRefused
+	// attemptBroken means that the engine may have run the request.
+	attemptBroken
+	// attemptCancelled means that the caller left or the call's time was over.
+	attemptCancelled
+)
+
+// String names the kind for logs.
+func (k attemptKind) String() string {
+	return [...]string{"answered", "not_sent", "refused", "broken", "cancelled"}[k]
+}
+
+// attemptOutcome is how one send to an engine ended.
+type attemptOutcome struct {
+	kind   attemptKind
+	status int
+	// started says that a part of the answer has reached the caller.
+	started bool
+	// paceMs is how long the engine took for an event, 0 where nothing is known.
+	paceMs float64
+	err    error
+}
+
+const (
+	// maxRefusals bounds the engines that are asked after refusals.
+	maxRefusals = 3
+	// shortestSend is the least time that a send to an engine makes sense for.
+	shortestSend = 5 * time.Millisecond
+)
+
+// serveAttempts sends a call to engines until one answers or none may be asked any
+// more; it returns what to tell the caller, nil where the answer was passed on.
+// Invariant: a call that is not repeatable is sent again only where every send
+// before was not run; the error says "not run" only where all sends were not.
+func (d *Daemon) serveAttempts(ctx context.Context, c *call, deliver deliverFunc) *result.Error {
+	var avoid []string
+	runs := 0
+	for {
+		engine, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
+		if !found {
+			return d.noEngine(c, avoid)
+		}
+		c.attempts++
+		outcome := d.attempt(ctx, c, engine, deliver)
+		d.engines.ended(engine.ID, nowMs(), outcome)
+		d.logAttempt(c, engine, outcome)
+		avoid = append(avoid, engine.ID)
+		switch outcome.kind {
+		case attemptAnswered:
+			return nil
+		case attemptCancelled:
+			return d.cancelled(ctx, c, outcome)
+		case attemptBroken:
+			runs++
+			if outcome.started || !c.route.Repeatable() || runs >= max(c.route.MaxAttempts, 1) {
+				return result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
+			}
+		}
+		if len(avoid) >= maxRefusals+max(c.route.MaxAttempts, 1) || c.timeLeft() < shortestSend {
+			return d.exhausted(c, runs, outcome)
+		}
+	}
+}
+
+// demand describes the call to the choice of engines.
+func (d *Daemon) demand(c *call, avoid []string) scheduling.Demand {
+	demand := scheduling.Demand{Avoid: avoid, NowMs: nowMs()}
+	switch {
+	case c.route.Kind == routing.KindStream:
+		demand.Key = c.program
+	case c.route.Affinity:
+		demand.Key = c.affinity
+	}
+	return demand
+}
+
+func (d *Daemon) noEngine(c *call, avoid []string) *result.Error {
+	if len(avoid) > 0 {
+		return result.New(result.EngineRefused, "all %d engines of %s that were asked turned the call away", len(avoid), c.backend.Name).
+			WithRetryAfter(refusalPause)
+	}
+	return result.New(result.NoEngine, "no engine of %s", c.backend.Name).WithRetryAfter(refusalPause)
+}
+
+func (d *Daemon) exhausted(c *call, runs int, last attemptOutcome) *result.Error {
+	if runs > 0 {
+		return result.New(result.OutcomeUnknown, "%d sends, the last: %v", c.attempts, last.err)
+	}
+	return result.New(result.EngineRefused, "%d sends, the last: %v", c.attempts, last.err).WithRetryAfter(refusalPause)
+}
+
+// cancelled answers a call whose caller left or whose time is over.
+func (d *Daemon) cancelled(_ context.Context, c *call, outcome attemptOutcome) *result.Error {
+	if c.timeLeft() > 0 {
+		return result.New(result.Cancelled, "the caller left: %v", outcome.err)
+	}
+	return result.New(result.EngineTimeout, "no answer within %s", time.Since(c.started).Round(time.Millisecond))
+}
+
+// deliverFunc passes an engine's answer on.
+type deliverFunc func(exchange *upstream.Exchange, c *call) attemptOutcome
+
+// attempt sends the call to one engine and has the answer delivered.
+func (d *Daemon) attempt(ctx context.Context, c *call, engine membership.ServingEngine, deliver deliverFunc) attemptOutcome {
+	bounded, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	exchange, err := d.pool.Do(bounded, engine.Address, d.upstreamRequest(c, engine))
+	switch {
+	case err == nil:
+	case bounded.Err() != nil:
+		return attemptOutcome{kind: attemptCancelled, err: bounded.Err()}
+	case errors.Is(err, upstream.ErrNotSent):
+		return attemptOutcome{kind: attemptNotSent, err: err}
+	default:
+		return attemptOutcome{kind: attemptBroken, err: err}
+	}
+	defer exchange.Close()
+	if refusal, refused := d.refused(exchange); refused {
+		return refusal
+	}
+	outcome := deliver(exchange, c)
+	if outcome.kind == attemptBroken && bounded.Err() != nil {
+		outcome.kind = attemptCancelled
+	}
+	return outcome
+}
+
+// refused reports whether the engine says that it did not run the call.
+func (d *Daemon) refused(exchange *upstream.Exchange) (attemptOutcome, bool) {
+	response := exchange.Response
+	if response.Header.Get(d.headers.NotExecuted) == "" && response.StatusCode != http.StatusMisdirectedRequest {
+		return attemptOutcome{}, false
+	}
+	drain(exchange)
+	err := errors.New("turned away with " + strconv.Itoa(response.StatusCode))
+	return attemptOutcome{kind: attemptRefused, status: response.StatusCode, err: err}, true
+}
+
+// upstreamRequest is the call as the engine is to get it.
+func (d *Daemon) upstreamRequest(c *call, engine membership.ServingEngine) *upstream.Request {
+	header := forwarded(c.request.Header)
+	for _, name := range d.headers.Reserved {
+		header.Del(name)
+	}
+	header.Set(d.headers.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
+	header.Set(d.headers.ExpectEngine, engine.ID)
+	if c.route.Kind == routing.KindStream {
+		header.Set(d.headers.Priority, strconv.Itoa(min(c.route.Priority, 9)))
+	}
+	request := &upstream.Request{
+		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host, Header: header,
+		Body: c.body, HasBody: c.hasBody, ID: c.id, IDHeader: d.headers.RequestID,
+	}
+	if len(c.chain) > 0 {
+		request.Body = append(append(make([]byte, 0, len(c.chain)+len(c.body)), c.chain...), c.body...)
+	}
+	return request
+}
--- /dev/null
+++ b/internal/gateway/daemon.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/daemon"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+	"github.com/ochrebay/ochrebay/internal/upstream"
+)
+
+const (
+	defaultBodyBytes = 8 << 20
+	// headerTimeout and idleTimeout bound callers' connections; they are above what
+	// routing tables grant.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+	sweepEvery    = time.Second
+	// refusalPause is when a caller that was refused for want of capacity should come
+	// back.
+	refusalPause = 100 * time.Millisecond
+	// quietBeforeStop is how long no request may have come before a draining gateway
+	// ends, and leastDrain how long it serves in any case.
+	quietBeforeStop = 1500 * time.Millisecond
+	leastDrain      = 3500 * time.Millisecond
+	drainPoll       = 50 * time.Millisecond
+	// chainShare is the part of the process's memory that chains may take.
+	chainShare = 6
+	// assumedPeers is how many gateways of a zone are taken to share its engines.
+	assumedPeers = 3
+)
+
+// view is what calls are routed by; a new one is made for every change.
+type view struct {
+	routes *routing.Index
+	fleet  *membership.FleetView
+}
+
+// Daemon is one gateway.
+type Daemon struct {
+	// Frontends are served besides the daemon's own interface.
+	Frontends []daemon.Frontend
+
+	process  config.Process
+	headers  Headers
+	logger   log.Logger
+	monitor  *telemetry.Monitor
+	follower *daemon.Follower
+	pool     *upstream.Pool
+	engines  *engines
+	ledgers  *ledgers
+	chains   *chainCache
+	view     atomic.Pointer[view]
+	draining atomic.Bool
+	inFlight atomic.Int64
+	// lastRequest is when a request last came, Unix milliseconds.
+	lastRequest atomic.Int64
+}
+
+// NewDaemon returns a gateway that has heard nothing yet; names are the headers it
+// speaks.
+func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
+	d := &Daemon{
+		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
+		engines: newEngines(process.Zone, assumedPeers), ledgers: newLedgers(),
+		chains: newChainCache((process.Limits.MemoryMB << 20) / chainShare),
+	}
+	d.monitor = telemetry.NewMonitor(d.Ready)
+	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
+	d.follower.WithRouting = true
+	d.follower.Report = d.report
+	d.follower.OnNews = d.follow
+	return d
+}
+
+// Follower returns the daemon's link to control, for changed settings.
+func (d *Daemon) Follower() *daemon.Follower { return d.follower }
+
+// Ready reports whether the gateway takes requests: it knows the routing table and
+// is not stopping.
+func (d *Daemon) Ready() bool { return d.view.Load() != nil && !d.draining.Load() }
+
+// report is the gateway's heartbeat.
+func (d *Daemon) report(request *protocol.FleetSync) {
+	request.Gateway = &membership.Gateway{
+		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
+	}
+}
+
+// follow puts news of control in force.
+func (d *Daemon) follow(fleet *membership.FleetView, table *routing.Table, _ bool) {
+	if fleet == nil {
+		return
+	}
+	for _, address := range d.engines.follow(fleet) {
+		d.pool.Forget(address)
+	}
+	d.ledgers.follow(fleet)
+	if table == nil {
+		return
+	}
+	previous := d.view.Load()
+	next := &view{fleet: fleet}
+	if previous != nil && previous.routes.Table == table {
+		next.routes = previous.routes
+	} else {
+		next.routes = routing.NewIndex(table)
+		telemetry.Info(d.logger, "routing in force", "generation", table.Generation, "routes", len(table.Routes))
+	}
+	d.view.Store(next)
+	if previous == nil {
+		d.follower.Poke()
+	}
+}
+
+func (d *Daemon) draw() float64 { return rand.Float64() }
+
+func nowMs() int64 { return time.Now().UnixMilli() }
+
+// Run serves until ctx ends, then drains.
+func (d *Daemon) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", d.process.Listen.Callers)
+	if err != nil {
+		return errorx.Decorate(err, "listening for callers")
+	}
+	server := &http.Server{
+		Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.process.Limits.HeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
+	}
+	telemetry.Info(d.logger, "listening", "callers", listener.Addr().String())
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	tasks, taskContext := errgroup.WithContext(running)
+	tasks.Go(func() error { return d.follower.Run(taskContext) })
+	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, d.Frontends) })
+	tasks.Go(func() error { return d.sweep(taskContext) })
+	tasks.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	tasks.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.drain(taskContext)
+		case <-taskContext.Done():
+		}
+		stop()
+		return server.Close()
+	})
+	err = tasks.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// sweep closes engine connections that have rested too long.
+func (d *Daemon) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-ticker.C:
+			d.pool.Sweep(now)
+		}
+	}
+}
+
+// drain takes the gateway out of the directory and serves on until callers have
+// stopped coming, bounded by the grace of the platform.
+func (d *Daemon) drain(ctx context.Context) {
+	d.draining.Store(true)
+	d.follower.Poke()
+	telemetry.Info(d.logger, "draining", "in_flight", d.inFlight.Load())
+	began := time.Now()
+	last := began.Add(d.process.Limits.Grace())
+	for time.Now().Before(last) && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+		quiet := time.Since(time.UnixMilli(d.lastRequest.Load())) > quietBeforeStop
+		if time.Since(began) > leastDrain && quiet && d.inFlight.Load() == 0 {
+			break
+		}
+	}
+	telemetry.Info(d.logger, "stopping", "in_flight", d.inFlight.Load())
+}
--- /dev/null
+++ b/internal/gateway/deliver.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/upstream"
+)
+
+const (
+	// heldBytes bounds an answer that is held whole before it is passed on; a longer
+	// one is passed on as it comes.
+	heldBytes     = 256 << 10
+	copyBytes     = 32 << 10
+	eventLineSize = 4 << 10
+)
+
+var (
+	errNoSignature = errors.New("a success without a signature")
+	errNotKept     = errors.New("the ledger did not keep the turn")
+	errCaller      = errors.New("writing to the caller")
+)
+
+// drain reads the rest of an answer, so that its connection can be used again.
+func drain(exchange *upstream.Exchange) {
+	_, _ = io.CopyN(io.Discard, exchange, heldBytes)
+}
+
+// answer is the way of one call's answer to the caller.
+type answer struct {
+	daemon *Daemon
+	writer http.ResponseWriter
+	// started says that the head was written.
+	started bool
+	// events counts the events passed on, over all attempts, and firstEvent when the
+	// first was.
+	events     int64
+	firstEvent time.Time
+	lastEvent  time.Time
+	// output gathers the events' data of a turn that is kept.
+	output []byte
+	status int
+}
+
+// deliver passes the answer of an engine on: streams as they come, others whole.
+func (a *answer) deliver(exchange *upstream.Exchange, c *call) attemptOutcome {
+	response := exchange.Response
+	success := response.StatusCode >= 200 && response.StatusCode < 300
+	if success && response.Header.Get(a.daemon.headers.Signature) == "" {
+		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: errNoSignature}
+	}
+	promise := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	if promise {
+		// The engine does not say that it did not run the call, so its status must not
+		// tell the caller so.
+		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: fmt.Errorf("status %d without a promise", response.StatusCode)}
+	}
+	if success && c.route.Kind == routing.KindStream && isEventStream(response.Header) {
+		return a.deliverStream(exchange, c)
+	}
+	return a.deliverWhole(exchange, c)
+}
+
+func isEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// deliverWhole holds an answer until it is complete, so that one that is broken off
+// can still be refused or asked for again.
+func (a *answer) deliverWhole(exchange *upstream.Exchange, c *call) attemptOutcome {
+	began := time.Now()
+	held, err := io.ReadAll(io.LimitReader(exchange, heldBytes))
+	status := exchange.Response.StatusCode
+	if err != nil {
+		return attemptOutcome{kind: attemptBroken, status: status, err: err}
+	}
+	pace := float64(began.Sub(c.started).Microseconds()) / 1000
+	if len(held) < heldBytes {
+		a.writeHead(exchange.Response, len(held))
+		if _, err := a.writer.Write(held); err != nil {
+			return attemptOutcome{kind: attemptCancelled, status: status, started: true, err: errors.Join(errCaller, err)}
+		}
+		return attemptOutcome{kind: attemptAnswered, status: status, started: true, paceMs: pace}
+	}
+	a.writeHead(exchange.Response, -1)
+	if _, err := a.writer.Write(held); err != nil {
+		return attemptOutcome{kind: attemptCancelled, status: status, started: true, err: errors.Join(errCaller, err)}
+	}
+	if _, err := io.CopyBuffer(a.writer, exchange, make([]byte, copyBytes)); err != nil {
+		return attemptOutcome{kind: attemptBroken, status: status, started: true, err: err}
+	}
+	return attemptOutcome{kind: attemptAnswered, status: status, started: true, paceMs: pace}
+}
+
+// writeHead writes the engine's status and headers; length is -1 where it is not
+// known.
+func (a *answer) writeHead(response *http.Response, length int) {
+	header := a.writer.Header()
+	for name, values := range forwarded(response.Header) {
+		header[name] = values
+	}
+	if length >= 0 {
+		header.Set("Content-Length", strconv.Itoa(length))
+	}
+	a.closeWhenDraining()
+	a.writer.WriteHeader(response.StatusCode)
+	a.started = true
+	a.status = response.StatusCode
+}
+
+// closeWhenDraining asks the caller to use another gateway for its next request.
+func (a *answer) closeWhenDraining() {
+	if a.daemon.draining.Load() {
+		a.writer.Header().Set("Connection", "close")
+	}
+}
+
+// deliverStream passes whole events on as they come. Invariant: a part of an event
+// is never passed on, so that a broken stream can be taken up after the last one.
+func (a *answer) deliverStream(exchange *upstream.Exchange, c *call) attemptOutcome {
+	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, started: true}
+	a.writeHead(exchange.Response, -1)
+	flusher, _ := a.writer.(http.Flusher)
+	flusher.Flush()
+	reader := bufio.NewReaderSize(exchange, eventLineSize)
+	eventsBefore := a.events
+	var block []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		block = append(block, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			outcome.kind = attemptBroken
+			outcome.err = err
+			return outcome
+		}
+		if !isBlank(line) {
+			continue
+		}
+		if !a.passEvent(block, c, flusher) {
+			outcome.kind = attemptCancelled
+			outcome.err = errCaller
+			return outcome
+		}
+		block = block[:0]
+	}
+	if len(block) > 0 && !a.passEvent(block, c, flusher) {
+		outcome.kind = attemptCancelled
+		outcome.err = errCaller
+		return outcome
+	}
+	if events := a.events - eventsBefore; events > 1 {
+		outcome.paceMs = float64(a.lastEvent.Sub(a.firstEvent).Microseconds()) / 1000 / float64(events-1)
+	}
+	// Invariant: a turn is kept before its caller can see the answer as complete.
+	if c.keeps() && !a.keepTurn(c) {
+		outcome.kind = attemptBroken
+		outcome.err = errNotKept
+	}
+	return outcome
+}
+
+func isBlank(line []byte) bool {
+	return len(line) == 1 || (len(line) == 2 && line[0] == '\r')
+}
+
+// passEvent writes one event and gathers what a kept turn needs of it.
+func (a *answer) passEvent(block []byte, c *call, flusher http.Flusher) bool {
+	data, isEvent := eventData(block)
+	if isEvent {
+		a.events++
+		a.lastEvent = time.Now()
+		if a.firstEvent.IsZero() {
+			a.firstEvent = a.lastEvent
+		}
+		if c.keeps() {
+			a.output = append(append(a.output, data...), '\n')
+		}
+	}
+	if _, err := a.writer.Write(block); err != nil {
+		return false
+	}
+	flusher.Flush()
+	return true
+}
+
+// keepTurn has the ledger settle and keep the turn.
+func (a *answer) keepTurn(c *call) bool {
+	content := append(append(make([]byte, 0, len(c.body)+len(a.output)), c.body...), a.output...)
+	settle := &program.Settle{
+		Program: c.program, Request: c.id, Used: a.used(c), Keep: true, Previous: c.previous,
+		Content: content, RetentionMs: c.route.RetentionMs,
+	}
+	if c.foreign {
+		settle.Previous = ""
+		settle.Content = append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...)
+	}
+	if failure := a.daemon.ledgers.settle(settle, keepTimeout); failure != nil {
+		a.daemon.logFailure("turn not kept", c, failure)
+		return false
+	}
+	c.reserved = false
+	a.daemon.chains.put(c.id, append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...))
+	return true
+}
+
+// used is what the turn has generated, as far as the caller was handed it, tokens.
+func (a *answer) used(c *call) int64 {
+	return min(a.events*max(c.backend.EventTokens, 1), max(c.most, a.events))
+}
--- /dev/null
+++ b/internal/gateway/engines.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+)
+
+// engines is what the gateway knows of the engines: their registrations, which
+// control tells, and their health, which it sees itself.
+type engines struct {
+	mutex  sync.Mutex
+	byPool map[string][]membership.ServingEngine
+	health map[string]*scheduling.EngineHealth
+	zone   string
+	// peers is how many gateways of the zone share its engines, by assumption.
+	peers int
+}
+
+func newEngines(zone string, peers int) *engines {
+	return &engines{
+		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, zone: zone, peers: peers,
+	}
+}
+
+// follow takes a new view of the fleet and returns the addresses that are gone.
+// Invariant: an engine that drains or has left gets nothing from here on.
+func (e *engines) follow(view *membership.FleetView) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	previous := map[string]bool{}
+	for _, pool := range e.byPool {
+		for _, engine := range pool {
+			previous[engine.Address] = true
+		}
+	}
+	e.byPool = map[string][]membership.ServingEngine{}
+	for _, engine := range view.Engines {
+		delete(previous, engine.Address)
+		if !engine.Draining {
+			e.byPool[engine.Backend] = append(e.byPool[engine.Backend], engine)
+		}
+	}
+	for id, health := range e.health {
+		if _, known := view.Engines[id]; !known && health.InFlight == 0 {
+			delete(e.health, id)
+		}
+	}
+	var gone []string
+	for address := range previous {
+		gone = append(gone, address)
+	}
+	return gone
+}
+
+func (e *engines) healthOf(id string) *scheduling.EngineHealth {
+	health, known := e.health[id]
+	if !known {
+		health = &scheduling.EngineHealth{}
+		e.health[id] = health
+	}
+	return health
+}
+
+// choose picks the engine for a call and counts it as under way there.
+func (e *engines) choose(backend string, slots int, demand scheduling.Demand) (membership.ServingEngine, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	pool := e.byPool[backend]
+	candidates := make([]scheduling.Candidate, 0, len(pool))
+	for _, engine := range pool {
+		candidate := scheduling.Candidate{
+			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, slots), Silent: engine.Silent, Health: e.healthOf(engine.ID),
+		}
+		candidates = append(candidates, candidate)
+	}
+	demand.Zone = e.zone
+	demand.Peers = e.peers
+	chosen, found := scheduling.Choose(candidates, demand)
+	if !found {
+		return membership.ServingEngine{}, false
+	}
+	chosen.Health.InFlight++
+	for _, engine := range pool {
+		if engine.ID == chosen.ID {
+			return engine, true
+		}
+	}
+	return membership.ServingEngine{}, false
+}
+
+// ended takes a call off an engine and notes how it went.
+func (e *engines) ended(id string, nowMs int64, attempt attemptOutcome) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	health := e.healthOf(id)
+	health.InFlight = max(health.InFlight-1, 0)
+	switch attempt.kind {
+	case attemptAnswered:
+		health.Succeeded(nowMs, attempt.paceMs)
+	case attemptNotSent, attemptBroken:
+		health.Failed(nowMs)
+	}
+}
--- /dev/null
+++ b/internal/gateway/headers.go
@@ -0,0 +1,61 @@
+// Package gateway is the process that takes callers' requests, finds their route,
+// picks the engine and the moment, carries request and answer through, and has
+// turns reserved and kept by the ledger. It holds nothing that must survive.
+package gateway
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Headers names the headers by which callers, gateways and engines tell each other
+// about a request. A deployment may use names of its own.
+type Headers struct {
+	// From the caller.
+	RequestID   string
+	DeadlineMs  string
+	Program     string
+	Budget      string
+	Usage       string
+	Previous    string
+	LastEventID string
+	Affinity    string
+	// To the engine, set by the gateway alone.
+	ExpectEngine string
+	Priority     string
+	// From the engine.
+	NotExecuted string
+	Signature   string
+	// Reserved are further headers that only gateways set: a caller's are dropped.
+	Reserved []string
+}
+
+// DefaultHeaders are the product's own names.
+func DefaultHeaders() Headers {
+	return Headers{
+		RequestID: "Ochrebay-Request", DeadlineMs: "Ochrebay-Deadline-Ms", Program: "Ochrebay-Program",
+		Budget: "Ochrebay-Token-Budget", Usage: "Ochrebay-Tokens", Previous: "Ochrebay-Previous-Turn",
+		LastEventID: "Last-Event-Id", Affinity: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
+		Priority: "Ochrebay-Priority", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
+	}
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+	"Proxy-Authenticate", "Proxy-Authorization", "Content-Length", "Expect",
+}
+
+// forwarded returns a copy of a header without what concerns one connection only.
+func forwarded(header http.Header) http.Header {
+	copied := header.Clone()
+	for _, line := range header.Values("Connection") {
+		for _, name := range strings.Split(line, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(copied, name)
+	}
+	return copied
+}
--- /dev/null
+++ b/internal/gateway/intake.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+)
+
+// call is one caller's request, read whole and checked.
+type call struct {
+	id      string
+	request *http.Request
+	body    []byte
+	hasBody bool
+	route   *routing.Route
+	backend routing.Backend
+	// generation is the routing table by which the call was routed.
+	generation uint64
+	started    time.Time
+	// deadline is when the caller or the route gives the call up.
+	deadline time.Time
+
+	// program, budget, most and previous describe a turn.
+	program  string
+	budget   int64
+	most     int64
+	previous string
+	affinity string
+	// lastEvent is the event after which the caller wants the stream, 0 for all.
+	lastEvent int64
+
+	// chain is the content of the turns that this one goes on from, and input the
+	// body as the caller sent it.
+	chain []byte
+	// reserved says that the ledger has opened the turn, foreign that the chain is
+	// kept by another group than the program's.
+	reserved bool
+	foreign  bool
+	attempts int
+}
+
+// isTurn reports whether the ledger takes part in the call.
+func (c *call) isTurn() bool {
+	return c.route.Kind == routing.KindStream && c.program != "" && (c.budget > 0 || c.route.Retain)
+}
+
+// keeps reports whether the turn is kept for later ones to go on from.
+func (c *call) keeps() bool { return c.isTurn() && c.route.Retain }
+
+// timeLeft returns how long the call may still take.
+func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
+
+// intake finds the route of a request, reads its body and checks its headers.
+func (d *Daemon) intake(writer http.ResponseWriter, request *http.Request) (*call, *result.Error) {
+	started := time.Now()
+	id := request.Header.Get(d.headers.RequestID)
+	view := d.view.Load()
+	if view == nil {
+		return nil, result.New(result.NotConfigured, "no routing table yet")
+	}
+	route := view.routes.Find(request.Host, request.URL.EscapedPath())
+	if route == nil {
+		return nil, result.New(result.NoRoute, "no route for host %s and this path", request.Host)
+	}
+	c := &call{id: id, request: request, route: route, generation: view.routes.Table.Generation, started: started}
+	c.backend = view.routes.Backend(route.Choose(d.draw()))
+	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
+		return nil, failure
+	}
+	return c, c.readHeaders(d.headers)
+}
+
+// readBody reads the whole body, so that the request can be sent again and an
+// engine never waits for a slow caller.
+func (c *call) readBody(writer http.ResponseWriter, limit int64) *result.Error {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.request.ContentLength > limit {
+		return result.New(result.BodyTooLarge, "body of %d bytes, limit %d", c.request.ContentLength, limit)
+	}
+	c.hasBody = c.request.ContentLength != 0
+	if !c.hasBody {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, c.request.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return result.New(result.BodyTooLarge, "body over the limit of %d bytes", limit)
+	}
+	if err != nil {
+		return result.New(result.MalformedRequest, "reading the body: %v", err)
+	}
+	c.body = body
+	return nil
+}
+
+func (c *call) readHeaders(names Headers) *result.Error {
+	header := c.request.Header
+	limit := time.Duration(c.route.TimeoutMs) * time.Millisecond
+	if text := header.Get(names.DeadlineMs); text != "" {
+		left, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || left < 0 {
+			return result.New(result.InvalidHeader, "%s: %q is no number of milliseconds", names.DeadlineMs, text)
+		}
+		limit = min(limit, time.Duration(left)*time.Millisecond)
+	}
+	c.deadline = c.started.Add(limit)
+	c.program = header.Get(names.Program)
+	c.previous = header.Get(names.Previous)
+	c.affinity = header.Get(names.Affinity)
+	var failure *result.Error
+	c.budget = number(header, names.Budget, &failure)
+	c.lastEvent = number(header, names.LastEventID, &failure)
+	_, most, _ := strings.Cut(header.Get(names.Usage), ",")
+	if most != "" {
+		parsed, err := strconv.ParseInt(strings.TrimSpace(most), 10, 64)
+		if err != nil || parsed < 0 {
+			return result.New(result.InvalidHeader, "%s: %q is no number of tokens", names.Usage, most)
+		}
+		c.most = parsed
+	}
+	return failure
+}
+
+// number reads a whole number that may be missing.
+func number(header http.Header, name string, failure **result.Error) int64 {
+	text := header.Get(name)
+	if text == "" {
+		return 0
+	}
+	value, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || value < 0 {
+		*failure = result.New(result.InvalidHeader, "%s: %q is not a whole number", name, text)
+		return 0
+	}
+	return value
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+)
+
+// serve carries one caller's request through.
+func (d *Daemon) serve(writer http.ResponseWriter, request *http.Request) {
+	d.inFlight.Add(1)
+	defer d.inFlight.Add(-1)
+	d.lastRequest.Store(nowMs())
+	c, failure := d.intake(writer, request)
+	out := &answer{daemon: d, writer: writer}
+	if failure == nil {
+		failure = d.run(request.Context(), c, out)
+	}
+	d.logCall(c, request, out, failure)
+	if failure == nil {
+		return
+	}
+	if out.started || failure.Code == result.Cancelled {
+		// What has been passed on must not look complete.
+		panic(http.ErrAbortHandler)
+	}
+	out.refuse(request, failure)
+}
+
+// run reserves a turn where the call is one, has an engine serve it, and settles.
+func (d *Daemon) run(ctx context.Context, c *call, out *answer) *result.Error {
+	if c.timeLeft() < shortestSend {
+		return result.New(result.DeadlinePassed, "%s left", c.timeLeft())
+	}
+	if c.isTurn() {
+		if failure := d.openTurn(ctx, c); failure != nil {
+			return failure
+		}
+	}
+	failure := d.serveAttempts(ctx, c, out.deliver)
+	if c.reserved {
+		d.settleLater(c, out)
+	}
+	return failure
+}
+
+// openTurn has the ledger reserve the turn and fetches the chain it goes on from.
+func (d *Daemon) openTurn(ctx context.Context, c *call) *result.Error {
+	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(reserveTimeout)))
+	defer cancel()
+	reserve := &program.Reserve{Program: c.program, Request: c.id, Budget: c.budget, Most: c.most}
+	hasChain := false
+	if c.route.Retain && c.previous != "" {
+		reserve.Previous = c.previous
+		c.chain, hasChain = d.chains.get(c.previous)
+	}
+	reply := d.ledgers.reserve(bounded, reserve, hasChain)
+	if reply.Error != nil && reply.Error.Code == result.UnknownTurn {
+		found := d.ledgers.findElsewhere(bounded, c.previous, c.program)
+		if found.Error != nil {
+			return found.Error
+		}
+		c.foreign = true
+		c.chain = found.Chain
+		reserve.Previous = ""
+		reply = d.ledgers.reserve(bounded, reserve, true)
+	}
+	if reply.Error != nil {
+		return reply.Error
+	}
+	if !hasChain && !c.foreign {
+		c.chain = reply.Chain
+	}
+	c.reserved = c.budget > 0
+	return nil
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// settleLater charges a turn that is not kept; the caller need not wait for it.
+func (d *Daemon) settleLater(c *call, out *answer) {
+	settle := &program.Settle{Program: c.program, Request: c.id, Used: out.used(c)}
+	go func() {
+		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
+			d.logFailure("turn not settled", c, failure)
+		}
+	}()
+}
+
+// refuse answers a call that no engine has answered.
+func (a *answer) refuse(request *http.Request, failure *result.Error) {
+	failure = result.From(failure)
+	header := a.writer.Header()
+	header.Set("Content-Type", "application/json")
+	if id := request.Header.Get(a.daemon.headers.RequestID); id != "" {
+		header.Set(a.daemon.headers.RequestID, id)
+	}
+	if failure.RetryAfterMs > 0 && failure.Outcome == result.NotRun {
+		header.Set("Retry-After", strconv.FormatFloat(float64(failure.RetryAfterMs)/1000, 'f', -1, 64))
+	}
+	a.closeWhenDraining()
+	body, _ := json.Marshal(result.Body{Error: failure})
+	header.Set("Content-Length", strconv.Itoa(len(body)+1))
+	a.writer.WriteHeader(failure.HTTPStatus())
+	_, _ = a.writer.Write(append(body, '\n'))
+	a.status = failure.HTTPStatus()
+}
+
+// logCall writes the one line that says how a call ended.
+func (d *Daemon) logCall(c *call, request *http.Request, out *answer, failure *result.Error) {
+	took := ""
+	keyValues := []any{"request", request.Header.Get(d.headers.RequestID)}
+	if c != nil {
+		took = time.Since(c.started).Round(100 * time.Microsecond).String()
+		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
+			"program", c.program, "attempts", c.attempts)
+	}
+	keyValues = append(keyValues, "status", out.status, "events", out.events, "took", took)
+	if failure == nil {
+		telemetry.Info(d.logger, "served", keyValues...)
+		return
+	}
+	keyValues = append(keyValues, "code", int(failure.Code), "outcome", string(failure.Outcome), "err", failure.Error())
+	telemetry.Warn(d.logger, "failed", keyValues...)
+}
+
+// logAttempt writes one line for a send that did not end well.
+func (d *Daemon) logAttempt(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
+	if outcome.kind == attemptAnswered {
+		return
+	}
+	telemetry.Warn(d.logger, "attempt failed", "request", c.id, "engine", engine.ID, "address", engine.Address, "attempt", c.attempts,
+		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.started, "err", outcome.err)
+}
+
+func (d *Daemon) logFailure(message string, c *call, failure *result.Error) {
+	telemetry.Warn(d.logger, message, "request", c.id, "program", c.program, "code", int(failure.Code), "err", failure.Error())
+}
--- /dev/null
+++ b/internal/ledger/core.go
@@ -0,0 +1,225 @@
+// Package ledger is the process that holds the turns of programs on machines of
+// its own: replicas of ledger groups, each placed on several hosts by the leader of
+// the settings group. Core is its state without goroutine, clock or socket; Daemon
+// runs it over TCP and a real disk.
+package ledger
+
+import (
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+// RequestID names a request whose reply the shell will route.
+type RequestID uint64
+
+// Outlet takes what the core sends. Its methods must not call back.
+type Outlet interface {
+	Send(member string, batch protocol.PeerBatch)
+	Reply(request RequestID, reply *protocol.TurnReply)
+}
+
+// Options configure a Core. Times are in milliseconds.
+type Options struct {
+	// Member is the process's inner address, its name in configurations.
+	Member string
+	Name   string
+	Zone   string
+	TickMs int64
+	// Replication holds the timings of the groups.
+	Replication replication.Options
+	// DisableBudget turns the check of budgets off, for runs that show what it is
+	// for.
+	DisableBudget bool
+}
+
+const (
+	defaultTickMs      = 50
+	electionTicks      = 8
+	heartbeatTicks     = 2
+	maxAppendBytes     = 1 << 20
+	maxInflight        = 64
+	proposalWaitMs     = 3000
+	compactEntries     = 2000
+	compactBytes       = 6 << 20
+	reconcileEveryMs   = 100
+	sweepEveryMs       = 1000
+	forgetGroupAfterMs = 5000
+	caughtUpLag        = 8
+)
+
+// DefaultOptions returns the timings of a fleet whose zones are a few milliseconds
+// apart.
+func DefaultOptions(member, name, zone string) Options {
+	return Options{
+		Member: member, Name: name, Zone: zone, TickMs: defaultTickMs,
+		Replication: replication.Options{
+			Name: member, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight, ProposalWaitMs: proposalWaitMs,
+			CompactEntries: compactEntries, CompactBytes: compactBytes,
+		},
+	}
+}
+
+// Core is the state of one ledger host.
+type Core struct {
+	options Options
+	storage replication.Storage
+	outlet  Outlet
+	host    *replication.Host
+	nowMs   int64
+	view    *membership.FleetView
+
+	lastTickMs      int64
+	lastReconcileMs int64
+	lastSweepMs     int64
+	// leaderlessMs is since when a hosted group has no known leader.
+	leaderlessMs map[storage.GroupID]int64
+	draining     bool
+}
+
+// NewCore returns a core that hosts nothing until it hears of its placement.
+func NewCore(options Options, disk replication.Storage, outlet Outlet, nowMs int64) *Core {
+	core := &Core{
+		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
+		leaderlessMs: map[storage.GroupID]int64{},
+	}
+	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
+		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
+	})
+	core.setNow(nowMs)
+	return core
+}
+
+func (c *Core) setNow(nowMs int64) {
+	c.nowMs = nowMs
+	c.host.NowMs = nowMs
+}
+
+// Host returns the replicas for reading.
+func (c *Core) Host() *replication.Host { return c.host }
+
+// Turns returns the state of a hosted group for reading, nil where it is not hosted.
+func (c *Core) Turns(id storage.GroupID) *stateMachine {
+	group := c.host.Find(id)
+	if group == nil {
+		return nil
+	}
+	return group.State.(*stateMachine)
+}
+
+// Follow takes a new view of the fleet and hosts the groups placed here.
+func (c *Core) Follow(view *membership.FleetView, nowMs int64) error {
+	c.setNow(nowMs)
+	c.view = view
+	for _, group := range replication.SortedKeys(view.Groups) {
+		if err := c.hostPlaced(view.Groups[group]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Core) hostPlaced(placement membership.Placement) error {
+	id := storage.GroupID(placement.Group)
+	if !slices.Contains(placement.Members, c.options.Member) || c.host.Find(id) != nil {
+		return nil
+	}
+	// Invariant: a disk that the first configuration doesn't name has promised
+	// nothing, so it must not vote before the group lets it in.
+	bootstrap := consensus.Configuration{}
+	if _, first := placement.Initial.Find(c.storage.Replica()); first {
+		bootstrap = placement.Initial
+	}
+	_, err := c.host.Add(id, newStateMachine(c.options.DisableBudget), bootstrap)
+	return err
+}
+
+// Peer takes a batch of consensus messages from another ledger host.
+func (c *Core) Peer(batch protocol.PeerBatch, nowMs int64) {
+	c.setNow(nowMs)
+	c.host.Step(batch)
+}
+
+// Flush carries out what the groups have ready.
+func (c *Core) Flush() error { return c.host.Flush() }
+
+// Tick advances the core's clock.
+func (c *Core) Tick(nowMs int64) {
+	c.setNow(nowMs)
+	if nowMs-c.lastTickMs >= c.options.TickMs {
+		c.lastTickMs = nowMs
+		for _, group := range c.host.Groups {
+			group.Node.Tick()
+		}
+	}
+	if nowMs-c.lastReconcileMs >= reconcileEveryMs {
+		c.lastReconcileMs = nowMs
+		c.reconcile()
+	}
+	if nowMs-c.lastSweepMs >= sweepEveryMs {
+		c.lastSweepMs = nowMs
+		c.sweep()
+	}
+	c.host.Expire()
+}
+
+// Report returns what the host says of itself to control.
+func (c *Core) Report() membership.LedgerReport {
+	report := membership.LedgerReport{Host: membership.LedgerHost{
+		Member: c.options.Member, Name: c.options.Name, Zone: c.options.Zone, Replica: c.storage.Replica(),
+	}}
+	for _, group := range c.host.Groups {
+		if group.Leads() {
+			report.Led = append(report.Led, ledGroup(group))
+		}
+	}
+	return report
+}
+
+func ledGroup(group *replication.Group) membership.LedGroup {
+	led := membership.LedGroup{Group: uint32(group.ID), Term: group.Node.Term(), Settled: true}
+	for _, replica := range group.Node.Configuration().Replicas {
+		led.Members = append(led.Members, replica.Member)
+		led.Settled = led.Settled && !replica.Learner
+	}
+	return led
+}
+
+// Drain hands leadership over, as a planned stop begins.
+func (c *Core) Drain() {
+	c.draining = true
+	for _, group := range c.host.Groups {
+		c.handOver(group)
+	}
+}
+
+// Drained reports whether this process leads nothing any more.
+func (c *Core) Drained() bool {
+	return !slices.ContainsFunc(c.host.Groups, (*replication.Group).Leads)
+}
+
+// handOver gives leadership to any voter that is heard and has the whole log.
+func (c *Core) handOver(group *replication.Group) {
+	if !group.Leads() {
+		return
+	}
+	for _, replica := range group.Node.Configuration().Replicas {
+		if replica.ID != group.Node.ID() && group.Node.RecentlyActive(replica.ID) && group.Node.TransferLeadership(replica.ID) {
+			return
+		}
+	}
+}
+
+// sweep forgets expired turns and idle budgets in the groups led here.
+func (c *Core) sweep() {
+	for _, group := range c.host.Groups {
+		if group.Leads() && group.State.(*stateMachine).turns.SweepDue(c.nowMs) {
+			c.proposeSweep(group)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ledger/daemon.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/daemon"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/storage"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+)
+
+const (
+	drainTimeout = 4 * time.Second
+	drainPoll    = 20 * time.Millisecond
+)
+
+// status is the snapshot that other goroutines read.
+type status struct {
+	report  membership.LedgerReport
+	drained bool
+	turns   int
+}
+
+// Daemon runs a Core over TCP and a disk.
+type Daemon struct {
+	process  config.Process
+	logger   log.Logger
+	store    *storage.Store
+	core     *Core
+	loop     *daemon.Loop
+	links    *daemon.Links
+	follower *daemon.Follower
+	status   atomic.Pointer[status]
+
+	// The loop alone uses these.
+	nextRequest RequestID
+	replies     map[RequestID]func(reply *protocol.TurnReply)
+	led         map[uint32]uint64
+}
+
+// NewDaemon opens the data folder; it returns storage.ErrInUse where another
+// process has it.
+func NewDaemon(process config.Process, logger log.Logger) (*Daemon, error) {
+	store, err := storage.Open(process.Data.Path)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{
+		process: process, logger: logger, store: store, replies: map[RequestID]func(*protocol.TurnReply){}, led: map[uint32]uint64{},
+	}
+	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
+	d.core = NewCore(options, store, d, telemetry.NowMs())
+	d.links = daemon.NewLinks(func(member string) string { return member }, func(string) time.Duration { return 0 })
+	d.loop = daemon.NewLoop(time.Duration(options.TickMs) * time.Millisecond)
+	d.loop.Tick = func() { d.core.Tick(telemetry.NowMs()) }
+	d.loop.Flush = d.core.Flush
+	d.loop.Publish = d.publish
+	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
+	d.follower.Report = func(request *protocol.FleetSync) {
+		report := d.status.Load().report
+		request.Ledger = &report
+	}
+	d.follower.OnNews = d.follow
+	d.publish()
+	return d, nil
+}
+
+// Follower returns the daemon's link to control, for changed settings.
+func (d *Daemon) Follower() *daemon.Follower { return d.follower }
+
+// follow hands a new view of the fleet to the core.
+func (d *Daemon) follow(view *membership.FleetView, _ *routing.Table, _ bool) {
+	if view == nil {
+		return
+	}
+	d.loop.Post(func() {
+		if err := d.core.Follow(view, telemetry.NowMs()); err != nil {
+			telemetry.Warn(d.logger, "placement not followed", "version", view.Version, "err", err)
+		}
+	})
+}
+
+// Run serves until ctx ends, then hands leadership over.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.store.Close()
+	server, err := protocol.Listen(d.process.Listen.Address, d.handle)
+	if err != nil {
+		return errorx.Decorate(err, "listening")
+	}
+	defer server.Close()
+	telemetry.Info(d.logger, "listening", "address", server.Address(), "replica", uint64(d.store.Replica()))
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	tasks, taskContext := errgroup.WithContext(running)
+	tasks.Go(func() error { return d.loop.Run(taskContext) })
+	tasks.Go(func() error { return d.follower.Run(taskContext) })
+	tasks.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.drain(taskContext)
+			stop()
+		case <-taskContext.Done():
+		}
+		return nil
+	})
+	err = tasks.Wait()
+	d.links.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain waits until this process leads nothing, bounded in time.
+func (d *Daemon) drain(ctx context.Context) {
+	telemetry.Info(d.logger, "draining")
+	d.loop.Post(d.core.Drain)
+	deadline := time.Now().Add(drainTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil && !d.status.Load().drained {
+		time.Sleep(drainPoll)
+	}
+}
+
+// publish makes the snapshot for other goroutines and logs changes of leadership.
+func (d *Daemon) publish() {
+	current := &status{report: d.core.Report(), drained: d.core.Drained()}
+	for _, group := range d.core.host.Groups {
+		current.turns += group.State.(*stateMachine).turns.Len()
+		term := uint64(0)
+		if group.Leads() {
+			term = group.Node.Term()
+		}
+		if d.led[uint32(group.ID)] != term {
+			d.led[uint32(group.ID)] = term
+			telemetry.Info(d.logger, "leadership changed", "group", uint32(group.ID), "leads", group.Leads(), "term", group.Node.Term())
+		}
+	}
+	d.status.Store(current)
+}
+
+// Send is the core's outlet to other ledger hosts.
+func (d *Daemon) Send(member string, batch protocol.PeerBatch) {
+	d.links.Send(member, protocol.KindPeer, batch)
+}
+
+// Reply is the core's outlet to whoever asked. The reply is encoded before it
+// returns, since it may share memory with the core's state.
+func (d *Daemon) Reply(request RequestID, reply *protocol.TurnReply) {
+	answer, ok := d.replies[request]
+	if !ok {
+		return
+	}
+	delete(d.replies, request)
+	answer(reply)
+}
+
+// handle takes a frame from another process.
+func (d *Daemon) handle(connection *protocol.Connection, frame protocol.Frame) {
+	switch frame.Kind {
+	case protocol.KindPeer:
+		var batch protocol.PeerBatch
+		if protocol.Decode(frame.Body, &batch) == nil {
+			d.loop.Post(func() { d.core.Peer(batch, telemetry.NowMs()) })
+			return
+		}
+	case protocol.KindTurn:
+		var request protocol.TurnRequest
+		if protocol.Decode(frame.Body, &request) == nil {
+			d.loop.Post(func() { d.request(connection, frame.Call, &request) })
+			return
+		}
+	}
+	connection.Close()
+}
+
+func (d *Daemon) request(connection *protocol.Connection, call uint64, request *protocol.TurnRequest) {
+	d.nextRequest++
+	d.replies[d.nextRequest] = func(reply *protocol.TurnReply) {
+		_ = connection.Reply(call, protocol.KindResponse, reply, true)
+	}
+	d.core.Request(d.nextRequest, request, telemetry.NowMs())
+}
--- /dev/null
+++ b/internal/ledger/reconcile.go
@@ -0,0 +1,144 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/replication"
+)
+
+// reconcile brings the groups led here one step nearer to their placement, and
+// drops replicas that nobody counts any more.
+func (c *Core) reconcile() {
+	if c.view == nil {
+		return
+	}
+	for _, group := range slices.Clone(c.host.Groups) {
+		placement, placed := c.view.Groups[uint32(group.ID)]
+		if !placed {
+			continue
+		}
+		if !group.Leads() {
+			c.dropForgotten(group, placement)
+			continue
+		}
+		if c.draining {
+			c.handOver(group)
+			continue
+		}
+		next, step := nextConfiguration(group.Node, placement.Members, c.currentReplicas(placement))
+		if step {
+			_ = group.Node.ProposeConfiguration(next)
+		} else if !slices.Contains(placement.Members, c.options.Member) {
+			c.handOver(group)
+		}
+	}
+}
+
+// dropForgotten stops hosting a group that is placed elsewhere and whose leader
+// does not speak to this replica. What the disk holds stays: it is the same replica
+// if it is placed here again.
+func (c *Core) dropForgotten(group *replication.Group, placement membership.Placement) {
+	if slices.Contains(placement.Members, c.options.Member) || group.Node.Leader() != consensus.None {
+		delete(c.leaderlessMs, group.ID)
+		return
+	}
+	since, known := c.leaderlessMs[group.ID]
+	if !known {
+		c.leaderlessMs[group.ID] = c.nowMs
+		return
+	}
+	if c.nowMs-since > forgetGroupAfterMs {
+		delete(c.leaderlessMs, group.ID)
+		c.host.Remove(group.ID)
+	}
+}
+
+// currentReplicas returns the disks that the placed hosts have at present.
+func (c *Core) currentReplicas(placement membership.Placement) map[string]consensus.ReplicaID {
+	current := map[string]consensus.ReplicaID{}
+	for _, member := range placement.Members {
+		if host, ok := c.view.Ledgers[member]; ok {
+			current[member] = host.Replica
+		}
+	}
+	return current
+}
+
+// nextConfiguration returns the next single step from a group's configuration to
+// its placement, and whether there is one.
+func nextConfiguration(node *consensus.Node, members []string, current map[string]consensus.ReplicaID) (consensus.Configuration, bool) {
+	configuration := node.Configuration()
+	if stale, found := lostDisk(node, members, current); found {
+		return configuration.Without(stale), true
+	}
+	for _, member := range members {
+		id, known := current[member]
+		if _, present := configuration.Find(id); known && !present && !hasMember(configuration, member) {
+			return configuration.With(consensus.Replica{ID: id, Member: member, Learner: true}), true
+		}
+	}
+	ready, found := caughtUpLearner(node, members)
+	if found {
+		// A voter that is placed elsewhere and silent goes before its successor
+		// votes, so that the quorum does not grow meanwhile.
+		if extra, dead := extraReplica(node, members, false); dead && len(configuration.Voters()) > 1 {
+			return configuration.Without(extra), true
+		}
+		ready.Learner = false
+		return configuration.With(ready), true
+	}
+	if allVote(configuration, members, current) {
+		if extra, found := extraReplica(node, members, true); found {
+			return configuration.Without(extra), true
+		}
+	}
+	return configuration, false
+}
+
+func hasMember(configuration consensus.Configuration, member string) bool {
+	return slices.ContainsFunc(configuration.Replicas, func(replica consensus.Replica) bool { return replica.Member == member })
+}
+
+// lostDisk returns a replica whose host came back with another disk. Invariant: a
+// replica that still answers has not lost its disk.
+func lostDisk(node *consensus.Node, members []string, current map[string]consensus.ReplicaID) (consensus.ReplicaID, bool) {
+	for _, replica := range node.Configuration().Replicas {
+		id, known := current[replica.Member]
+		if known && id != replica.ID && !node.RecentlyActive(replica.ID) && slices.Contains(members, replica.Member) {
+			return replica.ID, true
+		}
+	}
+	return consensus.None, false
+}
+
+func caughtUpLearner(node *consensus.Node, members []string) (consensus.Replica, bool) {
+	for _, replica := range node.Configuration().Replicas {
+		if replica.Learner && slices.Contains(members, replica.Member) && node.CaughtUp(replica.ID, caughtUpLag) {
+			return replica, true
+		}
+	}
+	return consensus.Replica{}, false
+}
+
+// extraReplica returns a replica that the placement does not want, the leader
+// itself aside; active chooses whether it may still be answering.
+func extraReplica(node *consensus.Node, members []string, active bool) (consensus.ReplicaID, bool) {
+	for _, replica := range node.Configuration().Replicas {
+		extra := !slices.Contains(members, replica.Member) && replica.ID != node.ID()
+		if extra && (active || !node.RecentlyActive(replica.ID)) {
+			return replica.ID, true
+		}
+	}
+	return consensus.None, false
+}
+
+func allVote(configuration consensus.Configuration, members []string, current map[string]consensus.ReplicaID) bool {
+	for _, member := range members {
+		if !configuration.IsVoter(current[member]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/ledger/requests.go
@@ -0,0 +1,117 @@
+package ledger
+
+import (
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+// Request takes one request of a gateway; the reply comes through the outlet, now
+// or later.
+func (c *Core) Request(id RequestID, request *protocol.TurnRequest, nowMs int64) {
+	c.setNow(nowMs)
+	group := c.host.Find(storage.GroupID(request.Group))
+	if group == nil || !group.Leads() || c.draining {
+		reply := &protocol.TurnReply{Error: result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, request.Group)}
+		if group != nil {
+			reply.Leader = group.LeaderMember()
+		}
+		c.outlet.Reply(id, reply)
+		return
+	}
+	switch {
+	case request.Reserve != nil:
+		c.reserve(id, group, request)
+	case request.Settle != nil:
+		c.propose(id, group, program.TurnCommand{Settle: request.Settle}, nil)
+	case request.Find != "":
+		c.find(id, group, request.Find)
+	default:
+		c.outlet.Reply(id, &protocol.TurnReply{Error: result.New(result.MalformedRequest, "empty request")})
+	}
+}
+
+// reserve opens a turn. A turn without a budget changes nothing, so that a
+// confirmed read is enough.
+func (c *Core) reserve(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
+	previous := request.Reserve.Previous
+	withChain := func() *protocol.TurnReply {
+		if previous == "" || request.HasChain {
+			return &protocol.TurnReply{}
+		}
+		return c.chain(group, previous)
+	}
+	if request.Reserve.Budget <= 0 {
+		c.host.Read(group, func(failure *result.Error) {
+			if failure == nil && previous != "" && !c.has(group, previous) {
+				failure = result.New(result.UnknownTurn, "no turn %s", previous)
+			}
+			if failure != nil {
+				c.outlet.Reply(id, &protocol.TurnReply{Error: failure})
+				return
+			}
+			c.outlet.Reply(id, withChain())
+		})
+		return
+	}
+	c.propose(id, group, program.TurnCommand{Reserve: request.Reserve}, withChain)
+}
+
+func (c *Core) has(group *replication.Group, request string) bool {
+	return group.State.(*stateMachine).turns.Has(request)
+}
+
+// propose appends a command and answers once it is applied; reply makes the answer
+// to a command that was granted, nil for an empty one.
+func (c *Core) propose(id RequestID, group *replication.Group, command program.TurnCommand, reply func() *protocol.TurnReply) {
+	command.NowMs = c.nowMs
+	failure := c.host.Propose(group, &command, func(applied any) {
+		answer := &protocol.TurnReply{}
+		switch typed := applied.(type) {
+		case outcome:
+			answer.Error = typed.failure
+		case *result.Error:
+			answer.Error = typed
+		}
+		if answer.Error == nil && reply != nil {
+			answer = reply()
+		}
+		c.outlet.Reply(id, answer)
+	})
+	if failure != nil {
+		c.outlet.Reply(id, &protocol.TurnReply{Error: failure})
+	}
+}
+
+// find answers with the chain of a turn that another group may not know.
+func (c *Core) find(id RequestID, group *replication.Group, request string) {
+	c.host.Read(group, func(failure *result.Error) {
+		switch {
+		case failure != nil:
+			c.outlet.Reply(id, &protocol.TurnReply{Error: failure})
+		case !c.has(group, request):
+			c.outlet.Reply(id, &protocol.TurnReply{Error: result.New(result.UnknownTurn, "no turn %s", request)})
+		default:
+			c.outlet.Reply(id, c.chain(group, request))
+		}
+	})
+}
+
+// chain joins the content of a line of turns, oldest first.
+func (c *Core) chain(group *replication.Group, last string) *protocol.TurnReply {
+	reply := &protocol.TurnReply{}
+	for _, request := range group.State.(*stateMachine).turns.Chain(last) {
+		records, err := c.host.Records(group, request, 0)
+		if err != nil || len(records) != 1 {
+			return &protocol.TurnReply{Error: result.New(result.Internal, "turn %s has %d records: %v", request, len(records), err)}
+		}
+		reply.Chain = append(reply.Chain, records[0]...)
+	}
+	return reply
+}
+
+func (c *Core) proposeSweep(group *replication.Group) {
+	_ = c.host.Propose(group, &program.TurnCommand{NowMs: c.nowMs, Sweep: true}, func(any) {})
+}
--- /dev/null
+++ b/internal/membership/fleet_tracker.go
@@ -0,0 +1,258 @@
+package membership
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+)
+
+// FleetOptions configure how a leader looks after the fleet. Times are in
+// milliseconds.
+type FleetOptions struct {
+	// Groups is how many ledger groups there are, Replicas how many ledger hosts
+	// hold each.
+	Groups   int
+	Replicas int
+	// EngineSilentMs is how long an engine may be silent before it counts as lost,
+	// GatewaySilentMs and LedgerSilentMs the same for ochrebay's own processes.
+	EngineSilentMs  int64
+	GatewaySilentMs int64
+	LedgerSilentMs  int64
+	// FormationMs is how long the first placement waits for further ledger hosts.
+	FormationMs int64
+}
+
+// LedgerReport is what a ledger host says of itself.
+type LedgerReport struct {
+	Host LedgerHost `msgpack:"h"`
+	// Led are the configurations of the groups that the host leads.
+	Led []LedGroup `msgpack:"l,omitempty"`
+}
+
+// LedGroup is a group's configuration as its leader knows it.
+type LedGroup struct {
+	Group   uint32   `msgpack:"g"`
+	Term    uint64   `msgpack:"t"`
+	Members []string `msgpack:"m"`
+	// Settled says that all members vote and no change is pending.
+	Settled bool `msgpack:"s"`
+}
+
+// FleetTracker is a leader's soft state of the fleet; a new leader starts with an
+// empty one, in which everybody was heard of just now.
+type FleetTracker struct {
+	options FleetOptions
+	startMs int64
+	heard   map[string]int64
+	// led holds the last word of the groups' leaders.
+	led map[uint32]LedGroup
+	// lastNewLedgerMs is when a ledger host was last seen for the first time.
+	lastNewLedgerMs int64
+}
+
+// NewFleetTracker returns the tracker of a leader that began to lead at nowMs.
+func NewFleetTracker(options FleetOptions, nowMs int64) *FleetTracker {
+	return &FleetTracker{options: options, startMs: nowMs, heard: map[string]int64{}, led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs}
+}
+
+// Heard notes that an engine, gateway or ledger host is alive.
+func (t *FleetTracker) Heard(key string, nowMs int64) { t.heard[key] = nowMs }
+
+// HeardLedger notes a ledger host's report.
+func (t *FleetTracker) HeardLedger(report LedgerReport, nowMs int64) {
+	if _, known := t.heard[report.Host.Member]; !known {
+		t.lastNewLedgerMs = nowMs
+	}
+	t.heard[report.Host.Member] = nowMs
+	for _, led := range report.Led {
+		if known, ok := t.led[led.Group]; !ok || led.Term >= known.Term {
+			t.led[led.Group] = led
+		}
+	}
+}
+
+func (t *FleetTracker) silentMs(key string, nowMs int64) int64 {
+	heard, ok := t.heard[key]
+	if !ok {
+		heard = t.startMs
+	}
+	return nowMs - heard
+}
+
+// Plan returns what should change of the fleet now.
+func (t *FleetTracker) Plan(fleet *Fleet, nowMs int64) FleetUpdate {
+	var update FleetUpdate
+	for _, engine := range fleet.Engines() {
+		if t.silentMs(engine.ID, nowMs) > t.options.EngineSilentMs {
+			update.LostEngines = append(update.LostEngines, engine.ID)
+		}
+	}
+	for _, gateway := range fleet.Gateways() {
+		if t.silentMs(gateway.Name, nowMs) > t.options.GatewaySilentMs {
+			update.RemoveGateways = append(update.RemoveGateways, gateway.Name)
+		}
+	}
+	update.PutGroups = t.place(fleet, nowMs)
+	return update
+}
+
+// Alive reports whether a ledger host was heard of lately.
+func (t *FleetTracker) Alive(member string, nowMs int64) bool {
+	return t.silentMs(member, nowMs) <= t.options.LedgerSilentMs
+}
+
+// place returns the placements that should change: the first ones together, later
+// the replacement of members that are lost or retire.
+func (t *FleetTracker) place(fleet *Fleet, nowMs int64) []Placement {
+	usable := t.usable(fleet, nowMs)
+	existing := fleet.Placements()
+	if len(existing) == 0 {
+		return t.placeFirst(usable, nowMs)
+	}
+	load := map[string]int{}
+	for _, placement := range existing {
+		for _, member := range placement.Members {
+			load[member]++
+		}
+	}
+	var changed []Placement
+	for _, placement := range existing {
+		if next, ok := t.repair(fleet, placement, usable, load, nowMs); ok {
+			changed = append(changed, next)
+		}
+	}
+	return changed
+}
+
+func (t *FleetTracker) usable(fleet *Fleet, nowMs int64) []LedgerHost {
+	var usable []LedgerHost
+	for _, host := range fleet.Ledgers() {
+		if !host.Retiring && t.Alive(host.Member, nowMs) {
+			usable = append(usable, host)
+		}
+	}
+	return usable
+}
+
+func (t *FleetTracker) placeFirst(usable []LedgerHost, nowMs int64) []Placement {
+	waited := nowMs-t.lastNewLedgerMs >= t.options.FormationMs
+	if len(usable) == 0 || !waited {
+		return nil
+	}
+	load := map[string]int{}
+	var placements []Placement
+	for group := 1; group <= t.options.Groups; group++ {
+		placement := Placement{Group: uint32(group)}
+		for len(placement.Members) < min(t.options.Replicas, len(usable)) {
+			host, ok := choose(usable, placement.Members, usable, load)
+			if !ok {
+				break
+			}
+			load[host.Member]++
+			placement.Members = append(placement.Members, host.Member)
+			placement.Initial = placement.Initial.With(consensus.Replica{ID: host.Replica, Member: host.Member})
+		}
+		placements = append(placements, placement)
+	}
+	return placements
+}
+
+// repair replaces one lost or retiring member of a group, or adds one where the
+// group is short. Invariant: a member is only replaced once the group's leader has
+// said that the placement before is in force, so that repairs never pile up.
+func (t *FleetTracker) repair(fleet *Fleet, placement Placement, usable []LedgerHost, load map[string]int, nowMs int64) (Placement, bool) {
+	next := placement
+	next.Members = slices.Clone(placement.Members)
+	for position, member := range placement.Members {
+		host, known := fleet.Ledger(member)
+		if known && !host.Retiring && t.Alive(member, nowMs) {
+			continue
+		}
+		others := slices.Delete(slices.Clone(placement.Members), position, position+1)
+		replacement, ok := choose(usable, placement.Members, hostsOf(fleet, others), load)
+		if !ok {
+			continue
+		}
+		load[member]--
+		load[replacement.Member]++
+		next.Members[position] = replacement.Member
+		return next, true
+	}
+	if len(next.Members) < t.options.Replicas {
+		if host, ok := choose(usable, next.Members, hostsOf(fleet, next.Members), load); ok {
+			load[host.Member]++
+			next.Members = append(next.Members, host.Member)
+			return next, true
+		}
+	}
+	return placement, false
+}
+
+func hostsOf(fleet *Fleet, members []string) []LedgerHost {
+	var hosts []LedgerHost
+	for _, member := range members {
+		if host, ok := fleet.Ledger(member); ok {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// choose returns the usable host that is not taken whose zone has the fewest of
+// the others, and among those the one with the least load.
+func choose(usable []LedgerHost, taken []string, others []LedgerHost, load map[string]int) (LedgerHost, bool) {
+	inZone := map[string]int{}
+	for _, other := range others {
+		if slices.Contains(taken, other.Member) {
+			inZone[other.Zone]++
+		}
+	}
+	var best LedgerHost
+	found := false
+	better := func(a, b LedgerHost) bool {
+		if inZone[a.Zone] != inZone[b.Zone] {
+			return inZone[a.Zone] < inZone[b.Zone]
+		}
+		if load[a.Member] != load[b.Member] {
+			return load[a.Member] < load[b.Member]
+		}
+		return strings.Compare(a.Member, b.Member) < 0
+	}
+	for _, host := range usable {
+		if slices.Contains(taken, host.Member) {
+			continue
+		}
+		if !found || better(host, best) {
+			best, found = host, true
+		}
+	}
+	return best, found
+}
+
+// Retire decides on a request to empty a ledger host: false where too few would be
+// left.
+func (t *FleetTracker) Retire(fleet *Fleet, member string, nowMs int64) bool {
+	left := 0
+	for _, host := range t.usable(fleet, nowMs) {
+		if host.Member != member {
+			left++
+		}
+	}
+	return left >= t.options.Replicas
+}
+
+// Emptied reports whether no group has a member any more: none is placed on it and
+// every group's leader said so.
+func (t *FleetTracker) Emptied(fleet *Fleet, member string) bool {
+	for _, placement := range fleet.Placements() {
+		if slices.Contains(placement.Members, member) {
+			return false
+		}
+		led, ok := t.led[placement.Group]
+		if !ok || !led.Settled || slices.Contains(led.Members, member) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/program/turns.go
@@ -0,0 +1,281 @@
+package program
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+const (
+	// turnGraceMs is how much longer a turn is kept than its route asks for, so that
+	// nobody who counts from the end of the answer finds it gone.
+	turnGraceMs = 5_000
+	// budgetIdleMs is how long the budget of a program is kept that does nothing.
+	budgetIdleMs = 180_000
+	// maxChainTurns bounds one line of turns.
+	maxChainTurns = 10_000
+)
+
+// Reserve opens a turn: it takes the most that the turn may generate from the
+// program's budget and checks that the turn it goes on from exists.
+type Reserve struct {
+	Program string `msgpack:"p"`
+	Request string `msgpack:"r"`
+	// Budget bounds the tokens that all turns of the program generate; zero is no
+	// bound. Most is what this turn may generate, tokens.
+	Budget int64 `msgpack:"b,omitempty"`
+	Most   int64 `msgpack:"m,omitempty"`
+	// Previous names the turn that this one goes on from, by its request.
+	Previous string `msgpack:"v,omitempty"`
+}
+
+// Settle closes a turn: it charges what was generated and keeps the turn where
+// asked to.
+type Settle struct {
+	Program string `msgpack:"p"`
+	Request string `msgpack:"r"`
+	// Used is what was generated, tokens.
+	Used int64 `msgpack:"u,omitempty"`
+	// Keep stores Content, the turn's input and output, for RetentionMs.
+	Keep        bool   `msgpack:"k,omitempty"`
+	Previous    string `msgpack:"v,omitempty"`
+	Content     []byte `msgpack:"c,omitempty"`
+	RetentionMs int64  `msgpack:"t,omitempty"`
+}
+
+// TurnCommand is one entry of a turn group's log; exactly one part is set.
+type TurnCommand struct {
+	// NowMs is the proposer's clock, milliseconds since 1970.
+	NowMs   int64    `msgpack:"n"`
+	Reserve *Reserve `msgpack:"r,omitempty"`
+	Settle  *Settle  `msgpack:"s,omitempty"`
+	Sweep   bool     `msgpack:"w,omitempty"`
+}
+
+// TurnEffects are the writes that a command asks of the owner's disk.
+type TurnEffects struct {
+	// Write is the request whose content is to be kept.
+	Write   string
+	Content []byte
+	// Forget lists requests whose content may go.
+	Forget []string
+}
+
+// budget is what one program has generated and may be generating.
+type budget struct {
+	Program string `msgpack:"p"`
+	Spent   int64  `msgpack:"s"`
+	// Reserved holds the most of each open turn by its request.
+	Reserved map[string]int64 `msgpack:"r"`
+	LastMs   int64            `msgpack:"l"`
+}
+
+// reserved sums up the open turns.
+func (b *budget) reserved() int64 {
+	total := int64(0)
+	for _, most := range b.Reserved {
+		total += most
+	}
+	return total
+}
+
+// turn is one kept turn; its content is on the owner's disk.
+type turn struct {
+	Request   string `msgpack:"r"`
+	Previous  string `msgpack:"v"`
+	ExpiresMs int64  `msgpack:"e"`
+}
+
+// Turns is the ledger of opaque turns: a tree of kept turns by request, and the
+// budgets of generated tokens of their programs. It is the deterministic state of
+// one ledger group.
+type Turns struct {
+	budgets map[string]*budget
+	turns   map[string]*turn
+
+	// DisableBudget refuses no turn for its budget, for runs that show what the
+	// check is for.
+	DisableBudget bool
+}
+
+// NewTurns returns an empty ledger.
+func NewTurns() *Turns {
+	return &Turns{budgets: map[string]*budget{}, turns: map[string]*turn{}}
+}
+
+// Len returns how many turns are kept.
+func (t *Turns) Len() int { return len(t.turns) }
+
+// Programs returns how many budgets are kept.
+func (t *Turns) Programs() int { return len(t.budgets) }
+
+// Has reports whether a turn is kept.
+func (t *Turns) Has(request string) bool {
+	_, ok := t.turns[request]
+	return ok
+}
+
+// Spent returns what a program has generated and what its open turns may.
+func (t *Turns) Spent(program string) (spent, reserved int64) {
+	known, ok := t.budgets[program]
+	if !ok {
+		return 0, 0
+	}
+	return known.Spent, known.reserved()
+}
+
+// Chain returns the requests of the line of turns that ends with the one given,
+// oldest first.
+func (t *Turns) Chain(request string) []string {
+	var chain []string
+	for request != "" && len(chain) < maxChainTurns {
+		known, ok := t.turns[request]
+		if !ok {
+			break
+		}
+		chain = append(chain, request)
+		request = known.Previous
+	}
+	slices.Reverse(chain)
+	return chain
+}
+
+// Apply carries out one command.
+func (t *Turns) Apply(command TurnCommand) (*result.Error, TurnEffects) {
+	switch {
+	case command.Reserve != nil:
+		return t.reserve(command.NowMs, command.Reserve), TurnEffects{}
+	case command.Settle != nil:
+		return nil, t.settle(command.NowMs, command.Settle)
+	case command.Sweep:
+		return nil, t.sweep(command.NowMs)
+	}
+	return result.New(result.Internal, "empty command"), TurnEffects{}
+}
+
+// reserve grants a turn. Invariant: what a program has generated and what its open
+// turns may generate stays within its budget, whichever gateways run them; a turn
+// whose end nobody reported counts at its most.
+func (t *Turns) reserve(nowMs int64, reserve *Reserve) *result.Error {
+	if reserve.Previous != "" && !t.Has(reserve.Previous) {
+		return result.New(result.UnknownTurn, "no turn %s", reserve.Previous)
+	}
+	if reserve.Budget <= 0 {
+		return nil
+	}
+	known, ok := t.budgets[reserve.Program]
+	if !ok {
+		known = &budget{Program: reserve.Program, Reserved: map[string]int64{}}
+	}
+	if _, open := known.Reserved[reserve.Request]; open {
+		return nil
+	}
+	reserved := known.reserved()
+	if known.Spent+reserved+reserve.Most > reserve.Budget && !t.DisableBudget {
+		return result.New(result.BudgetExhausted, "budget %d, spent %d, reserved %d, asked %d",
+			reserve.Budget, known.Spent, reserved, reserve.Most)
+	}
+	known.Reserved[reserve.Request] = reserve.Most
+	known.LastMs = max(known.LastMs, nowMs)
+	t.budgets[reserve.Program] = known
+	return nil
+}
+
+// settle closes a turn; one that is settled again changes nothing.
+func (t *Turns) settle(nowMs int64, settle *Settle) TurnEffects {
+	if known, ok := t.budgets[settle.Program]; ok {
+		if _, open := known.Reserved[settle.Request]; open {
+			delete(known.Reserved, settle.Request)
+			known.Spent += settle.Used
+		}
+		known.LastMs = max(known.LastMs, nowMs)
+	}
+	if !settle.Keep || t.Has(settle.Request) {
+		return TurnEffects{}
+	}
+	expires := nowMs + settle.RetentionMs + turnGraceMs
+	t.turns[settle.Request] = &turn{Request: settle.Request, Previous: settle.Previous, ExpiresMs: expires}
+	// Invariant: a kept turn's whole chain is kept as long as the turn.
+	for _, ancestor := range t.Chain(settle.Request) {
+		known := t.turns[ancestor]
+		known.ExpiresMs = max(known.ExpiresMs, expires)
+	}
+	return TurnEffects{Write: settle.Request, Content: settle.Content}
+}
+
+// SweepDue reports whether a sweep would forget something.
+func (t *Turns) SweepDue(nowMs int64) bool {
+	for _, known := range t.turns {
+		if known.ExpiresMs < nowMs {
+			return true
+		}
+	}
+	for _, known := range t.budgets {
+		if known.LastMs+budgetIdleMs < nowMs {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Turns) sweep(nowMs int64) TurnEffects {
+	var effects TurnEffects
+	for request, known := range t.turns {
+		if known.ExpiresMs < nowMs {
+			delete(t.turns, request)
+			effects.Forget = append(effects.Forget, request)
+		}
+	}
+	slices.Sort(effects.Forget)
+	for id, known := range t.budgets {
+		if known.LastMs+budgetIdleMs < nowMs {
+			delete(t.budgets, id)
+		}
+	}
+	return effects
+}
+
+// turnsSnapshot is the encoded form, in an order that is the same on every replica.
+type turnsSnapshot struct {
+	Budgets []*budget `msgpack:"b"`
+	Turns   []*turn   `msgpack:"t"`
+}
+
+// Snapshot encodes the ledger without the turns' content.
+func (t *Turns) Snapshot() ([]byte, error) {
+	var encoded turnsSnapshot
+	for _, known := range t.budgets {
+		encoded.Budgets = append(encoded.Budgets, known)
+	}
+	for _, known := range t.turns {
+		encoded.Turns = append(encoded.Turns, known)
+	}
+	slices.SortFunc(encoded.Budgets, func(a, b *budget) int { return cmp.Compare(a.Program, b.Program) })
+	slices.SortFunc(encoded.Turns, func(a, b *turn) int { return cmp.Compare(a.Request, b.Request) })
+	return msgpack.Marshal(&encoded)
+}
+
+// Restore replaces the ledger by a snapshot; empty data gives an empty ledger.
+func (t *Turns) Restore(data []byte) error {
+	var encoded turnsSnapshot
+	if len(data) > 0 {
+		if err := msgpack.Unmarshal(data, &encoded); err != nil {
+			return err
+		}
+	}
+	t.budgets = map[string]*budget{}
+	t.turns = map[string]*turn{}
+	for _, known := range encoded.Budgets {
+		if known.Reserved == nil {
+			known.Reserved = map[string]int64{}
+		}
+		t.budgets[known.Program] = known
+	}
+	for _, known := range encoded.Turns {
+		t.turns[known.Request] = known
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/protocol/fleet.go
@@ -0,0 +1,82 @@
+package protocol
+
+import (
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+)
+
+// FleetOrder asks the leader of the settings group for one thing; exactly one part
+// is set.
+type FleetOrder struct {
+	// Report is an engine's report of itself.
+	Report *membership.ServingEngine `msgpack:"e,omitempty"`
+	// Leave names an engine that ends.
+	Leave string `msgpack:"l,omitempty"`
+	// Routing is a whole routing table to put in force.
+	Routing *routing.Table `msgpack:"r,omitempty"`
+	// ReadRouting asks for the table in force, confirmed by a quorum.
+	ReadRouting bool `msgpack:"d,omitempty"`
+	// Retire names a ledger host to be emptied, RetireState one to ask about.
+	Retire      string `msgpack:"t,omitempty"`
+	RetireState string `msgpack:"s,omitempty"`
+}
+
+// FleetOrderReply answers a FleetOrder.
+type FleetOrderReply struct {
+	Error  *result.Error `msgpack:"e,omitempty"`
+	Leader string        `msgpack:"l,omitempty"`
+	// Routing answers ReadRouting; nil before the first table.
+	Routing *routing.Table `msgpack:"r,omitempty"`
+	// Done answers RetireState.
+	Done bool `msgpack:"d,omitempty"`
+}
+
+// FleetSync is the heartbeat of a gateway or ledger host; the reply is held until
+// there is news, or until HoldMs have passed.
+type FleetSync struct {
+	Gateway *membership.Gateway      `msgpack:"g,omitempty"`
+	Ledger  *membership.LedgerReport `msgpack:"d,omitempty"`
+	// Version and Generation are the fleet and the routing table in force at the
+	// sender; WithRouting says that it wants the table at all.
+	Version     uint64 `msgpack:"v"`
+	Generation  uint64 `msgpack:"n"`
+	WithRouting bool   `msgpack:"r,omitempty"`
+	HoldMs      int64  `msgpack:"w"`
+	// Fresh asks that the reply be confirmed by a quorum: a process's first sync.
+	Fresh bool `msgpack:"f,omitempty"`
+}
+
+// FleetSyncReply carries the news.
+type FleetSyncReply struct {
+	Error  *result.Error         `msgpack:"e,omitempty"`
+	Leader string                `msgpack:"l,omitempty"`
+	Fleet  *membership.FleetNews `msgpack:"f,omitempty"`
+	// Routing leads from the sender's generation to the one in force.
+	Routing *routing.Delta `msgpack:"r,omitempty"`
+	// Controls are the inner addresses of the control processes.
+	Controls []string `msgpack:"c,omitempty"`
+	// Confirmed says that a quorum confirmed the reply.
+	Confirmed bool `msgpack:"q,omitempty"`
+}
+
+// TurnRequest asks the leader of a ledger group for one thing; exactly one of
+// Reserve, Settle and Find is set.
+type TurnRequest struct {
+	Group   uint32           `msgpack:"g"`
+	Reserve *program.Reserve `msgpack:"r,omitempty"`
+	// HasChain says that the sender knows the chain that Reserve goes on from.
+	HasChain bool            `msgpack:"h,omitempty"`
+	Settle   *program.Settle `msgpack:"s,omitempty"`
+	// Find asks for the chain of a turn, confirmed by a quorum.
+	Find string `msgpack:"f,omitempty"`
+}
+
+// TurnReply answers a TurnRequest.
+type TurnReply struct {
+	Error  *result.Error `msgpack:"e,omitempty"`
+	Leader string        `msgpack:"l,omitempty"`
+	// Chain is the content of the turns up to the one named, oldest first.
+	Chain []byte `msgpack:"c,omitempty"`
+}
--- a/internal/protocol/fuzz_test.go
+++ b/internal/protocol/fuzz_test.go
@@ -11,6 +11,7 @@
 		&PeerBatch{}, &Hello{}, &LedgerRequest{}, &LedgerReply{}, &SyncRequest{}, &SyncReply{}, &ReleasedRequest{}, &ReleasedReply{},
 		&PermitRequest{}, &PermitReply{}, &SettingsRequest{}, &SettingsReply{}, &ReadRequest{}, &ReadReply{}, &CallRequest{},
 		&Piece{}, &Answer{}, &Cancel{}, &FollowRequest{}, &FollowReply{}, &ProgramRequest{}, &ProgramReply{},
+		&FleetOrder{}, &FleetOrderReply{}, &FleetSync{}, &FleetSyncReply{}, &TurnRequest{}, &TurnReply{},
 	}
 }
 
--- a/internal/protocol/kinds.go
+++ b/internal/protocol/kinds.go
@@ -1,6 +1,6 @@
 package protocol
 
-// NewRequest returns an empty request to control of a kind, nil where there is
+// NewRequest returns an empty request of a kind, nil where there is
 // none.
 func NewRequest(kind Kind) any {
 	switch kind {
@@ -16,6 +16,12 @@
 		return &SettingsRequest{}
 	case KindRead:
 		return &ReadRequest{}
+	case KindFleetOrder:
+		return &FleetOrder{}
+	case KindFleetSync:
+		return &FleetSync{}
+	case KindTurn:
+		return &TurnRequest{}
 	}
 	return nil
 }
@@ -35,6 +41,12 @@
 		return &SettingsReply{}
 	case KindRead:
 		return &ReadReply{}
+	case KindFleetOrder:
+		return &FleetOrderReply{}
+	case KindFleetSync:
+		return &FleetSyncReply{}
+	case KindTurn:
+		return &TurnReply{}
 	}
 	return nil
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -26,6 +26,10 @@
 	KindSettings Kind = 7
 	KindRead     Kind = 8
 
+	KindFleetOrder Kind = 9
+	KindFleetSync  Kind = 10
+	KindTurn       Kind = 11
+
 	KindCall     Kind = 20
 	KindPiece    Kind = 21
 	KindAnswer   Kind = 22
@@ -60,6 +64,8 @@
 	Bootstrap consensus.Configuration `msgpack:"c"`
 	// Joining says that not every group counts the sender's replica as a voter.
 	Joining bool `msgpack:"j,omitempty"`
+	// Forwarded says that another process than the one named sent it on.
+	Forwarded bool `msgpack:"w,omitempty"`
 }
 
 // LedgerRequest proposes a command to a ledger group.
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -2,17 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	sendQueueFrames = 4096
 	bufferBytes     = 64 << 10
 	writeTimeout    = 10 * time.Second
+	silenceTimeout  = 2 * time.Second
 )
 
 // ErrClosed means that the connection has ended.
@@ -60,7 +65,8 @@
 // Dial connects to a peer by IP:port. delay is added to each direction, to
 // stand in for the distance between zones.
 func Dial(address string, timeout, delay time.Duration) (*Connection, error) {
-	socket, err := net.DialTimeout("tcp", address, timeout)
+	dialer := net.Dialer{Timeout: timeout, Control: giveUpOnSilence}
+	socket, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -70,6 +76,19 @@
 	return connection, nil
 }
 
+// giveUpOnSilence makes the kernel end a connection whose peer acknowledges
+// nothing: a machine without power or behind a cut says nothing.
+func giveUpOnSilence(_, _ string, socket syscall.RawConn) error {
+	var failure error
+	err := socket.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
 // RemoteAddress returns the peer's IP:port.
 func (c *Connection) RemoteAddress() string {
 	return c.socket.RemoteAddr().String()
@@ -252,7 +271,8 @@
 
 // Listen binds to IP:port; port 0 lets the kernel choose.
 func Listen(address string, handler Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
+	config := net.ListenConfig{Control: giveUpOnSilence}
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -5,6 +5,7 @@
 package replication
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -339,13 +340,8 @@
 	return values, nil
 }
 
-// ordered are the keys that SortedKeys takes.
-type ordered interface {
-	~uint64 | ~string
-}
-
 // SortedKeys returns the keys of a map in ascending order, so that runs repeat.
-func SortedKeys[K ordered, V any](values map[K]V) []K {
+func SortedKeys[K cmp.Ordered, V any](values map[K]V) []K {
 	keys := make([]K, 0, len(values))
 	for key := range values {
 		keys = append(keys, key)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -42,6 +42,9 @@
 	ForeignProgram    Code = 1008
 	MethodNotAllowed  Code = 1009
 	UnknownThread     Code = 1010
+	NoRoute           Code = 1011
+	UnknownTurn       Code = 1012
+	HeadersTooLarge   Code = 1013
 	ProgramClosed     Code = 1101
 	BudgetExhausted   Code = 1102
 	TurnLimit         Code = 1103
@@ -54,6 +57,7 @@
 	DeadlineTooClose  Code = 1203
 	NoEngine          Code = 1204
 	Draining          Code = 1205
+	NotConfigured     Code = 1206
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -62,11 +66,14 @@
 	NoScheduler       Code = 1306
 	EngineRefused     Code = 1307
 	Cancelled         Code = 1308
+	LedgerUnreachable Code = 1309
+	EngineTimeout     Code = 1310
 	SettingsInvalid   Code = 1401
 	SettingsConflict  Code = 1402
 	ChangeNumberReuse Code = 1403
 	StaleOrder        Code = 1404
 	NotInForce        Code = 1405
+	TooFewLeft        Code = 1406
 )
 
 // Entry describes one code.
@@ -94,6 +101,9 @@
 	{ForeignProgram, "foreign_program", NotRun, 403, 0, "The program belongs to another tenant or service."},
 	{MethodNotAllowed, "method_not_allowed", NotRun, 405, 0, "The path does not take this method."},
 	{UnknownThread, "unknown_thread", NotRun, 404, 0, "The parent thread does not exist in this program."},
+	{NoRoute, "no_route", NotRun, 404, 0, "No route has this host and path."},
+	{UnknownTurn, "unknown_turn", NotRun, 404, 0, "The turn that the request goes on from does not exist."},
+	{HeadersTooLarge, "headers_too_large", NotRun, 431, 0, "The request's header is over the limit."},
 	{ProgramClosed, "program_closed", NotRun, 410, 0, "The program has ended."},
 	{BudgetExhausted, "budget_exhausted", NotRun, 402, 0, "The program's token budget does not cover the call."},
 	{TurnLimit, "turn_limit", NotRun, 402, 0, "The program has used all its turns."},
@@ -106,6 +116,7 @@
 	{DeadlineTooClose, "deadline_too_close", NotRun, 429, time.Second, "The expected finish is after the call's deadline."},
 	{NoEngine, "no_engine", NotRun, 503, 2 * time.Second, "No engine of the service's pool is ready."},
 	{Draining, "draining", NotRun, 503, 500 * time.Millisecond, "The process is stopping and takes no new calls."},
+	{NotConfigured, "not_configured", NotRun, 503, 300 * time.Millisecond, "The process has not heard the routing table in force yet."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica asked is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; every attempt allowed was used."},
@@ -114,11 +125,14 @@
 	{NoScheduler, "no_scheduler", NotRun, 503, time.Second, "No scheduler can be reached from the sidecar."},
 	{EngineRefused, "engine_refused", NotRun, 503, 500 * time.Millisecond, "The engine said that it did not start the call."},
 	{Cancelled, "cancelled", Unknown, 499, 0, "The caller went away before the answer was complete."},
+	{LedgerUnreachable, "ledger_unreachable", NotRun, 503, 200 * time.Millisecond, "The program's ledger group did not answer in time; no engine was sent the call."},
+	{EngineTimeout, "engine_timeout", Unknown, 504, 0, "The engine had not answered when the request's time was over."},
 	{SettingsInvalid, "settings_invalid", NotRun, 400, 0, "The change would make the tree invalid; nothing was changed."},
 	{SettingsConflict, "settings_conflict", NotRun, 409, 0, "The node has changed since the version given; the answer shows the winner."},
 	{ChangeNumberReuse, "change_number_reuse", NotRun, 409, 0, "The operator used this change number before with other content."},
 	{StaleOrder, "stale_order", NotRun, 409, 0, "The engine has accepted an order with a higher fence."},
 	{NotInForce, "not_in_force", Ran, 504, 0, "The change is accepted, but not every live daemon reported it in time."},
+	{TooFewLeft, "too_few_left", NotRun, 409, 0, "Too few ledger hosts would be left to hold every group."},
 }
 
 var entries = func() map[Code]Entry {
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,165 @@
+// Package routing is the table by which gateways send requests to back ends: which
+// host and path prefix belong to which route, what may be repeated, for how long
+// and to which back ends. A table is one whole, replaced by generation; it is part
+// of the settings tree. The package is pure: no clock, socket or random source.
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+// Kind says how the requests of a route may be treated.
+type Kind string
+
+// The kinds of routes.
+const (
+	// KindSafe requests may run more than once.
+	KindSafe Kind = "safe"
+	// KindUnsafe requests run at most once.
+	KindUnsafe Kind = "unsafe"
+	// KindStream answers are events with rising ids.
+	KindStream Kind = "stream"
+)
+
+// Share is one back end's part of a route.
+type Share struct {
+	Backend string  `msgpack:"b" json:"backend"`
+	Weight  float64 `msgpack:"w" json:"weight"`
+}
+
+// Route sends the requests of one host and path prefix to back ends. Times are in
+// milliseconds.
+type Route struct {
+	Name       string  `msgpack:"n" json:"name"`
+	Host       string  `msgpack:"h" json:"host"`
+	PathPrefix string  `msgpack:"p" json:"path_prefix"`
+	Kind       Kind    `msgpack:"k" json:"kind"`
+	Shares     []Share `msgpack:"s" json:"shares"`
+	TimeoutMs  int64   `msgpack:"t" json:"timeout_ms"`
+	// TargetLatencyMs is the time within which an answer is worth most, and
+	// TargetGapMs the longest pause between events that keeps it so.
+	TargetLatencyMs int64 `msgpack:"l" json:"target_latency_ms"`
+	TargetGapMs     int64 `msgpack:"g,omitempty" json:"target_gap_ms,omitempty"`
+	// Priority is the rank among routes, 0 first.
+	Priority int `msgpack:"r" json:"priority"`
+	// MaxAttempts bounds the engines to which one request may be sent.
+	MaxAttempts int  `msgpack:"a" json:"max_attempts"`
+	Resumable   bool `msgpack:"e,omitempty" json:"resumable,omitempty"`
+	// Retain keeps the turns of this route, RetentionMs long.
+	Retain      bool  `msgpack:"v,omitempty" json:"retain,omitempty"`
+	RetentionMs int64 `msgpack:"m,omitempty" json:"retention_ms,omitempty"`
+	// Affinity says that an engine which saw the same object lately works faster.
+	Affinity bool `msgpack:"f,omitempty" json:"affinity,omitempty"`
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindSafe || (r.Kind == KindStream && r.Resumable)
+}
+
+// Backend is a service of engines.
+type Backend struct {
+	Name           string `msgpack:"n" json:"name"`
+	HealthPath     string `msgpack:"h" json:"health_path"`
+	MaxConnections int    `msgpack:"c" json:"max_connections"`
+	// Slots is how many requests an engine works on at once; zero where the back
+	// end does not say.
+	Slots int `msgpack:"s,omitempty" json:"slots,omitempty"`
+	// EventTokens is how many tokens one event of a stream holds.
+	EventTokens int64 `msgpack:"e,omitempty" json:"event_tokens,omitempty"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes  int   `msgpack:"h" json:"max_header_bytes"`
+	MaxBodyBytes    int64 `msgpack:"b" json:"max_body_bytes"`
+	HeaderTimeoutMs int64 `msgpack:"t" json:"header_timeout_ms"`
+	IdleTimeoutMs   int64 `msgpack:"i" json:"idle_timeout_ms"`
+}
+
+// Table is one whole routing table.
+type Table struct {
+	// Generation orders tables: the highest one holds.
+	Generation uint64    `msgpack:"g" json:"generation"`
+	Routes     []Route   `msgpack:"r" json:"routes"`
+	Backends   []Backend `msgpack:"b" json:"backends"`
+	Limits     Limits    `msgpack:"l" json:"limits"`
+	// Document is the table in the form in which its operator sent it; it is given
+	// back unchanged and never looked into.
+	Document []byte `msgpack:"d,omitempty" json:"-"`
+}
+
+// Validate returns the first fault of a table.
+func (t *Table) Validate() *result.Error {
+	backends := map[string]bool{}
+	for _, backend := range t.Backends {
+		if backend.Name == "" || backends[backend.Name] {
+			return invalid("backend %q: has no name or stands twice", backend.Name)
+		}
+		backends[backend.Name] = true
+	}
+	places := map[string]bool{}
+	for position := range t.Routes {
+		route := &t.Routes[position]
+		if failure := route.validate(backends); failure != nil {
+			return failure
+		}
+		place := strings.ToLower(route.Host) + route.PathPrefix
+		if places[place] {
+			return invalid("route %q: another route has host %s and prefix %s", route.Name, route.Host, route.PathPrefix)
+		}
+		places[place] = true
+	}
+	return nil
+}
+
+func (r *Route) validate(backends map[string]bool) *result.Error {
+	if r.Host == "" || !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		return invalid("route %q: needs a host, and a prefix that begins and ends with a slash", r.Name)
+	}
+	if !slices.Contains([]Kind{KindSafe, KindUnsafe, KindStream}, r.Kind) {
+		return invalid("route %q: kind %q is none of safe, unsafe, stream", r.Name, r.Kind)
+	}
+	if r.TimeoutMs <= 0 {
+		return invalid("route %q: the time-out must be above 0", r.Name)
+	}
+	total := 0.0
+	for _, share := range r.Shares {
+		if !backends[share.Backend] {
+			return invalid("route %q: there is no back end %q", r.Name, share.Backend)
+		}
+		if share.Weight < 0 {
+			return invalid("route %q: the weight of %q is below 0", r.Name, share.Backend)
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		return invalid("route %q: its weights sum to 0", r.Name)
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) *result.Error {
+	return result.New(result.SettingsInvalid, "%s", fmt.Sprintf(format, arguments...))
+}
+
+// WithoutDocument returns the table as gateways need it.
+func (t *Table) WithoutDocument() *Table {
+	stripped := *t
+	stripped.Document = nil
+	return &stripped
+}
+
+// Backend returns the back end of a name.
+func (t *Table) Backend(name string) (Backend, bool) {
+	for _, backend := range t.Backends {
+		if backend.Name == name {
+			return backend, true
+		}
+	}
+	return Backend{}, false
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
 )
 
 // AnyVersion in a NodeChange skips the check of the node's version.
@@ -39,6 +40,9 @@
 	Number   uint64       `json:"number" msgpack:"n"`
 	AtMs     int64        `json:"at_ms" msgpack:"a"`
 	Nodes    []NodeChange `json:"nodes" msgpack:"c"`
+	// Routing replaces the routing table where its generation is above the one in
+	// force; a change carries either nodes or a table.
+	Routing *routing.Table `json:"routing,omitempty" msgpack:"t,omitempty"`
 }
 
 // digest identifies the content of a change, its time aside.
@@ -84,6 +88,8 @@
 	Nodes     map[string]*Node
 	Changes   []Accepted
 	Operators map[string][]numbered
+	// Routing is the table in force, nil before the first.
+	Routing *routing.Table
 }
 
 // Tree is the replicated settings tree.
@@ -107,6 +113,9 @@
 
 // Apply carries out one change.
 func (t *Tree) Apply(change Change) Reply {
+	if change.Routing != nil {
+		return t.replaceRouting(change.Routing)
+	}
 	if reply, done := t.resent(change); done {
 		return reply
 	}
@@ -165,6 +174,22 @@
 	return Reply{Revision: t.state.Revision}
 }
 
+// Routing returns the routing table in force, nil before the first.
+func (t *Tree) Routing() *routing.Table { return t.state.Routing }
+
+// replaceRouting puts a table in force as a whole. Invariant: the generation only
+// grows; one that is not above the one in force changes nothing, whatever it holds.
+// The history keeps no tables: followers get differences between generations.
+func (t *Tree) replaceRouting(table *routing.Table) Reply {
+	if failure := table.Validate(); failure != nil {
+		return Reply{Error: failure, Revision: t.state.Revision}
+	}
+	if t.state.Routing == nil || table.Generation > t.state.Routing.Generation {
+		t.state.Routing = table
+	}
+	return Reply{Revision: t.state.Revision}
+}
+
 func (t *Tree) put(change NodeChange, operator string) {
 	if change.Delete {
 		delete(t.Nodes, change.Path)
@@ -399,6 +424,7 @@
 	Nodes     []*Node         `msgpack:"n"`
 	Changes   []Accepted      `msgpack:"c"`
 	Operators []operatorState `msgpack:"o"`
+	Routing   *routing.Table  `msgpack:"t,omitempty"`
 }
 
 type operatorState struct {
@@ -408,7 +434,7 @@
 
 // Snapshot encodes the tree.
 func (t *Tree) Snapshot() ([]byte, error) {
-	encoded := snapshot{Revision: t.state.Revision, Changes: t.Changes}
+	encoded := snapshot{Revision: t.state.Revision, Changes: t.Changes, Routing: t.state.Routing}
 	for _, path := range t.Paths("/") {
 		encoded.Nodes = append(encoded.Nodes, t.Nodes[path])
 	}
@@ -430,6 +456,7 @@
 	fresh := NewTree().state
 	fresh.Revision = encoded.Revision
 	fresh.Changes = encoded.Changes
+	fresh.Routing = encoded.Routing
 	for _, node := range encoded.Nodes {
 		fresh.Nodes[node.Path] = node
 	}
