Give back a reservation whose grant nobody heard; bound the heap by the machine

Each try that the ledger did not answer in time left its most reserved although no engine got the call. The ledger also went over its memory: the heap was allowed all that the machine grants. Change: such a reservation is settled at nothing; the heap's limit is 55% of memory.

--- a/cmd/ochrebay/process.go
+++ b/cmd/ochrebay/process.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/go-kit/log"
@@ -59,9 +60,22 @@
 		problem := config.Problem{File: *f.file, Field: "role", Value: process.Role, Reason: "this command starts a " + role}
 		return process, nil, settingsError{problem}
 	}
+	limitMemory(process.Limits)
 	return process, telemetry.NewLogger(os.Stdout, role, process.Name, process.Log.Level), nil
 }
 
+// heapShare is the part of the process's memory that the heap may take before the
+// garbage collector works harder: the rest is for stacks, file pages and bytes that
+// have arrived and are not read yet.
+const heapShare = 0.55
+
+// limitMemory keeps the heap below what the machine grants.
+func limitMemory(limits config.Limits) {
+	if limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * heapShare))
+	}
+}
+
 func registerConfig(app *kingpin.Application, registered commands) {
 	command := app.Command("check-config", "Check the settings file of a process and start nothing.\n\nExample: ochrebay check-config etc/control-1.yaml")
 	file := command.Arg("file", "Settings file.").Required().String()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -171,7 +171,7 @@
 func Defaults() Process {
 	return Process{
 		Listen:   Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
-		Limits:   Limits{MemoryMB: 512, HeaderBytes: 16 << 10, GraceSeconds: 10},
+		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
 		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
 		Log:      Log{Level: "info"},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,8 @@
 			return d.noEngine(c, avoid)
 		}
 		c.attempts++
+		c.engine = engine.ID
+		c.sent = time.Since(c.started)
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.ended(engine.ID, nowMs(), outcome)
 		d.logAttempt(c, engine, outcome)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -40,7 +40,8 @@
 	leastDrain      = 3500 * time.Millisecond
 	drainPoll       = 50 * time.Millisecond
 	// chainShare is the part of the process's memory that chains may take.
-	chainShare = 6
+	chainShare        = 6
+	defaultChainBytes = 64 << 20
 	// assumedPeers is how many gateways of a zone are taken to share its engines.
 	assumedPeers = 3
 )
@@ -78,7 +79,7 @@
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
 		engines: newEngines(process.Zone, assumedPeers), ledgers: newLedgers(),
-		chains: newChainCache((process.Limits.MemoryMB << 20) / chainShare),
+		chains: newChainCache(chainBytes(process.Limits)),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
@@ -88,6 +89,14 @@
 	return d
 }
 
+// chainBytes is how much the cache of chains may hold.
+func chainBytes(limits config.Limits) int {
+	if limits.MemoryMB == 0 {
+		return defaultChainBytes
+	}
+	return (limits.MemoryMB << 20) / chainShare
+}
+
 // Follower returns the daemon's link to control, for changed settings.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -208,7 +208,10 @@
 		settle.Previous = ""
 		settle.Content = append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...)
 	}
-	if failure := a.daemon.ledgers.settle(settle, keepTimeout); failure != nil {
+	began := time.Now()
+	failure := a.daemon.ledgers.settle(settle, keepTimeout)
+	c.kept = time.Since(began)
+	if failure != nil {
 		a.daemon.logFailure("turn not kept", c, failure)
 		return false
 	}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -43,6 +43,13 @@
 	reserved bool
 	foreign  bool
 	attempts int
+	// engine is the one that was sent the call last.
+	engine string
+	// opened and sent are how long after its start the call was opened by the ledger
+	// and sent to its last engine, and kept how long the ledger took to keep it.
+	opened time.Duration
+	sent   time.Duration
+	kept   time.Duration
 }
 
 // isTurn reports whether the ledger takes part in the call.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -39,16 +39,19 @@
 	if c.timeLeft() < shortestSend {
 		return result.New(result.DeadlinePassed, "%s left", c.timeLeft())
 	}
+	defer func() {
+		if c.reserved {
+			d.settleLater(c, out)
+		}
+	}()
 	if c.isTurn() {
-		if failure := d.openTurn(ctx, c); failure != nil {
+		failure := d.openTurn(ctx, c)
+		c.opened = time.Since(c.started)
+		if failure != nil {
 			return failure
 		}
 	}
-	failure := d.serveAttempts(ctx, c, out.deliver)
-	if c.reserved {
-		d.settleLater(c, out)
-	}
-	return failure
+	return d.serveAttempts(ctx, c, out.deliver)
 }
 
 // openTurn has the ledger reserve the turn and fetches the chain it goes on from.
@@ -73,6 +76,9 @@
 		reply = d.ledgers.reserve(bounded, reserve, true)
 	}
 	if reply.Error != nil {
+		// The reservation may stand although nobody said so; no engine gets the call, so
+		// nothing of it may stay charged.
+		c.reserved = c.budget > 0 && reply.Error.Code == result.LedgerUnreachable
 		return reply.Error
 	}
 	if !hasChain && !c.foreign {
@@ -125,7 +131,12 @@
 	if c != nil {
 		took = time.Since(c.started).Round(100 * time.Microsecond).String()
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
-			"program", c.program, "attempts", c.attempts)
+			"program", c.program, "attempts", c.attempts, "engine", c.engine,
+			"opened_ms", c.opened.Milliseconds(), "sent_ms", c.sent.Milliseconds(), "kept_ms", c.kept.Milliseconds())
+		if out.events > 0 {
+			keyValues = append(keyValues, "first_event_ms", out.firstEvent.Sub(c.started).Milliseconds(),
+				"events_ms", out.lastEvent.Sub(out.firstEvent).Milliseconds())
+		}
 	}
 	keyValues = append(keyValues, "status", out.status, "events", out.events, "took", took)
 	if failure == nil {
