--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -23,6 +23,11 @@
 	Seed           uint64
 	ElectionTicks  int
 	HeartbeatTicks int
+	// StartTicks spaces the first campaigns of voters that start together: the voter
+	// whose turn it is by the group's seed campaigns after a tick, the next one
+	// StartTicks later. Pre-vote keeps a leader that is still there in place. Zero
+	// gives the first timeout no special treatment.
+	StartTicks int
 	// QuiesceTicks is how long a group must be idle before it goes quiet; zero
 	// turns quiescence off.
 	QuiesceTicks int
@@ -95,9 +100,22 @@
 	node.vote = restored.HardState.Vote
 	node.savedHardState = node.hardState()
 	node.becomeFollower(node.term, None)
+	node.shortenFirstTimeout()
 	return node
 }
 
+// shortenFirstTimeout lets voters that start together agree on a leader without
+// waiting for a timeout that is meant for a leader that has fallen silent.
+func (n *Node) shortenFirstTimeout() {
+	voters := n.log.configuration().Voters()
+	place := slices.Index(voters, n.options.ID)
+	if n.options.StartTicks <= 0 || place < 0 {
+		return
+	}
+	turn := (place + int(n.options.Seed%uint64(len(voters)))) % len(voters)
+	n.electionTimeout = 1 + turn*n.options.StartTicks
+}
+
 func (n *Node) hardState() HardState {
 	return HardState{Term: n.term, Vote: n.vote, Commit: n.log.commit}
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -104,6 +104,7 @@
 	maxAppendBytes  = 1 << 20
 	maxInflight     = 64
 	compactBytes    = 8 << 20
+	startTicks      = 3
 	keptTables      = 4
 	candidateHellos = 3
 )
@@ -180,7 +181,7 @@
 
 func hostOptions(options Options) replication.Options {
 	return replication.Options{
-		Name: options.Name, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks,
+		Name: options.Name, StartTicks: startTicks, ElectionTicks: options.ElectionTicks, HeartbeatTicks: options.HeartbeatTicks,
 		QuiesceTicks: options.QuiesceTicks, MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight,
 		ProposalWaitMs: proposalWaitMs, CompactEntries: options.CompactEntries, CompactBytes: compactBytes,
 		DisablePreVote: options.DisablePreVote, DisableCheckQuorum: options.DisableCheckQuorum,
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -28,6 +28,10 @@
 	gatewaySilentMs = 2_500
 	ledgerSilentMs  = 2_000
 	formationMs     = 1_500
+
+	// discoveredElectionTicks is shorter than that of a listed cluster: callers wait
+	// for the leader of a platform's fleet.
+	discoveredElectionTicks = 7
 )
 
 // status is the snapshot that traffic goroutines read.
@@ -107,6 +111,7 @@
 	options := DefaultOptions(process.Listen.Address, members, 0)
 	options.LeaseMs = process.Cluster.LeaseMs
 	options.Discovered = true
+	options.ElectionTicks = discoveredElectionTicks
 	options.MayForm = process.Cluster.Bootstrap
 	options.MinVoters = 2*process.Cluster.ToleratedMachines + 1
 	options.Fleet = membership.FleetOptions{
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -20,7 +20,7 @@
 	syncHold      = 700 * time.Millisecond
 	syncTimeout   = 1500 * time.Millisecond
 	firstPause    = 20 * time.Millisecond
-	longestPause  = 300 * time.Millisecond
+	longestPause  = 120 * time.Millisecond
 	leaderUnknown = ""
 	maxRedirects  = 2
 )
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -5,6 +5,7 @@
 package ledger
 
 import (
+	"bytes"
 	"slices"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
@@ -17,6 +18,17 @@
 // RequestID names a request whose reply the shell will route.
 type RequestID uint64
 
+// Storage is the disk as the core sees it.
+type Storage interface {
+	replication.Storage
+	// Note keeps a small value by name, and NoteOf returns it, nil where there is none.
+	Note(name string, value []byte) error
+	NoteOf(name string) ([]byte, error)
+}
+
+// placementNote is the name under which the last view of the fleet is kept.
+const placementNote = "placement"
+
 // Outlet takes what the core sends. Its methods must not call back.
 type Outlet interface {
 	Send(member string, batch protocol.PeerBatch)
@@ -39,7 +51,8 @@
 
 const (
 	defaultTickMs      = 50
-	electionTicks      = 8
+	electionTicks      = 6
+	startTicks         = 3
 	heartbeatTicks     = 2
 	maxAppendBytes     = 1 << 20
 	maxInflight        = 64
@@ -58,7 +71,7 @@
 	return Options{
 		Member: member, Name: name, Zone: zone, TickMs: defaultTickMs,
 		Replication: replication.Options{
-			Name: member, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
+			Name: member, StartTicks: startTicks, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks,
 			MaxAppendBytes: maxAppendBytes, MaxInflight: maxInflight, ProposalWaitMs: proposalWaitMs,
 			CompactEntries: compactEntries, CompactBytes: compactBytes,
 		},
@@ -68,7 +81,7 @@
 // Core is the state of one ledger host.
 type Core struct {
 	options Options
-	storage replication.Storage
+	storage Storage
 	outlet  Outlet
 	host    *replication.Host
 	nowMs   int64
@@ -80,10 +93,12 @@
 	// leaderlessMs is since when a hosted group has no known leader.
 	leaderlessMs map[storage.GroupID]int64
 	draining     bool
+	// noted is the placement as the disk remembers it.
+	noted []byte
 }
 
 // NewCore returns a core that hosts nothing until it hears of its placement.
-func NewCore(options Options, disk replication.Storage, outlet Outlet, nowMs int64) *Core {
+func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		leaderlessMs: map[storage.GroupID]int64{},
@@ -112,8 +127,44 @@
 	return group.State.(*stateMachine)
 }
 
-// Follow takes a new view of the fleet and hosts the groups placed here.
+// placementNoted is what a host must know to go on without control.
+type placementNoted struct {
+	Ledgers map[string]membership.LedgerHost `msgpack:"l"`
+	Groups  map[uint32]membership.Placement  `msgpack:"g"`
+}
+
+// Restore hosts the groups that the disk remembers, so that a fleet which starts
+// again as a whole does not wait for control first.
+func (c *Core) Restore(nowMs int64) error {
+	raw, err := c.storage.NoteOf(placementNote)
+	if err != nil || raw == nil {
+		return err
+	}
+	var noted placementNoted
+	if err := protocol.Decode(raw, &noted); err != nil {
+		return err
+	}
+	c.noted = raw
+	return c.hostView(&membership.FleetView{Ledgers: noted.Ledgers, Groups: noted.Groups}, nowMs)
+}
+
+// Follow takes a new view of the fleet, remembers what matters of it and hosts the
+// groups placed here.
 func (c *Core) Follow(view *membership.FleetView, nowMs int64) error {
+	raw, err := protocol.Encode(&placementNoted{Ledgers: view.Ledgers, Groups: view.Groups})
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(raw, c.noted) {
+		if err := c.storage.Note(placementNote, raw); err != nil {
+			return err
+		}
+		c.noted = raw
+	}
+	return c.hostView(view, nowMs)
+}
+
+func (c *Core) hostView(view *membership.FleetView, nowMs int64) error {
 	c.setNow(nowMs)
 	c.view = view
 	for _, group := range replication.SortedKeys(view.Groups) {
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -60,6 +60,10 @@
 	}
 	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
 	d.core = NewCore(options, store, d, telemetry.NowMs())
+	if err := d.core.Restore(telemetry.NowMs()); err != nil {
+		_ = store.Close()
+		return nil, errorx.Decorate(err, "restoring the placement")
+	}
 	d.links = daemon.NewLinks(func(member string) string { return member }, func(string) time.Duration { return 0 })
 	d.loop = daemon.NewLoop(time.Duration(options.TickMs) * time.Millisecond)
 	d.loop.Tick = func() { d.core.Tick(telemetry.NowMs()) }
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -23,6 +23,7 @@
 	Name           string
 	ElectionTicks  int
 	HeartbeatTicks int
+	StartTicks     int
 	QuiesceTicks   int
 	MaxAppendBytes int
 	MaxInflight    int
@@ -76,7 +77,7 @@
 	node := consensus.NewNode(consensus.Options{
 		ID: h.storage.Replica(), Seed: uint64(id)*1_000_003 + 17,
 		ElectionTicks: h.options.ElectionTicks, HeartbeatTicks: h.options.HeartbeatTicks,
-		QuiesceTicks: h.options.QuiesceTicks, MaxAppendBytes: h.options.MaxAppendBytes, MaxInflight: h.options.MaxInflight,
+		StartTicks: h.options.StartTicks, QuiesceTicks: h.options.QuiesceTicks, MaxAppendBytes: h.options.MaxAppendBytes, MaxInflight: h.options.MaxInflight,
 		DisablePreVote: h.options.DisablePreVote, DisableCheckQuorum: h.options.DisableCheckQuorum,
 		DisableReadConfirm: h.options.DisableReadConfirm,
 	}, restored)
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -10,6 +10,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -33,6 +34,7 @@
 var (
 	metaBucket     = []byte("meta")
 	groupsBucket   = []byte("groups")
+	notesBucket    = []byte("notes")
 	logBucket      = []byte("log")
 	recordsBucket  = []byte("records")
 	replicaKey     = []byte("replica")
@@ -159,6 +161,29 @@
 	})
 }
 
+// Note keeps a small value by name and returns after the sync.
+func (s *Store) Note(name string, value []byte) error {
+	return s.database.Update(func(tx *bbolt.Tx) error {
+		notes, err := tx.CreateBucketIfNotExists(notesBucket)
+		if err != nil {
+			return err
+		}
+		return notes.Put([]byte(name), value)
+	})
+}
+
+// NoteOf returns a value that was kept by name, nil where there is none.
+func (s *Store) NoteOf(name string) ([]byte, error) {
+	var value []byte
+	err := s.database.View(func(tx *bbolt.Tx) error {
+		if notes := tx.Bucket(notesBucket); notes != nil {
+			value = slices.Clone(notes.Get([]byte(name)))
+		}
+		return nil
+	})
+	return value, err
+}
+
 func groupKey(group GroupID) []byte {
 	return binary.BigEndian.AppendUint32(nil, uint32(group))
 }
