Wait for room when all engines turn a call away; keep messages for a new connection

The gateway gave up after one round over the engines although the call had a second left. Ruled out: an engine that runs what it refuses (0 ran again). Cause 2: ledgers' first votes after a restart were dropped because the link was still being dialled, so that the first election needed a second timeout (0.7 s). Change: after a round of refusals a call waits 8 to 60 ms and asks again while half of its time is left; a link keeps up to 64 messages while it is made.

--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -10,8 +10,16 @@
 const (
 	dialTimeout = time.Second
 	redialPause = 200 * time.Millisecond
+	// waitingMessages bounds what is kept for a peer while its connection is made.
+	waitingMessages = 64
 )
 
+// outgoing is a message that waits for a connection.
+type outgoing struct {
+	kind    protocol.Kind
+	message any
+}
+
 // Links are the connections to other processes for messages that need no answer;
 // they redial by themselves.
 type Links struct {
@@ -28,8 +36,9 @@
 	return &Links{links: map[string]*link{}, address: address, delay: delay}
 }
 
-// Send sends a message; without a connection it is dropped, since consensus repeats
-// what matters.
+// Send sends a message. Where there is no connection, a few messages wait for it: the
+// first vote of a process that has just started must not be lost. What can't be sent
+// is dropped, since consensus repeats what matters.
 func (l *Links) Send(member string, kind protocol.Kind, message any) {
 	l.mutex.Lock()
 	peer, known := l.links[member]
@@ -63,6 +72,7 @@
 	current *protocol.Connection
 	dialing bool
 	closed  bool
+	waiting []outgoing
 }
 
 func (p *link) send(kind protocol.Kind, message any) {
@@ -72,6 +82,9 @@
 		p.dialing = true
 		go p.dial()
 	}
+	if connection == nil && len(p.waiting) < waitingMessages {
+		p.waiting = append(p.waiting, outgoing{kind, message})
+	}
 	p.mutex.Unlock()
 	if connection != nil {
 		_ = connection.Send(kind, message)
@@ -88,7 +101,11 @@
 	keep := err == nil && !p.closed
 	if keep {
 		p.current = connection
+		for _, message := range p.waiting {
+			_ = connection.Send(message.kind, message.message)
+		}
 	}
+	p.waiting = nil
 	p.mutex.Unlock()
 	if keep {
 		connection.OnClose(p.forget)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -47,8 +48,12 @@
 }
 
 const (
-	// maxRefusals bounds the engines that are asked after refusals.
-	maxRefusals = 3
+	// roomPause is the first pause after all engines turned a call away; it grows up
+	// to longestRoomPause. A call is given up when only a roomShare-th of its time is
+	// left.
+	roomPause        = 8 * time.Millisecond
+	longestRoomPause = 60 * time.Millisecond
+	roomShare        = 2
 	// shortestSend is the least time that a send to an engine makes sense for.
 	shortestSend = 5 * time.Millisecond
 )
@@ -60,10 +65,16 @@
 func (d *Daemon) serveAttempts(ctx context.Context, c *call, deliver deliverFunc) *result.Error {
 	var avoid []string
 	runs := 0
+	rounds := 0
 	for {
 		engine, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
 		if !found {
-			return d.noEngine(c, avoid)
+			rounds++
+			if runs > 0 || !d.waitForRoom(ctx, c, rounds) {
+				return d.noEngine(c, runs, avoid)
+			}
+			avoid = nil
+			continue
 		}
 		c.attempts++
 		c.engine = engine.ID
@@ -83,12 +94,30 @@
 				return result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
 			}
 		}
-		if len(avoid) >= maxRefusals+max(c.route.MaxAttempts, 1) || c.timeLeft() < shortestSend {
+		if c.timeLeft() < shortestSend {
 			return d.exhausted(c, runs, outcome)
 		}
 	}
 }
 
+// waitForRoom waits before the engines are asked once more that all turned the call
+// away, or before one may have come; false where the call is better refused, so that
+// its caller hears so while it can still come back.
+func (d *Daemon) waitForRoom(ctx context.Context, c *call, rounds int) bool {
+	pause := min(roomPause<<min(rounds-1, 4), longestRoomPause)
+	pause += rand.N(pause)
+	total := c.deadline.Sub(c.started)
+	if c.timeLeft()-pause < total/roomShare {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
 // demand describes the call to the choice of engines.
 func (d *Daemon) demand(c *call, avoid []string) scheduling.Demand {
 	demand := scheduling.Demand{Avoid: avoid, NowMs: nowMs()}
@@ -101,7 +130,10 @@
 	return demand
 }
 
-func (d *Daemon) noEngine(c *call, avoid []string) *result.Error {
+func (d *Daemon) noEngine(c *call, runs int, avoid []string) *result.Error {
+	if runs > 0 {
+		return result.New(result.OutcomeUnknown, "%d sends, one of them broken off", c.attempts)
+	}
 	if len(avoid) > 0 {
 		return result.New(result.EngineRefused, "all %d engines of %s that were asked turned the call away", len(avoid), c.backend.Name).
 			WithRetryAfter(refusalPause)
