--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -2,7 +2,13 @@
 
 func (n *Node) resetElectionTimer() {
 	n.electionElapsed = 0
-	n.electionTimeout = n.options.ElectionTicks + int(n.nextRandom()%uint64(n.options.ElectionTicks))
+	shortest := n.options.ElectionTicks
+	if n.options.StartTicks > 0 && !n.knewLeader {
+		// A replica that has known no leader since it started has none to wait for; it
+		// asks again soon, since those that it asked may only just be starting.
+		shortest = min(n.options.StartTicks, n.options.ElectionTicks)
+	}
+	n.electionTimeout = shortest + int(n.nextRandom()%uint64(shortest))
 }
 
 func (n *Node) becomeFollower(term uint64, leader ReplicaID) {
@@ -12,6 +18,7 @@
 	}
 	n.role = Follower
 	n.leader = leader
+	n.knewLeader = n.knewLeader || leader != None
 	n.votes = nil
 	n.progress = nil
 	n.reads = nil
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -61,6 +61,8 @@
 	role    Role
 	leader  ReplicaID
 	random  uint64
+	// knewLeader says that a leader was known since the replica started.
+	knewLeader bool
 
 	electionElapsed  int
 	heartbeatElapsed int
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,7 +123,10 @@
 	demand := scheduling.Demand{Avoid: avoid, NowMs: nowMs()}
 	switch {
 	case c.route.Kind == routing.KindStream:
-		demand.Key = c.program
+		demand.Stream = true
+		demand.Home = c.home
+		demand.Prompt = c.prefix
+		demand.Events = c.most / max(c.backend.EventTokens, 1) / 2
 	case c.route.Affinity:
 		demand.Key = c.affinity
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
-	pace := float64(began.Sub(c.started).Microseconds()) / 1000
+	pace := milliseconds(began.Sub(c.started.Add(c.sent)))
 	if len(held) < heldBytes {
 		a.writeHead(exchange.Response, len(held))
 		if _, err := a.writer.Write(held); err != nil {
@@ -131,7 +131,6 @@
 	flusher, _ := a.writer.(http.Flusher)
 	flusher.Flush()
 	reader := bufio.NewReaderSize(exchange, eventLineSize)
-	eventsBefore := a.events
 	var block []byte
 	for {
 		line, err := reader.ReadSlice('\n')
@@ -162,9 +161,6 @@
 		outcome.err = errCaller
 		return outcome
 	}
-	if events := a.events - eventsBefore; events > 1 {
-		outcome.paceMs = float64(a.lastEvent.Sub(a.firstEvent).Microseconds()) / 1000 / float64(events-1)
-	}
 	// Invariant: a turn is kept before its caller can see the answer as complete.
 	if c.keeps() && !a.keepTurn(c) {
 		outcome.kind = attemptBroken
@@ -181,11 +177,7 @@
 func (a *answer) passEvent(block []byte, c *call, flusher http.Flusher) bool {
 	data, isEvent := eventData(block)
 	if isEvent {
-		a.events++
-		a.lastEvent = time.Now()
-		if a.firstEvent.IsZero() {
-			a.firstEvent = a.lastEvent
-		}
+		a.noteEvent(c)
 		if c.keeps() {
 			a.output = append(append(a.output, data...), '\n')
 		}
@@ -197,12 +189,28 @@
 	return true
 }
 
+// noteEvent counts an event and tells the choice of engines how long it took.
+func (a *answer) noteEvent(c *call) {
+	now := time.Now()
+	a.events++
+	if a.firstEvent.IsZero() {
+		a.firstEvent = now
+		a.daemon.engines.firstEvent(c.engine, now, milliseconds(now.Sub(c.started.Add(c.sent))))
+	} else {
+		a.daemon.engines.nextEvent(c.engine, now, milliseconds(now.Sub(a.lastEvent)))
+	}
+	a.lastEvent = now
+}
+
+// milliseconds returns a duration as a fraction of milliseconds.
+func milliseconds(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
+
 // keepTurn has the ledger settle and keep the turn.
 func (a *answer) keepTurn(c *call) bool {
 	content := append(append(make([]byte, 0, len(c.body)+len(a.output)), c.body...), a.output...)
 	settle := &program.Settle{
 		Program: c.program, Request: c.id, Used: a.used(c), Keep: true, Previous: c.previous,
-		Content: content, RetentionMs: c.route.RetentionMs,
+		Session: c.session, Engine: c.engine, Content: content, RetentionMs: c.route.RetentionMs,
 	}
 	if c.foreign {
 		settle.Previous = ""
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -81,7 +82,7 @@
 	if !found {
 		return membership.ServingEngine{}, false
 	}
-	chosen.Health.InFlight++
+	chosen.Health.Sent(demand.Prompt, demand.NowMs)
 	for _, engine := range pool {
 		if engine.ID == chosen.ID {
 			return engine, true
@@ -90,6 +91,20 @@
 	return membership.ServingEngine{}, false
 }
 
+// firstEvent notes how long an engine took for the first event of a stream.
+func (e *engines) firstEvent(id string, now time.Time, took float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.healthOf(id).FirstEvent(now.UnixMilli(), took)
+}
+
+// nextEvent notes the pause of a stream before an event.
+func (e *engines) nextEvent(id string, now time.Time, gap float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.healthOf(id).NextEvent(now.UnixMilli(), gap)
+}
+
 // ended takes a call off an engine and notes how it went.
 func (e *engines) ended(id string, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -12,9 +12,12 @@
 // about a request. A deployment may use names of its own.
 type Headers struct {
 	// From the caller.
-	RequestID   string
-	DeadlineMs  string
-	Program     string
+	RequestID  string
+	DeadlineMs string
+	Program    string
+	Session    string
+	// Prefix lists the parts of a prompt in order, as ID:TOKENS.
+	Prefix      string
 	Budget      string
 	Usage       string
 	Previous    string
@@ -34,6 +37,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID: "Ochrebay-Request", DeadlineMs: "Ochrebay-Deadline-Ms", Program: "Ochrebay-Program",
+		Session: "Ochrebay-Thread", Prefix: "Ochrebay-Prefix",
 		Budget: "Ochrebay-Token-Budget", Usage: "Ochrebay-Tokens", Previous: "Ochrebay-Previous-Turn",
 		LastEventID: "Last-Event-Id", Affinity: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
 		Priority: "Ochrebay-Priority", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -10,6 +10,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 // call is one caller's request, read whole and checked.
@@ -27,7 +28,12 @@
 	deadline time.Time
 
 	// program, budget, most and previous describe a turn.
-	program  string
+	program string
+	session string
+	// prefix are the parts of the prompt, in order.
+	prefix []scheduling.PromptPart
+	// home is the engine that most likely holds what the session has read.
+	home     string
 	budget   int64
 	most     int64
 	previous string
@@ -120,6 +126,7 @@
 	}
 	c.deadline = c.started.Add(limit)
 	c.program = header.Get(names.Program)
+	c.session = header.Get(names.Session)
 	c.previous = header.Get(names.Previous)
 	c.affinity = header.Get(names.Affinity)
 	var failure *result.Error
@@ -133,6 +140,7 @@
 		}
 		c.most = parsed
 	}
+	c.prefix = scheduling.ParsePrompt(header.Get(names.Prefix))
 	return failure
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,7 +58,7 @@
 func (d *Daemon) openTurn(ctx context.Context, c *call) *result.Error {
 	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(reserveTimeout)))
 	defer cancel()
-	reserve := &program.Reserve{Program: c.program, Request: c.id, Budget: c.budget, Most: c.most}
+	reserve := &program.Reserve{Program: c.program, Request: c.id, Budget: c.budget, Most: c.most, Session: c.session}
 	hasChain := false
 	if c.route.Retain && c.previous != "" {
 		reserve.Previous = c.previous
@@ -81,6 +81,7 @@
 		c.reserved = c.budget > 0 && reply.Error.Code == result.LedgerUnreachable
 		return reply.Error
 	}
+	c.home = reply.Engine
 	if !hasChain && !c.foreign {
 		c.chain = reply.Chain
 	}
@@ -97,7 +98,7 @@
 
 // settleLater charges a turn that is not kept; the caller need not wait for it.
 func (d *Daemon) settleLater(c *call, out *answer) {
-	settle := &program.Settle{Program: c.program, Request: c.id, Used: out.used(c)}
+	settle := &program.Settle{Program: c.program, Request: c.id, Used: out.used(c), Session: c.session, Engine: c.engine}
 	go func() {
 		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
 			d.logFailure("turn not settled", c, failure)
--- /dev/null
+++ b/internal/ledger/cluster_test.go
@@ -0,0 +1,458 @@
+package ledger
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/storage"
+)
+
+const (
+	stepMs     = 10
+	testBudget = 1000
+	testMost   = 100
+)
+
+// memoryDisk is a disk whose writes are atomic and last.
+type memoryDisk struct {
+	replica  consensus.ReplicaID
+	restored map[storage.GroupID]*consensus.Restored
+	records  map[storage.GroupID]map[string][]byte
+	notes    map[string][]byte
+}
+
+func newMemoryDisk(replica consensus.ReplicaID) *memoryDisk {
+	return &memoryDisk{
+		replica: replica, restored: map[storage.GroupID]*consensus.Restored{},
+		records: map[storage.GroupID]map[string][]byte{}, notes: map[string][]byte{},
+	}
+}
+
+func (d *memoryDisk) Replica() consensus.ReplicaID         { return d.replica }
+func (d *memoryDisk) Note(name string, value []byte) error { d.notes[name] = value; return nil }
+func (d *memoryDisk) NoteOf(name string) ([]byte, error)   { return d.notes[name], nil }
+func (d *memoryDisk) group(id storage.GroupID) *consensus.Restored {
+	if d.restored[id] == nil {
+		d.restored[id] = &consensus.Restored{}
+		d.records[id] = map[string][]byte{}
+	}
+	return d.restored[id]
+}
+
+func (d *memoryDisk) Write(writes []storage.GroupWrite) error {
+	for _, write := range writes {
+		group := d.group(write.Group)
+		if write.Snapshot != nil {
+			group.Snapshot = *write.Snapshot
+		}
+		if len(write.Entries) > 0 {
+			first := write.Entries[0].Index
+			group.Entries = slices.DeleteFunc(group.Entries, func(entry consensus.Entry) bool { return entry.Index >= first })
+			group.Entries = append(group.Entries, write.Entries...)
+		}
+		group.Entries = slices.DeleteFunc(group.Entries, func(entry consensus.Entry) bool { return entry.Index <= group.Snapshot.Index })
+		if write.HardState != nil {
+			group.HardState = *write.HardState
+		}
+		if write.ReplaceRecords {
+			d.records[write.Group] = map[string][]byte{}
+		}
+		for _, record := range write.Records {
+			if record.Value == nil {
+				delete(d.records[write.Group], record.Program)
+			} else {
+				d.records[write.Group][record.Program] = record.Value
+			}
+		}
+	}
+	return nil
+}
+
+func (d *memoryDisk) Load(id storage.GroupID) (consensus.Restored, error) {
+	group := d.group(id)
+	return consensus.Restored{HardState: group.HardState, Snapshot: group.Snapshot, Entries: slices.Clone(group.Entries)}, nil
+}
+
+func (d *memoryDisk) Records(id storage.GroupID, name string, _ uint64) ([]storage.Record, error) {
+	d.group(id)
+	value, ok := d.records[id][name]
+	if !ok {
+		return nil, nil
+	}
+	return []storage.Record{{Program: name, Turn: contentRecord, Value: value}}, nil
+}
+
+func (d *memoryDisk) AllRecords(id storage.GroupID) ([]storage.Record, error) {
+	d.group(id)
+	var records []storage.Record
+	for _, name := range slices.Sorted(maps.Keys(d.records[id])) {
+		records = append(records, storage.Record{Program: name, Turn: contentRecord, Value: d.records[id][name]})
+	}
+	return records, nil
+}
+
+// node is one ledger host of a test cluster.
+type node struct {
+	cluster *cluster
+	host    membership.LedgerHost
+	disk    *memoryDisk
+	core    *Core
+	replies map[RequestID]func(*protocol.TurnReply)
+	next    RequestID
+	cut     bool
+}
+
+// cluster runs cores over a network that delays and loses messages.
+type cluster struct {
+	t      *testing.T
+	random *rand.Rand
+	nowMs  int64
+	nodes  []*node
+	groups []membership.Placement
+	flying []delivery
+	nextID consensus.ReplicaID
+	// kept is what was acknowledged: the content of the chain up to each turn.
+	kept    map[string]string
+	granted map[string]int
+	version uint64
+}
+
+type delivery struct {
+	atMs int64
+	run  func()
+}
+
+func newCluster(t *testing.T, seed uint64, hosts, replicas int) *cluster {
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), nowMs: 1000, kept: map[string]string{}, granted: map[string]int{}}
+	for number := range hosts {
+		c.nextID++
+		host := membership.LedgerHost{Member: fmt.Sprintf("m%d", number), Name: fmt.Sprintf("ledger-%d", number), Zone: fmt.Sprint(number), Replica: c.nextID}
+		c.nodes = append(c.nodes, &node{cluster: c, host: host, disk: newMemoryDisk(host.Replica)})
+	}
+	placement := membership.Placement{Group: 1}
+	for _, node := range c.nodes[:replicas] {
+		placement.Members = append(placement.Members, node.host.Member)
+		placement.Initial = placement.Initial.With(consensus.Replica{ID: node.host.Replica, Member: node.host.Member})
+	}
+	c.groups = []membership.Placement{placement}
+	for _, node := range c.nodes {
+		node.start()
+	}
+	c.tellView()
+	return c
+}
+
+// tellView does what control does: every host hears of all disks and placements.
+func (c *cluster) tellView() {
+	c.version++
+	news := membership.FleetNews{Version: c.version, Whole: true, Groups: c.groups}
+	for _, node := range c.nodes {
+		news.Ledgers = append(news.Ledgers, node.host)
+	}
+	var view *membership.FleetView
+	view, _ = view.Follow(news)
+	for _, node := range c.nodes {
+		if node.core != nil {
+			if err := node.core.Follow(view, c.nowMs); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (n *node) start() {
+	n.replies = map[RequestID]func(*protocol.TurnReply){}
+	options := DefaultOptions(n.host.Member, n.host.Name, n.host.Zone)
+	options.Replication.CompactEntries = 20
+	n.core = NewCore(options, n.disk, n, n.cluster.nowMs)
+	if err := n.core.Restore(n.cluster.nowMs); err != nil {
+		n.cluster.t.Fatal(err)
+	}
+}
+
+// wipe replaces the disk by an empty one.
+func (n *node) wipe() {
+	n.cluster.nextID++
+	n.host.Replica = n.cluster.nextID
+	n.disk = newMemoryDisk(n.host.Replica)
+}
+
+// Send carries a batch as the wire would, late and now and then not at all.
+func (n *node) Send(member string, batch protocol.PeerBatch) {
+	raw, err := protocol.Encode(&batch)
+	if err != nil {
+		n.cluster.t.Fatal(err)
+	}
+	for _, other := range n.cluster.nodes {
+		if other.host.Member != member || n.cut || n.cluster.random.IntN(100) == 0 {
+			continue
+		}
+		at := n.cluster.nowMs + int64(1+n.cluster.random.IntN(8))
+		n.cluster.flying = append(n.cluster.flying, delivery{at, func() {
+			var decoded protocol.PeerBatch
+			if other.core == nil || other.cut || protocol.Decode(raw, &decoded) != nil {
+				return
+			}
+			other.core.Peer(decoded, n.cluster.nowMs)
+		}})
+	}
+}
+
+// Reply routes an answer to whoever asked.
+func (n *node) Reply(request RequestID, reply *protocol.TurnReply) {
+	if answer, ok := n.replies[request]; ok {
+		delete(n.replies, request)
+		answer(reply)
+	}
+}
+
+func (n *node) ask(request *protocol.TurnRequest, answer func(*protocol.TurnReply)) {
+	n.next++
+	n.replies[n.next] = answer
+	n.core.Request(n.next, request, n.cluster.nowMs)
+}
+
+// run lets time pass.
+func (c *cluster) run(durationMs int64) {
+	for end := c.nowMs + durationMs; c.nowMs < end; {
+		c.nowMs += stepMs
+		due := c.flying
+		c.flying = nil
+		for _, next := range due {
+			if next.atMs > c.nowMs {
+				c.flying = append(c.flying, next)
+				continue
+			}
+			next.run()
+		}
+		for _, node := range c.nodes {
+			if node.core == nil {
+				continue
+			}
+			node.core.Tick(c.nowMs)
+			if err := node.core.Flush(); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (c *cluster) leader() *node {
+	for _, node := range c.nodes {
+		if node.core == nil || node.cut {
+			continue
+		}
+		if group := node.core.host.Find(1); group != nil && group.Leads() {
+			return node
+		}
+	}
+	return nil
+}
+
+// until runs until a condition holds, at most for 30 s of virtual time.
+func (c *cluster) until(what string, condition func() bool) {
+	c.t.Helper()
+	for range 300 {
+		if condition() {
+			return
+		}
+		c.run(100)
+	}
+	c.t.Fatalf("%d ms: %s did not happen", c.nowMs, what)
+}
+
+// keep has a turn kept that goes on from another; it notes what was acknowledged.
+func (c *cluster) keep(request, previous string) {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	content := "<" + request + ">"
+	leader.ask(&protocol.TurnRequest{Group: 1, Settle: &program.Settle{
+		Program: "p", Request: request, Previous: previous, Keep: true, Content: []byte(content), RetentionMs: 3_600_000,
+	}}, func(reply *protocol.TurnReply) {
+		if reply.Error == nil {
+			c.kept[request] = c.kept[previous] + content
+		}
+	})
+}
+
+// spend reserves a turn that nobody settles.
+func (c *cluster) spend(request string) {
+	leader := c.leader()
+	if leader == nil {
+		return
+	}
+	leader.ask(&protocol.TurnRequest{Group: 1, Reserve: &program.Reserve{
+		Program: "budget", Request: request, Budget: testBudget, Most: testMost,
+	}}, func(reply *protocol.TurnReply) {
+		if reply.Error == nil {
+			c.granted[request]++
+		}
+	})
+}
+
+// check holds that all that was acknowledged is there, whole and in order, and that
+// no more was granted than the budget allows.
+func (c *cluster) check() {
+	c.t.Helper()
+	for request, content := range c.kept {
+		got, answered := "", false
+		c.until("an answer about "+request, func() bool {
+			if leader := c.leader(); leader != nil {
+				leader.ask(&protocol.TurnRequest{Group: 1, Find: request}, func(reply *protocol.TurnReply) {
+					if reply.Error == nil || reply.Error.Code == result.UnknownTurn {
+						got, answered = string(reply.Chain), true
+					}
+				})
+				c.run(100)
+			}
+			return answered
+		})
+		if got != content {
+			c.t.Fatalf("turn %s: kept %q, found %q", request, content, got)
+		}
+	}
+	if len(c.granted) > testBudget/testMost {
+		c.t.Fatalf("%d turns of %d granted from a budget of %d", len(c.granted), testMost, testBudget)
+	}
+}
+
+func (c *cluster) settled() bool {
+	leader := c.leader()
+	if leader == nil {
+		return false
+	}
+	group := leader.core.host.Find(1)
+	current := map[string]consensus.ReplicaID{}
+	for _, node := range c.nodes {
+		current[node.host.Member] = node.host.Replica
+	}
+	configuration := group.Node.Configuration()
+	return len(configuration.Replicas) == len(c.groups[0].Members) && allVote(configuration, c.groups[0].Members, current)
+}
+
+// TestDisksLostInTurn loses every disk, one after the other, each as soon as the
+// repair before has ended; nothing acknowledged may be gone.
+func TestDisksLostInTurn(t *testing.T) {
+	for seed := range uint64(10) {
+		c := newCluster(t, seed, 3, 3)
+		c.until("a leader", func() bool { return c.leader() != nil })
+		last := ""
+		for round := range 6 {
+			for number := range 8 {
+				request := fmt.Sprintf("%d-%d", round, number)
+				c.keep(request, last)
+				c.run(60)
+				if c.kept[request] != "" {
+					last = request
+				}
+			}
+			victim := c.nodes[round%3]
+			victim.core = nil
+			c.run(int64(100 + c.random.IntN(900)))
+			victim.wipe()
+			victim.start()
+			c.tellView()
+			c.until("the repair", c.settled)
+		}
+		if len(c.kept) < 20 {
+			t.Fatalf("seed %d: only %d turns were kept", seed, len(c.kept))
+		}
+		c.check()
+	}
+}
+
+// TestRandomFaults kills, cuts off and loses the disk of hosts, one at a time, while
+// turns are kept and budgets spent.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		c := newCluster(t, seed, 4, 3)
+		last := ""
+		for step := range 40 {
+			request := fmt.Sprint(step)
+			c.keep(request, last)
+			c.spend(request)
+			c.run(int64(20 + c.random.IntN(200)))
+			if c.kept[request] != "" {
+				last = request
+			}
+			if c.random.IntN(4) != 0 {
+				continue
+			}
+			victim := c.nodes[c.random.IntN(len(c.nodes))]
+			switch c.random.IntN(3) {
+			case 0:
+				victim.core = nil
+				c.run(int64(c.random.IntN(2000)))
+				victim.start()
+			case 1:
+				victim.cut = true
+				c.run(int64(c.random.IntN(3000)))
+				victim.cut = false
+			case 2:
+				victim.core = nil
+				c.run(int64(c.random.IntN(2000)))
+				victim.wipe()
+				victim.start()
+			}
+			c.tellView()
+			c.until("the repair", c.settled)
+		}
+		if len(c.kept) < 10 {
+			t.Fatalf("seed %d: only %d turns were kept", seed, len(c.kept))
+		}
+		c.check()
+	}
+}
+
+// TestWholeClusterLosesPower restarts all hosts at once without control: they go on
+// from what their disks remember.
+func TestWholeClusterLosesPower(t *testing.T) {
+	c := newCluster(t, 1, 3, 3)
+	c.until("a leader", func() bool { return c.leader() != nil })
+	c.keep("a", "")
+	c.until("a kept turn", func() bool { return c.kept["a"] != "" })
+	for _, node := range c.nodes {
+		node.core = nil
+	}
+	c.run(1000)
+	for _, node := range c.nodes {
+		node.start()
+	}
+	c.run(600)
+	if c.leader() == nil {
+		t.Fatal("no leader 600 ms after the start")
+	}
+	c.check()
+}
+
+// TestHostIsEmptied moves a group off a host, the leader's included, onto a spare.
+func TestHostIsEmptied(t *testing.T) {
+	for retiring := range 3 {
+		c := newCluster(t, uint64(retiring), 4, 3)
+		c.until("a leader", func() bool { return c.leader() != nil })
+		for number := range 30 {
+			c.keep(fmt.Sprint(number), "")
+			c.run(30)
+		}
+		c.groups[0].Members[retiring] = c.nodes[3].host.Member
+		c.tellView()
+		c.until("the move", c.settled)
+		for _, replica := range c.leader().core.host.Find(1).Node.Configuration().Replicas {
+			if replica.Member == c.nodes[retiring].host.Member {
+				t.Fatalf("%s still counts", replica.Member)
+			}
+		}
+		c.nodes[retiring].core = nil
+		c.check()
+	}
+}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -129,8 +129,20 @@
 
 // placementNoted is what a host must know to go on without control.
 type placementNoted struct {
-	Ledgers map[string]membership.LedgerHost `msgpack:"l"`
-	Groups  map[uint32]membership.Placement  `msgpack:"g"`
+	Ledgers []membership.LedgerHost `msgpack:"l"`
+	Groups  []membership.Placement  `msgpack:"g"`
+}
+
+// notePlacement returns what of a view is worth remembering, in a fixed order.
+func notePlacement(view *membership.FleetView) placementNoted {
+	var noted placementNoted
+	for _, member := range replication.SortedKeys(view.Ledgers) {
+		noted.Ledgers = append(noted.Ledgers, view.Ledgers[member])
+	}
+	for _, group := range replication.SortedKeys(view.Groups) {
+		noted.Groups = append(noted.Groups, view.Groups[group])
+	}
+	return noted
 }
 
 // Restore hosts the groups that the disk remembers, so that a fleet which starts
@@ -145,13 +157,16 @@
 		return err
 	}
 	c.noted = raw
-	return c.hostView(&membership.FleetView{Ledgers: noted.Ledgers, Groups: noted.Groups}, nowMs)
+	var view *membership.FleetView
+	view, _ = view.Follow(membership.FleetNews{Whole: true, Ledgers: noted.Ledgers, Groups: noted.Groups})
+	return c.hostView(view, nowMs)
 }
 
 // Follow takes a new view of the fleet, remembers what matters of it and hosts the
 // groups placed here.
 func (c *Core) Follow(view *membership.FleetView, nowMs int64) error {
-	raw, err := protocol.Encode(&placementNoted{Ledgers: view.Ledgers, Groups: view.Groups})
+	noted := notePlacement(view)
+	raw, err := protocol.Encode(&noted)
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -70,13 +70,16 @@
 	failure := c.host.Propose(group, &command, func(applied any) {
 		answer := &protocol.TurnReply{}
 		switch typed := applied.(type) {
-		case outcome:
-			answer.Error = typed.failure
+		case program.TurnOutcome:
+			answer.Error = typed.Error
+			answer.Engine = typed.Engine
 		case *result.Error:
 			answer.Error = typed
 		}
 		if answer.Error == nil && reply != nil {
+			engine := answer.Engine
 			answer = reply()
+			answer.Engine = engine
 		}
 		c.outlet.Reply(id, answer)
 	})
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -24,16 +24,13 @@
 // Turns returns the turns for reading.
 func (m *stateMachine) Turns() *program.Turns { return m.turns }
 
-// outcome is the state machine's reply to a proposer; a nil failure is a success.
-type outcome struct{ failure *result.Error }
-
 // Apply carries out an entry.
 func (m *stateMachine) Apply(_ uint64, data []byte) (any, []storage.Record) {
 	var command program.TurnCommand
 	if err := protocol.Decode(data, &command); err != nil {
-		return outcome{result.New(result.Internal, "undecodable entry: %v", err)}, nil
+		return program.TurnOutcome{Error: result.New(result.Internal, "undecodable entry: %v", err)}, nil
 	}
-	failure, effects := m.turns.Apply(command)
+	outcome, effects := m.turns.Apply(command)
 	var records []storage.Record
 	if effects.Write != "" {
 		content := effects.Content
@@ -45,7 +42,7 @@
 	for _, request := range effects.Forget {
 		records = append(records, storage.Record{Program: request, Turn: contentRecord})
 	}
-	return outcome{failure}, records
+	return outcome, records
 }
 
 // Snapshot encodes the turns without their content, which is in the records.
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+)
+
+func hostAt(number int, zone string) LedgerHost {
+	return LedgerHost{Member: fmt.Sprintf("10.0.0.%d:1", number), Name: fmt.Sprintf("ledger-%d", number), Zone: zone, Replica: consensus.ReplicaID(number)}
+}
+
+func fleetOptions() FleetOptions {
+	return FleetOptions{Groups: 2, Replicas: 3, EngineSilentMs: 1000, GatewaySilentMs: 1000, LedgerSilentMs: 1000, FormationMs: 100}
+}
+
+func TestFleet(t *testing.T) {
+	Convey("reports are taken by their sequence, and an engine that left does not come back", t, func() {
+		fleet := NewFleet()
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "e", Sequence: 5, Draining: true}}})
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "e", Sequence: 4}}})
+		engine, _ := fleet.Engine("e")
+		So(engine.Draining, ShouldBeTrue)
+		fleet.Apply(FleetUpdate{LeftEngines: []string{"e"}})
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "e", Sequence: 9}}})
+		_, known := fleet.Engine("e")
+		So(known, ShouldBeFalse)
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "f", Sequence: 1}}})
+		fleet.Apply(FleetUpdate{LostEngines: []string{"f"}})
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "f", Sequence: 2}}})
+		_, known = fleet.Engine("f")
+		So(known, ShouldBeTrue)
+	})
+	Convey("groups are placed over zones once no further host comes, and each once", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		for number, zone := range []string{"a", "a", "b", "c"} {
+			host := hostAt(number+1, zone)
+			tracker.HeardLedger(LedgerReport{Host: host}, 10)
+			fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{host}})
+		}
+		So(tracker.Plan(fleet, 50).PutGroups, ShouldBeEmpty)
+		update := tracker.Plan(fleet, 200)
+		So(len(update.PutGroups), ShouldEqual, 2)
+		fleet.Apply(update)
+		for _, placement := range fleet.Placements() {
+			zones := map[string]bool{}
+			for _, member := range placement.Members {
+				host, _ := fleet.Ledger(member)
+				zones[host.Zone] = true
+			}
+			So(len(zones), ShouldEqual, 3)
+			So(len(placement.Initial.Voters()), ShouldEqual, 3)
+		}
+		So(tracker.Plan(fleet, 300).PutGroups, ShouldBeEmpty)
+	})
+	Convey("a silent host is replaced where another one is there, and stays where none is", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		heard := func(nowMs int64, numbers ...int) {
+			for _, number := range numbers {
+				host := hostAt(number, fmt.Sprint(number))
+				tracker.HeardLedger(LedgerReport{Host: host}, nowMs)
+				fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{host}})
+			}
+		}
+		heard(0, 1, 2, 3)
+		fleet.Apply(tracker.Plan(fleet, 200))
+		heard(1900, 1, 2)
+		So(tracker.Plan(fleet, 2000).PutGroups, ShouldBeEmpty)
+		heard(2100, 1, 2, 4)
+		update := tracker.Plan(fleet, 2200)
+		So(len(update.PutGroups), ShouldEqual, 2)
+		fleet.Apply(update)
+		for _, placement := range fleet.Placements() {
+			So(placement.Members, ShouldContain, hostAt(4, "").Member)
+			So(placement.Members, ShouldNotContain, hostAt(3, "").Member)
+		}
+	})
+	Convey("a host is emptied when no group is placed on it and every leader says so", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		for number := 1; number <= 3; number++ {
+			host := hostAt(number, fmt.Sprint(number))
+			tracker.HeardLedger(LedgerReport{Host: host}, 0)
+			fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{host}})
+		}
+		fleet.Apply(tracker.Plan(fleet, 200))
+		retiring := hostAt(3, "3")
+		So(tracker.Retire(fleet, retiring.Member, 300), ShouldBeFalse)
+		spare := hostAt(4, "4")
+		tracker.HeardLedger(LedgerReport{Host: spare}, 300)
+		fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{spare}})
+		So(tracker.Retire(fleet, retiring.Member, 300), ShouldBeTrue)
+		retiring.Retiring = true
+		fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{retiring}})
+		fleet.Apply(tracker.Plan(fleet, 400))
+		So(tracker.Emptied(fleet, retiring.Member), ShouldBeFalse)
+		for _, placement := range fleet.Placements() {
+			tracker.HeardLedger(LedgerReport{Host: spare, Led: []LedGroup{{Group: placement.Group, Members: placement.Members, Settled: true}}}, 500)
+		}
+		So(tracker.Emptied(fleet, retiring.Member), ShouldBeTrue)
+	})
+}
+
+// TestFleetFollowProperty holds that a follower which takes news from any version
+// ends with the fleet as it is, whatever happened between, and never steps back.
+func TestFleetFollowProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := NewFleet()
+		var view *FleetView
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: id, Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence")}}})
+			case 1:
+				fleet.Apply(FleetUpdate{LostEngines: []string{id}})
+			case 2:
+				fleet.Apply(FleetUpdate{LeftEngines: []string{id}})
+			default:
+				version := uint64(0)
+				if view != nil {
+					version = view.Version
+				}
+				old := fleet.Since(version, false)
+				next, _ := view.Follow(old)
+				if stale, changed := next.Follow(FleetNews{Version: version, Whole: true}); changed || stale != next {
+					t.Fatal("older news were taken")
+				}
+				view = next
+			}
+		}
+		version := uint64(0)
+		if view != nil {
+			version = view.Version
+		}
+		view, _ = view.Follow(fleet.Since(version, false))
+		known := map[string]ServingEngine{}
+		for _, engine := range fleet.Engines() {
+			known[engine.ID] = engine
+		}
+		if view != nil && !reflect.DeepEqual(view.Engines, known) {
+			t.Fatalf("%+v instead of %+v", view.Engines, known)
+		}
+		raw, err := fleet.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := NewFleet()
+		if err := restored.Restore(raw); err != nil || !reflect.DeepEqual(restored.Engines(), fleet.Engines()) || restored.Version() != fleet.Version() {
+			t.Fatalf("the restored fleet differs: %v", err)
+		}
+	})
+}
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 
@@ -17,6 +18,8 @@
 	budgetIdleMs = 180_000
 	// maxChainTurns bounds one line of turns.
 	maxChainTurns = 10_000
+	// maxSessions bounds the sessions of a program whose engines are remembered.
+	maxSessions = 64
 )
 
 // Reserve opens a turn: it takes the most that the turn may generate from the
@@ -30,6 +33,8 @@
 	Most   int64 `msgpack:"m,omitempty"`
 	// Previous names the turn that this one goes on from, by its request.
 	Previous string `msgpack:"v,omitempty"`
+	// Session is the line of turns that the turn belongs to.
+	Session string `msgpack:"s,omitempty"`
 }
 
 // Settle closes a turn: it charges what was generated and keeps the turn where
@@ -39,6 +44,10 @@
 	Request string `msgpack:"r"`
 	// Used is what was generated, tokens.
 	Used int64 `msgpack:"u,omitempty"`
+	// Session and Engine remember which engine ran the turn, whose cache may hold what
+	// it has read.
+	Session string `msgpack:"s,omitempty"`
+	Engine  string `msgpack:"e,omitempty"`
 	// Keep stores Content, the turn's input and output, for RetentionMs.
 	Keep        bool   `msgpack:"k,omitempty"`
 	Previous    string `msgpack:"v,omitempty"`
@@ -64,24 +73,61 @@
 	Forget []string
 }
 
+// reservation is what one open turn may generate, tokens.
+type reservation struct {
+	Request string `msgpack:"r"`
+	Most    int64  `msgpack:"m"`
+}
+
 // budget is what one program has generated and may be generating.
 type budget struct {
 	Program string `msgpack:"p"`
 	Spent   int64  `msgpack:"s"`
-	// Reserved holds the most of each open turn by its request.
-	Reserved map[string]int64 `msgpack:"r"`
-	LastMs   int64            `msgpack:"l"`
+	// Reserved holds the open turns.
+	Reserved []reservation `msgpack:"r"`
+	LastMs   int64         `msgpack:"l"`
+	// Engine ran the program's last settled turn, Engines the last one of each session.
+	Engine  string            `msgpack:"e,omitempty"`
+	Engines map[string]string `msgpack:"n,omitempty"`
+}
+
+// engineOf returns the engine that most likely holds what a session has read: that
+// of its last turn, or for a new session that of the program's.
+func (b *budget) engineOf(session string) string {
+	if engine, known := b.Engines[session]; known {
+		return engine
+	}
+	return b.Engine
+}
+
+// noteEngine remembers the engine of a session's turn.
+func (b *budget) noteEngine(session, engine string) {
+	if engine == "" {
+		return
+	}
+	b.Engine = engine
+	if b.Engines == nil {
+		b.Engines = map[string]string{}
+	}
+	if _, known := b.Engines[session]; known || len(b.Engines) < maxSessions {
+		b.Engines[session] = engine
+	}
 }
 
 // reserved sums up the open turns.
 func (b *budget) reserved() int64 {
 	total := int64(0)
-	for _, most := range b.Reserved {
-		total += most
+	for _, open := range b.Reserved {
+		total += open.Most
 	}
 	return total
 }
 
+// place returns where an open turn stands, -1 where it is not open.
+func (b *budget) place(request string) int {
+	return slices.IndexFunc(b.Reserved, func(open reservation) bool { return open.Request == request })
+}
+
 // turn is one kept turn; its content is on the owner's disk.
 type turn struct {
 	Request   string `msgpack:"r"`
@@ -143,17 +189,35 @@
 	return chain
 }
 
+// TurnOutcome is the reply to one command.
+type TurnOutcome struct {
+	Error *result.Error
+	// Engine is the one that most likely holds what a reserved turn's session has read.
+	Engine string
+}
+
 // Apply carries out one command.
-func (t *Turns) Apply(command TurnCommand) (*result.Error, TurnEffects) {
+func (t *Turns) Apply(command TurnCommand) (TurnOutcome, TurnEffects) {
 	switch {
 	case command.Reserve != nil:
-		return t.reserve(command.NowMs, command.Reserve), TurnEffects{}
+		failure := t.reserve(command.NowMs, command.Reserve)
+		return TurnOutcome{Error: failure, Engine: t.EngineOf(command.Reserve.Program, command.Reserve.Session)}, TurnEffects{}
 	case command.Settle != nil:
-		return nil, t.settle(command.NowMs, command.Settle)
+		return TurnOutcome{}, t.settle(command.NowMs, command.Settle)
 	case command.Sweep:
-		return nil, t.sweep(command.NowMs)
+		return TurnOutcome{}, t.sweep(command.NowMs)
+	}
+	return TurnOutcome{Error: result.New(result.Internal, "empty command")}, TurnEffects{}
+}
+
+// EngineOf returns the engine that most likely holds what a session has read, ""
+// where none is known.
+func (t *Turns) EngineOf(program, session string) string {
+	known, ok := t.budgets[program]
+	if !ok {
+		return ""
 	}
-	return result.New(result.Internal, "empty command"), TurnEffects{}
+	return known.engineOf(session)
 }
 
 // reserve grants a turn. Invariant: what a program has generated and what its open
@@ -168,9 +232,9 @@
 	}
 	known, ok := t.budgets[reserve.Program]
 	if !ok {
-		known = &budget{Program: reserve.Program, Reserved: map[string]int64{}}
+		known = &budget{Program: reserve.Program}
 	}
-	if _, open := known.Reserved[reserve.Request]; open {
+	if known.place(reserve.Request) >= 0 {
 		return nil
 	}
 	reserved := known.reserved()
@@ -178,7 +242,7 @@
 		return result.New(result.BudgetExhausted, "budget %d, spent %d, reserved %d, asked %d",
 			reserve.Budget, known.Spent, reserved, reserve.Most)
 	}
-	known.Reserved[reserve.Request] = reserve.Most
+	known.Reserved = append(known.Reserved, reservation{Request: reserve.Request, Most: reserve.Most})
 	known.LastMs = max(known.LastMs, nowMs)
 	t.budgets[reserve.Program] = known
 	return nil
@@ -187,10 +251,11 @@
 // settle closes a turn; one that is settled again changes nothing.
 func (t *Turns) settle(nowMs int64, settle *Settle) TurnEffects {
 	if known, ok := t.budgets[settle.Program]; ok {
-		if _, open := known.Reserved[settle.Request]; open {
-			delete(known.Reserved, settle.Request)
+		if place := known.place(settle.Request); place >= 0 {
+			known.Reserved = slices.Delete(known.Reserved, place, place+1)
 			known.Spent += settle.Used
 		}
+		known.noteEngine(settle.Session, settle.Engine)
 		known.LastMs = max(known.LastMs, nowMs)
 	}
 	if !settle.Keep || t.Has(settle.Request) {
@@ -255,7 +320,11 @@
 	}
 	slices.SortFunc(encoded.Budgets, func(a, b *budget) int { return cmp.Compare(a.Program, b.Program) })
 	slices.SortFunc(encoded.Turns, func(a, b *turn) int { return cmp.Compare(a.Request, b.Request) })
-	return msgpack.Marshal(&encoded)
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.SetSortMapKeys(true)
+	err := encoder.Encode(&encoded)
+	return buffer.Bytes(), err
 }
 
 // Restore replaces the ledger by a snapshot; empty data gives an empty ledger.
@@ -269,9 +338,6 @@
 	t.budgets = map[string]*budget{}
 	t.turns = map[string]*turn{}
 	for _, known := range encoded.Budgets {
-		if known.Reserved == nil {
-			known.Reserved = map[string]int64{}
-		}
 		t.budgets[known.Program] = known
 	}
 	for _, known := range encoded.Turns {
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -46,7 +46,6 @@
 	defer encoders.Put(encoder)
 	encoder.ResetWriter(&buffer)
 	encoder.UseCompactInts(true)
-	encoder.SetSortMapKeys(true)
 	if err := encoder.Encode(message); err != nil {
 		return nil, err
 	}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -79,4 +79,6 @@
 	Leader string        `msgpack:"l,omitempty"`
 	// Chain is the content of the turns up to the one named, oldest first.
 	Chain []byte `msgpack:"c,omitempty"`
+	// Engine most likely holds what the turn's session has read.
+	Engine string `msgpack:"g,omitempty"`
 }
