Place streams where they end first, reading counted at what it costs others

Cause: in bursts the court's engines stood at 54 to 68 ms an event (28 idle) and first events waited up to 0.9 s at one engine while others had room: rendezvous by program ignores what other gateways send, and the first version of expected time followed a pace that jumped with every prompt read beside it, so that all gateways moved to the same engine at once. Ruled out: ledgers (7 to 10 ms), gateways (0.02 cores). Late programs get the last rank at engines.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,6 +54,8 @@
 	roomPause        = 8 * time.Millisecond
 	longestRoomPause = 60 * time.Millisecond
 	roomShare        = 2
+	// lowestPriority is the last rank at an engine.
+	lowestPriority = 9
 	// shortestSend is the least time that a send to an engine makes sense for.
 	shortestSend = 5 * time.Millisecond
 )
@@ -198,6 +200,15 @@
 	return attemptOutcome{kind: attemptRefused, status: response.StatusCode, err: err}, true
 }
 
+// priority is the call's rank at the engine, 0 first: a program that can't end in
+// time any more makes way for those that can.
+func (c *call) priority() int {
+	if c.programLate {
+		return lowestPriority
+	}
+	return min(c.route.Priority, lowestPriority-1)
+}
+
 // upstreamRequest is the call as the engine is to get it.
 func (d *Daemon) upstreamRequest(c *call, engine membership.ServingEngine) *upstream.Request {
 	header := forwarded(c.request.Header)
@@ -207,7 +218,7 @@
 	header.Set(d.headers.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
 	header.Set(d.headers.ExpectEngine, engine.ID)
 	if c.route.Kind == routing.KindStream {
-		header.Set(d.headers.Priority, strconv.Itoa(min(c.route.Priority, 9)))
+		header.Set(d.headers.Priority, strconv.Itoa(c.priority()))
 	}
 	request := &upstream.Request{
 		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host, Header: header,
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -16,6 +16,8 @@
 	DeadlineMs string
 	Program    string
 	Session    string
+	// FinishMs is the time left until the whole program should be over.
+	FinishMs string
 	// Prefix lists the parts of a prompt in order, as ID:TOKENS.
 	Prefix      string
 	Budget      string
@@ -37,7 +39,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID: "Ochrebay-Request", DeadlineMs: "Ochrebay-Deadline-Ms", Program: "Ochrebay-Program",
-		Session: "Ochrebay-Thread", Prefix: "Ochrebay-Prefix",
+		Session: "Ochrebay-Thread", FinishMs: "Ochrebay-Finish-Ms", Prefix: "Ochrebay-Prefix",
 		Budget: "Ochrebay-Token-Budget", Usage: "Ochrebay-Tokens", Previous: "Ochrebay-Previous-Turn",
 		LastEventID: "Last-Event-Id", Affinity: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
 		Priority: "Ochrebay-Priority", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -30,6 +30,8 @@
 	// program, budget, most and previous describe a turn.
 	program string
 	session string
+	// programLate says that the program has missed its time already.
+	programLate bool
 	// prefix are the parts of the prompt, in order.
 	prefix []scheduling.PromptPart
 	// home is the engine that most likely holds what the session has read.
@@ -127,6 +129,9 @@
 	c.deadline = c.started.Add(limit)
 	c.program = header.Get(names.Program)
 	c.session = header.Get(names.Session)
+	if finish, err := strconv.ParseInt(header.Get(names.FinishMs), 10, 64); err == nil {
+		c.programLate = finish <= 0
+	}
 	c.previous = header.Get(names.Previous)
 	c.affinity = header.Get(names.Affinity)
 	var failure *result.Error
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -45,14 +45,14 @@
 	// readTokensPerMs is how fast an engine is taken to read a prompt, and readWeight
 	// how much more a read costs than its own time: it holds up all that run beside it.
 	readTokensPerMs = 250.0
-	readWeight      = 4.0
+	readWeight      = 8.0
 	// farMs is what another zone costs, milliseconds, its bytes included, and fullMs
 	// what a full engine does.
 	farMs  = 200.0
 	fullMs = 400.0
 	// crowdMs is how much slower each event comes for every further request of this
 	// gateway at the engine, before that shows in the pace.
-	crowdMs = 4.0
+	crowdMs = 6.0
 )
 
 // Choose returns the engine for a request; false where there is none. Sound engines
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -21,8 +21,8 @@
 	firstSuspicionMs   = 300
 	longestSuspicionMs = 4_000
 	// paceWeight and waitWeight are how much one sample moves a mean.
-	paceWeight = 0.03
-	waitWeight = 0.25
+	paceWeight = 0.015
+	waitWeight = 0.1
 	// meanForgottenMs is when a mean is too old to be held against an engine.
 	meanForgottenMs = 1_500
 	// slowFactor is how many times the median pace an engine may have before it is
