--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -16,8 +16,13 @@
 	active          bool
 	wasActive       bool
 	answered        bool
+	// resendIn is how many ticks must go by before what is on its way is sent again.
+	resendIn int
 }
 
+// snapshotTicks is how long a snapshot may take before it is sent again.
+const snapshotTicks = 30
+
 // syncProgress makes the leader's views match the configuration.
 func (n *Node) syncProgress() {
 	for id := range n.progress {
@@ -93,6 +98,7 @@
 		return
 	}
 	follower.next = snapshot.Index + 1
+	follower.resendIn = snapshotTicks
 	n.send(Message{Kind: MessageSnapshot, To: to, Snapshot: &snapshot})
 }
 
@@ -100,6 +106,9 @@
 	n.electionElapsed++
 	n.heartbeatElapsed++
 	n.idleTicks++
+	for _, follower := range n.progress {
+		follower.resendIn = max(follower.resendIn-1, 0)
+	}
 	if n.electionElapsed >= n.options.ElectionTicks {
 		n.electionElapsed = 0
 		n.transfer = None
@@ -328,6 +337,7 @@
 	}
 	follower.probing = false
 	follower.waitingSnapshot = false
+	follower.resendIn = 0
 	if message.Index > follower.match {
 		follower.match = message.Index
 	}
@@ -354,7 +364,10 @@
 	n.confirmReads(message)
 	stalled := !follower.answered
 	follower.answered = false
-	if stalled && follower.match < n.log.lastIndex() {
+	// Invariant: answers that arrive together, as when a cut heals, make the leader
+	// send again once; a snapshot on its way is not one that was lost.
+	if stalled && follower.resendIn == 0 && follower.match < n.log.lastIndex() {
+		follower.resendIn = n.options.HeartbeatTicks
 		follower.next = follower.match + 1
 		follower.probing = true
 		follower.inflight = 0
