Say what decided in each log line, never wait for the log, and trace a request

A chain's known part is not sent again: the ledger answers with what follows the last turn of the session that the gateway has.

--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -12,6 +12,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // Exit statuses: a usage or settings fault is told apart from a failed run.
@@ -48,6 +50,7 @@
 	registerSimulate(app, registered)
 	registerReplay(app, registered)
 	registerCapacity(app, registered)
+	registerTrace(app, registered)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "ochrebay: %v; try --help\n", err)
@@ -55,7 +58,9 @@
 	}
 	ctx, stop := terminationContext()
 	defer stop()
-	if err := registered[chosen](ctx); err != nil {
+	err = registered[chosen](ctx)
+	telemetry.FlushLog()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		var fault settingsError
 		if errors.As(err, &fault) {
--- a/cmd/ochrebay/process.go
+++ b/cmd/ochrebay/process.go
@@ -61,7 +61,7 @@
 		return process, nil, settingsError{problem}
 	}
 	limitMemory(process.Limits)
-	return process, telemetry.NewLogger(os.Stdout, role, process.Name, process.Log.Level), nil
+	return process, telemetry.NewLogger(telemetry.LogTo(os.Stdout), role, process.Name, process.Log.Level), nil
 }
 
 // heapShare is the part of the process's memory that the heap may take before the
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -269,6 +269,8 @@
 	current.gateways = previous.gateways
 	if current.fleetVersion != previous.fleetVersion {
 		current.gateways = d.core.Fleet().Gateways()
+		telemetry.Info(d.logger, "fleet in force", "version", current.fleetVersion, "engines", len(d.core.Fleet().Engines()),
+			"gateways", len(current.gateways), "ledgers", len(d.core.Fleet().Ledgers()), "leads", d.core.Leads(0))
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,7 +69,7 @@
 	runs := 0
 	rounds := 0
 	for {
-		engine, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
+		chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
 		if !found {
 			rounds++
 			if runs > 0 || !d.waitForRoom(ctx, c, rounds) {
@@ -78,8 +78,10 @@
 			avoid = nil
 			continue
 		}
+		engine := chosen.engine
 		c.attempts++
 		c.engine = engine.ID
+		c.chosen = chosen
 		c.sent = time.Since(c.started)
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.ended(engine.ID, nowMs(), outcome)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -61,6 +61,7 @@
 	headers  Headers
 	logger   log.Logger
 	monitor  *telemetry.Monitor
+	metrics  *metrics
 	follower *daemon.Follower
 	pool     *upstream.Pool
 	engines  *engines
@@ -82,6 +83,7 @@
 		chains: newChainCache(chainBytes(process.Limits)),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
+	d.metrics = newMetrics(d.monitor, d)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
@@ -120,6 +122,8 @@
 		d.pool.Forget(address)
 	}
 	d.ledgers.follow(fleet)
+	telemetry.Info(d.logger, "fleet in force", "version", fleet.Version, "engines", len(fleet.Engines), "ledgers", len(fleet.Ledgers),
+		"groups", len(fleet.Groups))
 	if table == nil {
 		return
 	}
@@ -156,7 +160,7 @@
 	defer stop()
 	tasks, taskContext := errgroup.WithContext(running)
 	tasks.Go(func() error { return d.follower.Run(taskContext) })
-	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, d.Frontends) })
+	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, append(d.Frontends, d.ownFrontend())) })
 	tasks.Go(func() error { return d.sweep(taskContext) })
 	tasks.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -180,6 +184,11 @@
 	return err
 }
 
+// ownFrontend serves metrics and health.
+func (d *Daemon) ownFrontend() daemon.Frontend {
+	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
+}
+
 // sweep closes engine connections that have rested too long.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -195,6 +195,7 @@
 	a.events++
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
+		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c.engine, now, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
 		a.daemon.engines.nextEvent(c.engine, now, milliseconds(now.Sub(a.lastEvent)))
@@ -224,7 +225,7 @@
 		return false
 	}
 	c.reserved = false
-	a.daemon.chains.put(c.id, append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...))
+	a.daemon.chains.put(c.id, c.program, c.session, append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...))
 	return true
 }
 
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -64,8 +64,17 @@
 	return health
 }
 
+// choice is an engine and what decided for it, for the log.
+type choice struct {
+	engine membership.ServingEngine
+	// inFlight counts this gateway's requests there, the one chosen for included, and
+	// candidates the engines that could have been chosen.
+	inFlight   int
+	candidates int
+}
+
 // choose picks the engine for a call and counts it as under way there.
-func (e *engines) choose(backend string, slots int, demand scheduling.Demand) (membership.ServingEngine, bool) {
+func (e *engines) choose(backend string, slots int, demand scheduling.Demand) (choice, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	pool := e.byPool[backend]
@@ -80,15 +89,15 @@
 	demand.Peers = e.peers
 	chosen, found := scheduling.Choose(candidates, demand)
 	if !found {
-		return membership.ServingEngine{}, false
+		return choice{}, false
 	}
 	chosen.Health.Sent(demand.Prompt, demand.NowMs)
 	for _, engine := range pool {
 		if engine.ID == chosen.ID {
-			return engine, true
+			return choice{engine: engine, inFlight: chosen.Health.InFlight, candidates: len(pool)}, true
 		}
 	}
-	return membership.ServingEngine{}, false
+	return choice{}, false
 }
 
 // firstEvent notes how long an engine took for the first event of a stream.
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -53,6 +53,7 @@
 	attempts int
 	// engine is the one that was sent the call last.
 	engine string
+	chosen choice
 	// opened and sent are how long after its start the call was opened by the ledger
 	// and sent to its last engine, and kept how long the ledger took to keep it.
 	opened time.Duration
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -131,13 +131,14 @@
 	return l.ask(ctx, &protocol.TurnRequest{Group: group, Settle: settle}).Error
 }
 
-// reserve opens a turn in its program's group.
-func (l *ledgers) reserve(ctx context.Context, reserve *program.Reserve, hasChain bool) *protocol.TurnReply {
-	group, known := l.groupOf(reserve.Program)
-	if !known {
+// reserve opens a turn in its program's group; known names the turn up to which the
+// gateway has the chain.
+func (l *ledgers) reserve(ctx context.Context, reserve *program.Reserve, known string) *protocol.TurnReply {
+	group, placed := l.groupOf(reserve.Program)
+	if !placed {
 		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
 	}
-	return l.ask(ctx, &protocol.TurnRequest{Group: group, Reserve: reserve, HasChain: hasChain})
+	return l.ask(ctx, &protocol.TurnRequest{Group: group, Reserve: reserve, Known: known})
 }
 
 // findElsewhere looks for a turn in all groups but the program's own: a program may
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+)
+
+// metrics are a gateway's own figures.
+type metrics struct {
+	requests   *prometheus.HistogramVec
+	failures   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	opened     *prometheus.HistogramVec
+	kept       *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+}
+
+// newMetrics registers the figures of a gateway.
+func newMetrics(monitor *telemetry.Monitor, d *Daemon) *metrics {
+	monitor.Gauge("gateway_in_flight", "Requests under way.", func() float64 { return float64(d.inFlight.Load()) })
+	monitor.Gauge("gateway_engine_connections_opened", "Connections made to engines since the start.", func() float64 { return float64(d.pool.Dialed.Load()) })
+	monitor.Gauge("gateway_engine_connections_reused", "Requests sent on kept connections since the start.", func() float64 { return float64(d.pool.Reused.Load()) })
+	monitor.Gauge("routing_generation", "Generation of the routing table in force.", func() float64 {
+		if current := d.view.Load(); current != nil {
+			return float64(current.routes.Table.Generation)
+		}
+		return 0
+	})
+	return &metrics{
+		requests:   monitor.Latencies("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
+		failures:   monitor.Counters("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
+		attempts:   monitor.Counters("gateway_attempts_total", "Sends to engines, by how they ended.", "outcome"),
+		opened:     monitor.Latencies("gateway_turn_open_seconds", "Time until the ledger had opened a turn."),
+		kept:       monitor.Latencies("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
+		firstEvent: monitor.Latencies("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
+	}
+}
+
+// ended notes how a request ended.
+func (m *metrics) ended(c *call, failure *result.Error) {
+	outcome := "served"
+	if failure != nil {
+		outcome = string(failure.Outcome)
+		m.failures.WithLabelValues(failure.Code.String()).Inc()
+	}
+	if c == nil {
+		return
+	}
+	m.requests.WithLabelValues(string(c.route.Kind), outcome).Observe(time.Since(c.started).Seconds())
+	if c.opened > 0 {
+		m.opened.WithLabelValues().Observe(c.opened.Seconds())
+	}
+	if c.kept > 0 {
+		m.kept.WithLabelValues().Observe(c.kept.Seconds())
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,12 +59,12 @@
 	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(reserveTimeout)))
 	defer cancel()
 	reserve := &program.Reserve{Program: c.program, Request: c.id, Budget: c.budget, Most: c.most, Session: c.session}
-	hasChain := false
+	var known cachedChain
 	if c.route.Retain && c.previous != "" {
 		reserve.Previous = c.previous
-		c.chain, hasChain = d.chains.get(c.previous)
+		known = d.chains.get(c.previous, c.program, c.session)
 	}
-	reply := d.ledgers.reserve(bounded, reserve, hasChain)
+	reply := d.ledgers.reserve(bounded, reserve, known.turn)
 	if reply.Error != nil && reply.Error.Code == result.UnknownTurn {
 		found := d.ledgers.findElsewhere(bounded, c.previous, c.program)
 		if found.Error != nil {
@@ -73,7 +73,7 @@
 		c.foreign = true
 		c.chain = found.Chain
 		reserve.Previous = ""
-		reply = d.ledgers.reserve(bounded, reserve, true)
+		reply = d.ledgers.reserve(bounded, reserve, "")
 	}
 	if reply.Error != nil {
 		// The reservation may stand although nobody said so; no engine gets the call, so
@@ -82,8 +82,8 @@
 		return reply.Error
 	}
 	c.home = reply.Engine
-	if !hasChain && !c.foreign {
-		c.chain = reply.Chain
+	if !c.foreign && reserve.Previous != "" {
+		c.chain = known.continued(reply)
 	}
 	c.reserved = c.budget > 0
 	return nil
@@ -133,6 +133,7 @@
 		took = time.Since(c.started).Round(100 * time.Microsecond).String()
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
 			"program", c.program, "attempts", c.attempts, "engine", c.engine,
+			"home", c.home, "in_flight", c.chosen.inFlight, "candidates", c.chosen.candidates,
 			"opened_ms", c.opened.Milliseconds(), "sent_ms", c.sent.Milliseconds(), "kept_ms", c.kept.Milliseconds())
 		if out.events > 0 {
 			keyValues = append(keyValues, "first_event_ms", out.firstEvent.Sub(c.started).Milliseconds(),
@@ -140,8 +141,9 @@
 		}
 	}
 	keyValues = append(keyValues, "status", out.status, "events", out.events, "took", took)
+	d.metrics.ended(c, failure)
 	if failure == nil {
-		telemetry.Info(d.logger, "served", keyValues...)
+		telemetry.Calm(d.logger, request.Header.Get(d.headers.RequestID), "served", keyValues...)
 		return
 	}
 	keyValues = append(keyValues, "code", int(failure.Code), "outcome", string(failure.Outcome), "err", failure.Error())
@@ -150,6 +152,7 @@
 
 // logAttempt writes one line for a send that did not end well.
 func (d *Daemon) logAttempt(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
+	d.metrics.attempts.WithLabelValues(outcome.kind.String()).Inc()
 	if outcome.kind == attemptAnswered {
 		return
 	}
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -29,12 +29,16 @@
 	report  membership.LedgerReport
 	drained bool
 	turns   int
+	hosted  int
+	applied uint64
+	synced  uint64
 }
 
 // Daemon runs a Core over TCP and a disk.
 type Daemon struct {
 	process  config.Process
 	logger   log.Logger
+	monitor  *telemetry.Monitor
 	store    *storage.Store
 	core     *Core
 	loop     *daemon.Loop
@@ -76,9 +80,19 @@
 	}
 	d.follower.OnNews = d.follow
 	d.publish()
+	d.monitor = telemetry.NewMonitor(func() bool { return len(d.status.Load().report.Led)+d.status.Load().hosted > 0 })
+	d.registerMetrics()
 	return d, nil
 }
 
+func (d *Daemon) registerMetrics() {
+	d.monitor.Gauge("ledger_groups_hosted", "Ledger groups with a replica here.", func() float64 { return float64(d.status.Load().hosted) })
+	d.monitor.Gauge("ledger_groups_led", "Ledger groups led here.", func() float64 { return float64(len(d.status.Load().report.Led)) })
+	d.monitor.Gauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().turns) })
+	d.monitor.Gauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
+	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().synced) })
+}
+
 // Follower returns the daemon's link to control, for changed settings.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
@@ -108,6 +122,10 @@
 	tasks, taskContext := errgroup.WithContext(running)
 	tasks.Go(func() error { return d.loop.Run(taskContext) })
 	tasks.Go(func() error { return d.follower.Run(taskContext) })
+	tasks.Go(func() error {
+		own := daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
+		return daemon.ServeFrontends(taskContext, []daemon.Frontend{own})
+	})
 	tasks.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -137,9 +155,12 @@
 
 // publish makes the snapshot for other goroutines and logs changes of leadership.
 func (d *Daemon) publish() {
-	current := &status{report: d.core.Report(), drained: d.core.Drained()}
+	current := &status{
+		report: d.core.Report(), drained: d.core.Drained(), hosted: len(d.core.host.Groups), synced: d.core.host.Synced,
+	}
 	for _, group := range d.core.host.Groups {
 		current.turns += group.State.(*stateMachine).turns.Len()
+		current.applied += group.Node.Applied()
 		term := uint64(0)
 		if group.Leads() {
 			term = group.Node.Term()
@@ -189,8 +210,33 @@
 
 func (d *Daemon) request(connection *protocol.Connection, call uint64, request *protocol.TurnRequest) {
 	d.nextRequest++
+	began := time.Now()
 	d.replies[d.nextRequest] = func(reply *protocol.TurnReply) {
 		_ = connection.Reply(call, protocol.KindResponse, reply, true)
+		d.logTurn(request, reply, time.Since(began))
 	}
 	d.core.Request(d.nextRequest, request, telemetry.NowMs())
 }
+
+// logTurn writes the one line that says what became of a gateway's request.
+func (d *Daemon) logTurn(request *protocol.TurnRequest, reply *protocol.TurnReply, took time.Duration) {
+	id := request.Find
+	keyValues := []any{"group", request.Group, "took", took.Round(100 * time.Microsecond).String()}
+	message := "turn looked for"
+	switch {
+	case request.Reserve != nil:
+		id, message = request.Reserve.Request, "turn opened"
+		keyValues = append(keyValues, "program", request.Reserve.Program, "budget", request.Reserve.Budget, "most", request.Reserve.Most,
+			"previous", request.Reserve.Previous, "home", reply.Engine)
+	case request.Settle != nil:
+		id, message = request.Settle.Request, "turn settled"
+		keyValues = append(keyValues, "program", request.Settle.Program, "used", request.Settle.Used, "keep", request.Settle.Keep)
+	}
+	keyValues = append(keyValues, "request", id)
+	if reply.Error == nil {
+		telemetry.Calm(d.logger, id, message, keyValues...)
+		return
+	}
+	keyValues = append(keyValues, "leader", reply.Leader, "code", int(reply.Error.Code), "err", reply.Error.Error())
+	telemetry.Warn(d.logger, "turn refused", keyValues...)
+}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"slices"
+
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/replication"
@@ -38,10 +40,10 @@
 func (c *Core) reserve(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
 	previous := request.Reserve.Previous
 	withChain := func() *protocol.TurnReply {
-		if previous == "" || request.HasChain {
+		if previous == "" {
 			return &protocol.TurnReply{}
 		}
-		return c.chain(group, previous)
+		return c.chain(group, previous, request.Known)
 	}
 	if request.Reserve.Budget <= 0 {
 		c.host.Read(group, func(failure *result.Error) {
@@ -97,15 +99,21 @@
 		case !c.has(group, request):
 			c.outlet.Reply(id, &protocol.TurnReply{Error: result.New(result.UnknownTurn, "no turn %s", request)})
 		default:
-			c.outlet.Reply(id, c.chain(group, request))
+			c.outlet.Reply(id, c.chain(group, request, ""))
 		}
 	})
 }
 
-// chain joins the content of a line of turns, oldest first.
-func (c *Core) chain(group *replication.Group, last string) *protocol.TurnReply {
+// chain joins the content of a line of turns, oldest first; where the line goes
+// through the turn that the asker knows, only what follows that one.
+func (c *Core) chain(group *replication.Group, last, known string) *protocol.TurnReply {
 	reply := &protocol.TurnReply{}
-	for _, request := range group.State.(*stateMachine).turns.Chain(last) {
+	line := group.State.(*stateMachine).turns.Chain(last)
+	if place := slices.Index(line, known); place >= 0 {
+		line = line[place+1:]
+		reply.Continued = true
+	}
+	for _, request := range line {
 		records, err := c.host.Records(group, request, 0)
 		if err != nil || len(records) != 1 {
 			return &protocol.TurnReply{Error: result.New(result.Internal, "turn %s has %d records: %v", request, len(records), err)}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -66,9 +66,10 @@
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
 	Reserve *program.Reserve `msgpack:"r,omitempty"`
-	// HasChain says that the sender knows the chain that Reserve goes on from.
-	HasChain bool            `msgpack:"h,omitempty"`
-	Settle   *program.Settle `msgpack:"s,omitempty"`
+	// Known names the turn up to which the sender has the chain that Reserve goes on
+	// from; the reply carries only what follows.
+	Known  string          `msgpack:"h,omitempty"`
+	Settle *program.Settle `msgpack:"s,omitempty"`
 	// Find asks for the chain of a turn, confirmed by a quorum.
 	Find string `msgpack:"f,omitempty"`
 }
@@ -77,8 +78,10 @@
 type TurnReply struct {
 	Error  *result.Error `msgpack:"e,omitempty"`
 	Leader string        `msgpack:"l,omitempty"`
-	// Chain is the content of the turns up to the one named, oldest first.
-	Chain []byte `msgpack:"c,omitempty"`
+	// Chain is the content of the turns up to the one named, oldest first: the whole
+	// line, or with Continued what follows the turn that the sender knows.
+	Chain     []byte `msgpack:"c,omitempty"`
+	Continued bool   `msgpack:"n,omitempty"`
 	// Engine most likely holds what the turn's session has read.
 	Engine string `msgpack:"g,omitempty"`
 }
--- /dev/null
+++ b/internal/telemetry/sink.go
@@ -0,0 +1,146 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+)
+
+const (
+	// queuedLines bounds the lines that wait to be written, and batchBytes what one
+	// write takes of them.
+	queuedLines = 4096
+	batchBytes  = 32 << 10
+	// keptOneIn is the share of calm requests whose lines are written while the queue
+	// is more than half full: one in so many, the same ids in every process.
+	keptOneIn = 8
+)
+
+// Sink writes lines in the background. A caller never waits: where the queue is full
+// a line is dropped and counted, and the number is written once there is room.
+type Sink struct {
+	lines   chan []byte
+	flush   chan chan struct{}
+	dropped atomic.Int64
+	thinned atomic.Int64
+	once    sync.Once
+}
+
+// NewSink returns a sink before a writer that may be slow or stuck.
+func NewSink(writer io.Writer) *Sink {
+	sink := &Sink{lines: make(chan []byte, queuedLines), flush: make(chan chan struct{})}
+	go sink.run(writer)
+	return sink
+}
+
+// Write queues one line.
+func (s *Sink) Write(line []byte) (int, error) {
+	select {
+	case s.lines <- bytes.Clone(line):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines found the queue full, and Thinned how many of calm
+// requests were left out before that.
+func (s *Sink) Dropped() int64 { return s.dropped.Load() }
+
+// Thinned returns how many lines of calm requests were left out.
+func (s *Sink) Thinned() int64 { return s.thinned.Load() }
+
+// Flush waits until what is queued has been written; the writer must not be stuck.
+func (s *Sink) Flush() {
+	done := make(chan struct{})
+	s.flush <- done
+	<-done
+}
+
+func (s *Sink) run(writer io.Writer) {
+	told := int64(0)
+	var batch []byte
+	for {
+		batch = batch[:0]
+		var waiting chan struct{}
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+		case waiting = <-s.flush:
+		}
+		batch = s.gather(batch)
+		if dropped := s.dropped.Load(); dropped != told {
+			batch = fmt.Appendf(batch, "level=warn msg=\"log lines dropped\" count=%d total=%d\n", dropped-told, dropped)
+			told = dropped
+		}
+		_, _ = writer.Write(batch)
+		if waiting != nil {
+			for len(s.lines) > 0 {
+				_, _ = writer.Write(s.gather(nil))
+			}
+			close(waiting)
+		}
+	}
+}
+
+// gather appends the lines that wait already.
+func (s *Sink) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// keeps reports whether the line of a calm request is to be written.
+func (s *Sink) keeps(request string) bool {
+	if len(s.lines) < queuedLines/2 || xxhash.Sum64String(request)%keptOneIn == 0 {
+		return true
+	}
+	s.thinned.Add(1)
+	return false
+}
+
+// processSink is the sink of this process's log, nil before it is made.
+var processSink atomic.Pointer[Sink]
+
+// LogTo makes the sink of this process's log.
+func LogTo(writer io.Writer) *Sink {
+	sink := NewSink(writer)
+	processSink.Store(sink)
+	return sink
+}
+
+// FlushLog waits until this process's log has been written.
+func FlushLog() {
+	if sink := processSink.Load(); sink != nil {
+		sink.once.Do(sink.Flush)
+	}
+}
+
+// LogLosses returns how many lines of this process's log were dropped and thinned.
+func LogLosses() (dropped, thinned int64) {
+	sink := processSink.Load()
+	if sink == nil {
+		return 0, 0
+	}
+	return sink.Dropped(), sink.Thinned()
+}
+
+// Calm logs an event of a request that went well. Under load such lines are left out
+// first, by the request's id, so that what is kept of a request is whole.
+func Calm(logger log.Logger, request, message string, keyValues ...any) {
+	if sink := processSink.Load(); sink != nil && !sink.keeps(request) {
+		return
+	}
+	Info(logger, message, keyValues...)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"runtime"
 	"strings"
 	"time"
@@ -23,7 +24,7 @@
 // NewLogger returns a logger that writes one logfmt line an event, with the
 // constant keys ts, level, component, process, msg and err.
 func NewLogger(writer io.Writer, component, process, minimum string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(writer))
+	logger := log.NewLogfmtLogger(writer)
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(minimum, level.InfoValue())))
 	return log.With(logger, "ts", log.DefaultTimestampUTC, "component", component, "process", process)
 }
@@ -64,10 +65,39 @@
 	counter("inner_bytes_received_total", "Bytes received over the inner protocol.", protocol.Traffic.BytesIn.Load)
 	counter("inner_messages_sent_total", "Messages sent over the inner protocol.", protocol.Traffic.MessagesOut.Load)
 	counter("inner_messages_received_total", "Messages received over the inner protocol.", protocol.Traffic.MessagesIn.Load)
+	counter("log_lines_dropped_total", "Log lines that found the queue full.", func() int64 { dropped, _ := LogLosses(); return dropped })
+	counter("log_lines_thinned_total", "Log lines of calm requests left out under load.", func() int64 { _, thinned := LogLosses(); return thinned })
 	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 	return &Monitor{Registry: registry, ready: ready, metrics: fasthttpadaptor.NewFastHTTPHandler(handler)}
 }
 
+// Handler serves the monitor's paths for processes that use net/http.
+func (m *Monitor) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !m.ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return mux
+}
+
+// latencyBuckets are in seconds, from what a hop costs to what callers give up at.
+var latencyBuckets = []float64{.001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+// Latencies registers a histogram of seconds with labels.
+func (m *Monitor) Latencies(name, help string, labels ...string) *prometheus.HistogramVec {
+	histogram := prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "ochrebay", Name: name, Help: help, Buckets: latencyBuckets,
+	}, labels)
+	m.Registry.MustRegister(histogram)
+	return histogram
+}
+
 // Gauge registers a metric whose value is read when it is asked for.
 func (m *Monitor) Gauge(name, help string, value func() float64) {
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "ochrebay", Name: name, Help: help}, value))
