Test a gateway against a ledger and engines that misbehave; dial again soon

Ruled out: elections (ledgers, whose peers were up, took 0.1 s). Change: a dial gives up after 0.3 s and is made anew after 50 ms.

--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	dialTimeout = time.Second
-	redialPause = 200 * time.Millisecond
+	// dialTimeout is short: a machine without power says nothing, and the kernel would
+	// repeat the opening packet only after a second, when the machine may long be back.
+	dialTimeout = 300 * time.Millisecond
+	redialPause = 50 * time.Millisecond
 	// waitingMessages bounds what is kept for a peer while its connection is made.
 	waitingMessages = 64
 )
--- /dev/null
+++ b/internal/daemon/links_test.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+// patience bounds every wait of these tests; it is no measure of anything.
+const patience = 60 * time.Second
+
+func TestLinks(t *testing.T) {
+	Convey("messages sent while a connection is made arrive, and a peer that starts late is found", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		address := listener.Addr().String()
+		So(listener.Close(), ShouldBeNil)
+		links := NewLinks(func(string) string { return address }, func(string) time.Duration { return 0 })
+		defer links.Close()
+		links.Send("peer", protocol.KindPeer, protocol.PeerBatch{From: "before anybody listens"})
+		got := make(chan string, 1024)
+		server, err := protocol.Listen(address, func(_ *protocol.Connection, frame protocol.Frame) {
+			var batch protocol.PeerBatch
+			if protocol.Decode(frame.Body, &batch) == nil {
+				got <- batch.From
+			}
+		})
+		So(err, ShouldBeNil)
+		defer server.Close()
+		deadline := time.After(patience)
+		for number := 0; ; number++ {
+			links.Send("peer", protocol.KindPeer, protocol.PeerBatch{From: "again"})
+			select {
+			case from := <-got:
+				So(from, ShouldNotBeBlank)
+				return
+			case <-deadline:
+				So("nothing arrived", ShouldBeEmpty)
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	})
+	Convey("a call to a process that keeps silent ends in time, and the next one makes a new connection", t, func() {
+		calls := make(chan struct{}, 16)
+		server, err := protocol.Listen("127.0.0.1:0", func(connection *protocol.Connection, frame protocol.Frame) {
+			calls <- struct{}{}
+			if len(calls) > 1 {
+				_ = connection.Reply(frame.Call, protocol.KindResponse, &protocol.TurnReply{Leader: "x"}, true)
+			}
+		})
+		So(err, ShouldBeNil)
+		defer server.Close()
+		caller := NewCaller()
+		defer caller.Close()
+		var reply protocol.TurnReply
+		request := &protocol.TurnRequest{Find: "a"}
+		So(caller.CallWithin(t.Context(), 50*time.Millisecond, server.Address(), protocol.KindTurn, request, &reply), ShouldNotBeNil)
+		So(caller.CallWithin(t.Context(), patience, server.Address(), protocol.KindTurn, request, &reply), ShouldBeNil)
+		So(reply.Leader, ShouldEqual, "x")
+	})
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+)
+
+// patience bounds every wait of these tests; it is no measure of anything.
+const patience = 60 * time.Second
+
+// ledgerStand answers a gateway as its script says; a nil reply is no answer.
+type ledgerStand struct {
+	server   *protocol.Server
+	requests chan *protocol.TurnRequest
+	answer   atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
+}
+
+func newLedgerStand(t *testing.T) *ledgerStand {
+	stand := &ledgerStand{requests: make(chan *protocol.TurnRequest, 256)}
+	server, err := protocol.Listen("127.0.0.1:0", func(connection *protocol.Connection, frame protocol.Frame) {
+		request := &protocol.TurnRequest{}
+		if protocol.Decode(frame.Body, request) != nil {
+			return
+		}
+		stand.requests <- request
+		if reply := (*stand.answer.Load())(request); reply != nil {
+			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	stand.server = server
+	stand.say(func(*protocol.TurnRequest) *protocol.TurnReply { return &protocol.TurnReply{} })
+	return stand
+}
+
+func (l *ledgerStand) say(answer func(request *protocol.TurnRequest) *protocol.TurnReply) {
+	l.answer.Store(&answer)
+}
+
+// settled waits for the settling of a request.
+func (l *ledgerStand) settled(request string) *protocol.TurnRequest {
+	deadline := time.After(patience)
+	for {
+		select {
+		case asked := <-l.requests:
+			if asked.Settle != nil && asked.Settle.Request == request {
+				return asked
+			}
+		case <-deadline:
+			return nil
+		}
+	}
+}
+
+// gatewayStand is a gateway before one engine and one ledger group.
+type gatewayStand struct {
+	gateway *Daemon
+	server  *httptest.Server
+	ledger  *ledgerStand
+	runs    atomic.Int64
+}
+
+func newGatewayStand(t *testing.T, engine http.HandlerFunc) *gatewayStand {
+	stand := &gatewayStand{ledger: newLedgerStand(t)}
+	engines := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		stand.runs.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
+		engine(w, r)
+	}))
+	t.Cleanup(engines.Close)
+	process := config.Defaults()
+	process.Name, process.Zone = "gateway-1", "near"
+	stand.gateway = NewDaemon(process, DefaultHeaders(), log.NewNopLogger())
+	fleet := &membership.FleetView{
+		Version: 1, Ledgers: map[string]membership.LedgerHost{},
+		Groups: map[uint32]membership.Placement{1: {Group: 1, Members: []string{stand.ledger.server.Address()}}},
+		Engines: map[string]membership.ServingEngine{
+			"e": {ID: "e", Backend: "b", Zone: "near", Slots: 4, Address: engines.Listener.Addr().String()},
+		},
+	}
+	route := func(prefix string, kind routing.Kind, retain bool) routing.Route {
+		return routing.Route{
+			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, TimeoutMs: 30_000, MaxAttempts: 2, Retain: retain, RetentionMs: 1000,
+			Shares: []routing.Share{{Backend: "b", Weight: 1}},
+		}
+	}
+	stand.gateway.follow(fleet, &routing.Table{
+		Generation: 1, Backends: []routing.Backend{{Name: "b", EventTokens: 10}},
+		Routes: []routing.Route{
+			route("/safe/", routing.KindSafe, false), route("/unsafe/", routing.KindUnsafe, false),
+			route("/stream/", routing.KindStream, false), route("/kept/", routing.KindStream, true),
+		},
+	}, true)
+	stand.server = httptest.NewServer(http.HandlerFunc(stand.gateway.serve))
+	t.Cleanup(stand.server.Close)
+	return stand
+}
+
+func (g *gatewayStand) send(path, id string, headers ...string) (*http.Response, string, error) {
+	request, err := http.NewRequest("POST", g.server.URL+path, strings.NewReader("in"))
+	if err != nil {
+		return nil, "", err
+	}
+	request.Host = "h"
+	request.Header.Set("Ochrebay-Request", id)
+	request.Header.Set("Ochrebay-Program", "p")
+	for position := 0; position+1 < len(headers); position += 2 {
+		request.Header.Set(headers[position], headers[position+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// events is an engine that sends whole events and then a part of one, and ends or
+// breaks off.
+func events(count int, rest string, broken bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Ochrebay-Signature", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for number := 1; number <= count; number++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+		}
+		_, _ = io.WriteString(w, rest)
+		w.(http.Flusher).Flush()
+		if broken {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func TestTurnsOfAGateway(t *testing.T) {
+	budget := []string{"Ochrebay-Token-Budget", "1000", "Ochrebay-Tokens", "5,100"}
+	Convey("a turn is charged for the events that were handed on", t, func() {
+		stand := newGatewayStand(t, events(3, "", false))
+		response, body, err := stand.send("/stream/", "r1", budget...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(strings.Count(body, "data:"), ShouldEqual, 3)
+		So(stand.ledger.settled("r1").Settle.Used, ShouldEqual, 30)
+	})
+	Convey("a reservation whose grant nobody heard is given back, and the caller told to come back", t, func() {
+		stand := newGatewayStand(t, events(3, "", false))
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Reserve != nil {
+				return nil
+			}
+			return &protocol.TurnReply{}
+		})
+		response, _, err := stand.send("/stream/", "r1", budget...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(response.Header.Get("Retry-After"), ShouldNotBeBlank)
+		So(stand.runs.Load(), ShouldEqual, 0)
+		settled := stand.ledger.settled("r1")
+		So(settled, ShouldNotBeNil)
+		So(settled.Settle.Used, ShouldEqual, 0)
+	})
+	Convey("a turn that is to be kept and was not does not end as if it were whole", t, func() {
+		stand := newGatewayStand(t, events(3, "", false))
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Settle != nil {
+				return &protocol.TurnReply{Error: result.New(result.Internal, "no")}
+			}
+			return &protocol.TurnReply{}
+		})
+		_, _, err := stand.send("/kept/", "r1", budget...)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("a kept turn holds its input and the data of its events", t, func() {
+		stand := newGatewayStand(t, events(2, "", false))
+		_, _, err := stand.send("/kept/", "r1", budget...)
+		So(err, ShouldBeNil)
+		settled := stand.ledger.settled("r1")
+		So(string(settled.Settle.Content), ShouldEqual, "in1\n2\n")
+		So(settled.Settle.Keep, ShouldBeTrue)
+	})
+	Convey("a part of an event is never passed on", t, func() {
+		stand := newGatewayStand(t, events(2, "id: 3\ndata: half", true))
+		_, body, err := stand.send("/stream/", "r1", budget...)
+		So(err, ShouldNotBeNil)
+		So(strings.Count(body, "data:"), ShouldEqual, 2)
+		So(stand.ledger.settled("r1").Settle.Used, ShouldEqual, 20)
+	})
+	Convey("a budget that is spent is 402, and nothing ran", t, func() {
+		stand := newGatewayStand(t, events(2, "", false))
+		stand.ledger.say(func(*protocol.TurnRequest) *protocol.TurnReply {
+			return &protocol.TurnReply{Error: result.New(result.BudgetExhausted, "spent")}
+		})
+		response, _, err := stand.send("/stream/", "r1", budget...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 402)
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
+}
+
+func TestAnswersOfEngines(t *testing.T) {
+	Convey("a success without a signature is none; what may be repeated is asked for again", t, func() {
+		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") })
+		for path, runs := range map[string]int64{"/unsafe/": 1, "/safe/": 1} {
+			stand.runs.Store(0)
+			response, body, err := stand.send(path, "r1")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 502)
+			So(body, ShouldNotContainSubstring, "forged")
+			So(stand.runs.Load(), ShouldEqual, runs)
+		}
+	})
+	Convey("a 503 that does not say that the call was not run becomes no promise", t, func() {
+		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+		response, _, err := stand.send("/unsafe/", "r1")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 502)
+		So(response.Header.Get("Retry-After"), ShouldBeBlank)
+	})
+	Convey("a failure of the engine's own passes with its signature", t, func() {
+		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Ochrebay-Signature", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, "broken tool")
+		})
+		response, body, err := stand.send("/unsafe/", "r1")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 500)
+		So(response.Header.Get("Ochrebay-Signature"), ShouldEqual, "s")
+		So(body, ShouldEqual, "broken tool")
+	})
+	Convey("headers that only gateways set are not taken from callers, and connection headers are not passed", t, func() {
+		seen := make(chan http.Header, 1)
+		stand := newGatewayStand(t, func(w http.ResponseWriter, r *http.Request) {
+			seen <- r.Header.Clone()
+			w.Header().Set("Ochrebay-Signature", "s")
+		})
+		_, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Expect-Engine", "other", "Connection", "X-Hop", "X-Hop", "1", "X-End", "2", "Ochrebay-Deadline-Ms", "5000")
+		So(err, ShouldBeNil)
+		header := <-seen
+		So(header.Get("Ochrebay-Expect-Engine"), ShouldEqual, "e")
+		So(header.Get("X-Hop"), ShouldBeBlank)
+		So(header.Get("X-End"), ShouldEqual, "2")
+		So(len(header.Get("Ochrebay-Deadline-Ms")), ShouldBeLessThanOrEqualTo, 4)
+	})
+	Convey("a caller's half-sent request runs nowhere", t, func() {
+		stand := newGatewayStand(t, func(http.ResponseWriter, *http.Request) {})
+		raw, err := net.Dial("tcp", stand.server.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		_, _ = io.WriteString(raw, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf")
+		_ = raw.(*net.TCPConn).CloseWrite()
+		answer, err := http.ReadResponse(bufio.NewReader(raw), nil)
+		if err == nil {
+			So(answer.StatusCode, ShouldEqual, 400)
+		}
+		So(stand.runs.Load(), ShouldEqual, 0)
+		_ = raw.Close()
+	})
+}
