One group of tasks for all daemons: run, drain, stop

Behaviour as it was; all tests of cmd/ochrebay pass (TestPath, TestFailures, TestPlatform among them).

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -182,27 +180,13 @@
 	}
 	defer web()
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "http", address, "replica", uint64(d.store.Replica()))
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	tasks, taskContext := errgroup.WithContext(running)
-	tasks.Go(func() error { return d.loop.Run(taskContext) })
-	tasks.Go(func() error { return d.pollPlatform(taskContext) })
-	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, d.Frontends) })
-	tasks.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(taskContext)
-			stop()
-		case <-taskContext.Done():
-		}
-		return nil
-	})
-	err = tasks.Wait()
+	tasks := daemon.NewGroup()
+	tasks.Go(d.loop.Run)
+	tasks.Go(d.pollPlatform)
+	tasks.Go(func(ctx context.Context) error { return daemon.ServeFrontends(ctx, d.Frontends) })
+	err = tasks.Wait(ctx, d.drain)
 	d.links.Close()
 	d.caller.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
 	return err
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -13,7 +13,6 @@
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -156,32 +155,23 @@
 		MaxHeaderBytes: d.process.Limits.HeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
 	}
 	telemetry.Info(d.logger, "listening", "callers", listener.Addr().String())
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	tasks, taskContext := errgroup.WithContext(running)
-	tasks.Go(func() error { return d.follower.Run(taskContext) })
-	tasks.Go(func() error { return daemon.ServeFrontends(taskContext, append(d.Frontends, d.ownFrontend())) })
-	tasks.Go(func() error { return d.sweep(taskContext) })
-	tasks.Go(func() error {
+	tasks := daemon.NewGroup()
+	tasks.Go(d.follower.Run)
+	tasks.Go(func(ctx context.Context) error {
+		return daemon.ServeFrontends(ctx, append(d.Frontends, d.ownFrontend()))
+	})
+	tasks.Go(d.sweep)
+	tasks.Go(func(context.Context) error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
 	})
-	tasks.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(taskContext)
-		case <-taskContext.Done():
-		}
-		stop()
+	tasks.Go(func(ctx context.Context) error {
+		<-ctx.Done()
 		return server.Close()
 	})
-	err = tasks.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return tasks.Wait(ctx, d.drain)
 }
 
 // ownFrontend serves metrics and health.
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -117,29 +115,15 @@
 	}
 	defer server.Close()
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "replica", uint64(d.store.Replica()))
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	tasks, taskContext := errgroup.WithContext(running)
-	tasks.Go(func() error { return d.loop.Run(taskContext) })
-	tasks.Go(func() error { return d.follower.Run(taskContext) })
-	tasks.Go(func() error {
+	tasks := daemon.NewGroup()
+	tasks.Go(d.loop.Run)
+	tasks.Go(d.follower.Run)
+	tasks.Go(func(ctx context.Context) error {
 		own := daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
-		return daemon.ServeFrontends(taskContext, []daemon.Frontend{own})
+		return daemon.ServeFrontends(ctx, []daemon.Frontend{own})
 	})
-	tasks.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(taskContext)
-			stop()
-		case <-taskContext.Done():
-		}
-		return nil
-	})
-	err = tasks.Wait()
+	err = tasks.Wait(ctx, d.drain)
 	d.links.Close()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
 	return err
 }
 
--- a/internal/scheduler/daemon.go
+++ b/internal/scheduler/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,9 +10,9 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/engine"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -122,26 +121,11 @@
 	d.core = NewCore(options, d, telemetry.NowMs())
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "http", listener.Addr().String())
 
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	tasks, taskContext := errgroup.WithContext(running)
-	d.running = taskContext
-	tasks.Go(func() error { return d.loop(taskContext) })
-	tasks.Go(func() error { return d.pollEngines(taskContext) })
-	tasks.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(taskContext)
-			stop()
-		case <-taskContext.Done():
-		}
-		return nil
-	})
-	err = tasks.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	tasks := daemon.NewGroup()
+	d.running = tasks.Context
+	tasks.Go(d.loop)
+	tasks.Go(d.pollEngines)
+	return tasks.Wait(ctx, d.drain)
 }
 
 // drain tells control first, so that sidecars go elsewhere, and then waits for
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,9 +10,9 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
@@ -97,26 +96,11 @@
 		CloseOnShutdown: true, ErrorHandler: serveTransportError,
 	}
 	telemetry.Info(d.logger, "listening", "http", listener.Addr().String())
-	running, stop := context.WithCancel(context.Background())
-	defer stop()
-	tasks, taskContext := errgroup.WithContext(running)
-	d.running = taskContext
+	tasks := daemon.NewGroup()
+	d.running = tasks.Context
 	go func() { _ = web.Serve(listener) }()
-	tasks.Go(func() error { return d.loop(taskContext) })
-	tasks.Go(func() error {
-		select {
-		case <-ctx.Done():
-			d.drain(taskContext, web)
-			stop()
-		case <-taskContext.Done():
-		}
-		return nil
-	})
-	err = tasks.Wait()
-	if errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	tasks.Go(d.loop)
+	return tasks.Wait(ctx, func(ctx context.Context) { d.drain(ctx, web) })
 }
 
 func (d *Daemon) drain(ctx context.Context, web *fasthttp.Server) {
