--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,7 +18,6 @@
 // engine is a stand-in that answers each request on a connection as its script says.
 type engine struct {
 	listener net.Listener
-	accepted chan net.Conn
 }
 
 // answerFunc writes one answer; it returns false to end the connection.
@@ -29,7 +28,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stand := &engine{listener: listener, accepted: make(chan net.Conn, 64)}
+	stand := &engine{listener: listener}
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -37,7 +36,6 @@
 			if err != nil {
 				return
 			}
-			stand.accepted <- connection
 			go func() {
 				defer connection.Close()
 				reader := bufio.NewReader(connection)
@@ -207,19 +205,21 @@
 		So(errors.Is(err, ErrNotSent), ShouldBeTrue)
 	})
 	Convey("the end of the context closes the engine's connection", t, func() {
+		arrived := make(chan struct{})
 		closed := make(chan struct{})
 		stand := newEngine(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+			close(arrived)
 			_, _ = connection.Read(make([]byte, 1))
 			close(closed)
 			return false
 		})
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() {
-			<-stand.accepted
+			<-arrived
 			cancel()
 		}()
 		_, err := NewPool().Do(ctx, stand.address(), request("1"))
-		So(errors.Is(err, ErrBroken) || errors.Is(err, ErrNotSent), ShouldBeTrue)
+		So(errors.Is(err, ErrBroken), ShouldBeTrue)
 		select {
 		case <-closed:
 		case <-time.After(20 * time.Second):
