Take a broken stream up at another engine

Change: a repeatable call goes on elsewhere while the route's engines are not used up; an engine at whose address nobody listens any more does not count. The answer keeps its first head, and each event is passed on once. Test: TestStreamsAreTakenUp.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -54,6 +56,8 @@
 	roomPause        = 8 * time.Millisecond
 	longestRoomPause = 60 * time.Millisecond
 	roomShare        = 2
+	// endedTimeout bounds the look whether an engine is gone.
+	endedTimeout = 100 * time.Millisecond
 	// lowestPriority is the last rank at an engine.
 	lowestPriority = 9
 	// shortestSend is the least time that a send to an engine makes sense for.
@@ -93,8 +97,12 @@
 		case attemptCancelled:
 			return d.cancelled(ctx, c, outcome)
 		case attemptBroken:
-			runs++
-			if outcome.started || !c.route.Repeatable() || runs >= max(c.route.MaxAttempts, 1) {
+			// An engine that has ended works on nothing any more, so that it does not count
+			// among those that the call may run on.
+			if !c.route.Repeatable() || !d.ended(engine) {
+				runs++
+			}
+			if !c.mayContinue(outcome) || runs >= max(c.route.MaxAttempts, 1) {
 				return result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
 			}
 		}
@@ -104,6 +112,25 @@
 	}
 }
 
+// mayContinue reports whether a call that an engine broke off may be sent to another
+// one: it is repeatable, and what has reached the caller can be gone on from.
+func (c *call) mayContinue(outcome attemptOutcome) bool {
+	if !c.route.Repeatable() {
+		return false
+	}
+	return !outcome.started || (c.route.Resumable && !c.keeps() && c.lastEvent > 0)
+}
+
+// ended reports whether an engine is gone: nobody listens at its address.
+func (d *Daemon) ended(engine membership.ServingEngine) bool {
+	socket, err := net.DialTimeout("tcp", engine.Address, endedTimeout)
+	if err == nil {
+		_ = socket.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // waitForRoom waits before the engines are asked once more that all turned the call
 // away, or before one may have come; false where the call is better refused, so that
 // its caller hears so while it can still come back.
@@ -219,6 +246,9 @@
 	}
 	header.Set(d.headers.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
 	header.Set(d.headers.ExpectEngine, engine.ID)
+	if c.lastEvent > 0 {
+		header.Set(d.headers.LastEventID, strconv.FormatInt(c.lastEvent, 10))
+	}
 	if c.route.Kind == routing.KindStream {
 		header.Set(d.headers.Priority, strconv.Itoa(c.priority()))
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -24,9 +24,10 @@
 )
 
 var (
-	errNoSignature = errors.New("a success without a signature")
-	errNotKept     = errors.New("the ledger did not keep the turn")
-	errCaller      = errors.New("writing to the caller")
+	errNoSignature  = errors.New("a success without a signature")
+	errNotKept      = errors.New("the ledger did not keep the turn")
+	errNotContinued = errors.New("the engine did not go on with the stream")
+	errCaller       = errors.New("writing to the caller")
 )
 
 // drain reads the rest of an answer, so that its connection can be used again.
@@ -40,6 +41,8 @@
 	writer http.ResponseWriter
 	// started says that the head was written.
 	started bool
+	// continued says that the stream goes on from an earlier attempt.
+	continued bool
 	// events counts the events passed on, over all attempts, and firstEvent when the
 	// first was.
 	events     int64
@@ -66,6 +69,10 @@
 	if success && c.route.Kind == routing.KindStream && isEventStream(response.Header) {
 		return a.deliverStream(exchange, c)
 	}
+	if a.started {
+		// What goes on from events that were passed on can only be events.
+		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, started: true, err: errNotContinued}
+	}
 	return a.deliverWhole(exchange, c)
 }
 
@@ -127,9 +134,13 @@
 // is never passed on, so that a broken stream can be taken up after the last one.
 func (a *answer) deliverStream(exchange *upstream.Exchange, c *call) attemptOutcome {
 	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, started: true}
-	a.writeHead(exchange.Response, -1)
 	flusher, _ := a.writer.(http.Flusher)
-	flusher.Flush()
+	a.continued = a.started
+	if !a.started {
+		// A stream that is taken up at another engine keeps the first one's head.
+		a.writeHead(exchange.Response, -1)
+		flusher.Flush()
+	}
 	reader := bufio.NewReaderSize(exchange, eventLineSize)
 	var block []byte
 	for {
@@ -176,6 +187,13 @@
 // passEvent writes one event and gathers what a kept turn needs of it.
 func (a *answer) passEvent(block []byte, c *call, flusher http.Flusher) bool {
 	data, isEvent := eventData(block)
+	if id, known := eventID(block); known {
+		if a.continued && id <= c.lastEvent {
+			// An engine that goes on from an earlier event repeats what the caller has.
+			return true
+		}
+		c.lastEvent = id
+	}
 	if isEvent {
 		a.noteEvent(c)
 		if c.keeps() {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -1,8 +1,25 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
-var dataField = []byte("data:")
+var (
+	dataField = []byte("data:")
+	idField   = []byte("id:")
+)
+
+// eventID returns the number of an event; false where it has none.
+func eventID(block []byte) (int64, bool) {
+	for _, line := range bytes.Split(block, []byte("\n")) {
+		if value, isID := bytes.CutPrefix(bytes.TrimSuffix(line, []byte("\r")), idField); isID {
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			return id, err == nil
+		}
+	}
+	return 0, false
+}
 
 // eventData returns the data of one event of a stream (HTML standard, section
 // 9.2.6), its lines joined by line feeds; false where the block holds no data.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -109,7 +109,7 @@
 		Generation: 1, Backends: []routing.Backend{{Name: "b", EventTokens: 10}},
 		Routes: []routing.Route{
 			route("/safe/", routing.KindSafe, false), route("/unsafe/", routing.KindUnsafe, false),
-			route("/stream/", routing.KindStream, false), route("/kept/", routing.KindStream, true),
+			route("/stream/", routing.KindStream, false), resumable(route("/resumable/", routing.KindStream, false)), route("/kept/", routing.KindStream, true),
 		},
 	}, true)
 	stand.server = httptest.NewServer(http.HandlerFunc(stand.gateway.serve))
@@ -117,6 +117,11 @@
 	return stand
 }
 
+func resumable(route routing.Route) routing.Route {
+	route.Resumable = true
+	return route
+}
+
 func (g *gatewayStand) send(path, id string, headers ...string) (*http.Response, string, error) {
 	request, err := http.NewRequest("POST", g.server.URL+path, strings.NewReader("in"))
 	if err != nil {
@@ -219,6 +224,48 @@
 	})
 }
 
+func TestStreamsAreTakenUp(t *testing.T) {
+	Convey("a stream that breaks off goes on at another engine, each event once, under the first head", t, func() {
+		var asked []string
+		stand := newGatewayStand(t, func(w http.ResponseWriter, r *http.Request) {
+			asked = append(asked, r.Header.Get("Last-Event-Id"))
+			w.Header().Set("Ochrebay-Signature", fmt.Sprint("s", len(asked)))
+			w.Header().Set("Content-Type", "text/event-stream")
+			first, last := 1, 2
+			if len(asked) == 2 {
+				first, last = 2, 4
+			}
+			for number := first; number <= last; number++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+			}
+			_, _ = io.WriteString(w, "id: 3\nda")
+			w.(http.Flusher).Flush()
+			if len(asked) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+		})
+		fleet := *stand.gateway.view.Load().fleet
+		second := fleet.Engines["e"]
+		second.ID = "f"
+		fleet.Engines["f"] = second
+		stand.gateway.engines.follow(&fleet)
+		response, body, err := stand.send("/resumable/", "r1", "Ochrebay-Token-Budget", "1000", "Ochrebay-Tokens", "5,100")
+		So(err, ShouldBeNil)
+		So(asked, ShouldResemble, []string{"", "2"})
+		So(response.Header.Get("Ochrebay-Signature"), ShouldEqual, "s1")
+		for number := 1; number <= 4; number++ {
+			So(strings.Count(body, fmt.Sprintf("data: %d\n", number)), ShouldEqual, 1)
+		}
+		So(stand.ledger.settled("r1").Settle.Used, ShouldEqual, 40)
+	})
+	Convey("one that can't be taken up breaks off", t, func() {
+		stand := newGatewayStand(t, events(2, "", true))
+		_, _, err := stand.send("/stream/", "r1")
+		So(err, ShouldNotBeNil)
+		So(stand.runs.Load(), ShouldEqual, 1)
+	})
+}
+
 func TestAnswersOfEngines(t *testing.T) {
 	Convey("a success without a signature is none; what may be repeated is asked for again", t, func() {
 		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") })
