--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -156,6 +156,7 @@
 	case c.route.Kind == routing.KindStream:
 		demand.Stream = true
 		demand.Home = c.home
+		demand.Key = c.program
 		demand.Prompt = c.prefix
 		demand.Events = c.most / max(c.backend.EventTokens, 1) / 2
 	case c.route.Affinity:
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -28,7 +28,8 @@
 	Prompt []PromptPart
 	Events int64
 	// Key is what requests have in common that an engine should see together; empty
-	// for none.
+	// for none. Of streams it only decides between engines that are equally good, so
+	// that gateways which know nothing of each other don't all choose the same one.
 	Key string
 	// Zone is where the request is.
 	Zone string
--- a/internal/scheduling/choice_test.go
+++ b/internal/scheduling/choice_test.go
@@ -56,6 +56,16 @@
 			So(candidate.Health.InFlight, ShouldBeBetween, 6, 14)
 		}
 	})
+	Convey("gateways that know nothing of each other do not all choose the same engine", t, func() {
+		chosen := map[string]int{}
+		for gateway := range 200 {
+			demand := stream
+			demand.Key = fmt.Sprint("program-", gateway)
+			engine, _ := Choose(candidates(10), demand)
+			chosen[engine.ID]++
+		}
+		So(len(chosen), ShouldEqual, 10)
+	})
 	Convey("a pace that nobody has seen lately is forgotten", t, func() {
 		health := &EngineHealth{}
 		for range 20 {
