--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -325,3 +325,11 @@
 		_ = raw.Close()
 	})
 }
+
+func TestDemand(t *testing.T) {
+	Convey("ties between engines are broken by the program", t, func() {
+		stand := newGatewayStand(t, events(1, "", false))
+		route := &routing.Route{Kind: routing.KindStream}
+		So(stand.gateway.demand(&call{route: route, program: "p"}, nil).Key, ShouldEqual, "p")
+	})
+}
