Never call a call not run that an engine which is gone may have run

Cause, found by reading: an engine that broke a call off and was gone did not count as a run, so that a later refusal by all others became 503, a promise. Change: what may have run is kept apart from the engines that still count. Test: TestNotRunIsTrue (503 before, 502 after).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,14 +70,17 @@
 // before was not run; the error says "not run" only where all sends were not.
 func (d *Daemon) serveAttempts(ctx context.Context, c *call, deliver deliverFunc) *result.Error {
 	var avoid []string
+	// runs counts the engines that may still work on the call; mayHaveRun says that
+	// any may have begun to.
 	runs := 0
+	mayHaveRun := false
 	rounds := 0
 	for {
 		chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
 		if !found {
 			rounds++
-			if runs > 0 || !d.waitForRoom(ctx, c, rounds) {
-				return d.noEngine(c, runs, avoid)
+			if mayHaveRun || !d.waitForRoom(ctx, c, rounds) {
+				return d.noEngine(c, mayHaveRun, avoid)
 			}
 			avoid = nil
 			continue
@@ -95,8 +98,9 @@
 		case attemptAnswered:
 			return nil
 		case attemptCancelled:
-			return d.cancelled(ctx, c, outcome)
+			return cancelled(c, outcome)
 		case attemptBroken:
+			mayHaveRun = true
 			// An engine that has ended works on nothing any more, so that it does not count
 			// among those that the call may run on.
 			if !c.route.Repeatable() || !d.ended(engine) {
@@ -107,7 +111,7 @@
 			}
 		}
 		if c.timeLeft() < shortestSend {
-			return d.exhausted(c, runs, outcome)
+			return exhausted(c, mayHaveRun, outcome)
 		}
 	}
 }
@@ -165,8 +169,8 @@
 	return demand
 }
 
-func (d *Daemon) noEngine(c *call, runs int, avoid []string) *result.Error {
-	if runs > 0 {
+func (d *Daemon) noEngine(c *call, mayHaveRun bool, avoid []string) *result.Error {
+	if mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d sends, one of them broken off", c.attempts)
 	}
 	if len(avoid) > 0 {
@@ -176,15 +180,15 @@
 	return result.New(result.NoEngine, "no engine of %s", c.backend.Name).WithRetryAfter(refusalPause)
 }
 
-func (d *Daemon) exhausted(c *call, runs int, last attemptOutcome) *result.Error {
-	if runs > 0 {
+func exhausted(c *call, mayHaveRun bool, last attemptOutcome) *result.Error {
+	if mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d sends, the last: %v", c.attempts, last.err)
 	}
 	return result.New(result.EngineRefused, "%d sends, the last: %v", c.attempts, last.err).WithRetryAfter(refusalPause)
 }
 
 // cancelled answers a call whose caller left or whose time is over.
-func (d *Daemon) cancelled(_ context.Context, c *call, outcome attemptOutcome) *result.Error {
+func cancelled(c *call, outcome attemptOutcome) *result.Error {
 	if c.timeLeft() > 0 {
 		return result.New(result.Cancelled, "the caller left: %v", outcome.err)
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -326,6 +326,36 @@
 	})
 }
 
+func TestNotRunIsTrue(t *testing.T) {
+	Convey("a call that an engine which is gone may have run is not called not run", t, func() {
+		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Ochrebay-Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		// The first engine reads the request, stops listening and breaks off.
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		go func() {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(connection).ReadString('\n')
+			_ = listener.Close()
+			_ = connection.Close()
+		}()
+		fleet := *stand.gateway.view.Load().fleet
+		fleet.Engines["gone"] = membership.ServingEngine{ID: "gone", Backend: "b", Zone: "near", Slots: 4, Address: listener.Addr().String()}
+		stand.gateway.engines.follow(&fleet)
+		// The other engine is suspect, so that the one that will be gone comes first.
+		stand.gateway.engines.healthOf("e").Failed(nowMs())
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "3000")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 502)
+		So(response.Header.Get("Retry-After"), ShouldBeBlank)
+	})
+}
+
 func TestDemand(t *testing.T) {
 	Convey("ties between engines are broken by the program", t, func() {
 		stand := newGatewayStand(t, events(1, "", false))
