Give the platform test's fleet a loopback address of its own

Cause: its addresses are taken from the kernel, given back and bound again by the processes; between the two another test could get the port. No failure was seen. Change: 127.0.0.2, which nothing else uses.

--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -34,9 +34,10 @@
 	engine    *engineStand
 }
 
-// freeAddress returns a loopback address that the kernel says is free.
+// freeAddress returns an address that the kernel says is free, on a loopback address
+// of this fleet's own: nothing else on the machine takes its ports meanwhile.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
