--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -129,6 +129,19 @@
 	return current
 }
 
+// keepFrom returns the index below the latest entries up to index that fit the bounds.
+func (l *log) keepFrom(index, entries uint64, maxBytes int) uint64 {
+	size := 0
+	for count := uint64(0); count < entries && index > l.snapshotIndex; count++ {
+		size += len(l.entries[index-l.firstIndex()].Data)
+		if maxBytes > 0 && size > maxBytes {
+			break
+		}
+		index--
+	}
+	return index
+}
+
 // compact forgets entries up to index, which must be applied.
 func (l *log) compact(index uint64) {
 	if index <= l.snapshotIndex || index > l.applied {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -272,6 +272,21 @@
 	n.log.compact(index)
 }
 
+// KeepFrom returns how far the log may be compacted so that the entries up to index stay
+// which are the latest that the bounds allow, in number and in bytes of their data; zero
+// bytes is no bound.
+func (n *Node) KeepFrom(index, entries uint64, maxBytes int) uint64 {
+	return n.log.keepFrom(index, entries, maxBytes)
+}
+
+// Match returns the last index that a replica is known to hold, zero at a follower.
+func (n *Node) Match(id ReplicaID) uint64 {
+	if follower, ok := n.progress[id]; ok && n.role == Leader {
+		return follower.match
+	}
+	return 0
+}
+
 // Entries returns the entries that follow the snapshot, for inspection.
 func (n *Node) Entries() []Entry {
 	return slices.Clone(n.log.entries)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -368,8 +368,12 @@
 	// send again once; a snapshot on its way is not one that was lost.
 	if stalled && follower.resendIn == 0 && follower.match < n.log.lastIndex() {
 		follower.resendIn = n.options.HeartbeatTicks
-		follower.next = follower.match + 1
-		follower.probing = true
+		// A lost probe is sent again as it was: of a replica that has answered nothing yet
+		// the leader knows no position to go back to.
+		if !follower.probing || follower.waitingSnapshot {
+			follower.next = follower.match + 1
+			follower.probing = true
+		}
 		follower.inflight = 0
 		follower.waitingSnapshot = false
 		n.sendAppend(message.From)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -37,7 +37,7 @@
 	Write(writes []storage.GroupWrite) error
 	Load(group storage.GroupID) (consensus.Restored, error)
 	Records(group storage.GroupID, program string, after uint64) ([]storage.Record, error)
-	AllRecords(group storage.GroupID) ([]storage.Record, error)
+	RecordsAfter(group storage.GroupID, after storage.RecordKey, maxBytes int) ([]storage.Record, bool, error)
 }
 
 // Member is one control process of the cluster.
--- a/internal/daemon/links.go
+++ b/internal/daemon/links.go
@@ -12,14 +12,16 @@
 	// repeat the opening packet only after a second, when the machine may long be back.
 	dialTimeout = 300 * time.Millisecond
 	redialPause = 50 * time.Millisecond
-	// waitingMessages bounds what is kept for a peer while its connection is made.
+	// waitingMessages and waitingBytes bound what is kept for a peer while its
+	// connection is made.
 	waitingMessages = 64
+	waitingBytes    = 1 << 20
 )
 
 // outgoing is a message that waits for a connection.
 type outgoing struct {
-	kind    protocol.Kind
-	message any
+	kind protocol.Kind
+	body []byte
 }
 
 // Links are the connections to other processes for messages that need no answer;
@@ -49,8 +51,11 @@
 		l.links[member] = peer
 	}
 	l.mutex.Unlock()
-	if peer != nil && peer.address != "" {
-		peer.send(kind, message)
+	if peer == nil || peer.address == "" {
+		return
+	}
+	if body, err := protocol.Encode(message); err == nil {
+		peer.send(kind, body)
 	}
 }
 
@@ -75,21 +80,25 @@
 	dialing bool
 	closed  bool
 	waiting []outgoing
+	// waitingBytes is the size of what waits.
+	waitingBytes int
 }
 
-func (p *link) send(kind protocol.Kind, message any) {
+func (p *link) send(kind protocol.Kind, body []byte) {
 	p.mutex.Lock()
 	connection := p.current
 	if connection == nil && !p.dialing && !p.closed {
 		p.dialing = true
 		go p.dial()
 	}
-	if connection == nil && len(p.waiting) < waitingMessages {
-		p.waiting = append(p.waiting, outgoing{kind, message})
+	if connection == nil && len(p.waiting) < waitingMessages && p.waitingBytes+len(body) <= waitingBytes {
+		p.waiting = append(p.waiting, outgoing{kind, body})
+		p.waitingBytes += len(body)
 	}
 	p.mutex.Unlock()
 	if connection != nil {
-		_ = connection.Send(kind, message)
+		// What a full queue does not take is dropped, as said at Send.
+		_ = connection.SendRaw(kind, body)
 	}
 }
 
@@ -104,10 +113,11 @@
 	if keep {
 		p.current = connection
 		for _, message := range p.waiting {
-			_ = connection.Send(message.kind, message.message)
+			_ = connection.SendRaw(message.kind, message.body)
 		}
 	}
 	p.waiting = nil
+	p.waitingBytes = 0
 	p.mutex.Unlock()
 	if keep {
 		connection.OnClose(p.forget)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
 	queuedEvents   = 8192
 	eventsPerFlush = 512
+	// queuedBytes bounds the size of the messages that wait for the loop, as while a
+	// disk is slow: what is beyond stays with its senders.
+	queuedBytes = 8 << 20
 )
 
 // Loop is the one goroutine that owns a core: it carries out what is posted to it,
@@ -28,16 +32,30 @@
 	Publish func()
 
 	events chan func()
+	room   *semaphore.Weighted
 }
 
 // NewLoop returns a loop that is not running yet.
 func NewLoop(every time.Duration) *Loop {
-	return &Loop{Every: every, events: make(chan func(), queuedEvents)}
+	return &Loop{Every: every, events: make(chan func(), queuedEvents), room: semaphore.NewWeighted(queuedBytes)}
 }
 
 // Post hands an event to the loop; it blocks while the queue is full.
 func (l *Loop) Post(event func()) { l.events <- event }
 
+// PostMessage hands a message of the given size to the loop; it blocks while the queue
+// is full, by number or by size.
+func (l *Loop) PostMessage(size int, event func()) {
+	weight := int64(min(size, queuedBytes))
+	if err := l.room.Acquire(context.Background(), weight); err != nil {
+		return // The context never ends.
+	}
+	l.Post(func() {
+		l.room.Release(weight)
+		event()
+	})
+}
+
 // Run carries out events until ctx ends or a flush fails.
 func (l *Loop) Run(ctx context.Context) error {
 	ticker := time.NewTicker(l.Every)
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
@@ -26,13 +27,14 @@
 	replica  consensus.ReplicaID
 	restored map[storage.GroupID]*consensus.Restored
 	records  map[storage.GroupID]map[string][]byte
+	staged   map[storage.GroupID]map[string][]byte
 	notes    map[string][]byte
 }
 
 func newMemoryDisk(replica consensus.ReplicaID) *memoryDisk {
 	return &memoryDisk{
 		replica: replica, restored: map[storage.GroupID]*consensus.Restored{},
-		records: map[storage.GroupID]map[string][]byte{}, notes: map[string][]byte{},
+		records: map[storage.GroupID]map[string][]byte{}, staged: map[storage.GroupID]map[string][]byte{}, notes: map[string][]byte{},
 	}
 }
 
@@ -43,6 +45,7 @@
 	if d.restored[id] == nil {
 		d.restored[id] = &consensus.Restored{}
 		d.records[id] = map[string][]byte{}
+		d.staged[id] = map[string][]byte{}
 	}
 	return d.restored[id]
 }
@@ -62,20 +65,29 @@
 		if write.HardState != nil {
 			group.HardState = *write.HardState
 		}
-		if write.ReplaceRecords {
-			d.records[write.Group] = map[string][]byte{}
+		if write.ResetStaged {
+			d.staged[write.Group] = map[string][]byte{}
 		}
-		for _, record := range write.Records {
-			if record.Value == nil {
-				delete(d.records[write.Group], record.Program)
-			} else {
-				d.records[write.Group][record.Program] = record.Value
-			}
+		putRecords(d.staged[write.Group], write.Staged)
+		if write.PromoteStaged {
+			d.records[write.Group] = d.staged[write.Group]
+			d.staged[write.Group] = map[string][]byte{}
 		}
+		putRecords(d.records[write.Group], write.Records)
 	}
 	return nil
 }
 
+func putRecords(into map[string][]byte, records []storage.Record) {
+	for _, record := range records {
+		if record.Value == nil {
+			delete(into, record.Program)
+		} else {
+			into[record.Program] = record.Value
+		}
+	}
+}
+
 func (d *memoryDisk) Load(id storage.GroupID) (consensus.Restored, error) {
 	group := d.group(id)
 	return consensus.Restored{HardState: group.HardState, Snapshot: group.Snapshot, Entries: slices.Clone(group.Entries)}, nil
@@ -90,13 +102,20 @@
 	return []storage.Record{{Program: name, Turn: contentRecord, Value: value}}, nil
 }
 
-func (d *memoryDisk) AllRecords(id storage.GroupID) ([]storage.Record, error) {
+func (d *memoryDisk) RecordsAfter(id storage.GroupID, after storage.RecordKey, maxBytes int) (page []storage.Record, more bool, err error) {
 	d.group(id)
-	var records []storage.Record
+	size := 0
 	for _, name := range slices.Sorted(maps.Keys(d.records[id])) {
-		records = append(records, storage.Record{Program: name, Turn: contentRecord, Value: d.records[id][name]})
+		if name <= after.Program {
+			continue
+		}
+		value := d.records[id][name]
+		if size += len(value); size > maxBytes && len(page) > 0 {
+			return page, true, nil
+		}
+		page = append(page, storage.Record{Program: name, Turn: contentRecord, Value: value})
 	}
-	return records, nil
+	return page, false, nil
 }
 
 // node is one ledger host of a test cluster.
@@ -123,6 +142,10 @@
 	kept    map[string]string
 	granted map[string]int
 	version uint64
+	// longest is the longest message sent between hosts, bytes; snapshots counts those
+	// of whole snapshots.
+	longest   int
+	snapshots int
 }
 
 type delivery struct {
@@ -191,6 +214,12 @@
 	if err != nil {
 		n.cluster.t.Fatal(err)
 	}
+	n.cluster.longest = max(n.cluster.longest, len(raw))
+	for _, message := range batch.Messages {
+		if message.Message.Kind == consensus.MessageSnapshot {
+			n.cluster.snapshots++
+		}
+	}
 	for _, other := range n.cluster.nodes {
 		if other.host.Member != member || n.cut || n.cluster.random.IntN(100) == 0 {
 			continue
@@ -456,3 +485,83 @@
 		c.check()
 	}
 }
+
+// keepMany keeps turns of a few kilobytes each, none of which goes on from another.
+func (c *cluster) keepMany(name string, turns int) {
+	c.t.Helper()
+	const contentBytes = 8 << 10
+	for number := range turns {
+		request := fmt.Sprintf("%s-%d", name, number)
+		content := strings.Repeat(request+" ", contentBytes/len(request))
+		c.until("a kept turn", func() bool {
+			if leader := c.leader(); leader != nil {
+				leader.ask(&protocol.TurnRequest{Group: 1, Settle: &program.Settle{
+					Program: "p", Request: request, Keep: true, Content: []byte(content), RetentionMs: 3_600_000,
+				}}, func(reply *protocol.TurnReply) {
+					if reply.Error == nil {
+						c.kept[request] = content
+					}
+				})
+				c.run(30)
+			}
+			return c.kept[request] != ""
+		})
+	}
+}
+
+// TestSnapshotInParts has an empty disk learn a group of several megabytes while turns go
+// on being kept: no message may hold more than a part of it, since a host that encodes or
+// reads a whole group at once goes over its memory. It is told of the repair by losing the
+// other disks in turn.
+func TestSnapshotInParts(t *testing.T) {
+	const longestMessage = 600 << 10
+	for seed := range uint64(6) {
+		c := newCluster(t, seed, 3, 3)
+		c.until("a leader", func() bool { return c.leader() != nil })
+		c.keepMany("first", 250)
+		for round := range 3 {
+			victim := c.nodes[round]
+			victim.core = nil
+			c.run(500)
+			victim.wipe()
+			victim.start()
+			c.tellView()
+			c.keepMany(fmt.Sprint(round), 40)
+			if round == 0 && seed%2 == 1 {
+				// The receiver of the snapshot forgets what it had received of it.
+				victim.core = nil
+				c.run(100)
+				victim.start()
+				c.tellView()
+			}
+			c.until("the repair", c.settled)
+		}
+		if c.longest > longestMessage {
+			t.Fatalf("seed %d: a message of %d bytes", seed, c.longest)
+		}
+		c.check()
+	}
+}
+
+// TestLateReplicaNeedsNoSnapshot holds that a replica which is behind by less than what
+// is compacted at once gets the entries and not the whole group.
+func TestLateReplicaNeedsNoSnapshot(t *testing.T) {
+	c := newCluster(t, 3, 3, 3)
+	c.until("a leader", func() bool { return c.leader() != nil })
+	var late *node
+	for _, node := range c.nodes {
+		if node != c.leader() {
+			late = node
+		}
+	}
+	for round := range 12 {
+		late.cut = true
+		c.keepMany(fmt.Sprint(round), 4)
+		late.cut = false
+		c.run(400)
+	}
+	if c.snapshots > 0 {
+		t.Fatalf("%d snapshots sent to a replica that was 4 entries behind", c.snapshots)
+	}
+	c.check()
+}
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -179,13 +179,13 @@
 	case protocol.KindPeer:
 		var batch protocol.PeerBatch
 		if protocol.Decode(frame.Body, &batch) == nil {
-			d.loop.Post(func() { d.core.Peer(batch, telemetry.NowMs()) })
+			d.loop.PostMessage(len(frame.Body), func() { d.core.Peer(batch, telemetry.NowMs()) })
 			return
 		}
 	case protocol.KindTurn:
 		var request protocol.TurnRequest
 		if protocol.Decode(frame.Body, &request) == nil {
-			d.loop.Post(func() { d.request(connection, frame.Call, &request) })
+			d.loop.PostMessage(len(frame.Body), func() { d.request(connection, frame.Call, &request) })
 			return
 		}
 	}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -40,10 +40,29 @@
 	KindResponse Kind = 40
 )
 
-// PeerMessage is one consensus message of one group.
+// PeerMessage is one consensus message of one group, or a part of a snapshot.
 type PeerMessage struct {
 	Group   uint32            `msgpack:"g"`
-	Message consensus.Message `msgpack:"m"`
+	Message consensus.Message `msgpack:"m,omitempty"`
+	Part    *SnapshotPart     `msgpack:"p,omitempty"`
+}
+
+// SnapshotPart carries some of the records that belong to a snapshot, or the answer of
+// the replica that receives them.
+type SnapshotPart struct {
+	From consensus.ReplicaID `msgpack:"f"`
+	To   consensus.ReplicaID `msgpack:"o"`
+	// Term is the leader's; Index and SnapshotTerm are the snapshot's position.
+	Term         uint64 `msgpack:"t"`
+	Index        uint64 `msgpack:"i"`
+	SnapshotTerm uint64 `msgpack:"l,omitempty"`
+	// Number counts the parts from 0; of an answer it is the part wanted next.
+	Number int `msgpack:"n"`
+	// Last marks the last part, Answer an answer.
+	Last   bool `msgpack:"e,omitempty"`
+	Answer bool `msgpack:"a,omitempty"`
+	// Records is the encoded list of records.
+	Records []byte `msgpack:"r,omitempty"`
 }
 
 // PeerBatch carries all groups' messages from one control process to another.
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -15,13 +15,24 @@
 
 const (
 	sendQueueFrames = 4096
-	bufferBytes     = 64 << 10
-	writeTimeout    = 10 * time.Second
-	silenceTimeout  = 2 * time.Second
+	// oneWayQueueBytes is how much may wait to be written before one-way messages are
+	// dropped, and sendQueueBytes before the connection is ended: a peer that reads
+	// slowly must not fill the sender's memory.
+	oneWayQueueBytes = 2 << 20
+	sendQueueBytes   = 32 << 20
+	bufferBytes      = 64 << 10
+	writeTimeout     = 10 * time.Second
+	silenceTimeout   = 2 * time.Second
 )
 
-// ErrClosed means that the connection has ended.
-var ErrClosed = errors.New("protocol: connection closed")
+// Errors of a connection.
+var (
+	// ErrClosed means that the connection has ended.
+	ErrClosed = errors.New("protocol: connection closed")
+	// ErrQueueFull means that a one-way message was dropped: too much waits to be
+	// written.
+	ErrQueueFull = errors.New("protocol: too much waits to be written")
+)
 
 // Counters count what a process has sent and received, for /metrics.
 type Counters struct {
@@ -29,6 +40,8 @@
 	BytesIn     atomic.Int64
 	MessagesOut atomic.Int64
 	MessagesIn  atomic.Int64
+	// Dropped counts one-way messages that a full queue did not take.
+	Dropped atomic.Int64
 }
 
 // Traffic counts all inner connections of this process.
@@ -45,8 +58,10 @@
 	socket net.Conn
 	delay  time.Duration
 	out    chan queued
-	done   chan struct{}
-	once   sync.Once
+	// waiting is how many bytes of bodies are in out.
+	waiting atomic.Int64
+	done    chan struct{}
+	once    sync.Once
 
 	mutex    sync.Mutex
 	nextCall uint64
@@ -158,9 +173,19 @@
 	return call
 }
 
-// Send sends a one-way message.
+// Send sends a one-way message; it returns ErrQueueFull where the message was dropped.
 func (c *Connection) Send(kind Kind, message any) error {
-	return c.Reply(0, kind, message, true)
+	body, err := Encode(message)
+	if err != nil {
+		return err
+	}
+	return c.SendRaw(kind, body)
+}
+
+// SendRaw sends a one-way message that is encoded already; it returns ErrQueueFull
+// where the message was dropped.
+func (c *Connection) SendRaw(kind Kind, body []byte) error {
+	return c.enqueue(Frame{Kind: kind, Last: true, Body: body})
 }
 
 // Reply sends a frame of a call that the peer has made.
@@ -179,6 +204,17 @@
 		return ErrClosed
 	default:
 	}
+	size := int64(len(frame.Body))
+	waiting := c.waiting.Load()
+	if waiting > 0 && frame.Call == 0 && waiting+size > oneWayQueueBytes {
+		Traffic.Dropped.Add(1)
+		return ErrQueueFull
+	}
+	if waiting > sendQueueBytes {
+		c.Close()
+		return ErrClosed
+	}
+	c.waiting.Add(size)
 	select {
 	case c.out <- queued{frame: frame, due: time.Now().Add(c.delay)}:
 		return nil
@@ -200,6 +236,7 @@
 				time.Sleep(time.Until(next.due))
 			}
 			buffer = AppendFrame(buffer[:0], next.frame)
+			c.waiting.Add(-int64(len(next.frame.Body)))
 			Traffic.BytesOut.Add(int64(len(buffer)))
 			Traffic.MessagesOut.Add(1)
 			_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -8,8 +8,6 @@
 	"cmp"
 	"slices"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -56,17 +54,28 @@
 	senders map[consensus.ReplicaID]string
 	// wantSnapshot marks that the next Write compacts the log.
 	wantSnapshot bool
-	// appliedBytes counts the data of the entries applied since the last compaction.
-	appliedBytes int
-	savedTerm    uint64
-	savedVote    consensus.ReplicaID
+	// appliedEntries and appliedBytes count the entries applied since the last
+	// compaction and their data.
+	appliedEntries uint64
+	appliedBytes   int
+	// outgoing are the snapshots on their way to other replicas, incoming the one that
+	// is being received; staged, resetStaged and answers are what its next Write carries
+	// and what is sent once that is synced.
+	outgoing    map[consensus.ReplicaID]*outgoingTransfer
+	incoming    *incomingTransfer
+	staged      []storage.Record
+	resetStaged bool
+	answers     []*protocol.SnapshotPart
+	savedTerm   uint64
+	savedVote   consensus.ReplicaID
 }
 
-// snapshotTransfer is the data of a snapshot sent to another replica.
-type snapshotTransfer struct {
-	State   []byte           `msgpack:"s"`
-	Records []storage.Record `msgpack:"r"`
-}
+const (
+	// keptShare-th of what is compacted at once stays in memory, and keptForTransfer
+	// times as much while a snapshot is on its way.
+	keptShare       = 2
+	keptForTransfer = 8
+)
 
 // Propose appends a command; answer gets the state machine's reply, or an error
 // of the code NoQuorum where the outcome can't be known.
@@ -96,6 +105,9 @@
 // Flush carries out what the groups have ready: sends, one synced write for all
 // groups, and only then acknowledgements and replies.
 func (h *Host) Flush() error {
+	if h.failure != nil {
+		return h.failure
+	}
 	for range 64 {
 		worked, err := h.flushOnce()
 		if err != nil {
@@ -113,7 +125,7 @@
 	var readies []consensus.Ready
 	var writes []storage.GroupWrite
 	for _, group := range h.Groups {
-		if !group.Node.HasReady() && !group.wantSnapshot {
+		if !group.Node.HasReady() && !group.wantSnapshot && len(group.answers) == 0 {
 			continue
 		}
 		ready := group.Node.Ready()
@@ -158,6 +170,13 @@
 		write.HardState = ready.HardState
 		needed = needed || ready.HardState.Term != group.savedTerm || ready.HardState.Vote != group.savedVote
 	}
+	if group.resetStaged || len(group.staged) > 0 {
+		needed = true
+		write.ResetStaged = group.resetStaged
+		write.Staged = group.staged
+		group.resetStaged = false
+		group.staged = nil
+	}
 	if ready.Snapshot != nil {
 		needed = true
 		if err := h.installSnapshot(group, ready.Snapshot, &write); err != nil {
@@ -165,7 +184,7 @@
 		}
 	} else if group.wantSnapshot {
 		needed = true
-		if err := group.compact(&write); err != nil {
+		if err := h.compact(group, &write); err != nil {
 			return write, false, err
 		}
 	}
@@ -180,36 +199,26 @@
 	return write, needed, nil
 }
 
-func (h *Host) installSnapshot(group *Group, snapshot *consensus.Snapshot, write *storage.GroupWrite) error {
-	var transfer snapshotTransfer
-	if err := msgpack.Unmarshal(snapshot.Data, &transfer); err != nil {
-		return err
-	}
-	if err := group.State.Restore(transfer.State); err != nil {
-		return err
-	}
-	stored := *snapshot
-	stored.Data = transfer.State
-	write.Snapshot = &stored
-	write.ReplaceRecords = true
-	write.Records = transfer.Records
-	group.unsaved = nil
-	return nil
-}
-
-// compact writes the state machine as a snapshot and forgets the entries.
-func (g *Group) compact(write *storage.GroupWrite) error {
-	g.wantSnapshot = false
-	g.appliedBytes = 0
-	data, err := g.State.Snapshot()
+// compact writes the state machine as a snapshot and forgets the entries that it
+// covers, but for the latest: a replica that is a little behind needs only those.
+func (h *Host) compact(group *Group, write *storage.GroupWrite) error {
+	group.wantSnapshot = false
+	group.appliedBytes = 0
+	group.appliedEntries = 0
+	data, err := group.State.Snapshot()
 	if err != nil {
 		return err
 	}
-	index := g.Node.Applied()
+	index := group.Node.Applied()
 	write.Snapshot = &consensus.Snapshot{
-		Index: index, Term: g.Node.TermAt(index), Configuration: g.Node.ConfigurationAt(index), Data: data,
+		Index: index, Term: group.Node.TermAt(index), Configuration: group.Node.ConfigurationAt(index), Data: data,
+	}
+	entries, size := h.options.CompactEntries/keptShare, h.options.CompactBytes/keptShare
+	if len(group.outgoing) > 0 {
+		// What comes after a snapshot on its way must still be there when it has arrived.
+		entries, size = entries*keptForTransfer, size*keptForTransfer
 	}
-	g.Node.Compact(index)
+	group.Node.Compact(group.Node.KeepFrom(index, entries, size))
 	return nil
 }
 
@@ -217,6 +226,10 @@
 	for _, message := range ready.MessagesAfterSync {
 		h.queuePeer(group, message)
 	}
+	for _, answer := range group.answers {
+		h.queuePart(group, answer)
+	}
+	group.answers = nil
 	for _, entry := range ready.Committed {
 		h.applyEntry(group, entry)
 	}
@@ -231,12 +244,11 @@
 	}
 	h.answerReads(group)
 	for _, to := range ready.SnapshotsWanted {
-		if err := h.sendSnapshot(group, to); err != nil {
+		if err := h.startTransfer(group, to); err != nil {
 			return err
 		}
 	}
-	entries := group.Node.Applied() - group.Node.SnapshotIndex()
-	if entries > h.options.CompactEntries || (h.options.CompactBytes > 0 && group.appliedBytes > h.options.CompactBytes) {
+	if group.appliedEntries > h.options.CompactEntries || (h.options.CompactBytes > 0 && group.appliedBytes > h.options.CompactBytes) {
 		group.wantSnapshot = true
 	}
 	return nil
@@ -244,6 +256,7 @@
 
 func (h *Host) applyEntry(group *Group, entry consensus.Entry) {
 	var reply any
+	group.appliedEntries++
 	group.appliedBytes += len(entry.Data)
 	if entry.Kind == consensus.EntryCommand {
 		var records []storage.Record
@@ -273,31 +286,11 @@
 	}
 }
 
-func (h *Host) sendSnapshot(group *Group, to consensus.ReplicaID) error {
-	state, err := group.State.Snapshot()
-	if err != nil {
-		return err
-	}
-	records, err := h.storage.AllRecords(group.ID)
-	if err != nil {
-		return err
-	}
-	records = append(records, group.unsaved...)
-	data, err := msgpack.Marshal(&snapshotTransfer{State: state, Records: records})
-	if err != nil {
-		return err
-	}
-	index := group.Node.Applied()
-	group.Node.SendSnapshot(to, consensus.Snapshot{
-		Index: index, Term: group.Node.TermAt(index), Configuration: group.Node.ConfigurationAt(index), Data: data,
-	})
-	return nil
-}
-
 // Expire gives up on what no quorum confirmed in time or on what this
 // replica can't see through because it doesn't lead any more.
 func (h *Host) Expire() {
 	for _, group := range h.Groups {
+		h.note(h.tendTransfers(group))
 		leads := group.Node.Role() == consensus.Leader
 		for _, index := range SortedKeys(group.waiting) {
 			waiting := group.waiting[index]
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -14,7 +14,7 @@
 	Write(writes []storage.GroupWrite) error
 	Load(group storage.GroupID) (consensus.Restored, error)
 	Records(group storage.GroupID, program string, after uint64) ([]storage.Record, error)
-	AllRecords(group storage.GroupID) ([]storage.Record, error)
+	RecordsAfter(group storage.GroupID, after storage.RecordKey, maxBytes int) (records []storage.Record, more bool, err error)
 }
 
 // Options configure a Host. Times are in milliseconds.
@@ -52,6 +52,8 @@
 	Groups []*Group
 	// Synced counts the writes that were synced.
 	Synced uint64
+	// failure is a disk's failure outside a Flush.
+	failure error
 	// OnApplied is called after an entry of a group was applied.
 	OnApplied func(group *Group)
 }
@@ -83,7 +85,7 @@
 	}, restored)
 	group := &Group{
 		ID: id, Node: node, State: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{},
-		senders: map[consensus.ReplicaID]string{},
+		senders: map[consensus.ReplicaID]string{}, outgoing: map[consensus.ReplicaID]*outgoingTransfer{},
 	}
 	h.Groups = append(h.Groups, group)
 	slices.SortFunc(h.Groups, func(a, b *Group) int { return int(a.ID) - int(b.ID) })
@@ -121,12 +123,36 @@
 func (h *Host) Step(batch protocol.PeerBatch) {
 	for _, message := range batch.Messages {
 		group := h.Find(storage.GroupID(message.Group))
-		if group == nil || message.Message.To != h.storage.Replica() {
+		if group == nil {
 			continue
 		}
-		group.senders[message.Message.From] = batch.From
+		h.note(h.stepOne(group, batch.From, message))
+	}
+}
+
+// note remembers a disk's failure for the next Flush, which returns it.
+func (h *Host) note(err error) {
+	if h.failure == nil {
+		h.failure = err
+	}
+}
+
+func (h *Host) stepOne(group *Group, from string, message protocol.PeerMessage) error {
+	if part := message.Part; part != nil {
+		if part.To != h.storage.Replica() {
+			return nil
+		}
+		group.senders[part.From] = from
+		return h.stepPart(group, part)
+	}
+	if message.Message.To != h.storage.Replica() {
+		return nil
+	}
+	group.senders[message.Message.From] = from
+	if message.Message.Kind != consensus.MessageSnapshot || h.mayInstall(group, &message.Message) {
 		group.Node.Step(message.Message)
 	}
+	return nil
 }
 
 // queuePeer gathers a consensus message for its member's batch.
--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 
@@ -32,6 +33,8 @@
 	snapshot consensus.Snapshot
 	entries  []consensus.Entry
 	records  map[string]map[uint64][]byte
+	// staged are the records of a snapshot that is being received.
+	staged map[string]map[uint64][]byte
 }
 
 func newDisk(replica consensus.ReplicaID) *disk {
@@ -113,18 +116,29 @@
 	if write.CompactTo > 0 {
 		g.dropUpTo(write.CompactTo)
 	}
-	if write.ReplaceRecords {
-		g.records = map[string]map[uint64][]byte{}
+	if write.ResetStaged {
+		g.staged = nil
 	}
-	for _, record := range write.Records {
+	if g.staged == nil {
+		g.staged = map[string]map[uint64][]byte{}
+	}
+	putRecords(g.staged, write.Staged)
+	if write.PromoteStaged {
+		g.records, g.staged = g.staged, nil
+	}
+	putRecords(g.records, write.Records)
+}
+
+func putRecords(into map[string]map[uint64][]byte, records []storage.Record) {
+	for _, record := range records {
 		if record.Value == nil {
-			delete(g.records[record.Program], record.Turn)
+			delete(into[record.Program], record.Turn)
 			continue
 		}
-		if g.records[record.Program] == nil {
-			g.records[record.Program] = map[uint64][]byte{}
+		if into[record.Program] == nil {
+			into[record.Program] = map[uint64][]byte{}
 		}
-		g.records[record.Program][record.Turn] = record.Value
+		into[record.Program][record.Turn] = record.Value
 	}
 }
 
@@ -165,24 +179,27 @@
 	return records, nil
 }
 
-// AllRecords returns every turn record of a group.
-func (d *disk) AllRecords(id storage.GroupID) ([]storage.Record, error) {
+// RecordsAfter returns the records of a group that follow a key, until they hold
+// maxBytes; more says that others follow.
+func (d *disk) RecordsAfter(id storage.GroupID, after storage.RecordKey, maxBytes int) (page []storage.Record, more bool, err error) {
 	var records []storage.Record
 	for program, turns := range d.group(id).records {
 		for turn, value := range turns {
-			records = append(records, storage.Record{Program: program, Turn: turn, Value: value})
+			if program > after.Program || (program == after.Program && turn > after.Turn) {
+				records = append(records, storage.Record{Program: program, Turn: turn, Value: value})
+			}
 		}
 	}
 	slices.SortFunc(records, func(a, b storage.Record) int {
-		if a.Program != b.Program {
-			if a.Program < b.Program {
-				return -1
-			}
-			return 1
-		}
-		return int(int64(a.Turn) - int64(b.Turn))
+		return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Turn, b.Turn))
 	})
-	return records, nil
+	size := 0
+	for position, record := range records {
+		if size += len(record.Value); size > maxBytes && position > 0 {
+			return records[:position], true, nil
+		}
+	}
+	return records, false, nil
 }
 
 // crash loses what was not synced.
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -36,7 +36,6 @@
 	groupsBucket   = []byte("groups")
 	notesBucket    = []byte("notes")
 	logBucket      = []byte("log")
-	recordsBucket  = []byte("records")
 	replicaKey     = []byte("replica")
 	hardStateKey   = []byte("hard-state")
 	snapshotKey    = []byte("snapshot")
@@ -58,16 +57,13 @@
 	CompactTo uint64
 	// Records are turn records by key; a nil value deletes.
 	Records []Record
-	// ReplaceRecords empties the records before Records are written, for a
-	// snapshot from another replica.
-	ReplaceRecords bool
-}
-
-// Record is one turn record of a program.
-type Record struct {
-	Program string `msgpack:"p"`
-	Turn    uint64 `msgpack:"t"`
-	Value   []byte `msgpack:"v"`
+	// ResetStaged forgets the staged records before Staged are added to them. Staged
+	// records are those of a snapshot that is still being received.
+	ResetStaged bool
+	Staged      []Record
+	// PromoteStaged puts the staged records in the place of the group's records, before
+	// Records are written.
+	PromoteStaged bool
 }
 
 // Store is one process's durable state.
@@ -192,11 +188,6 @@
 	return binary.BigEndian.AppendUint64(nil, index)
 }
 
-func recordKey(program string, turn uint64) []byte {
-	key := append([]byte(program), 0)
-	return binary.BigEndian.AppendUint64(key, turn)
-}
-
 // Write stores the writes of all groups in one transaction and returns after
 // the sync.
 func (s *Store) Write(writes []GroupWrite) error {
@@ -293,33 +284,6 @@
 	return nil
 }
 
-func writeRecords(group *bbolt.Bucket, write *GroupWrite) error {
-	if write.ReplaceRecords && group.Bucket(recordsBucket) != nil {
-		if err := group.DeleteBucket(recordsBucket); err != nil {
-			return err
-		}
-	}
-	if len(write.Records) == 0 {
-		return nil
-	}
-	bucket, err := group.CreateBucketIfNotExists(recordsBucket)
-	if err != nil {
-		return err
-	}
-	for _, record := range write.Records {
-		key := recordKey(record.Program, record.Turn)
-		if record.Value == nil {
-			err = bucket.Delete(key)
-		} else {
-			err = bucket.Put(key, record.Value)
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Load returns what the disk holds of a group; the snapshot's data included.
 func (s *Store) Load(id GroupID) (consensus.Restored, error) {
 	var restored consensus.Restored
@@ -370,58 +334,3 @@
 		return nil
 	})
 }
-
-// Records returns a program's turn records after the turn given, in order.
-func (s *Store) Records(id GroupID, program string, after uint64) ([]Record, error) {
-	var records []Record
-	err := s.database.View(func(tx *bbolt.Tx) error {
-		bucket := recordsOf(tx, id)
-		if bucket == nil {
-			return nil
-		}
-		prefix := append([]byte(program), 0)
-		cursor := bucket.Cursor()
-		for key, value := cursor.Seek(recordKey(program, after+1)); key != nil; key, value = cursor.Next() {
-			if len(key) != len(prefix)+8 || string(key[:len(prefix)]) != string(prefix) {
-				return nil
-			}
-			records = append(records, Record{
-				Program: program,
-				Turn:    binary.BigEndian.Uint64(key[len(prefix):]),
-				Value:   append([]byte(nil), value...),
-			})
-		}
-		return nil
-	})
-	return records, err
-}
-
-// AllRecords returns every turn record of a group, for a snapshot to another
-// replica.
-func (s *Store) AllRecords(id GroupID) ([]Record, error) {
-	var records []Record
-	err := s.database.View(func(tx *bbolt.Tx) error {
-		bucket := recordsOf(tx, id)
-		if bucket == nil {
-			return nil
-		}
-		return bucket.ForEach(func(key, value []byte) error {
-			split := len(key) - 9
-			records = append(records, Record{
-				Program: string(key[:split]),
-				Turn:    binary.BigEndian.Uint64(key[split+1:]),
-				Value:   append([]byte(nil), value...),
-			})
-			return nil
-		})
-	})
-	return records, err
-}
-
-func recordsOf(tx *bbolt.Tx, id GroupID) *bbolt.Bucket {
-	group := tx.Bucket(groupsBucket).Bucket(groupKey(id))
-	if group == nil {
-		return nil
-	}
-	return group.Bucket(recordsBucket)
-}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -51,10 +51,47 @@
 			later, err := store.Records(2, "p", 1)
 			So(err, ShouldBeNil)
 			So(len(later), ShouldEqual, 1)
-			all, err := store.AllRecords(2)
+			all, more, err := store.RecordsAfter(2, RecordKey{}, 1000)
 			So(err, ShouldBeNil)
+			So(more, ShouldBeFalse)
 			So(len(all), ShouldEqual, 3)
 		})
+		Convey("records come page by page, each at least one", func() {
+			var names []string
+			after, more := RecordKey{}, true
+			for more {
+				var page []Record
+				var err error
+				page, more, err = store.RecordsAfter(2, after, 1)
+				So(err, ShouldBeNil)
+				So(len(page), ShouldEqual, 1)
+				after = page[0].Key()
+				names = append(names, string(page[0].Value))
+			}
+			So(names, ShouldResemble, []string{"one", "two", "not p"})
+		})
+		Convey("staged records take effect together, and those before them are gone", func() {
+			staged := []Record{{Program: "q", Turn: 1, Value: []byte("new")}}
+			So(store.Write([]GroupWrite{{Group: 2, ResetStaged: true, Staged: staged}}), ShouldBeNil)
+			records, err := store.Records(2, "q", 0)
+			So(err, ShouldBeNil)
+			So(records, ShouldBeEmpty)
+			So(store.Write([]GroupWrite{{Group: 2, PromoteStaged: true, Records: []Record{{Program: "r", Turn: 1, Value: []byte("later")}}}}), ShouldBeNil)
+			So(store.Close(), ShouldBeNil)
+			store, err = Open(folder)
+			So(err, ShouldBeNil)
+			all, _, err := store.RecordsAfter(2, RecordKey{}, 1000)
+			So(err, ShouldBeNil)
+			So(len(all), ShouldEqual, 2)
+			So(string(all[0].Value), ShouldEqual, "new")
+			So(string(all[1].Value), ShouldEqual, "later")
+			Convey("and again, in the place of the first", func() {
+				So(store.Write([]GroupWrite{{Group: 2, ResetStaged: true, PromoteStaged: true}}), ShouldBeNil)
+				all, _, err := store.RecordsAfter(2, RecordKey{}, 1000)
+				So(err, ShouldBeNil)
+				So(all, ShouldBeEmpty)
+			})
+		})
 		Convey("a second process is kept out, and the identity stays", func() {
 			_, err := Open(folder)
 			So(err, ShouldEqual, ErrInUse)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -65,6 +65,7 @@
 	counter("inner_bytes_received_total", "Bytes received over the inner protocol.", protocol.Traffic.BytesIn.Load)
 	counter("inner_messages_sent_total", "Messages sent over the inner protocol.", protocol.Traffic.MessagesOut.Load)
 	counter("inner_messages_received_total", "Messages received over the inner protocol.", protocol.Traffic.MessagesIn.Load)
+	counter("inner_messages_dropped_total", "One-way messages that a full queue did not take.", protocol.Traffic.Dropped.Load)
 	counter("log_lines_dropped_total", "Log lines that found the queue full.", func() int64 { dropped, _ := LogLosses(); return dropped })
 	counter("log_lines_thinned_total", "Log lines of calm requests left out under load.", func() int64 { _, thinned := LogLosses(); return thinned })
 	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
