--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,11 @@
 # SEEDS is how many seeds of each deployment make test simulates.
 SEEDS = 500
 
-.PHONY: build run test check
+# ROUNDS and SEED are make soak's: how many rounds of faults, drawn from which seed.
+ROUNDS = 60
+SEED = 1
+
+.PHONY: build run test check soak
 
 build:
 	go build -o bin/ochrebay ./cmd/ochrebay
@@ -18,3 +22,7 @@
 	bin/ochrebay simulate --seeds 1..$(SEEDS) --deployment small
 	bin/ochrebay simulate --seeds 1..$(SEEDS) --deployment vantul
 	bin/ochrebay simulate --seeds 1..$(SEEDS) --deployment court
+
+# soak strikes a fleet of real processes with faults drawn at random, under load.
+soak:
+	go test ./cmd/ochrebay -run '^TestSoak$$' -count=1 -v -timeout 0 -args -soak.rounds=$(ROUNDS) -soak.seed=$(SEED)
--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -78,9 +78,10 @@
 
 func (f *platformFleet) write(name, role string, zone int, inner string, seeds []string, listen string) {
 	quoted, _ := json.Marshal(seeds)
+	f.addresses["http-"+name] = freeAddress(f.t)
 	text := fmt.Sprintf("role: %s\nname: %s\nzone: z%d\nregion: r\ninterface: platform\nlisten:\n  address: %s\n  http: %s\n%slimits:\n  memory_mb: 256\n  grace_s: 8\n"+
 		"data:\n  path: %s\ncluster:\n  seeds: %s\n  bootstrap: true\n  tolerated_machines: 1\n  ledger_groups: 3\n",
-		role, name, zone, inner, freeAddress(f.t), listen, filepath.Join(f.folder, "data", name), quoted)
+		role, name, zone, inner, f.addresses["http-"+name], listen, filepath.Join(f.folder, "data", name), quoted)
 	if err := os.WriteFile(filepath.Join(f.folder, name+".yaml"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -28,6 +28,8 @@
 	drained bool
 	turns   int
 	hosted  int
+	// voting counts the hosted groups in which this replica counts in the quorum.
+	voting  int
 	applied uint64
 	synced  uint64
 }
@@ -86,6 +88,7 @@
 func (d *Daemon) registerMetrics() {
 	d.monitor.Gauge("ledger_groups_hosted", "Ledger groups with a replica here.", func() float64 { return float64(d.status.Load().hosted) })
 	d.monitor.Gauge("ledger_groups_led", "Ledger groups led here.", func() float64 { return float64(len(d.status.Load().report.Led)) })
+	d.monitor.Gauge("ledger_groups_voting", "Ledger groups whose quorum counts the replica here.", func() float64 { return float64(d.status.Load().voting) })
 	d.monitor.Gauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().turns) })
 	d.monitor.Gauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
 	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().synced) })
@@ -145,6 +148,9 @@
 	for _, group := range d.core.host.Groups {
 		current.turns += group.State.(*stateMachine).turns.Len()
 		current.applied += group.Node.Applied()
+		if group.Node.Configuration().IsVoter(group.Node.ID()) {
+			current.voting++
+		}
 		term := uint64(0)
 		if group.Leads() {
 			term = group.Node.Term()
