--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -103,7 +103,7 @@
 	proposalWaitMs  = 5000
 	maxAppendBytes  = 1 << 20
 	maxInflight     = 64
-	compactBytes    = 8 << 20
+	compactBytes    = 2 << 20
 	startTicks      = 3
 	keptTables      = 4
 	candidateHellos = 3
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -58,7 +58,7 @@
 	maxInflight        = 64
 	proposalWaitMs     = 3000
 	compactEntries     = 2000
-	compactBytes       = 6 << 20
+	compactBytes       = 2 << 20
 	reconcileEveryMs   = 100
 	sweepEveryMs       = 1000
 	forgetGroupAfterMs = 5000
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -46,9 +46,10 @@
 	waiting map[uint64]proposal
 	reads   map[uint64]pendingRead
 	readID  uint64
-	// unsaved are records that the next Write carries; until then reads must
-	// look here too.
-	unsaved []storage.Record
+	// unsaved are the records of entries applied since the last compaction, nil where
+	// they are deleted. The log still has the entries, so that the records need not be on
+	// the disk before it is compacted; until then reads look here first.
+	unsaved unsavedRecords
 	// senders remembers which member a replica belongs to: one that has just
 	// joined must answer a leader that its empty configuration doesn't name.
 	senders map[consensus.ReplicaID]string
@@ -70,6 +71,18 @@
 	savedVote   consensus.ReplicaID
 }
 
+// unsavedRecords are records by program and turn.
+type unsavedRecords map[string]map[uint64][]byte
+
+func (u unsavedRecords) put(record storage.Record) {
+	turns := u[record.Program]
+	if turns == nil {
+		turns = map[uint64][]byte{}
+		u[record.Program] = turns
+	}
+	turns[record.Turn] = record.Value
+}
+
 const (
 	// keptShare-th of what is compacted at once stays in memory, and keptForTransfer
 	// times as much while a snapshot is on its way.
@@ -188,13 +201,9 @@
 			return write, false, err
 		}
 	}
-	if needed {
-		write.Records = append(write.Records, group.unsaved...)
-		group.unsaved = nil
-		if write.HardState != nil {
-			group.savedTerm = write.HardState.Term
-			group.savedVote = write.HardState.Vote
-		}
+	if needed && write.HardState != nil {
+		group.savedTerm = write.HardState.Term
+		group.savedVote = write.HardState.Vote
 	}
 	return write, needed, nil
 }
@@ -209,6 +218,7 @@
 	if err != nil {
 		return err
 	}
+	write.Records = group.takeUnsaved()
 	index := group.Node.Applied()
 	write.Snapshot = &consensus.Snapshot{
 		Index: index, Term: group.Node.TermAt(index), Configuration: group.Node.ConfigurationAt(index), Data: data,
@@ -222,6 +232,21 @@
 	return nil
 }
 
+// takeUnsaved returns the unsaved records, in the order of their keys, for a write.
+func (g *Group) takeUnsaved() []storage.Record {
+	records := make([]storage.Record, 0, len(g.unsaved))
+	for program, turns := range g.unsaved {
+		for turn, value := range turns {
+			records = append(records, storage.Record{Program: program, Turn: turn, Value: value})
+		}
+	}
+	slices.SortFunc(records, func(a, b storage.Record) int {
+		return cmp.Or(cmp.Compare(a.Program, b.Program), cmp.Compare(a.Turn, b.Turn))
+	})
+	clear(g.unsaved)
+	return records
+}
+
 func (h *Host) afterSync(group *Group, ready consensus.Ready) error {
 	for _, message := range ready.MessagesAfterSync {
 		h.queuePeer(group, message)
@@ -261,7 +286,9 @@
 	if entry.Kind == consensus.EntryCommand {
 		var records []storage.Record
 		reply, records = group.State.Apply(entry.Index, entry.Data)
-		group.unsaved = append(group.unsaved, records...)
+		for _, record := range records {
+			group.unsaved.put(record)
+		}
 	}
 	waiting, ok := group.waiting[entry.Index]
 	delete(group.waiting, entry.Index)
@@ -321,9 +348,13 @@
 	for _, record := range stored {
 		byTurn[record.Turn] = record.Value
 	}
-	for _, record := range group.unsaved {
-		if record.Program == program && record.Turn > after {
-			byTurn[record.Turn] = record.Value
+	for turn, value := range group.unsaved[program] {
+		switch {
+		case turn <= after:
+		case value == nil:
+			delete(byTurn, turn)
+		default:
+			byTurn[turn] = value
 		}
 	}
 	var values [][]byte
--- a/internal/replication/host.go
+++ b/internal/replication/host.go
@@ -86,6 +86,7 @@
 	group := &Group{
 		ID: id, Node: node, State: state, waiting: map[uint64]proposal{}, reads: map[uint64]pendingRead{},
 		senders: map[consensus.ReplicaID]string{}, outgoing: map[consensus.ReplicaID]*outgoingTransfer{},
+		unsaved: unsavedRecords{},
 	}
 	h.Groups = append(h.Groups, group)
 	slices.SortFunc(h.Groups, func(a, b *Group) int { return int(a.ID) - int(b.ID) })
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -69,10 +69,9 @@
 	// Invariant: the disk holds the records of every entry that the snapshot covers
 	// before the first part is read.
 	if len(group.unsaved) > 0 {
-		if err := h.storage.Write([]storage.GroupWrite{{Group: group.ID, Records: group.unsaved}}); err != nil {
+		if err := h.storage.Write([]storage.GroupWrite{{Group: group.ID, Records: group.takeUnsaved()}}); err != nil {
 			return err
 		}
-		group.unsaved = nil
 	}
 	state, err := group.State.Snapshot()
 	if err != nil {
@@ -237,7 +236,7 @@
 		write.Staged = nil
 	}
 	group.incoming = nil
-	group.unsaved = nil
+	clear(group.unsaved)
 	return nil
 }
 
--- a/internal/simulation/disk.go
+++ b/internal/simulation/disk.go
@@ -113,9 +113,6 @@
 	if write.HardState != nil {
 		g.hard = *write.HardState
 	}
-	if write.CompactTo > 0 {
-		g.dropUpTo(write.CompactTo)
-	}
 	if write.ResetStaged {
 		g.staged = nil
 	}
--- /dev/null
+++ b/internal/storage/journal.go
@@ -0,0 +1,268 @@
+package storage
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sys/unix"
+
+	"github.com/ochrebay/ochrebay/internal/consensus"
+)
+
+const (
+	segmentPattern = "journal-*"
+	segmentFormat  = "journal-%016d"
+	// segmentBytes is how much is appended to a segment before the next one begins.
+	segmentBytes = 8 << 20
+	// frameHeadBytes are a frame's length (4 bytes) and checksum (8 bytes).
+	frameHeadBytes = 12
+	maxFrameBytes  = 1 << 30
+)
+
+// errTorn means that a segment ends, or goes on with bytes that were not written whole.
+var errTorn = errors.New("storage: a frame of the journal is not whole")
+
+// journal is the log of all groups in one file that is only appended to: a write costs
+// one sync, where a transaction costs two and a page for each entry. A segment begins with
+// an image of all that lives, so that older segments can go.
+//
+// Invariant: what append has returned for is in the newest segment that begins with a
+// whole image.
+type journal struct {
+	folder   string
+	file     *os.File
+	sequence uint64
+	// appended counts the bytes that follow the segment's image.
+	appended int
+	live     map[GroupID]*liveLog
+	buffer   []byte
+}
+
+// liveLog is a group's hard state and the entries after its snapshot.
+type liveLog struct {
+	hard    consensus.HardState
+	entries []consensus.Entry
+}
+
+// journalRecord is what one write adds to a group.
+type journalRecord struct {
+	Group     GroupID              `msgpack:"g"`
+	HardState *consensus.HardState `msgpack:"h,omitempty"`
+	// Reset drops all entries before Entries are added: a snapshot has replaced them.
+	Reset bool `msgpack:"r,omitempty"`
+	// Entries overwrite the log from their first index on.
+	Entries []consensus.Entry `msgpack:"e,omitempty"`
+}
+
+// openJournal reads the newest whole segment and begins a new one, so that nothing is
+// ever appended behind a torn frame.
+func openJournal(folder string) (*journal, error) {
+	j := &journal{folder: folder, live: map[GroupID]*liveLog{}}
+	names, err := filepath.Glob(filepath.Join(folder, segmentPattern))
+	if err != nil {
+		return nil, err
+	}
+	slices.Sort(names)
+	for _, name := range slices.Backward(names) {
+		var sequence uint64
+		if _, err := fmt.Sscanf(filepath.Base(name), segmentFormat, &sequence); err != nil {
+			return nil, errorx.IllegalFormat.New("%s is no segment of a journal", name)
+		}
+		j.sequence = max(j.sequence, sequence)
+		whole, err := j.read(name)
+		if err != nil {
+			return nil, errorx.Decorate(err, "reading %s", name)
+		}
+		if whole {
+			break
+		}
+	}
+	return j, j.rotate()
+}
+
+// read takes a segment in; false where not even its image is whole.
+func (j *journal) read(name string) (bool, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return false, err
+	}
+	defer file.Close()
+	reader := bufio.NewReader(file)
+	for frames := 0; ; frames++ {
+		records, err := readFrame(reader)
+		if errors.Is(err, errTorn) {
+			return frames > 0, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		for position := range records {
+			j.apply(&records[position])
+		}
+	}
+}
+
+// readFrame reads one frame; errTorn means that the segment ends here.
+func readFrame(reader io.Reader) ([]journalRecord, error) {
+	var head [frameHeadBytes]byte
+	if _, err := io.ReadFull(reader, head[:]); err != nil {
+		return nil, tornOr(err)
+	}
+	length := binary.BigEndian.Uint32(head[:4])
+	if length > maxFrameBytes {
+		return nil, errTorn
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		return nil, tornOr(err)
+	}
+	if xxhash.Sum64(body) != binary.BigEndian.Uint64(head[4:]) {
+		return nil, errTorn
+	}
+	var records []journalRecord
+	err := msgpack.Unmarshal(body, &records)
+	return records, err
+}
+
+func tornOr(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errTorn
+	}
+	return err
+}
+
+func (j *journal) of(group GroupID) *liveLog {
+	known, ok := j.live[group]
+	if !ok {
+		known = &liveLog{}
+		j.live[group] = known
+	}
+	return known
+}
+
+func (j *journal) apply(record *journalRecord) {
+	log := j.of(record.Group)
+	if record.HardState != nil {
+		log.hard = *record.HardState
+	}
+	if record.Reset {
+		log.entries = nil
+	}
+	if len(record.Entries) == 0 {
+		return
+	}
+	// Invariant: no entry of an older term stays behind the ones written.
+	first := record.Entries[0].Index
+	keep := len(log.entries)
+	for keep > 0 && log.entries[keep-1].Index >= first {
+		keep--
+	}
+	log.entries = append(log.entries[:keep], record.Entries...)
+}
+
+// compact forgets a group's entries up to an index, which its snapshot covers.
+func (j *journal) compact(group GroupID, index uint64) {
+	log := j.of(group)
+	covered := 0
+	for covered < len(log.entries) && log.entries[covered].Index <= index {
+		covered++
+	}
+	log.entries = slices.Clone(log.entries[covered:])
+}
+
+// append adds records and returns after the sync.
+func (j *journal) append(records []journalRecord) error {
+	if len(records) == 0 {
+		return nil
+	}
+	written, err := j.writeFrame(records)
+	if err != nil {
+		return err
+	}
+	if err := unix.Fdatasync(int(j.file.Fd())); err != nil {
+		return err
+	}
+	for position := range records {
+		j.apply(&records[position])
+	}
+	if j.appended += written; j.appended > segmentBytes {
+		return j.rotate()
+	}
+	return nil
+}
+
+func (j *journal) writeFrame(records []journalRecord) (int, error) {
+	body, err := msgpack.Marshal(records)
+	if err != nil {
+		return 0, err
+	}
+	j.buffer = binary.BigEndian.AppendUint32(j.buffer[:0], uint32(len(body)))
+	j.buffer = binary.BigEndian.AppendUint64(j.buffer, xxhash.Sum64(body))
+	j.buffer = append(j.buffer, body...)
+	return j.file.Write(j.buffer)
+}
+
+// rotate begins a new segment with an image of what lives, and removes the older ones
+// once it lasts.
+func (j *journal) rotate() error {
+	older, err := filepath.Glob(filepath.Join(j.folder, segmentPattern))
+	if err != nil {
+		return err
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.sequence++
+	name := filepath.Join(j.folder, fmt.Sprintf(segmentFormat, j.sequence))
+	if j.file, err = os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode); err != nil {
+		return err
+	}
+	if _, err := j.writeFrame(j.image()); err != nil {
+		return err
+	}
+	j.buffer = nil
+	j.appended = 0
+	if err := j.file.Sync(); err != nil {
+		return err
+	}
+	if err := syncFolder(j.folder); err != nil {
+		return err
+	}
+	for _, old := range older {
+		if err := os.Remove(old); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// image returns all that lives, in ascending order of the groups.
+func (j *journal) image() []journalRecord {
+	records := []journalRecord{}
+	for group, log := range j.live {
+		records = append(records, journalRecord{Group: group, HardState: &log.hard, Reset: true, Entries: log.entries})
+	}
+	slices.SortFunc(records, func(a, b journalRecord) int { return int(a.Group) - int(b.Group) })
+	return records
+}
+
+func (j *journal) close() error { return j.file.Close() }
+
+// syncFolder makes the names in a folder last.
+func syncFolder(folder string) error {
+	opened, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	return opened.Sync()
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -1,7 +1,8 @@
-// Package storage keeps what must survive a control process: the logs, hard
-// states and snapshots of its log groups and the turn records of programs, in
-// one bbolt file under the data folder. One Write is one transaction and one
-// sync for all groups (design section 5).
+// Package storage keeps what must survive a process: the logs and hard states of its
+// log groups in a journal that is only appended to, and their snapshots and the turn
+// records of programs in one bbolt file, both under the data folder. One Write is one
+// sync for all groups, and a transaction more where it brings a snapshot or records
+// (design section 5).
 package storage
 
 import (
@@ -32,15 +33,12 @@
 )
 
 var (
-	metaBucket     = []byte("meta")
-	groupsBucket   = []byte("groups")
-	notesBucket    = []byte("notes")
-	logBucket      = []byte("log")
-	replicaKey     = []byte("replica")
-	hardStateKey   = []byte("hard-state")
-	snapshotKey    = []byte("snapshot")
-	bootstrapKey   = []byte("bootstrap")
-	errNoSuchGroup = errors.New("storage: no such group")
+	metaBucket   = []byte("meta")
+	groupsBucket = []byte("groups")
+	notesBucket  = []byte("notes")
+	replicaKey   = []byte("replica")
+	snapshotKey  = []byte("snapshot")
+	bootstrapKey = []byte("bootstrap")
 )
 
 // GroupID numbers a log group; 0 is the settings group.
@@ -53,8 +51,6 @@
 	Snapshot  *consensus.Snapshot
 	// Entries overwrite the log from their first index on.
 	Entries []consensus.Entry
-	// CompactTo drops entries up to this index; zero drops none.
-	CompactTo uint64
 	// Records are turn records by key; a nil value deletes.
 	Records []Record
 	// ResetStaged forgets the staged records before Staged are added to them. Staged
@@ -62,13 +58,21 @@
 	ResetStaged bool
 	Staged      []Record
 	// PromoteStaged puts the staged records in the place of the group's records, before
-	// Records are written.
+	// Records are written. Snapshot is then one from another replica, which takes the
+	// place of the whole log.
 	PromoteStaged bool
 }
 
-// Store is one process's durable state.
+// inTransaction reports whether the write brings something that the journal doesn't keep.
+func (w *GroupWrite) inTransaction() bool {
+	return w.Snapshot != nil || len(w.Records) > 0 || w.ResetStaged || len(w.Staged) > 0 || w.PromoteStaged
+}
+
+// Store is one process's durable state. One goroutine may write; Load is for the time
+// before the first write.
 type Store struct {
 	database *bbolt.DB
+	journal  *journal
 	replica  consensus.ReplicaID
 }
 
@@ -88,15 +92,31 @@
 		return nil, errorx.Decorate(err, "opening the store")
 	}
 	store := &Store{database: database}
-	if err := store.initialise(); err != nil {
+	if err := store.initialise(folder); err != nil {
 		_ = database.Close()
 		return nil, err
 	}
 	return store, nil
 }
 
-// initialise makes the replica id that is bound to this disk at the first open.
-func (s *Store) initialise() error {
+// initialise makes the replica's identity where the disk has none, and opens the journal.
+// Invariant: the names of all files last before the store is used.
+func (s *Store) initialise(folder string) error {
+	if err := s.identify(); err != nil {
+		return err
+	}
+	if err := syncFolder(filepath.Dir(folder)); err != nil {
+		return errorx.Decorate(err, "syncing the folder above the data folder")
+	}
+	var err error
+	if s.journal, err = openJournal(folder); err != nil {
+		return errorx.Decorate(err, "opening the journal")
+	}
+	return nil
+}
+
+// identify makes the replica id that is bound to this disk at the first open.
+func (s *Store) identify() error {
 	return s.database.Update(func(tx *bbolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
@@ -121,7 +141,7 @@
 
 // Close releases the data folder.
 func (s *Store) Close() error {
-	return s.database.Close()
+	return errors.Join(s.journal.close(), s.database.Close())
 }
 
 // Replica returns the id of this disk's incarnation.
@@ -184,20 +204,36 @@
 	return binary.BigEndian.AppendUint32(nil, uint32(group))
 }
 
-func indexKey(index uint64) []byte {
-	return binary.BigEndian.AppendUint64(nil, index)
-}
-
-// Write stores the writes of all groups in one transaction and returns after
-// the sync.
+// Write stores the writes of all groups and returns after the sync.
 func (s *Store) Write(writes []GroupWrite) error {
-	if len(writes) == 0 {
-		return nil
+	if slices.ContainsFunc(writes, func(write GroupWrite) bool { return write.inTransaction() }) {
+		if err := s.writeTransaction(writes); err != nil {
+			return err
+		}
 	}
+	var records []journalRecord
+	for position := range writes {
+		write := &writes[position]
+		if write.Snapshot != nil {
+			s.journal.compact(write.Group, write.Snapshot.Index)
+		}
+		if write.HardState != nil || len(write.Entries) > 0 || write.PromoteStaged {
+			records = append(records, journalRecord{Group: write.Group, HardState: write.HardState, Reset: write.PromoteStaged, Entries: write.Entries})
+		}
+	}
+	return s.journal.append(records)
+}
+
+// writeTransaction stores snapshots and records.
+func (s *Store) writeTransaction(writes []GroupWrite) error {
 	return s.database.Update(func(tx *bbolt.Tx) error {
 		for position := range writes {
-			if err := writeGroup(tx, &writes[position]); err != nil {
-				return errorx.Decorate(err, "writing group %d", writes[position].Group)
+			write := &writes[position]
+			if !write.inTransaction() {
+				continue
+			}
+			if err := writeGroup(tx, write); err != nil {
+				return errorx.Decorate(err, "writing group %d", write.Group)
 			}
 		}
 		return nil
@@ -210,127 +246,54 @@
 		return err
 	}
 	if write.Snapshot != nil {
-		if err := writeSnapshot(group, write.Snapshot); err != nil {
-			return err
-		}
-	}
-	if err := writeEntries(group, write.Entries); err != nil {
-		return err
-	}
-	if write.HardState != nil {
-		if err := putEncoded(group, hardStateKey, write.HardState); err != nil {
+		raw, err := msgpack.Marshal(write.Snapshot)
+		if err != nil {
 			return err
 		}
-	}
-	if write.CompactTo > 0 {
-		if err := deleteUpTo(group, write.CompactTo); err != nil {
+		if err := group.Put(snapshotKey, raw); err != nil {
 			return err
 		}
 	}
 	return writeRecords(group, write)
 }
 
-func putEncoded(bucket *bbolt.Bucket, key []byte, value any) error {
-	raw, err := msgpack.Marshal(value)
-	if err != nil {
-		return err
-	}
-	return bucket.Put(key, raw)
-}
-
-// writeSnapshot replaces the state; a snapshot ahead of the log drops the log.
-func writeSnapshot(group *bbolt.Bucket, snapshot *consensus.Snapshot) error {
-	if err := putEncoded(group, snapshotKey, snapshot); err != nil {
-		return err
-	}
-	return deleteUpTo(group, snapshot.Index)
-}
-
-func deleteUpTo(group *bbolt.Bucket, index uint64) error {
-	entries := group.Bucket(logBucket)
-	if entries == nil {
-		return nil
-	}
-	cursor := entries.Cursor()
-	for key, _ := cursor.First(); key != nil && binary.BigEndian.Uint64(key) <= index; key, _ = cursor.First() {
-		if err := cursor.Delete(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func writeEntries(group *bbolt.Bucket, entries []consensus.Entry) error {
-	if len(entries) == 0 {
-		return nil
-	}
-	bucket, err := group.CreateBucketIfNotExists(logBucket)
-	if err != nil {
-		return err
-	}
-	// Invariant: no entry of an older term stays behind the ones written.
-	cursor := bucket.Cursor()
-	for key, _ := cursor.Seek(indexKey(entries[0].Index)); key != nil; key, _ = cursor.Seek(indexKey(entries[0].Index)) {
-		if err := cursor.Delete(); err != nil {
-			return err
-		}
-	}
-	bucket.FillPercent = 0.95
-	for position := range entries {
-		if err := putEncoded(bucket, indexKey(entries[position].Index), &entries[position]); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Load returns what the disk holds of a group; the snapshot's data included.
 func (s *Store) Load(id GroupID) (consensus.Restored, error) {
 	var restored consensus.Restored
 	err := s.database.View(func(tx *bbolt.Tx) error {
 		group := tx.Bucket(groupsBucket).Bucket(groupKey(id))
 		if group == nil {
-			return errNoSuchGroup
-		}
-		if raw := group.Get(hardStateKey); raw != nil {
-			if err := msgpack.Unmarshal(raw, &restored.HardState); err != nil {
-				return err
-			}
+			return nil
 		}
-		if raw := group.Get(snapshotKey); raw != nil {
-			if err := msgpack.Unmarshal(raw, &restored.Snapshot); err != nil {
-				return err
-			}
+		raw := group.Get(snapshotKey)
+		if raw == nil {
+			return nil
 		}
-		return loadEntries(group, &restored)
+		return msgpack.Unmarshal(raw, &restored.Snapshot)
 	})
-	if errors.Is(err, errNoSuchGroup) {
-		return consensus.Restored{}, nil
-	}
 	if err != nil {
 		return consensus.Restored{}, errorx.Decorate(err, "loading group %d", id)
 	}
-	return restored, nil
+	log := s.journal.of(id)
+	restored.HardState = log.hard
+	return restored, restoreEntries(&restored, log.entries)
 }
 
-func loadEntries(group *bbolt.Bucket, restored *consensus.Restored) error {
-	bucket := group.Bucket(logBucket)
-	if bucket == nil {
-		return nil
-	}
-	return bucket.ForEach(func(key, value []byte) error {
-		var entry consensus.Entry
-		if err := msgpack.Unmarshal(value, &entry); err != nil {
-			return err
-		}
+// restoreEntries takes the entries that follow the snapshot. Entries of an older term
+// than its own are of a log that it has replaced.
+func restoreEntries(restored *consensus.Restored, entries []consensus.Entry) error {
+	for _, entry := range entries {
 		if entry.Index <= restored.Snapshot.Index {
-			return nil
+			continue
 		}
 		expected := restored.Snapshot.Index + uint64(len(restored.Entries)) + 1
+		if entry.Term < restored.Snapshot.Term && len(restored.Entries) == 0 {
+			return nil
+		}
 		if entry.Index != expected {
 			return errorx.IllegalState.New("log has %d where %d is due", entry.Index, expected)
 		}
 		restored.Entries = append(restored.Entries, entry)
-		return nil
-	})
+	}
+	return nil
 }
