--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -78,11 +78,12 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, assumedPeers), ledgers: newLedgers(),
-		chains: newChainCache(chainBytes(process.Limits)),
+		engines: newEngines(process.Zone, assumedPeers),
+		chains:  newChainCache(chainBytes(process.Limits)),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
+	d.ledgers = newLedgers(process.Zone, d.metrics.histories)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -78,13 +78,18 @@
 	server  *httptest.Server
 	ledger  *ledgerStand
 	runs    atomic.Int64
+	// sent, where it is set, takes the body that the engine was sent last.
+	sent *atomic.Value
 }
 
 func newGatewayStand(t *testing.T, engine http.HandlerFunc) *gatewayStand {
 	stand := &gatewayStand{ledger: newLedgerStand(t)}
 	engines := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		stand.runs.Add(1)
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, _ := io.ReadAll(r.Body)
+		if stand.sent != nil {
+			stand.sent.Store(string(body))
+		}
 		w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
 		engine(w, r)
 	}))
@@ -205,6 +210,37 @@
 		So(string(settled.Settle.Content), ShouldEqual, "in1\n2\n")
 		So(settled.Settle.Keep, ShouldBeTrue)
 	})
+	Convey("the older turns of a chain come from the replica in the zone, and from the leader where that has them not", t, func() {
+		for _, has := range []bool{true, false} {
+			var sent atomic.Value
+			stand := newGatewayStand(t, func(w http.ResponseWriter, r *http.Request) { events(1, "", false)(w, r) })
+			stand.sent = &sent
+			stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+				switch {
+				case request.Reserve != nil && request.Zone == "near":
+					return &protocol.TurnReply{Older: []string{"t1", "t2"}, Chain: []byte("three ")}
+				case len(request.Contents) == 2:
+					return &protocol.TurnReply{Chain: []byte("ONE TWO ")}
+				}
+				return &protocol.TurnReply{}
+			})
+			near := newLedgerStand(t)
+			near.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+				if !has || len(request.Contents) != 2 {
+					return &protocol.TurnReply{Error: result.New(result.NotLeader, "not here")}
+				}
+				return &protocol.TurnReply{Chain: []byte("one two ")}
+			})
+			fleet := *stand.gateway.view.Load().fleet
+			fleet.Ledgers = map[string]membership.LedgerHost{near.server.Address(): {Member: near.server.Address(), Zone: "near"}}
+			fleet.Groups = map[uint32]membership.Placement{1: {Group: 1, Members: []string{stand.ledger.server.Address(), near.server.Address()}}}
+			stand.gateway.ledgers.follow(&fleet)
+			response, _, err := stand.send("/kept/", "r4", "Ochrebay-Previous-Turn", "t3")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 200)
+			So(sent.Load(), ShouldEqual, map[bool]string{true: "one two three in", false: "ONE TWO three in"}[has])
+		}
+	})
 	Convey("a part of an event is never passed on", t, func() {
 		stand := newGatewayStand(t, events(2, "id: 3\ndata: half", true))
 		_, body, err := stand.send("/stream/", "r1", budget...)
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -22,19 +24,29 @@
 	reserveTimeout = 1200 * time.Millisecond
 	keepTimeout    = 1500 * time.Millisecond
 	settleTimeout  = 6 * time.Second
+	// nearTry bounds a question to the replica in this zone, behind which the leader
+	// stands.
+	nearTry = 100 * time.Millisecond
+
+	// sourceNear and sourceLeader say where a history was read.
+	sourceNear   = "near"
+	sourceLeader = "leader"
 )
 
 // ledgers finds the leader of each ledger group and asks it.
 type ledgers struct {
 	caller *daemon.Caller
-	mutex  sync.Mutex
-	view   *membership.FleetView
+	zone   string
+	// histories counts the reads of older turns by source.
+	histories *prometheus.CounterVec
+	mutex     sync.Mutex
+	view      *membership.FleetView
 	// leaders are the groups' leaders as last heard.
 	leaders map[uint32]string
 }
 
-func newLedgers() *ledgers {
-	return &ledgers{caller: daemon.NewCaller(), leaders: map[uint32]string{}}
+func newLedgers(zone string, histories *prometheus.CounterVec) *ledgers {
+	return &ledgers{caller: daemon.NewCaller(), zone: zone, histories: histories, leaders: map[uint32]string{}}
 }
 
 func (l *ledgers) follow(view *membership.FleetView) {
@@ -138,7 +150,42 @@
 	if !placed {
 		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
 	}
-	return l.ask(ctx, &protocol.TurnRequest{Group: group, Reserve: reserve, Known: known})
+	reply := l.ask(ctx, &protocol.TurnRequest{Group: group, Reserve: reserve, Known: known, Zone: l.zone})
+	if reply.Error == nil && len(reply.Older) > 0 {
+		l.addOlder(ctx, group, reply)
+	}
+	return reply
+}
+
+// addOlder puts the content of the older turns before what the leader has sent: from a
+// replica in this zone, which saves the way between zones, or else from the leader.
+func (l *ledgers) addOlder(ctx context.Context, group uint32, reply *protocol.TurnReply) {
+	request := &protocol.TurnRequest{Group: group, Contents: reply.Older}
+	older := &protocol.TurnReply{}
+	source := sourceNear
+	near := l.nearReplica(group)
+	if near == "" || l.caller.CallWithin(ctx, nearTry, near, protocol.KindTurn, request, older) != nil || older.Error != nil {
+		source = sourceLeader
+		older = l.ask(ctx, request)
+	}
+	l.histories.WithLabelValues(source).Inc()
+	reply.Error = older.Error
+	reply.Chain = append(older.Chain, reply.Chain...)
+}
+
+// nearReplica returns a member of a group in this zone, "" where there is none.
+func (l *ledgers) nearReplica(group uint32) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.view == nil {
+		return ""
+	}
+	for _, member := range l.view.Groups[group].Members {
+		if l.view.Ledgers[member].Zone == l.zone {
+			return member
+		}
+	}
+	return ""
 }
 
 // findElsewhere looks for a turn in all groups but the program's own: a program may
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	opened     *prometheus.HistogramVec
 	kept       *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
+	histories  *prometheus.CounterVec
 }
 
 // newMetrics registers the figures of a gateway.
@@ -37,6 +38,7 @@
 		opened:     monitor.Latencies("gateway_turn_open_seconds", "Time until the ledger had opened a turn."),
 		kept:       monitor.Latencies("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
 		firstEvent: monitor.Latencies("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
+		histories:  monitor.Counters("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
 	}
 }
 
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -621,3 +621,52 @@
 		t.Fatalf("%d messages that bring nothing", c.commits)
 	}
 }
+
+// TestHistoryIsReadNearby holds that an asker in a zone with a replica of its own is told
+// which turns to ask that replica for, that the replica has them, and that one which has
+// not applied a turn yet sends the asker on and never says that there is no such turn.
+func TestHistoryIsReadNearby(t *testing.T) {
+	c := newCluster(t, 7, 4, 3)
+	c.until("a leader", func() bool { return c.leader() != nil })
+	last := ""
+	for number := range 5 {
+		request := fmt.Sprint(number)
+		c.keep(request, last)
+		c.until("a kept turn", func() bool { c.run(100); return c.kept[request] != "" })
+		last = request
+	}
+	leader := c.leader()
+	ask := func(host *node, request *protocol.TurnRequest) *protocol.TurnReply {
+		var answer *protocol.TurnReply
+		host.ask(request, func(reply *protocol.TurnReply) { answer = reply })
+		c.until("an answer", func() bool { return answer != nil })
+		return answer
+	}
+	reserve := func(zone, known string) *protocol.TurnReply {
+		return ask(leader, &protocol.TurnRequest{Group: 1, Zone: zone, Known: known, Reserve: &program.Reserve{Program: "p", Request: "next", Previous: last}})
+	}
+	for _, host := range c.nodes[:3] {
+		reply := reserve(host.host.Zone, "")
+		if host == leader {
+			if string(reply.Chain) != c.kept[last] || len(reply.Older) > 0 {
+				t.Fatalf("in the leader's zone: chain %q, older %v", reply.Chain, reply.Older)
+			}
+			continue
+		}
+		older := ask(host, &protocol.TurnRequest{Group: 1, Contents: reply.Older})
+		if older.Error != nil || string(older.Chain)+string(reply.Chain) != c.kept[last] {
+			t.Fatalf("in zone %s: %q and %q, %v", host.host.Zone, older.Chain, reply.Chain, older.Error)
+		}
+		known := reserve(host.host.Zone, "1")
+		if !known.Continued || !slices.Equal(known.Older, []string{"2", "3"}) {
+			t.Fatalf("going on from turn 1: continued %v, older %v", known.Continued, known.Older)
+		}
+		unheard := ask(host, &protocol.TurnRequest{Group: 1, Contents: []string{"0", "not applied here"}})
+		if unheard.Error == nil || unheard.Error.Code != result.NotLeader || unheard.Leader != leader.host.Member {
+			t.Fatalf("a turn that is not here: %v, sent on to %q", unheard.Error, unheard.Leader)
+		}
+	}
+	if reply := reserve("a zone without a replica", ""); string(reply.Chain) != c.kept[last] {
+		t.Fatalf("elsewhere: chain %q, older %v", reply.Chain, reply.Older)
+	}
+}
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -222,6 +222,10 @@
 		id, message = request.Settle.Request, "turn settled"
 		keyValues = append(keyValues, "program", request.Settle.Program, "used", request.Settle.Used, "keep", request.Settle.Keep)
 	}
+	if len(request.Contents) > 0 {
+		id, message = request.Contents[len(request.Contents)-1], "contents read"
+		keyValues = append(keyValues, "turns", len(request.Contents), "bytes", len(reply.Chain))
+	}
 	keyValues = append(keyValues, "request", id)
 	if reply.Error == nil {
 		telemetry.Calm(d.logger, id, message, keyValues...)
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/replication"
@@ -23,6 +24,10 @@
 func (c *Core) Request(id RequestID, request *protocol.TurnRequest, nowMs int64) {
 	c.setNow(nowMs)
 	group := c.host.Find(storage.GroupID(request.Group))
+	if group != nil && len(request.Contents) > 0 {
+		c.outlet.Reply(id, c.contents(group, request.Contents))
+		return
+	}
 	if group == nil || !group.Leads() || c.draining {
 		reply := &protocol.TurnReply{Error: result.New(result.NotLeader, "%s does not lead group %d", c.options.Name, request.Group)}
 		if group != nil {
@@ -53,7 +58,7 @@
 		if previous == "" {
 			return &protocol.TurnReply{}
 		}
-		return c.chain(group, previous, request.Known)
+		return c.chain(group, previous, request.Known, request.Zone)
 	}
 	if request.Reserve.Budget <= 0 {
 		c.host.Read(group, func(failure *result.Error) {
@@ -125,21 +130,51 @@
 		case !c.has(group, request):
 			c.outlet.Reply(id, &protocol.TurnReply{Error: result.New(result.UnknownTurn, "no turn %s", request)})
 		default:
-			c.outlet.Reply(id, c.chain(group, request, ""))
+			c.outlet.Reply(id, c.chain(group, request, "", ""))
 		}
 	})
 }
 
-// chain joins the content of a line of turns, oldest first; where the line goes
-// through the turn that the asker knows, only what follows that one.
-func (c *Core) chain(group *replication.Group, last, known string) *protocol.TurnReply {
+// chain joins the content of a line of turns, oldest first; where the line goes through
+// the turn that the asker knows, only what follows that one. For an asker in a zone with
+// a replica of its own it names all turns but the last, which that replica may not have
+// applied yet.
+func (c *Core) chain(group *replication.Group, last, known, zone string) *protocol.TurnReply {
 	reply := &protocol.TurnReply{}
 	line := group.State.(*stateMachine).turns.Chain(last)
 	if place := slices.Index(line, known); place >= 0 {
 		line = line[place+1:]
 		reply.Continued = true
 	}
-	for _, request := range line {
+	if len(line) > 1 && c.replicaElsewhere(group, zone) {
+		reply.Older = line[:len(line)-1]
+		line = line[len(line)-1:]
+	}
+	joined := c.contents(group, line)
+	reply.Chain, reply.Error = joined.Chain, joined.Error
+	return reply
+}
+
+// replicaElsewhere reports whether a zone that is not this host's has a voter of the
+// group.
+func (c *Core) replicaElsewhere(group *replication.Group, zone string) bool {
+	if zone == "" || zone == c.options.Zone || c.view == nil {
+		return false
+	}
+	return slices.ContainsFunc(group.Node.Configuration().Replicas, func(replica consensus.Replica) bool {
+		return !replica.Learner && c.view.Ledgers[replica.Member].Zone == zone
+	})
+}
+
+// contents joins the content of turns. Invariant: a turn never changes once it is kept,
+// so that any replica which has applied it may answer; one that has not sends the asker
+// to the leader, and says nothing of whether there is such a turn.
+func (c *Core) contents(group *replication.Group, turns []string) *protocol.TurnReply {
+	reply := &protocol.TurnReply{}
+	for _, request := range turns {
+		if !group.Leads() && !c.has(group, request) {
+			return &protocol.TurnReply{Leader: group.LeaderMember(), Error: result.New(result.NotLeader, "turn %s is not here", request)}
+		}
 		records, err := c.host.Records(group, request, 0)
 		if err != nil || len(records) != 1 {
 			return &protocol.TurnReply{Error: result.New(result.Internal, "turn %s has %d records: %v", request, len(records), err)}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -61,8 +61,8 @@
 	Confirmed bool `msgpack:"q,omitempty"`
 }
 
-// TurnRequest asks the leader of a ledger group for one thing; exactly one of
-// Reserve, Settle and Find is set.
+// TurnRequest asks the leader of a ledger group for one thing; exactly one of Reserve,
+// Settle, Find and Contents is set. Any replica that has them may answer Contents.
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
 	Reserve *program.Reserve `msgpack:"r,omitempty"`
@@ -70,8 +70,13 @@
 	// from; the reply carries only what follows.
 	Known  string          `msgpack:"h,omitempty"`
 	Settle *program.Settle `msgpack:"s,omitempty"`
+	// Zone is where the sender is. Where another replica is in that zone, the reply to
+	// Reserve names the older turns of the chain, to be asked of that replica.
+	Zone string `msgpack:"z,omitempty"`
 	// Find asks for the chain of a turn, confirmed by a quorum.
 	Find string `msgpack:"f,omitempty"`
+	// Contents asks for the content of turns, joined in the order given.
+	Contents []string `msgpack:"c,omitempty"`
 }
 
 // TurnReply answers a TurnRequest.
@@ -82,6 +87,9 @@
 	// line, or with Continued what follows the turn that the sender knows.
 	Chain     []byte `msgpack:"c,omitempty"`
 	Continued bool   `msgpack:"n,omitempty"`
+	// Older are the turns whose content goes before Chain, oldest first, and which a
+	// replica in the sender's zone is to be asked for.
+	Older []string `msgpack:"o,omitempty"`
 	// Engine most likely holds what the turn's session has read.
 	Engine string `msgpack:"g,omitempty"`
 }
