--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -76,6 +76,9 @@
 	readSeq  uint64
 	transfer ReplicaID
 
+	// unsent says that commands were appended since the last Ready: one message to each
+	// follower carries them all.
+	unsent          bool
 	messages        []Message
 	messagesAfter   []Message
 	pendingSnapshot *Snapshot
@@ -215,7 +218,7 @@
 		return 0, 0, ErrNotLeader
 	}
 	entry := n.appendOwn(Entry{Kind: EntryCommand, Data: data})
-	n.broadcastAppend()
+	n.unsent = true
 	return entry.Index, entry.Term, nil
 }
 
@@ -302,6 +305,10 @@
 
 // Ready returns the work that has gathered since the last Advance.
 func (n *Node) Ready() Ready {
+	if n.unsent {
+		n.unsent = false
+		n.sendUnsent()
+	}
 	ready := Ready{
 		Messages:          n.messages,
 		MessagesAfterSync: n.messagesAfter,
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// sendUnsent sends followers the entries that they lack.
+func (n *Node) sendUnsent() {
+	if n.role != Leader {
+		return
+	}
+	for _, id := range n.peers() {
+		if n.progress[id].next <= n.log.lastIndex() {
+			n.sendAppend(id)
+		}
+	}
+}
+
 func (n *Node) sendAppend(id ReplicaID) {
 	follower := n.progress[id]
 	if follower.waitingSnapshot || (follower.probing && follower.inflight > 0) || follower.inflight >= n.options.MaxInflight {
--- a/internal/daemon/caller.go
+++ b/internal/daemon/caller.go
@@ -111,18 +111,36 @@
 	}
 }
 
-// CallWithin is Call with a bound on its time; a process that keeps silent loses
-// its connection, since it may be dark.
+// CallWithin is Call with a bound on its time; a process that kept silent all that time
+// loses its connection, since it may be dark. One that answers others is only slow: to end
+// its connection would end their calls too.
 func (c *Caller) CallWithin(ctx context.Context, within time.Duration, address string, kind protocol.Kind, request, reply any) error {
 	bounded, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	began := time.Now()
 	err := c.Call(bounded, address, kind, request, reply)
-	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil && !c.heardSince(address, began) {
 		c.Drop(address)
 	}
 	return err
 }
 
+// heardSince reports whether a process has sent anything since a time.
+func (c *Caller) heardSince(address string, since time.Time) bool {
+	c.mutex.Lock()
+	known := c.connections[address]
+	c.mutex.Unlock()
+	if known == nil {
+		return false
+	}
+	select {
+	case <-known.done:
+		return known.connection != nil && known.connection.HeardSince(since)
+	default:
+		return false
+	}
+}
+
 // Close ends all connections.
 func (c *Caller) Close() {
 	c.mutex.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -39,6 +39,11 @@
 		if protocol.Decode(frame.Body, request) != nil {
 			return
 		}
+		if request.Probe {
+			// The stand leads every group.
+			_ = connection.Reply(frame.Call, protocol.KindResponse, &protocol.TurnReply{}, true)
+			return
+		}
 		stand.requests <- request
 		if reply := (*stand.answer.Load())(request); reply != nil {
 			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -17,8 +17,8 @@
 const (
 	// ledgerTry bounds one question to one ledger host.
 	ledgerTry = 450 * time.Millisecond
-	// ledgerPause is the pause after a question that nobody answered for the group.
-	ledgerPause = 25 * time.Millisecond
+	// probeTry bounds the question whether a host leads a group.
+	probeTry = 150 * time.Millisecond
 	// reserveTimeout bounds the time until a turn is open, keepTimeout until it is
 	// kept, and settleTimeout the background settling of one that is not kept.
 	reserveTimeout = 1200 * time.Millisecond
@@ -41,12 +41,13 @@
 	histories *prometheus.CounterVec
 	mutex     sync.Mutex
 	view      *membership.FleetView
-	// leaders are the groups' leaders as last heard.
-	leaders map[uint32]string
+	leaders   *leaders
 }
 
 func newLedgers(zone string, histories *prometheus.CounterVec) *ledgers {
-	return &ledgers{caller: daemon.NewCaller(), zone: zone, histories: histories, leaders: map[uint32]string{}}
+	l := &ledgers{caller: daemon.NewCaller(), zone: zone, histories: histories}
+	l.leaders = newLeaders(l.members, l.probe)
+	return l
 }
 
 func (l *ledgers) follow(view *membership.FleetView) {
@@ -65,60 +66,50 @@
 	return uint32(len(l.view.Groups))
 }
 
-// target returns the member to ask for a group at the given try.
-func (l *ledgers) target(group uint32, try int) string {
+// members returns where a group is placed.
+func (l *ledgers) members(group uint32) []string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if leader := l.leaders[group]; leader != "" {
-		return leader
-	}
-	if l.view == nil || len(l.view.Groups[group].Members) == 0 {
-		return ""
+	if l.view == nil {
+		return nil
 	}
-	members := l.view.Groups[group].Members
-	return members[try%len(members)]
+	return l.view.Groups[group].Members
 }
 
-func (l *ledgers) setLeader(group uint32, leader string) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.leaders[group] = leader
+// probe asks a member whether it leads a group.
+func (l *ledgers) probe(ctx context.Context, member string, group uint32) (leads bool, hint string) {
+	reply := &protocol.TurnReply{}
+	err := l.caller.CallWithin(ctx, probeTry, member, protocol.KindTurn, &protocol.TurnRequest{Group: group, Probe: true}, reply)
+	return err == nil && reply.Error == nil, reply.Leader
 }
 
 // ask puts a question to the leader of its group until it is answered or ctx ends.
 // All questions may be put again: the ledger knows a turn by its request.
 func (l *ledgers) ask(ctx context.Context, request *protocol.TurnRequest) *protocol.TurnReply {
-	last := result.New(result.LedgerUnreachable, "group %d: no host known", request.Group)
+	request.WithinMs = ledgerTry.Milliseconds()
+	last := result.New(result.LedgerUnreachable, "group %d: no leader found", request.Group)
 	for try := 0; ctx.Err() == nil; try++ {
-		member := l.target(request.Group, try)
-		reply := &protocol.TurnReply{}
-		err := context.Cause(ctx)
-		if member != "" {
-			err = l.caller.CallWithin(ctx, ledgerTry, member, protocol.KindTurn, request, reply)
+		leader := l.leaders.find(ctx, request.Group)
+		if leader == "" {
+			break
 		}
+		reply := &protocol.TurnReply{}
+		err := l.caller.CallWithin(ctx, ledgerTry, leader, protocol.KindTurn, request, reply)
 		switch {
-		case member == "" || err != nil:
-			l.setLeader(request.Group, "")
-			if err != nil {
-				last = result.New(result.LedgerUnreachable, "group %d: %s: %v", request.Group, member, err)
-			}
+		case err != nil:
+			last = result.New(result.LedgerUnreachable, "group %d: %s: %v", request.Group, leader, err)
+			l.leaders.lost(request.Group, leader)
 		case reply.Error == nil:
-			l.setLeader(request.Group, member)
 			return reply
 		case reply.Error.Code == result.NotLeader || reply.Error.Code == result.NoQuorum:
 			last = reply.Error
-			l.setLeader(request.Group, reply.Leader)
-			if reply.Leader != "" && reply.Leader != member && try < 2 {
-				continue
+			l.leaders.lost(request.Group, leader)
+			if try == 0 && reply.Leader != "" && reply.Leader != leader {
+				l.leaders.set(request.Group, reply.Leader)
 			}
 		default:
-			l.setLeader(request.Group, member)
 			return reply
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(ledgerPause):
-		}
 	}
 	return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "%s", last.Message)}
 }
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -670,3 +670,20 @@
 		t.Fatalf("elsewhere: chain %q, older %v", reply.Chain, reply.Older)
 	}
 }
+
+// TestLeadershipIsBalanced holds that a group goes back to the member that its placement
+// names first once that one is there again.
+func TestLeadershipIsBalanced(t *testing.T) {
+	for seed := range uint64(5) {
+		c := newCluster(t, seed, 3, 3)
+		c.until("a leader", func() bool { return c.leader() != nil })
+		first := c.nodes[0]
+		first.core = nil
+		c.until("another leader", func() bool { return c.leader() != nil })
+		first.start()
+		c.tellView()
+		c.keepMany("calm", 10)
+		c.until("the first member's leadership", func() bool { return c.leader() == first })
+		c.check()
+	}
+}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -63,6 +63,8 @@
 	sweepEveryMs       = 1000
 	forgetGroupAfterMs = 5000
 	caughtUpLag        = 8
+	balanceAfterMs     = 5000
+	balanceEveryMs     = 1000
 )
 
 // DefaultOptions returns the timings of a fleet whose zones are a few milliseconds
@@ -92,6 +94,10 @@
 	lastSweepMs     int64
 	// leaderlessMs is since when a hosted group has no known leader.
 	leaderlessMs map[storage.GroupID]int64
+	// ledSinceMs is since when this host leads a group, lastBalanceMs when it last handed
+	// one over for balance.
+	ledSinceMs    map[storage.GroupID]int64
+	lastBalanceMs int64
 	// settles are the charges that wait for the next entry of their group.
 	settles  map[storage.GroupID][]waitingSettle
 	draining bool
@@ -103,7 +109,7 @@
 func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
-		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{},
+		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{}, ledSinceMs: map[storage.GroupID]int64{},
 	}
 	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
 		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/storage"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
@@ -32,6 +33,8 @@
 	voting  int
 	applied uint64
 	synced  uint64
+	// leaders are the members that lead the groups hosted here, as far as known.
+	leaders map[uint32]string
 }
 
 // Daemon runs a Core over TCP and a disk.
@@ -45,6 +48,8 @@
 	links    *daemon.Links
 	follower *daemon.Follower
 	status   atomic.Pointer[status]
+	// expired counts the requests that waited longer than their senders.
+	expired atomic.Int64
 
 	// The loop alone uses these.
 	nextRequest RequestID
@@ -89,6 +94,7 @@
 	d.monitor.Gauge("ledger_groups_hosted", "Ledger groups with a replica here.", func() float64 { return float64(d.status.Load().hosted) })
 	d.monitor.Gauge("ledger_groups_led", "Ledger groups led here.", func() float64 { return float64(len(d.status.Load().report.Led)) })
 	d.monitor.Gauge("ledger_groups_voting", "Ledger groups whose quorum counts the replica here.", func() float64 { return float64(d.status.Load().voting) })
+	d.monitor.Gauge("ledger_requests_expired", "Requests dropped since the start: they waited longer than their senders.", func() float64 { return float64(d.expired.Load()) })
 	d.monitor.Gauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().turns) })
 	d.monitor.Gauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
 	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().synced) })
@@ -143,9 +149,10 @@
 // publish makes the snapshot for other goroutines and logs changes of leadership.
 func (d *Daemon) publish() {
 	current := &status{
-		report: d.core.Report(), drained: d.core.Drained(), hosted: len(d.core.host.Groups), synced: d.core.host.Synced,
+		leaders: map[uint32]string{}, report: d.core.Report(), drained: d.core.Drained(), hosted: len(d.core.host.Groups), synced: d.core.host.Synced,
 	}
 	for _, group := range d.core.host.Groups {
+		current.leaders[uint32(group.ID)] = group.LeaderMember()
 		current.turns += group.State.(*stateMachine).turns.Len()
 		current.applied += group.Node.Applied()
 		if group.Node.Configuration().IsVoter(group.Node.ID()) {
@@ -191,13 +198,40 @@
 	case protocol.KindTurn:
 		var request protocol.TurnRequest
 		if protocol.Decode(frame.Body, &request) == nil {
-			d.loop.PostMessage(len(frame.Body), func() { d.request(connection, frame.Call, &request) })
+			d.takeRequest(connection, frame, &request)
 			return
 		}
 	}
 	connection.Close()
 }
 
+// takeRequest answers a probe at once, however much the loop has to do, and hands all
+// else to the loop. Invariant: a request that waited longer than its sender does is
+// dropped, since the sender asks again: work for nobody must not add to an overload.
+func (d *Daemon) takeRequest(connection *protocol.Connection, frame protocol.Frame, request *protocol.TurnRequest) {
+	if request.Probe {
+		_ = connection.Reply(frame.Call, protocol.KindResponse, d.probed(request.Group), true)
+		return
+	}
+	arrived := time.Now()
+	d.loop.PostMessage(len(frame.Body), func() {
+		if request.WithinMs > 0 && time.Since(arrived).Milliseconds() > request.WithinMs {
+			d.expired.Add(1)
+			return
+		}
+		d.request(connection, frame.Call, request)
+	})
+}
+
+// probed says whether this host leads a group, and who does as far as it knows.
+func (d *Daemon) probed(group uint32) *protocol.TurnReply {
+	leader := d.status.Load().leaders[group]
+	if leader == d.process.Listen.Address {
+		return &protocol.TurnReply{}
+	}
+	return &protocol.TurnReply{Leader: leader, Error: result.New(result.NotLeader, "%s does not lead group %d", d.process.Name, group)}
+}
+
 func (d *Daemon) request(connection *protocol.Connection, call uint64, request *protocol.TurnRequest) {
 	d.nextRequest++
 	began := time.Now()
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -20,6 +20,7 @@
 			continue
 		}
 		if !group.Leads() {
+			delete(c.ledSinceMs, group.ID)
 			c.dropForgotten(group, placement)
 			continue
 		}
@@ -32,6 +33,27 @@
 			_ = group.Node.ProposeConfiguration(next)
 		} else if !slices.Contains(placement.Members, c.options.Member) {
 			c.handOver(group)
+		} else {
+			c.balance(group, placement, c.nowMs)
+		}
+	}
+}
+
+// balance hands a group to the member that its placement names first, so that no host
+// stays the leader of more groups than its share after others were lost: a leader does
+// several times a follower's work. It waits until this host has led for a while and hands
+// over one group at a time.
+func (c *Core) balance(group *replication.Group, placement membership.Placement, nowMs int64) {
+	if c.ledSinceMs[group.ID] == 0 {
+		c.ledSinceMs[group.ID] = nowMs
+	}
+	preferred := placement.Members[0]
+	if preferred == c.options.Member || nowMs-c.ledSinceMs[group.ID] < balanceAfterMs || nowMs-c.lastBalanceMs < balanceEveryMs {
+		return
+	}
+	for _, replica := range group.Node.Configuration().Replicas {
+		if replica.Member == preferred && group.Node.RecentlyActive(replica.ID) && group.Node.TransferLeadership(replica.ID) {
+			c.lastBalanceMs = nowMs
 		}
 	}
 }
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -17,7 +17,12 @@
 // MaxFrameBytes bounds one frame; a longer one ends the connection.
 const MaxFrameBytes = 256 << 20
 
-const lengthBytes = 4
+const (
+	lengthBytes = 4
+	// wholeFrameBytes is the length up to which memory is taken for a frame before its
+	// bytes have arrived.
+	wholeFrameBytes = 64 << 10
+)
 
 // ErrFrameTooLong means that a peer announced a frame over MaxFrameBytes.
 var ErrFrameTooLong = errors.New("protocol: frame over the limit")
@@ -85,6 +90,13 @@
 	if size > MaxFrameBytes {
 		return Frame{}, ErrFrameTooLong
 	}
+	if size <= wholeFrameBytes {
+		body := make([]byte, size)
+		if _, err := io.ReadFull(reader, body); err != nil {
+			return Frame{}, err
+		}
+		return ParseFrame(body)
+	}
 	// The buffer grows with what arrives, so that a length alone costs nothing.
 	var body bytes.Buffer
 	if _, err := io.CopyN(&body, reader, int64(size)); err != nil {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -62,7 +62,7 @@
 }
 
 // TurnRequest asks the leader of a ledger group for one thing; exactly one of Reserve,
-// Settle, Find and Contents is set. Any replica that has them may answer Contents.
+// Settle, Find, Contents and Probe is set. Any replica that has them may answer Contents.
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
 	Reserve *program.Reserve `msgpack:"r,omitempty"`
@@ -77,6 +77,11 @@
 	Find string `msgpack:"f,omitempty"`
 	// Contents asks for the content of turns, joined in the order given.
 	Contents []string `msgpack:"c,omitempty"`
+	// Probe asks whether the receiver leads the group.
+	Probe bool `msgpack:"p,omitempty"`
+	// WithinMs is how long the sender waits for this answer; a request that has waited
+	// longer before it is taken up is dropped. Zero is no bound.
+	WithinMs int64 `msgpack:"w,omitempty"`
 }
 
 // TurnReply answers a TurnRequest.
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	sendQueueFrames = 4096
-	// oneWayQueueBytes is how much may wait to be written before one-way messages are
-	// dropped, and sendQueueBytes before the connection is ended: a peer that reads
-	// slowly must not fill the sender's memory.
-	oneWayQueueBytes = 2 << 20
-	sendQueueBytes   = 32 << 20
-	bufferBytes      = 64 << 10
-	writeTimeout     = 10 * time.Second
-	silenceTimeout   = 2 * time.Second
+	// readBufferBytes is what each connection reads at once; longer frames bypass the
+	// buffer. writeBatchBytes is how much is gathered for one write, keptBatchBytes the
+	// largest buffer that is kept for the next one. A process may have hundreds of
+	// connections, most of them idle, so that an idle one must cost little.
+	readBufferBytes = 4 << 10
+	writeBatchBytes = 64 << 10
+	keptBatchBytes  = 8 << 10
+	writeTimeout    = 10 * time.Second
+	silenceTimeout  = 2 * time.Second
 )
 
 // Errors of a connection.
@@ -47,21 +47,16 @@
 // Traffic counts all inner connections of this process.
 var Traffic Counters
 
-type queued struct {
-	frame Frame
-	due   time.Time
-}
-
 // Connection is one TCP connection with a writer and a reader of its own.
 // Handlers run on the reader's goroutine and must not block.
 type Connection struct {
 	socket net.Conn
 	delay  time.Duration
-	out    chan queued
-	// waiting is how many bytes of bodies are in out.
-	waiting atomic.Int64
-	done    chan struct{}
-	once    sync.Once
+	queue  *sendQueue
+	done   chan struct{}
+	once   sync.Once
+	// heard is when a frame was last received, Unix nanoseconds.
+	heard atomic.Int64
 
 	mutex    sync.Mutex
 	nextCall uint64
@@ -72,7 +67,7 @@
 func newConnection(socket net.Conn, delay time.Duration) *Connection {
 	return &Connection{
 		socket: socket, delay: delay,
-		out: make(chan queued, sendQueueFrames), done: make(chan struct{}),
+		queue: newSendQueue(), done: make(chan struct{}),
 		calls: map[uint64]func(Frame){},
 	}
 }
@@ -132,6 +127,9 @@
 // Closed is closed when the connection has ended.
 func (c *Connection) Closed() <-chan struct{} { return c.done }
 
+// HeardSince reports whether a frame was received at or after a time.
+func (c *Connection) HeardSince(since time.Time) bool { return c.heard.Load() >= since.UnixNano() }
+
 // OnClose runs hook once when the connection ends, at once if it has.
 func (c *Connection) OnClose(hook func()) {
 	c.mutex.Lock()
@@ -204,55 +202,77 @@
 		return ErrClosed
 	default:
 	}
-	size := int64(len(frame.Body))
-	waiting := c.waiting.Load()
-	if waiting > 0 && frame.Call == 0 && waiting+size > oneWayQueueBytes {
+	err := c.queue.put(queued{frame: frame, due: time.Now().Add(c.delay)})
+	if errors.Is(err, ErrQueueFull) {
 		Traffic.Dropped.Add(1)
-		return ErrQueueFull
 	}
-	if waiting > sendQueueBytes {
-		c.Close()
-		return ErrClosed
-	}
-	c.waiting.Add(size)
-	select {
-	case c.out <- queued{frame: frame, due: time.Now().Add(c.delay)}:
-		return nil
-	default:
+	if errors.Is(err, errQueueOverflow) {
 		c.Close()
 		return ErrClosed
 	}
+	return err
 }
 
+// writeLoop writes what waits; frames that wait together go out together.
 func (c *Connection) writeLoop() {
-	writer := bufio.NewWriterSize(c.socket, bufferBytes)
-	var buffer []byte
+	batch := batchWriter{connection: c}
 	for {
 		select {
 		case <-c.done:
 			return
-		case next := <-c.out:
-			if c.delay > 0 {
-				time.Sleep(time.Until(next.due))
-			}
-			buffer = AppendFrame(buffer[:0], next.frame)
-			c.waiting.Add(-int64(len(next.frame.Body)))
-			Traffic.BytesOut.Add(int64(len(buffer)))
-			Traffic.MessagesOut.Add(1)
-			_ = c.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := writer.Write(buffer); err != nil {
-				c.Close()
-				return
-			}
+		case <-c.queue.ready:
 		}
-		// Flush once nothing else waits, so that busy connections batch.
-		if len(c.out) == 0 {
-			if err := writer.Flush(); err != nil {
+		for _, next := range c.queue.take() {
+			if err := batch.add(next); err != nil {
 				c.Close()
 				return
 			}
 		}
+		if err := batch.flush(); err != nil {
+			c.Close()
+			return
+		}
+	}
+}
+
+// batchWriter gathers frames for one write.
+type batchWriter struct {
+	connection *Connection
+	buffer     []byte
+	// size is that of the bodies gathered.
+	size int
+}
+
+func (b *batchWriter) add(next queued) error {
+	if b.connection.delay > 0 {
+		if err := b.flush(); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(next.due))
+	}
+	b.buffer = AppendFrame(b.buffer, next.frame)
+	b.size += len(next.frame.Body)
+	Traffic.MessagesOut.Add(1)
+	if len(b.buffer) >= writeBatchBytes {
+		return b.flush()
+	}
+	return nil
+}
+
+func (b *batchWriter) flush() error {
+	if len(b.buffer) == 0 {
+		return nil
+	}
+	Traffic.BytesOut.Add(int64(len(b.buffer)))
+	_ = b.connection.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := b.connection.socket.Write(b.buffer)
+	b.connection.queue.written(b.size)
+	b.size = 0
+	b.buffer = b.buffer[:0]
+	if cap(b.buffer) > keptBatchBytes {
+		b.buffer = nil
 	}
+	return err
 }
 
 func (c *Connection) readLoop(dispatch func(Frame)) {
@@ -264,12 +284,13 @@
 		go deliverDelayed(delayed, dispatch)
 		deliver = func(frame Frame) { delayed <- queued{frame, time.Now().Add(c.delay)} }
 	}
-	reader := bufio.NewReaderSize(c.socket, bufferBytes)
+	reader := bufio.NewReaderSize(c.socket, readBufferBytes)
 	for {
 		frame, err := ReadFrame(reader)
 		if err != nil {
 			return
 		}
+		c.heard.Store(time.Now().UnixNano())
 		Traffic.BytesIn.Add(int64(len(frame.Body)) + lengthBytes)
 		Traffic.MessagesIn.Add(1)
 		deliver(frame)
--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -34,7 +34,7 @@
 			default:
 				So(err, ShouldBeNil)
 			}
-			So(connection.waiting.Load(), ShouldBeLessThanOrEqualTo, oneWayQueueBytes)
+			So(connection.queue.waiting(), ShouldBeLessThanOrEqualTo, oneWayQueueBytes)
 		}
 		So(dropped, ShouldBeGreaterThan, 0)
 		reader := bufio.NewReader(socket)
@@ -48,6 +48,11 @@
 		So(err, ShouldBeNil)
 		So(string(frame.Body), ShouldEqual, "again")
 	})
+	Convey("an idle connection holds little memory", t, func() {
+		connection := newConnection(nil, 0)
+		So(cap(connection.queue.frames), ShouldEqual, 0)
+		So(readBufferBytes+keptBatchBytes, ShouldBeLessThanOrEqualTo, 16<<10)
+	})
 	Convey("a message above the bound goes out where nothing waits", t, func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		So(err, ShouldBeNil)
