--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -257,19 +257,30 @@
 	return changed
 }
 
-// TransferLeadership hands the group to a voter that has the whole log; it
-// reports whether the hand-over was started.
+// transferLag is how many entries a voter may lack when a hand-over to it starts.
+const transferLag = 64
+
+// TransferLeadership hands the group to a voter that has nearly the whole log; it
+// reports whether the hand-over was started. Proposals are refused meanwhile, so that the
+// voter can get the rest (thesis, section 3.10).
 func (n *Node) TransferLeadership(to ReplicaID) bool {
-	if n.role != Leader || !n.log.configuration().IsVoter(to) || !n.CaughtUp(to, 0) {
+	if n.role != Leader || n.transfer != None || !n.log.configuration().IsVoter(to) || !n.CaughtUp(to, transferLag) {
 		return false
 	}
 	n.Wake()
 	n.transfer = to
 	n.electionElapsed = 0
-	n.send(Message{Kind: MessageTimeoutNow, To: to})
+	n.completeTransfer()
 	return true
 }
 
+// completeTransfer tells the voter that is to lead to campaign, once it has the whole log.
+func (n *Node) completeTransfer() {
+	if n.transfer != None && n.CaughtUp(n.transfer, 0) {
+		n.send(Message{Kind: MessageTimeoutNow, To: n.transfer})
+	}
+}
+
 // Compact forgets the log up to index, once the owner's snapshot covers it.
 func (n *Node) Compact(index uint64) {
 	n.log.compact(index)
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -346,6 +346,9 @@
 	follower.resendIn = 0
 	if message.Index > follower.match {
 		follower.match = message.Index
+		if message.From == n.transfer {
+			n.completeTransfer()
+		}
 	}
 	follower.next = max(follower.next, follower.match+1)
 	n.maybeCommit()
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -671,19 +671,56 @@
 	}
 }
 
-// TestLeadershipIsBalanced holds that a group goes back to the member that its placement
-// names first once that one is there again.
+// TestLeadershipIsBalanced holds that a group goes back to the member that is to lead it
+// once that one is there again, also while turns keep coming.
 func TestLeadershipIsBalanced(t *testing.T) {
 	for seed := range uint64(5) {
 		c := newCluster(t, seed, 3, 3)
 		c.until("a leader", func() bool { return c.leader() != nil })
-		first := c.nodes[0]
-		first.core = nil
-		c.until("another leader", func() bool { return c.leader() != nil })
-		first.start()
+		preferred := c.nodes[0]
+		for _, node := range c.nodes {
+			if node.host.Member == c.leader().core.preferred[1] {
+				preferred = node
+			}
+		}
+		preferred.core = nil
+		c.until("another leader", func() bool { return c.leader() != nil && c.leader() != preferred })
+		preferred.start()
 		c.tellView()
-		c.keepMany("calm", 10)
-		c.until("the first member's leadership", func() bool { return c.leader() == first })
+		number := 0
+		c.until("the preferred member's leadership", func() bool {
+			number++
+			c.keep(fmt.Sprint("busy-", number), "")
+			c.run(20)
+			return c.leader() == preferred
+		})
 		c.check()
 	}
 }
+
+// TestPreferredLeadersAreSpread holds that no host is to lead more groups than its share,
+// whatever the order of the members: the names of one hall come first in every placement.
+func TestPreferredLeadersAreSpread(t *testing.T) {
+	view := &membership.FleetView{Groups: map[uint32]membership.Placement{}}
+	hosts := []string{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "e1"}
+	const groups, replicas = 8, 5
+	for group := range uint32(groups) {
+		placement := membership.Placement{Group: group + 1, Members: []string{hosts[group%2]}}
+		for position := range replicas - 1 {
+			placement.Members = append(placement.Members, hosts[2+(int(group)+position)%6])
+		}
+		view.Groups[group+1] = placement
+	}
+	led := map[string]int{}
+	for group, leader := range preferredLeaders(view) {
+		if !slices.Contains(view.Groups[group].Members, leader) {
+			t.Fatalf("group %d is to be led by %s, which does not hold it", group, leader)
+		}
+		led[leader]++
+	}
+	for host, count := range led {
+		if count > 1 {
+			t.Errorf("%s is to lead %d of %d groups", host, count, groups)
+		}
+	}
+}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -94,6 +94,8 @@
 	lastSweepMs     int64
 	// leaderlessMs is since when a hosted group has no known leader.
 	leaderlessMs map[storage.GroupID]int64
+	// preferred are the members that are to lead the groups.
+	preferred map[uint32]string
 	// ledSinceMs is since when this host leads a group, lastBalanceMs when it last handed
 	// one over for balance.
 	ledSinceMs    map[storage.GroupID]int64
@@ -190,6 +192,7 @@
 func (c *Core) hostView(view *membership.FleetView, nowMs int64) error {
 	c.setNow(nowMs)
 	c.view = view
+	c.preferred = preferredLeaders(view)
 	for _, group := range replication.SortedKeys(view.Groups) {
 		if err := c.hostPlaced(view.Groups[group]); err != nil {
 			return err
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -34,20 +34,20 @@
 		} else if !slices.Contains(placement.Members, c.options.Member) {
 			c.handOver(group)
 		} else {
-			c.balance(group, placement, c.nowMs)
+			c.balance(group, c.nowMs)
 		}
 	}
 }
 
-// balance hands a group to the member that its placement names first, so that no host
-// stays the leader of more groups than its share after others were lost: a leader does
-// several times a follower's work. It waits until this host has led for a while and hands
-// over one group at a time.
-func (c *Core) balance(group *replication.Group, placement membership.Placement, nowMs int64) {
+// balance hands a group to the member that is to lead it, so that no host stays the
+// leader of more groups than its share after others were lost: a leader does several
+// times a follower's work. It waits until this host has led for a while and hands over
+// one group at a time.
+func (c *Core) balance(group *replication.Group, nowMs int64) {
 	if c.ledSinceMs[group.ID] == 0 {
 		c.ledSinceMs[group.ID] = nowMs
 	}
-	preferred := placement.Members[0]
+	preferred := c.preferred[uint32(group.ID)]
 	if preferred == c.options.Member || nowMs-c.ledSinceMs[group.ID] < balanceAfterMs || nowMs-c.lastBalanceMs < balanceEveryMs {
 		return
 	}
@@ -58,6 +58,28 @@
 	}
 }
 
+// preferredLeaders gives each group the member that is to lead it, so that every host
+// leads about as many groups as any other. All hosts come to the same answer from the
+// same placements.
+func preferredLeaders(view *membership.FleetView) map[uint32]string {
+	preferred := map[uint32]string{}
+	led := map[string]int{}
+	for _, group := range replication.SortedKeys(view.Groups) {
+		members := view.Groups[group].Members
+		best := ""
+		for position := range members {
+			// Ties go to another position in each group.
+			member := members[(position+int(group))%len(members)]
+			if best == "" || led[member] < led[best] {
+				best = member
+			}
+		}
+		preferred[group] = best
+		led[best]++
+	}
+	return preferred
+}
+
 // dropForgotten stops hosting a group that is placed elsewhere and whose leader
 // does not speak to this replica. What the disk holds stays: it is the same replica
 // if it is placed here again.
