--- a/internal/protocol/queue.go
+++ b/internal/protocol/queue.go
@@ -11,8 +11,8 @@
 	// oneWayQueueBytes is how much may wait to be written before one-way messages are
 	// dropped, and sendQueueBytes before the connection is ended: a peer that reads
 	// slowly must not fill the sender's memory.
-	oneWayQueueBytes = 2 << 20
-	sendQueueBytes   = 32 << 20
+	oneWayQueueBytes = 1 << 20
+	sendQueueBytes   = 4 << 20
 )
 
 // errQueueOverflow means that the connection must be ended: its peer doesn't read.
