Forget ledger hosts that are gone for good; drop a flag that nothing set

FleetUpdate.RemoveLedgers was never sent, so a host that had been taken away stayed listed in every view; ServingEngine.Silent was read and never set. A host that no group is placed on and that was silent for 60 s is now removed; it is known again once it reports. Test: TestFleet, seen to fail before the change (RemoveLedgers empty).

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -22,10 +22,11 @@
 
 	// How long engines, gateways and ledger hosts may be silent, and how long the
 	// first placement waits for further ledger hosts, milliseconds.
-	engineSilentMs  = 10_000
-	gatewaySilentMs = 2_500
-	ledgerSilentMs  = 2_000
-	formationMs     = 1_500
+	engineSilentMs    = 10_000
+	gatewaySilentMs   = 2_500
+	ledgerSilentMs    = 2_000
+	ledgerForgottenMs = 60_000
+	formationMs       = 1_500
 
 	// discoveredElectionTicks is shorter than that of a listed cluster: callers wait
 	// for the leader of a platform's fleet.
@@ -114,7 +115,7 @@
 	options.MinVoters = 2*process.Cluster.ToleratedMachines + 1
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
-		EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, LedgerSilentMs: ledgerSilentMs,
+		EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -81,7 +81,7 @@
 	candidates := make([]scheduling.Candidate, 0, len(pool))
 	for _, engine := range pool {
 		candidate := scheduling.Candidate{
-			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, slots), Silent: engine.Silent, Health: e.healthOf(engine.ID),
+			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, slots), Health: e.healthOf(engine.ID),
 		}
 		candidates = append(candidates, candidate)
 	}
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -26,8 +26,6 @@
 	Draining bool `msgpack:"d,omitempty" json:"draining,omitempty"`
 	// Sequence orders the reports of one engine.
 	Sequence uint64 `msgpack:"q" json:"sequence"`
-	// Silent engines have sent no report for a while; they may be well.
-	Silent bool `msgpack:"t,omitempty" json:"silent,omitempty"`
 }
 
 // Gateway is one process that takes callers' requests.
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -16,7 +16,7 @@
 }
 
 func fleetOptions() FleetOptions {
-	return FleetOptions{Groups: 2, Replicas: 3, EngineSilentMs: 1000, GatewaySilentMs: 1000, LedgerSilentMs: 1000, FormationMs: 100}
+	return FleetOptions{Groups: 2, Replicas: 3, EngineSilentMs: 1000, GatewaySilentMs: 1000, LedgerSilentMs: 1000, LedgerForgottenMs: 5000, FormationMs: 100}
 }
 
 func TestFleet(t *testing.T) {
@@ -36,6 +36,24 @@
 		_, known = fleet.Engine("f")
 		So(known, ShouldBeTrue)
 	})
+	Convey("a ledger host that is gone for good is forgotten once it holds nothing, and known again when it reports", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		holding, idle := hostAt(1, "a"), hostAt(2, "b")
+		fleet.Apply(FleetUpdate{
+			PutLedgers: []LedgerHost{holding, idle},
+			PutGroups:  []Placement{{Group: 1, Members: []string{holding.Member}}, {Group: 2, Members: []string{holding.Member}}},
+		})
+		So(tracker.Plan(fleet, 4000).RemoveLedgers, ShouldBeEmpty)
+		update := tracker.Plan(fleet, 6000)
+		So(update.RemoveLedgers, ShouldResemble, []string{idle.Member})
+		fleet.Apply(update)
+		_, known := fleet.Ledger(idle.Member)
+		So(known, ShouldBeFalse)
+		fleet.Apply(FleetUpdate{PutLedgers: []LedgerHost{idle}})
+		_, known = fleet.Ledger(idle.Member)
+		So(known, ShouldBeTrue)
+	})
 	Convey("groups are placed over zones once no further host comes, and each once", t, func() {
 		fleet := NewFleet()
 		tracker := NewFleetTracker(fleetOptions(), 0)
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -19,6 +19,9 @@
 	EngineSilentMs  int64
 	GatewaySilentMs int64
 	LedgerSilentMs  int64
+	// LedgerForgottenMs is how long a ledger host that holds nothing may be silent before
+	// it is forgotten; it is known again once it reports.
+	LedgerForgottenMs int64
 	// FormationMs is how long the first placement waits for further ledger hosts.
 	FormationMs int64
 }
@@ -93,10 +96,29 @@
 			update.RemoveGateways = append(update.RemoveGateways, gateway.Name)
 		}
 	}
+	update.RemoveLedgers = t.forgotten(fleet, nowMs)
 	update.PutGroups = t.place(fleet, nowMs)
 	return update
 }
 
+// forgotten returns the ledger hosts that are gone for good: silent for long, and no
+// group is placed on them.
+func (t *FleetTracker) forgotten(fleet *Fleet, nowMs int64) []string {
+	holds := map[string]bool{}
+	for _, placement := range fleet.Placements() {
+		for _, member := range placement.Members {
+			holds[member] = true
+		}
+	}
+	var gone []string
+	for _, host := range fleet.Ledgers() {
+		if !holds[host.Member] && t.silentMs(host.Member, nowMs) > t.options.LedgerForgottenMs {
+			gone = append(gone, host.Member)
+		}
+	}
+	return gone
+}
+
 // Alive reports whether a ledger host was heard of lately.
 func (t *FleetTracker) Alive(member string, nowMs int64) bool {
 	return t.silentMs(member, nowMs) <= t.options.LedgerSilentMs
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -9,11 +9,9 @@
 
 // Candidate is an engine to which a request may go.
 type Candidate struct {
-	ID    string
-	Zone  string
-	Slots int
-	// Silent engines have not reported to control for a while.
-	Silent bool
+	ID     string
+	Zone   string
+	Slots  int
 	Health *EngineHealth
 }
 
@@ -104,11 +102,8 @@
 
 func rankOf(candidate Candidate, demand Demand, paces []float64) rank {
 	var next rank
-	if candidate.Silent {
-		next.unsound = 1
-	}
 	if candidate.Health.Suspect(demand.NowMs) {
-		next.unsound = 2
+		next.unsound = 1
 	}
 	if tooSlow(candidate, demand.NowMs, paces) {
 		next.slow = 1
