--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -39,14 +39,30 @@
 // whole image.
 type journal struct {
 	folder   string
-	file     *os.File
+	segment  segment
 	sequence uint64
-	// appended counts the bytes that follow the segment's image.
+	// end is where the next frame goes: behind the last one that was synced. appended
+	// counts the bytes that follow the segment's image.
+	end      int64
 	appended int
 	live     map[GroupID]*liveLog
 	buffer   []byte
 }
 
+// segment is the file of a segment.
+type segment interface {
+	io.WriterAt
+	io.Closer
+	// Sync returns once all that was written lasts.
+	Sync() error
+}
+
+// segmentFile is a segment on disk. Its length lasts with its content.
+type segmentFile struct{ *os.File }
+
+// Sync syncs the content, and of the file's attributes only what reading it needs.
+func (f segmentFile) Sync() error { return unix.Fdatasync(int(f.Fd())) }
+
 // liveLog is a group's hard state and the entries after its snapshot.
 type liveLog struct {
 	hard    consensus.HardState
@@ -86,7 +102,7 @@
 			break
 		}
 	}
-	return j, j.rotate()
+	return j, whileRefused(j.rotate)
 }
 
 // read takes a segment in; false where not even its image is whole.
@@ -184,23 +200,26 @@
 	if len(records) == 0 {
 		return nil
 	}
-	written, err := j.writeFrame(records)
+	written, err := j.writeFrame(j.segment, j.end, records)
 	if err != nil {
 		return err
 	}
-	if err := unix.Fdatasync(int(j.file.Fd())); err != nil {
-		return err
-	}
+	j.end += int64(written)
 	for position := range records {
 		j.apply(&records[position])
 	}
 	if j.appended += written; j.appended > segmentBytes {
-		return j.rotate()
+		// Where no new segment can be had now, the present one goes on.
+		if err := j.rotate(); err != nil {
+			j.appended = segmentBytes / 2
+		}
 	}
 	return nil
 }
 
-func (j *journal) writeFrame(records []journalRecord) (int, error) {
+// writeFrame writes a frame at an offset and returns after the sync. A frame that was not
+// written whole is overwritten by the next one at that place.
+func (j *journal) writeFrame(into segment, offset int64, records []journalRecord) (int, error) {
 	body, err := msgpack.Marshal(records)
 	if err != nil {
 		return 0, err
@@ -208,7 +227,10 @@
 	j.buffer = binary.BigEndian.AppendUint32(j.buffer[:0], uint32(len(body)))
 	j.buffer = binary.BigEndian.AppendUint64(j.buffer, xxhash.Sum64(body))
 	j.buffer = append(j.buffer, body...)
-	return j.file.Write(j.buffer)
+	if _, err := into.WriteAt(j.buffer, offset); err != nil {
+		return 0, err
+	}
+	return len(j.buffer), into.Sync()
 }
 
 // rotate begins a new segment with an image of what lives, and removes the older ones
@@ -218,25 +240,29 @@
 	if err != nil {
 		return err
 	}
-	if j.file != nil {
-		_ = j.file.Close()
-	}
 	j.sequence++
 	name := filepath.Join(j.folder, fmt.Sprintf(segmentFormat, j.sequence))
-	if j.file, err = os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode); err != nil {
+	file, err := os.OpenFile(name, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+	if err != nil {
 		return err
 	}
-	if _, err := j.writeFrame(j.image()); err != nil {
-		return err
+	written, err := j.writeFrame(segmentFile{file}, 0, j.image())
+	if err == nil {
+		err = syncFolder(j.folder)
 	}
-	j.buffer = nil
-	j.appended = 0
-	if err := j.file.Sync(); err != nil {
+	if err != nil {
+		// Invariant: a segment that is not whole never takes the place of an older one.
+		_ = file.Close()
+		_ = os.Remove(name)
 		return err
 	}
-	if err := syncFolder(j.folder); err != nil {
-		return err
+	if j.segment != nil {
+		_ = j.segment.Close()
 	}
+	j.segment = segmentFile{file}
+	j.end = int64(written)
+	j.buffer = nil
+	j.appended = 0
 	for _, old := range older {
 		if err := os.Remove(old); err != nil {
 			return err
@@ -255,7 +281,7 @@
 	return records
 }
 
-func (j *journal) close() error { return j.file.Close() }
+func (j *journal) close() error { return j.segment.Close() }
 
 // syncFolder makes the names in a folder last.
 func syncFolder(folder string) error {
--- a/internal/storage/journal_test.go
+++ b/internal/storage/journal_test.go
@@ -1,12 +1,14 @@
 package storage
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
 )
@@ -43,6 +45,21 @@
 	return text
 }
 
+// refusingSegment writes a part of a frame and refuses the rest, as a full disk does.
+type refusingSegment struct {
+	segment
+	refusals int
+}
+
+func (r *refusingSegment) WriteAt(raw []byte, offset int64) (int, error) {
+	if r.refusals == 0 {
+		return r.segment.WriteAt(raw, offset)
+	}
+	r.refusals--
+	written, _ := r.segment.WriteAt(raw[:len(raw)/2], offset)
+	return written, unix.ENOSPC
+}
+
 func TestJournal(t *testing.T) {
 	Convey("a store with two writes", t, func() {
 		folder := t.TempDir()
@@ -119,6 +136,27 @@
 		})
 		Reset(func() { _ = store.Close() })
 	})
+	Convey("a write that the disk refuses for a while is repeated, and is there once", t, func() {
+		folder := t.TempDir()
+		store := open(folder)
+		So(store.Write([]GroupWrite{{Group: 1, Entries: []consensus.Entry{entry(1, 1, "a")}}}), ShouldBeNil)
+		refusing := &refusingSegment{segment: store.journal.segment, refusals: 3}
+		store.journal.segment = refusing
+		So(store.Write([]GroupWrite{{Group: 1, Entries: []consensus.Entry{entry(2, 1, "a longer one")}}}), ShouldBeNil)
+		So(refusing.refusals, ShouldEqual, 0)
+		So(store.Write([]GroupWrite{{Group: 1, Entries: []consensus.Entry{entry(3, 1, "c")}}}), ShouldBeNil)
+		So(entriesOf(store, 1), ShouldEqual, "aa longer onec")
+		So(store.Close(), ShouldBeNil)
+		again := open(folder)
+		defer again.Close()
+		So(entriesOf(again, 1), ShouldEqual, "aa longer onec")
+	})
+	Convey("another failure of the disk is told at once", t, func() {
+		failure := errors.New("gone")
+		tries := 0
+		So(whileRefused(func() error { tries++; return failure }), ShouldEqual, failure)
+		So(tries, ShouldEqual, 1)
+	})
 	Convey("a journal that grows begins new segments and keeps one", t, func() {
 		folder := t.TempDir()
 		store := open(folder)
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -18,6 +18,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.etcd.io/bbolt"
 	berrors "go.etcd.io/bbolt/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
 )
@@ -102,7 +103,7 @@
 // initialise makes the replica's identity where the disk has none, and opens the journal.
 // Invariant: the names of all files last before the store is used.
 func (s *Store) initialise(folder string) error {
-	if err := s.identify(); err != nil {
+	if err := whileRefused(s.identify); err != nil {
 		return err
 	}
 	if err := syncFolder(filepath.Dir(folder)); err != nil {
@@ -179,12 +180,14 @@
 
 // Note keeps a small value by name and returns after the sync.
 func (s *Store) Note(name string, value []byte) error {
-	return s.database.Update(func(tx *bbolt.Tx) error {
-		notes, err := tx.CreateBucketIfNotExists(notesBucket)
-		if err != nil {
-			return err
-		}
-		return notes.Put([]byte(name), value)
+	return whileRefused(func() error {
+		return s.database.Update(func(tx *bbolt.Tx) error {
+			notes, err := tx.CreateBucketIfNotExists(notesBucket)
+			if err != nil {
+				return err
+			}
+			return notes.Put([]byte(name), value)
+		})
 	})
 }
 
@@ -207,7 +210,7 @@
 // Write stores the writes of all groups and returns after the sync.
 func (s *Store) Write(writes []GroupWrite) error {
 	if slices.ContainsFunc(writes, func(write GroupWrite) bool { return write.inTransaction() }) {
-		if err := s.writeTransaction(writes); err != nil {
+		if err := whileRefused(func() error { return s.writeTransaction(writes) }); err != nil {
 			return err
 		}
 	}
@@ -221,7 +224,28 @@
 			records = append(records, journalRecord{Group: write.Group, HardState: write.HardState, Reset: write.PromoteStaged, Entries: write.Entries})
 		}
 	}
-	return s.journal.append(records)
+	return whileRefused(func() error { return s.journal.append(records) })
+}
+
+const (
+	// refusedPatience is how long a disk may refuse to write before the process gives up,
+	// and refusedPause the pause between two tries.
+	refusedPatience = 10 * time.Second
+	refusedPause    = 50 * time.Millisecond
+)
+
+// whileRefused repeats a write that the disk refuses, as a full one does: nothing was
+// acknowledged yet, and a process that ends and starts again meets the same disk. A write
+// that fails leaves nothing behind that counts.
+func whileRefused(write func() error) error {
+	for tries := refusedPatience / refusedPause; ; tries-- {
+		err := write()
+		refused := errors.Is(err, unix.ENOSPC) || errors.Is(err, unix.EDQUOT) || errors.Is(err, unix.EIO)
+		if !refused || tries == 0 {
+			return err
+		}
+		time.Sleep(refusedPause)
+	}
 }
 
 // writeTransaction stores snapshots and records.
