ochrebay report: outcomes and times of gateways' logs as one HTML page

Only a command is added: no daemon calls it. Test: TestReport (figures, one page that needs nothing beside it, route names that are no markup).

--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -51,6 +51,7 @@
 	registerReplay(app, registered)
 	registerCapacity(app, registered)
 	registerTrace(app, registered)
+	registerReport(app, registered)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "ochrebay: %v; try --help\n", err)
--- a/cmd/ochrebay/trace.go
+++ b/cmd/ochrebay/trace.go
@@ -45,28 +45,44 @@
 // time.
 func readLines(files []string, key, value string) ([]logLine, error) {
 	var lines []logLine
-	for _, file := range files {
-		opened, err := os.Open(file)
-		if err != nil {
-			return nil, errorx.Decorate(err, "opening a log")
-		}
-		scanner := bufio.NewScanner(opened)
-		scanner.Buffer(nil, longestLogLine)
-		for scanner.Scan() {
-			if line, ok := parseLine(scanner.Text()); ok && line.keys[key] == value {
-				lines = append(lines, line)
-			}
-		}
-		err = scanner.Err()
-		_ = opened.Close()
-		if err != nil {
-			return nil, errorx.Decorate(err, "reading %s", file)
+	err := eachLine(files, func(line logLine) {
+		if line.keys[key] == value {
+			lines = append(lines, line)
 		}
+	})
+	if err != nil {
+		return nil, err
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return strings.Compare(a.at, b.at) })
 	return lines, nil
 }
 
+// eachLine calls take for each line of several logs.
+func eachLine(files []string, take func(line logLine)) error {
+	for _, file := range files {
+		if err := eachLineOf(file, take); err != nil {
+			return errorx.Decorate(err, "reading %s", file)
+		}
+	}
+	return nil
+}
+
+func eachLineOf(file string, take func(line logLine)) error {
+	opened, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer opened.Close()
+	scanner := bufio.NewScanner(opened)
+	scanner.Buffer(nil, longestLogLine)
+	for scanner.Scan() {
+		if line, ok := parseLine(scanner.Text()); ok {
+			take(line)
+		}
+	}
+	return scanner.Err()
+}
+
 // parseLine reads a line of a log; whatever stands before its first key, as log
 // collectors put there, is left out.
 func parseLine(text string) (logLine, bool) {
