--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -9,18 +9,24 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// connected returns a connection and the socket of its peer.
+func connected() (*Connection, net.Conn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	defer listener.Close()
+	connection, err := Dial(listener.Addr().String(), 0, 0)
+	So(err, ShouldBeNil)
+	socket, err := listener.Accept()
+	So(err, ShouldBeNil)
+	return connection, socket
+}
+
 // TestSlowPeer holds that a peer which does not read can't fill the sender's memory: a
 // ledger host of the court's site was killed over its memory while a link lost packets.
 func TestSlowPeer(t *testing.T) {
 	Convey("one-way messages to a peer that does not read are dropped beyond a bound, and flow again once it reads", t, func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		defer listener.Close()
-		connection, err := Dial(listener.Addr().String(), 0, 0)
-		So(err, ShouldBeNil)
+		connection, socket := connected()
 		defer connection.Close()
-		socket, err := listener.Accept()
-		So(err, ShouldBeNil)
 		defer socket.Close()
 		body := make([]byte, 128<<10)
 		dropped, sent := 0, 0
@@ -54,14 +60,8 @@
 		So(readBufferBytes+keptBatchBytes, ShouldBeLessThanOrEqualTo, 16<<10)
 	})
 	Convey("a message above the bound goes out where nothing waits", t, func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		So(err, ShouldBeNil)
-		defer listener.Close()
-		connection, err := Dial(listener.Addr().String(), 0, 0)
-		So(err, ShouldBeNil)
+		connection, socket := connected()
 		defer connection.Close()
-		socket, err := listener.Accept()
-		So(err, ShouldBeNil)
 		defer socket.Close()
 		So(connection.SendRaw(KindPeer, make([]byte, 2*oneWayQueueBytes)), ShouldBeNil)
 		frame, err := ReadFrame(bufio.NewReader(socket))
