--- a/internal/logreport/page.go
+++ b/internal/logreport/page.go
@@ -14,6 +14,8 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 8 * vg.Centimeter
+	// headRoom is how much higher than its lines a plot is, for the legend.
+	headRoom = 1.25
 	// millisecondsPerSecond turns seconds into the plots' unit.
 	millisecondsPerSecond = 1000
 )
@@ -97,6 +99,9 @@
 	if err := plotutil.AddLines(drawing, lines...); err != nil {
 		return "", err
 	}
+	// The legend stands above the lines.
+	drawing.Legend.Top = true
+	drawing.Y.Max *= headRoom
 	writer, err := drawing.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return "", err
