--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,8 +44,8 @@
 	status int
 	// started says that a part of the answer has reached the caller.
 	started bool
-	// paceMs is how long the engine took for an event, 0 where nothing is known.
-	paceMs float64
+	// tookMs is how long the engine took for a whole answer, 0 for a stream.
+	tookMs float64
 	err    error
 }
 
@@ -91,7 +91,7 @@
 		c.chosen = chosen
 		c.sent = time.Since(c.started)
 		outcome := d.attempt(ctx, c, engine, deliver)
-		d.engines.ended(engine.ID, nowMs(), outcome)
+		d.engines.ended(c, nowMs(), outcome)
 		d.logAttempt(c, engine, outcome)
 		avoid = append(avoid, engine.ID)
 		switch outcome.kind {
@@ -155,7 +155,7 @@
 
 // demand describes the call to the choice of engines.
 func (d *Daemon) demand(c *call, avoid []string) scheduling.Demand {
-	demand := scheduling.Demand{Avoid: avoid, NowMs: nowMs()}
+	demand := scheduling.Demand{Avoid: avoid, NowMs: nowMs(), Kind: c.route.Name}
 	switch {
 	case c.route.Kind == routing.KindStream:
 		demand.Stream = true
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -83,19 +83,18 @@
 // deliverWhole holds an answer until it is complete, so that one that is broken off
 // can still be refused or asked for again.
 func (a *answer) deliverWhole(exchange *upstream.Exchange, c *call) attemptOutcome {
-	began := time.Now()
 	held, err := io.ReadAll(io.LimitReader(exchange, heldBytes))
 	status := exchange.Response.StatusCode
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
-	pace := milliseconds(began.Sub(c.started.Add(c.sent)))
+	took := milliseconds(time.Since(c.started.Add(c.sent)))
 	if len(held) < heldBytes {
 		a.writeHead(exchange.Response, len(held))
 		if _, err := a.writer.Write(held); err != nil {
 			return attemptOutcome{kind: attemptCancelled, status: status, started: true, err: errors.Join(errCaller, err)}
 		}
-		return attemptOutcome{kind: attemptAnswered, status: status, started: true, paceMs: pace}
+		return attemptOutcome{kind: attemptAnswered, status: status, started: true, tookMs: took}
 	}
 	a.writeHead(exchange.Response, -1)
 	if _, err := a.writer.Write(held); err != nil {
@@ -104,7 +103,7 @@
 	if _, err := io.CopyBuffer(a.writer, exchange, make([]byte, copyBytes)); err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, started: true, err: err}
 	}
-	return attemptOutcome{kind: attemptAnswered, status: status, started: true, paceMs: pace}
+	return attemptOutcome{kind: attemptAnswered, status: status, started: true, tookMs: took}
 }
 
 // writeHead writes the engine's status and headers; length is -1 where it is not
@@ -214,9 +213,9 @@
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
-		a.daemon.engines.firstEvent(c.engine, now, milliseconds(now.Sub(c.started.Add(c.sent))))
+		a.daemon.engines.firstEvent(c, now, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
-		a.daemon.engines.nextEvent(c.engine, now, milliseconds(now.Sub(a.lastEvent)))
+		a.daemon.engines.nextEvent(c, now, milliseconds(now.Sub(a.lastEvent)))
 	}
 	a.lastEvent = now
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 	mutex  sync.Mutex
 	byPool map[string][]membership.ServingEngine
 	health map[string]*scheduling.EngineHealth
+	// learnt is what is known of each back end's engines together.
+	learnt map[string]*scheduling.Pool
 	zone   string
 	// peers is how many gateways of the zone share its engines, by assumption.
 	peers int
@@ -21,7 +24,8 @@
 
 func newEngines(zone string, peers int) *engines {
 	return &engines{
-		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, zone: zone, peers: peers,
+		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
+		learnt: map[string]*scheduling.Pool{}, zone: zone, peers: peers,
 	}
 }
 
@@ -64,6 +68,16 @@
 	return health
 }
 
+// poolOf returns what is known of a back end's engines.
+func (e *engines) poolOf(backend string) *scheduling.Pool {
+	pool, known := e.learnt[backend]
+	if !known {
+		pool = &scheduling.Pool{}
+		e.learnt[backend] = pool
+	}
+	return pool
+}
+
 // choice is an engine and what decided for it, for the log.
 type choice struct {
 	engine membership.ServingEngine
@@ -71,6 +85,12 @@
 	// candidates the engines that could have been chosen.
 	inFlight   int
 	candidates int
+	// missing is what the engine is expected to have to read, tokens; cost and nextCost
+	// are what the request is expected to cost there and at the next best engine,
+	// milliseconds.
+	missing  int64
+	cost     float64
+	nextCost float64
 }
 
 // choose picks the engine for a call and counts it as under way there.
@@ -87,42 +107,45 @@
 	}
 	demand.Zone = e.zone
 	demand.Peers = e.peers
-	chosen, found := scheduling.Choose(candidates, demand)
+	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
 	if !found {
 		return choice{}, false
 	}
-	chosen.Health.Sent(demand.Prompt, demand.NowMs)
-	for _, engine := range pool {
-		if engine.ID == chosen.ID {
-			return choice{engine: engine, inFlight: chosen.Health.InFlight, candidates: len(pool)}, true
-		}
-	}
-	return choice{}, false
+	health := chosen.Candidate.Health
+	health.Sent(demand.Prompt, demand.NowMs)
+	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
+	return choice{
+		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
+		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost,
+	}, true
 }
 
 // firstEvent notes how long an engine took for the first event of a stream.
-func (e *engines) firstEvent(id string, now time.Time, took float64) {
+func (e *engines) firstEvent(c *call, now time.Time, took float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.healthOf(id).FirstEvent(now.UnixMilli(), took)
+	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), now.UnixMilli(), c.chosen.missing, took)
 }
 
 // nextEvent notes the pause of a stream before an event.
-func (e *engines) nextEvent(id string, now time.Time, gap float64) {
+func (e *engines) nextEvent(c *call, now time.Time, gap float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.healthOf(id).NextEvent(now.UnixMilli(), gap)
+	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), now.UnixMilli(), gap)
 }
 
-// ended takes a call off an engine and notes how it went.
-func (e *engines) ended(id string, nowMs int64, attempt attemptOutcome) {
+// ended takes a call off its engine and notes how it went.
+func (e *engines) ended(c *call, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	health := e.healthOf(id)
+	health := e.healthOf(c.engine)
 	health.InFlight = max(health.InFlight-1, 0)
 	switch attempt.kind {
 	case attemptAnswered:
-		health.Succeeded(nowMs, attempt.paceMs)
+		health.Succeeded()
+		if attempt.tookMs > 0 {
+			e.poolOf(c.backend.Name).Answered(health, nowMs, c.route.Name, attempt.tookMs)
+		}
 	case attemptNotSent, attemptBroken:
 		health.Failed(nowMs)
 	}
