--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -44,7 +44,7 @@
 	// minShare is how many requests of its own a gateway always lets an engine have.
 	minShare = 2
 	// farMs is what another zone costs, milliseconds, its bytes included.
-	farMs = 200.0
+	farMs = 25.0
 	// slowFactor is how many times longer than the others an engine may take before
 	// requests with a key leave it.
 	slowFactor = 2.2
