--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -16,6 +16,7 @@
 	"github.com/ochrebay/ochrebay/internal/reconcile"
 	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/settings"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -135,7 +136,9 @@
 	permits *reconcile.Permits
 	syncs   []pendingSync
 	// fleetTracker is the leader's soft state of the fleet, nil elsewhere.
-	fleetTracker  *membership.FleetTracker
+	fleetTracker *membership.FleetTracker
+	// loads is what gateways have said of engines to this leader, nil elsewhere.
+	loads         *scheduling.Board
 	fleetSyncs    []pendingFleetSync
 	fleetPlanning bool
 	// tables are the routing tables that were in force lately, the newest last.
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -168,6 +168,7 @@
 	var update membership.FleetUpdate
 	if gateway := request.Gateway; gateway != nil {
 		c.fleetTracker.Heard(gateway.Name, c.nowMs)
+		c.loads.Report(gateway.Name, request.Loads, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
 		}
@@ -200,6 +201,9 @@
 		news := c.system.fleet.Since(request.Version, false)
 		reply.Fleet = &news
 	}
+	if request.Gateway != nil && c.loads != nil {
+		reply.Loads = c.loads.Loads(c.nowMs)
+	}
 	table := c.system.tree.Routing()
 	if request.WithRouting && table != nil && table.Generation > request.Generation {
 		reply.Routing = routing.NewDelta(c.tableAt(request.Generation), table)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -6,6 +6,7 @@
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
 	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 // tickLeader does what only leaders do from time to time.
@@ -23,6 +24,7 @@
 		c.tracker = nil
 		c.permits = nil
 		c.fleetTracker = nil
+		c.loads = nil
 		return
 	}
 	if c.tracker == nil {
@@ -31,6 +33,7 @@
 		c.planning = 0
 		c.leadingSinceMs = c.nowMs
 		c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
+		c.loads = scheduling.NewBoard()
 		c.fleetPlanning = false
 	}
 	c.replaceLost()
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -13,6 +13,7 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
@@ -37,7 +38,10 @@
 	// OnNews takes a new view or table; confirmed says that a quorum has confirmed
 	// the news since the process started.
 	OnNews func(view *membership.FleetView, table *routing.Table, confirmed bool)
-	Logger log.Logger
+	// OnLoads takes what all gateways together have seen of engines; nil where nobody
+	// asks.
+	OnLoads func(loads []scheduling.Load)
+	Logger  log.Logger
 
 	caller    *Caller
 	mutex     sync.Mutex
@@ -140,6 +144,9 @@
 		return f.redirected(&reply)
 	}
 	f.take(target, &reply)
+	if f.OnLoads != nil && len(reply.Loads) > 0 {
+		f.OnLoads(reply.Loads)
+	}
 	return true
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -46,6 +46,8 @@
 	started bool
 	// tookMs is how long the engine took for a whole answer, 0 for a stream.
 	tookMs float64
+	// events are those of a stream that went to its end.
+	events int64
 	err    error
 }
 
@@ -160,9 +162,8 @@
 	case c.route.Kind == routing.KindStream:
 		demand.Stream = true
 		demand.Home = c.home
-		demand.Key = c.program
 		demand.Prompt = c.prefix
-		demand.Events = c.most / max(c.backend.EventTokens, 1) / 2
+		demand.Events = c.most / max(c.backend.EventTokens, 1)
 	case c.route.Affinity:
 		demand.Key = c.affinity
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 	"github.com/ochrebay/ochrebay/internal/upstream"
 )
@@ -41,8 +42,6 @@
 	// chainShare is the part of the process's memory that chains may take.
 	chainShare        = 6
 	defaultChainBytes = 64 << 20
-	// assumedPeers is how many gateways of a zone are taken to share its engines.
-	assumedPeers = 3
 )
 
 // view is what calls are routed by; a new one is made for every change.
@@ -78,7 +77,7 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, assumedPeers),
+		engines: newEngines(process.Zone),
 		chains:  newChainCache(chainBytes(process.Limits)),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
@@ -88,6 +87,7 @@
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
+	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, nowMs()) }
 	return d
 }
 
@@ -111,6 +111,7 @@
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
 	}
+	request.Loads = d.engines.takeLoads(nowMs())
 }
 
 // follow puts news of control in force.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -176,6 +176,7 @@
 		outcome.kind = attemptBroken
 		outcome.err = errNotKept
 	}
+	outcome.events = a.events
 	return outcome
 }
 
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,14 +19,12 @@
 	// learnt is what is known of each back end's engines together.
 	learnt map[string]*scheduling.Pool
 	zone   string
-	// peers is how many gateways of the zone share its engines, by assumption.
-	peers int
 }
 
-func newEngines(zone string, peers int) *engines {
+func newEngines(zone string) *engines {
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
-		learnt: map[string]*scheduling.Pool{}, zone: zone, peers: peers,
+		learnt: map[string]*scheduling.Pool{}, zone: zone,
 	}
 }
 
@@ -87,10 +86,15 @@
 	candidates int
 	// missing is what the engine is expected to have to read, tokens; cost and nextCost
 	// are what the request is expected to cost there and at the next best engine,
-	// milliseconds.
-	missing  int64
-	cost     float64
-	nextCost float64
+	// milliseconds, homeCost at the engine that holds what the session has read.
+	missing int64
+	// company is how many requests of all gateways are expected there, and sharedAgeMs
+	// how old what the others have said of it is, -1 where nothing is known.
+	company     float64
+	sharedAgeMs int64
+	cost        float64
+	nextCost    float64
+	homeCost    float64
 }
 
 // choose picks the engine for a call and counts it as under way there.
@@ -106,7 +110,7 @@
 		candidates = append(candidates, candidate)
 	}
 	demand.Zone = e.zone
-	demand.Peers = e.peers
+	demand.Draw = rand.Uint64()
 	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
 	if !found {
 		return choice{}, false
@@ -116,7 +120,8 @@
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
-		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost,
+		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
+		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost,
 	}, true
 }
 
@@ -139,14 +144,39 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	health := e.healthOf(c.engine)
-	health.InFlight = max(health.InFlight-1, 0)
+	health.Ended(nowMs)
 	switch attempt.kind {
 	case attemptAnswered:
 		health.Succeeded()
 		if attempt.tookMs > 0 {
 			e.poolOf(c.backend.Name).Answered(health, nowMs, c.route.Name, attempt.tookMs)
 		}
+		if attempt.events > 0 {
+			e.poolOf(c.backend.Name).StreamEnded(nowMs, attempt.events)
+		}
 	case attemptNotSent, attemptBroken:
 		health.Failed(nowMs)
 	}
 }
+
+// takeLoads returns what this gateway has seen of engines since the last call.
+func (e *engines) takeLoads(nowMs int64) []scheduling.Load {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var loads []scheduling.Load
+	for id, health := range e.health {
+		if load, said := health.TakeLoad(id, nowMs); said && len(loads) < scheduling.MaxLoads {
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// takeShared takes what all gateways together have seen.
+func (e *engines) takeShared(loads []scheduling.Load, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, load := range loads {
+		e.healthOf(load.Engine).TakeShared(load, nowMs)
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -134,7 +134,7 @@
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
 			"program", c.program, "attempts", c.attempts, "engine", c.engine,
 			"home", c.home, "in_flight", c.chosen.inFlight, "candidates", c.chosen.candidates,
-			"missing", c.chosen.missing, "cost_ms", int64(c.chosen.cost), "next_cost_ms", int64(c.chosen.nextCost),
+			"company", int(c.chosen.company), "shared_age_ms", c.chosen.sharedAgeMs, "missing", c.chosen.missing, "cost_ms", int64(c.chosen.cost), "next_cost_ms", int64(c.chosen.nextCost), "home_cost_ms", int64(c.chosen.homeCost),
 			"opened_ms", c.opened.Milliseconds(), "sent_ms", c.sent.Milliseconds(), "kept_ms", c.kept.Milliseconds())
 		if out.events > 0 {
 			keyValues = append(keyValues, "first_event_ms", out.firstEvent.Sub(c.started).Milliseconds(),
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -5,6 +5,7 @@
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 // FleetOrder asks the leader of the settings group for one thing; exactly one part
@@ -38,6 +39,8 @@
 type FleetSync struct {
 	Gateway *membership.Gateway      `msgpack:"g,omitempty"`
 	Ledger  *membership.LedgerReport `msgpack:"d,omitempty"`
+	// Loads is what the gateway has seen of engines since its last heartbeat.
+	Loads []scheduling.Load `msgpack:"o,omitempty"`
 	// Version and Generation are the fleet and the routing table in force at the
 	// sender; WithRouting says that it wants the table at all.
 	Version     uint64 `msgpack:"v"`
@@ -55,6 +58,8 @@
 	Fleet  *membership.FleetNews `msgpack:"f,omitempty"`
 	// Routing leads from the sender's generation to the one in force.
 	Routing *routing.Delta `msgpack:"r,omitempty"`
+	// Loads is what all gateways together have seen of engines, for gateways.
+	Loads []scheduling.Load `msgpack:"o,omitempty"`
 	// Controls are the inner addresses of the control processes.
 	Controls []string `msgpack:"c,omitempty"`
 	// Confirmed says that a quorum confirmed the reply.
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +15,8 @@
 	Zone   string
 	Slots  int
 	Health *EngineHealth
+	// order is the engine's place in the order of one request.
+	order uint64
 }
 
 // Demand is what decides where a request goes.
@@ -33,21 +37,26 @@
 	Key string
 	// Zone is where the request is.
 	Zone string
-	// Peers is how many gateways share the engines of the zone.
-	Peers int
+	// Draw is drawn at random for each request: it decides which engines are compared.
+	Draw uint64
 	// Avoid lists engines that were tried already.
 	Avoid []string
 	NowMs int64
+
+	// slowFrom is the factor from which an engine counts as slow.
+	slowFrom float64
 }
 
+// keyed reports whether an engine should see the requests of a key together.
+func (d Demand) keyed() bool { return !d.Stream && d.Key != "" }
+
 const (
-	// minShare is how many requests of its own a gateway always lets an engine have.
-	minShare = 2
+	// nearCompared and farCompared are how many engines of the request's zone and of
+	// others are compared, besides the one that holds the session's memory.
+	nearCompared = 2
+	farCompared  = 1
 	// farMs is what another zone costs, milliseconds, its bytes included.
 	farMs = 25.0
-	// slowFactor is how many times longer than the others an engine may take before
-	// requests with a key leave it.
-	slowFactor = 2.2
 )
 
 // Choice is the engine for a request and what decided for it.
@@ -59,118 +68,203 @@
 	// what it would at the next best engine, 0 where there is none.
 	Cost     float64
 	NextCost float64
+	// HomeCost is what it would cost at the session's home, 0 where there is none.
+	HomeCost float64
+
+	unsound, slow, full, far int
 }
 
-// Choose returns the engine for a request; false where there is none. Sound engines
-// come first. Streams go where they are expected to cost least, with what reading them
-// anew costs those that run beside them; other requests with a key to one engine of the
-// zone (rendezvous hashing, Thaler and Ravishankar, 1998), and the rest to the engine
-// that is expected to answer first.
+// Choose returns the engine for a request; false where there is none. Requests with a
+// key go to one engine of the zone (rendezvous hashing, Thaler and Ravishankar, 1998)
+// while it has room. Of the others each compares its session's home and a few engines
+// drawn at random, and goes where it is expected to cost least, with what reading it anew
+// costs those that run beside it. Invariant: gateways that share one view, which is
+// always late, do not all choose the engine that looked best in it (Mitzenmacher, How
+// Useful Is Old Information, 2000).
 func Choose(pool *Pool, candidates []Candidate, demand Demand) (Choice, bool) {
 	var best, next Choice
-	var bestRank, nextRank rank
 	found, second := false, false
-	for _, candidate := range candidates {
-		if slices.Contains(demand.Avoid, candidate.ID) {
-			continue
+	homeCost := 0.0
+	demand.slowFrom = slowFrom(candidates, demand.NowMs)
+	for _, candidate := range compared(candidates, demand) {
+		choice := pool.weigh(candidate, demand)
+		if candidate.ID == demand.Home {
+			homeCost = choice.Cost
 		}
-		choice, rank := pool.rankOf(candidate, demand)
 		switch {
-		case !found || rank.less(bestRank):
-			next, nextRank, second = best, bestRank, found
-			best, bestRank, found = choice, rank, true
-		case !second || rank.less(nextRank):
-			next, nextRank, second = choice, rank, true
+		case !found || choice.less(best):
+			next, second = best, found
+			best, found = choice, true
+		case !second || choice.less(next):
+			next, second = choice, true
 		}
 	}
 	best.NextCost = next.Cost
+	best.HomeCost = homeCost
 	return best, found
 }
 
-// rank orders candidates; the lower the better, the first field that differs
-// decides.
-type rank struct {
-	unsound  int
-	slow     int
-	full     int
-	far      int
-	cost     float64
-	inFlight int
-	hash     uint64
+// slowFrom returns the factor from which an engine counts as slow: well above what the
+// spread over all of them explains, since in an overload each takes longer now and then,
+// and a session that leaves its engine for that only adds to the overload.
+func slowFrom(candidates []Candidate, nowMs int64) float64 {
+	factors := make([]float64, 0, len(candidates))
+	for _, candidate := range candidates {
+		factors = append(factors, candidate.Health.Factor(nowMs))
+	}
+	middle := median(factors)
+	for position, factor := range factors {
+		factors[position] = math.Abs(factor - middle)
+	}
+	return max(leastSlowFactor*middle, middle+slowDeviations*deviationOfMedian*median(factors))
+}
+
+const (
+	// leastSlowFactor is how many times longer than at the one in the middle things take
+	// at a slow engine at the least, slowDeviations how many standard deviations it lies
+	// above, and deviationOfMedian what makes a median of absolute deviations one.
+	leastSlowFactor   = 1.8
+	slowDeviations    = 4
+	deviationOfMedian = 1.4826
+)
+
+// median returns the middle of values, which it sorts; 1 where there are none.
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 1
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// compared returns the engines that a request compares: those that were not tried, and
+// where it has no key, its home and the first of each zone in an order of its own.
+func compared(candidates []Candidate, demand Demand) []Candidate {
+	left := make([]Candidate, 0, len(candidates))
+	drawn := rand.NewPCG(demand.Draw, uint64(len(candidates)))
+	for _, candidate := range candidates {
+		if slices.Contains(demand.Avoid, candidate.ID) {
+			continue
+		}
+		if demand.keyed() {
+			candidate.order = xxhash.Sum64String(candidate.ID + "\x00" + demand.Key)
+		} else {
+			candidate.order = drawn.Uint64()
+		}
+		left = append(left, candidate)
+	}
+	if demand.keyed() {
+		return left
+	}
+	slices.SortFunc(left, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(unsound(a, demand), unsound(b, demand)), cmp.Compare(a.order, b.order))
+	})
+	chosen := left[:0]
+	near, distant := 0, 0
+	for _, candidate := range left {
+		switch {
+		case candidate.ID == demand.Home:
+			chosen = append(chosen, candidate)
+		case candidate.Zone == demand.Zone && near < nearCompared:
+			near++
+			chosen = append(chosen, candidate)
+		case candidate.Zone != demand.Zone && distant < farCompared:
+			distant++
+			chosen = append(chosen, candidate)
+		}
+	}
+	return chosen
 }
 
-func (r rank) less(other rank) bool {
+// less orders choices; the first that differs decides.
+func (c Choice) less(other Choice) bool {
 	return cmp.Or(
-		cmp.Compare(r.unsound, other.unsound),
-		cmp.Compare(r.slow, other.slow),
-		cmp.Compare(r.full, other.full),
-		cmp.Compare(r.far, other.far),
-		cmp.Compare(r.cost, other.cost),
-		cmp.Compare(r.inFlight, other.inFlight),
-		cmp.Compare(r.hash, other.hash),
+		cmp.Compare(c.unsound, other.unsound),
+		cmp.Compare(c.slow, other.slow),
+		cmp.Compare(c.full, other.full),
+		cmp.Compare(c.far, other.far),
+		cmp.Compare(c.Cost, other.Cost),
+		cmp.Compare(c.Candidate.order, other.Candidate.order),
 	) < 0
 }
 
-func (p *Pool) rankOf(candidate Candidate, demand Demand) (Choice, rank) {
-	choice := Choice{Candidate: candidate}
-	next := rank{hash: xxhash.Sum64String(candidate.ID + "\x00" + demand.Key), inFlight: candidate.Health.InFlight}
-	if candidate.Health.Suspect(demand.NowMs) {
-		next.unsound = 1
-	}
+// weigh says what a request costs at an engine.
+func (p *Pool) weigh(candidate Candidate, demand Demand) Choice {
+	choice := Choice{Candidate: candidate, unsound: unsound(candidate, demand)}
 	switch {
 	case demand.Stream:
 		choice.Missing = missingTokens(candidate, demand)
 		choice.Cost = p.streamCost(candidate, demand, choice.Missing)
-		next.cost = choice.Cost
-	case demand.Key != "":
-		next.inFlight = 0
-		if candidate.Health.factor.At(demand.NowMs).Mean(1) > slowFactor {
-			next.slow = 1
+	case demand.keyed():
+		choice.far = far(candidate, demand)
+		if candidate.Health.Factor(demand.NowMs) >= demand.slowFrom {
+			choice.slow = 1
+		}
+		if queueing(candidate, candidate.Health.Company(demand.NowMs)) > 0 {
+			choice.full = 1
 		}
-		next.full, next.far = crowded(candidate, demand), far(candidate, demand)
 	default:
 		choice.Cost = p.answerCost(candidate, demand)
-		next.cost = choice.Cost
-		next.full, next.far = crowded(candidate, demand), far(candidate, demand)
 	}
-	return choice, next
+	return choice
 }
 
-func far(candidate Candidate, demand Demand) int {
-	if candidate.Zone != demand.Zone {
+func unsound(candidate Candidate, demand Demand) int {
+	if candidate.Health.Suspect(demand.NowMs) {
 		return 1
 	}
 	return 0
 }
 
-// crowded is above 0 where a gateway has its share of an engine's slots.
-func crowded(candidate Candidate, demand Demand) int {
-	share := max(candidate.Slots/max(demand.Peers, 1), minShare)
-	if candidate.Slots == 0 || candidate.Health.InFlight < share {
-		return 0
+func far(candidate Candidate, demand Demand) int {
+	if candidate.Zone != demand.Zone {
+		return 1
 	}
-	return 1 + candidate.Health.InFlight/share
+	return 0
 }
 
-// streamCost is the time until a stream is expected to end at an engine, with the time
-// that it costs the streams beside it.
+// streamCost is the time that a stream is expected to take at an engine, with what it
+// costs the streams beside it. A token read holds up all that run at the engine, and
+// keeps it from what waits: so it costs as if it met the company that streams meet on the
+// mean, wherever it is read. Load is evened out by where new sessions go: one that has a
+// home does not leave it because there is less company elsewhere for the moment, but only
+// where its home is slow or full.
 func (p *Pool) streamCost(candidate Candidate, demand Demand, missing int64) float64 {
-	health := candidate.Health
-	usualPace, _ := p.pace.At(demand.NowMs).own()
-	usualWait, _ := p.wait.At(demand.NowMs).own()
-	beside := float64(health.InFlight)
-	cost := health.wait.At(demand.NowMs).Mean(usualWait)
-	cost += float64(demand.Events) * (health.pace.At(demand.NowMs).Mean(usualPace) + p.crowdMs()*(1+beside))
-	cost += float64(missing) * p.tokenMs() * (1 + beside)
-	cost += queueing(candidate, beside) * (usualWait + float64(demand.Events)*usualPace)
+	factor := candidate.Health.Factor(demand.NowMs)
+	if factor < demand.slowFrom {
+		factor = 1
+	}
+	events := p.expectedEvents(demand.NowMs, demand.Events)
+	usual := p.streamMs(demand.NowMs, events)
+	company := candidate.Health.Company(demand.NowMs)
+	met, _ := p.company.At(demand.NowMs).own()
+	cost := factor * usual
+	cost += factor * float64(missing) * p.tokenMs() * (1 + met)
+	cost += queueing(candidate, company) * usual
+	switch demand.Home {
+	case "":
+	case candidate.ID:
+		company = min(company, met)
+	default:
+		company = max(company, met)
+	}
+	cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
 	return cost + farMs*float64(far(candidate, demand))
 }
 
+// sharedCost is how often the cost of company counts: for the stream and for its company.
+const sharedCost = 2
+
 // answerCost is the time until a whole answer is expected.
 func (p *Pool) answerCost(candidate Candidate, demand Demand) float64 {
 	usual := p.usual(demand.Kind, demand.NowMs)
-	factor := candidate.Health.factor.At(demand.NowMs).Mean(1)
-	return factor * usual * (1 + queueing(candidate, float64(candidate.Health.InFlight)))
+	factor := candidate.Health.Factor(demand.NowMs)
+	company := candidate.Health.Company(demand.NowMs)
+	taken := 0.0
+	if candidate.Slots > 0 {
+		taken = min(company/float64(candidate.Slots), 1)
+	}
+	return factor*usual*(1+taken*taken+queueing(candidate, company)) + farMs*float64(far(candidate, demand))
 }
 
 // queueing is how many times the length of a request a further one waits for a slot.
--- a/internal/scheduling/evidence.go
+++ b/internal/scheduling/evidence.go
@@ -71,8 +71,9 @@
 	lineHalfLifeMs = 15_000
 	// lineSamples is how many samples it takes before a slope is believed.
 	lineSamples = 12
-	// clipFactor bounds an outlier to this many times the mean.
-	clipFactor = 6
+	// clipDeviations bounds how far a sample may lie from the line, in standard
+	// deviations of those before it.
+	clipDeviations = 2.5
 )
 
 // Line is a straight line fitted to samples by least squares; samples count less as
@@ -95,7 +96,7 @@
 	}
 	l.atMs = max(l.atMs, nowMs)
 	if l.weight >= lineSamples {
-		y = min(y, clipFactor*max(l.expected(x), l.sumY/l.weight))
+		y = l.clipped(x, y)
 	}
 	l.weight++
 	l.sumX += x
@@ -105,35 +106,44 @@
 	l.sumYY += y * y
 }
 
-// expected returns the line's value at x.
-func (l *Line) expected(x float64) float64 {
-	slope, _ := l.fit()
-	return l.sumY/l.weight + slope*(x-l.sumX/l.weight)
+// clipped bounds a sample to what the line and the spread around it make likely.
+func (l *Line) clipped(x, y float64) float64 {
+	slope, residual, _ := l.fit()
+	expected := l.sumY/l.weight + slope*(x-l.sumX/l.weight)
+	reach := clipDeviations * math.Sqrt(residual)
+	return min(max(y, expected-reach), expected+reach)
 }
 
-// fit returns the slope and its standard error; the error is infinite where the
-// samples do not tell.
-func (l *Line) fit() (slope, deviation float64) {
-	if l.weight < lineSamples {
-		return 0, math.Inf(1)
-	}
+// fit returns the slope, the variance around the line and that of x; a slope of 0 where
+// x does not vary.
+func (l *Line) fit() (slope, residual, varianceX float64) {
 	meanX := l.sumX / l.weight
 	meanY := l.sumY / l.weight
-	varianceX := l.sumXX/l.weight - meanX*meanX
-	covariance := l.sumXY/l.weight - meanX*meanY
-	if varianceX <= 1e-9*max(meanX*meanX, 1e-9) {
-		return 0, math.Inf(1)
+	varianceX = max(l.sumXX/l.weight-meanX*meanX, 0)
+	varianceY := max(l.sumYY/l.weight-meanY*meanY, 0)
+	if varianceX <= leastVariance+leastSpread*meanX*meanX {
+		return 0, varianceY, 0
 	}
+	covariance := l.sumXY/l.weight - meanX*meanY
 	slope = covariance / varianceX
-	residual := max(l.sumYY/l.weight-meanY*meanY-slope*covariance, 0)
-	return slope, math.Sqrt(residual / varianceX / l.weight)
+	return slope, max(varianceY-slope*covariance, 0), varianceX
 }
 
+// leastVariance is what the variance of x must exceed, in requests or tokens, and
+// leastSpread the share of its squared mean, for a slope to be more than rounding.
+const (
+	leastVariance = 0.01
+	leastSpread   = 1e-6
+)
+
 // Slope returns the slope where the samples show one above zero beyond chance, false
 // where they do not.
 func (l *Line) Slope() (float64, bool) {
-	slope, deviation := l.fit()
-	if slope <= significantDeviations*deviation {
+	if l.weight < lineSamples {
+		return 0, false
+	}
+	slope, residual, varianceX := l.fit()
+	if varianceX <= 0 || slope <= significantDeviations*math.Sqrt(residual/varianceX/l.weight) {
 		return 0, false
 	}
 	return slope, true
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -1,7 +1,7 @@
 package scheduling
 
-// EngineHealth is what a gateway has seen of one engine with its own requests.
-// Times are in milliseconds.
+// EngineHealth is what a gateway knows of one engine: what it has seen with its own
+// requests, and what all gateways together have. Times are in milliseconds.
 type EngineHealth struct {
 	// InFlight counts the requests under way.
 	InFlight int
@@ -9,12 +9,23 @@
 	// passed over for them.
 	failures       int
 	suspectUntilMs int64
-	// pace is the pause between events of a stream, wait the time to the first event
-	// beyond the reading, and factor the time of whole answers as a multiple of what is
-	// usual for their kind.
-	pace   Evidence
-	wait   Evidence
-	factor Evidence
+	// own is what this gateway's requests have shown of the time that things take at the
+	// engine, as a multiple of what is usual; news is what of it was not reported yet, and
+	// shared what all gateways together have said.
+	own    Evidence
+	news   Evidence
+	shared Evidence
+	// pauses gathers the pauses between events for the next sample.
+	pauses pauseWindow
+	// sharedInFlight is how many requests all gateways had under way at sharedMs, and
+	// reportedInFlight what this one had said of it.
+	sharedInFlight   float64
+	sharedMs         int64
+	reportedInFlight float64
+	// busy adds up InFlight over time since reportedMs, as far as busyMs.
+	busy       float64
+	busyMs     int64
+	reportedMs int64
 	// read is when the parts of prompts were last sent to the engine.
 	read map[string]int64
 }
@@ -28,8 +39,38 @@
 	maxKeptParts = 512
 )
 
+// pauseWindow gathers a few pauses between events, whichever streams they are of.
+type pauseWindow struct {
+	shortest float64
+	count    int
+	sinceMs  int64
+}
+
+const (
+	// windowPauses is how many pauses make one sample, and windowMs how long they may be
+	// gathered for.
+	windowPauses = 6
+	windowMs     = 2_000
+)
+
+// add takes a pause; once there are enough, it returns the shortest and begins anew.
+func (w *pauseWindow) add(nowMs int64, pause float64) (shortest float64, enough bool) {
+	if w.count == 0 || nowMs-w.sinceMs > windowMs {
+		*w = pauseWindow{shortest: pause, sinceMs: nowMs}
+	}
+	w.shortest = min(w.shortest, pause)
+	w.count++
+	if w.count < windowPauses {
+		return 0, false
+	}
+	shortest = w.shortest
+	*w = pauseWindow{}
+	return shortest, true
+}
+
 // Sent notes a request that goes to the engine and the parts of its prompt.
 func (h *EngineHealth) Sent(prompt []PromptPart, nowMs int64) {
+	h.count(nowMs)
 	h.InFlight++
 	if len(prompt) == 0 {
 		return
@@ -42,6 +83,18 @@
 	h.read[prompt[0].ID] = nowMs
 }
 
+// Ended takes a request off the engine.
+func (h *EngineHealth) Ended(nowMs int64) {
+	h.count(nowMs)
+	h.InFlight = max(h.InFlight-1, 0)
+}
+
+// count adds up the requests under way until nowMs.
+func (h *EngineHealth) count(nowMs int64) {
+	h.busy += float64(h.InFlight) * float64(max(nowMs-h.busyMs, 0))
+	h.busyMs = max(h.busyMs, nowMs)
+}
+
 // hasRead reports whether a part of a prompt was sent to the engine lately.
 func (h *EngineHealth) hasRead(part string, nowMs int64) bool {
 	last, known := h.read[part]
@@ -63,3 +116,55 @@
 
 // Suspect reports whether the engine is passed over for its failures.
 func (h *EngineHealth) Suspect(nowMs int64) bool { return nowMs < h.suspectUntilMs }
+
+// sawFactor takes one sample.
+func (h *EngineHealth) sawFactor(nowMs int64, factor float64) {
+	h.own.Add(nowMs, factor, 1)
+	h.news.Add(nowMs, factor, 1)
+}
+
+// Factor is how many times longer than at the other engines things take at this one, as
+// far as this gateway and all together have seen.
+func (h *EngineHealth) Factor(nowMs int64) float64 {
+	known := h.own
+	known.Merge(nowMs, h.shared.At(nowMs))
+	return known.Mean(1)
+}
+
+// Company is how many requests of all gateways are expected to be at the engine.
+func (h *EngineHealth) Company(nowMs int64) float64 {
+	if h.sharedMs == 0 || nowMs-h.sharedMs > loadForgottenMs {
+		return float64(h.InFlight)
+	}
+	return max(h.sharedInFlight-h.reportedInFlight, 0) + float64(h.InFlight)
+}
+
+// SharedAgeMs is how old what other gateways have said is, -1 where nothing is known.
+func (h *EngineHealth) SharedAgeMs(nowMs int64) int64 {
+	if h.sharedMs == 0 {
+		return -1
+	}
+	return nowMs - h.sharedMs
+}
+
+// TakeLoad returns what is new since the last call, for the report to all; false where
+// there is nothing to say.
+func (h *EngineHealth) TakeLoad(engine string, nowMs int64) (Load, bool) {
+	h.count(nowMs)
+	elapsed := max(nowMs-h.reportedMs, 1)
+	mean := h.busy / float64(elapsed)
+	load := Load{Engine: engine, InFlight: float32(mean), Factor: h.news.samples(nowMs)}
+	said := mean > 0 || h.reportedInFlight > 0 || load.Factor.Weight > minimumWeight
+	h.busy = 0
+	h.reportedMs = nowMs
+	h.reportedInFlight = mean
+	h.news = Evidence{}
+	return load, said
+}
+
+// TakeShared takes what all gateways together know.
+func (h *EngineHealth) TakeShared(load Load, nowMs int64) {
+	h.shared = load.Factor.evidence(nowMs)
+	h.sharedInFlight = max(float64(load.InFlight), 0)
+	h.sharedMs = nowMs
+}
--- /dev/null
+++ b/internal/scheduling/load.go
@@ -0,0 +1,145 @@
+package scheduling
+
+import (
+	"math"
+	"slices"
+)
+
+// Load is what observers know of one engine: one gateway since its last report, or all
+// gateways together.
+type Load struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // It tells the codec to leave names out.
+	Engine   string
+	// InFlight is how many requests were under way, on the mean since the last report.
+	InFlight float32
+	// Factor are samples of how many times longer than usual things took there.
+	Factor Samples
+}
+
+// Samples are the sums of some evidence without its time.
+type Samples struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // As above.
+	Sum      float32
+	Weight   float32
+}
+
+// sound reports whether the sums can be counted: whatever comes over the network must
+// not make a mean of nothing.
+func (s Samples) sound() bool {
+	sum, weight := float64(s.Sum), float64(s.Weight)
+	return weight > 0 && sum >= 0 && !math.IsInf(sum, 0) && !math.IsInf(weight, 0) && !math.IsNaN(sum) && !math.IsNaN(weight)
+}
+
+// evidence returns the samples as they count at nowMs.
+func (s Samples) evidence(nowMs int64) Evidence {
+	if !s.sound() {
+		return Evidence{AtMs: nowMs}
+	}
+	return Evidence{Sum: float64(s.Sum), Weight: float64(s.Weight), AtMs: nowMs}
+}
+
+// samples returns evidence as it counts at nowMs without its time.
+func (e Evidence) samples(nowMs int64) Samples {
+	aged := e.At(nowMs)
+	return Samples{Sum: float32(aged.Sum), Weight: float32(aged.Weight)}
+}
+
+const (
+	// MaxLoads bounds the engines of one report or one answer.
+	MaxLoads = 512
+	// loadForgottenMs is when what an observer said of an engine's requests is too old.
+	loadForgottenMs = 2_500
+	// loadSweepMs is how often a board looks for what it can forget.
+	loadSweepMs = 5_000
+)
+
+// boardEntry is what a board knows of one engine.
+type boardEntry struct {
+	factor Evidence
+	// inFlight is what each gateway said last.
+	inFlight map[string]boardCount
+	heardMs  int64
+}
+
+type boardCount struct {
+	inFlight float64
+	atMs     int64
+}
+
+// Board adds up what gateways report of engines, so that each learns from the requests
+// of all. It is soft state: one that is empty says nothing, and what it says is only
+// ever a hint. Times are in milliseconds.
+type Board struct {
+	engines map[string]*boardEntry
+	sweptMs int64
+	// next is where the answers go on when there are more engines than fit.
+	next int
+}
+
+// NewBoard returns a board that has heard nothing.
+func NewBoard() *Board { return &Board{engines: map[string]*boardEntry{}} }
+
+// Report takes what a gateway says.
+func (b *Board) Report(gateway string, loads []Load, nowMs int64) {
+	for _, load := range loads[:min(len(loads), MaxLoads)] {
+		entry, known := b.engines[load.Engine]
+		if !known {
+			entry = &boardEntry{inFlight: map[string]boardCount{}}
+			b.engines[load.Engine] = entry
+		}
+		entry.heardMs = nowMs
+		entry.factor.Merge(nowMs, load.Factor.evidence(nowMs))
+		if inFlight := float64(load.InFlight); inFlight >= 0 && !math.IsInf(inFlight, 0) {
+			entry.inFlight[gateway] = boardCount{inFlight: inFlight, atMs: nowMs}
+		}
+	}
+	if nowMs-b.sweptMs >= loadSweepMs {
+		b.sweptMs = nowMs
+		b.sweep(nowMs)
+	}
+}
+
+// sweep forgets engines that nobody speaks of any more and gateways that fell silent.
+func (b *Board) sweep(nowMs int64) {
+	for engine, entry := range b.engines {
+		if nowMs-entry.heardMs > loadSweepMs {
+			delete(b.engines, engine)
+			continue
+		}
+		for gateway, count := range entry.inFlight {
+			if nowMs-count.atMs > loadForgottenMs {
+				delete(entry.inFlight, gateway)
+			}
+		}
+	}
+}
+
+// Loads returns what all gateways together know, in ascending order of engines. Where
+// there are more engines than MaxLoads, one answer goes on where the last one ended.
+func (b *Board) Loads(nowMs int64) []Load {
+	engines := make([]string, 0, len(b.engines))
+	for engine := range b.engines {
+		engines = append(engines, engine)
+	}
+	slices.Sort(engines)
+	if len(engines) > MaxLoads {
+		begin := b.next % len(engines)
+		b.next = begin + MaxLoads
+		engines = slices.Concat(engines[begin:], engines[:begin])[:MaxLoads]
+	}
+	loads := make([]Load, 0, len(engines))
+	for _, engine := range engines {
+		loads = append(loads, b.engines[engine].load(engine, nowMs))
+	}
+	return loads
+}
+
+func (e *boardEntry) load(engine string, nowMs int64) Load {
+	total := 0.0
+	for _, count := range e.inFlight {
+		if nowMs-count.atMs <= loadForgottenMs {
+			total += count.inFlight
+		}
+	}
+	return Load{Engine: engine, InFlight: float32(total), Factor: e.factor.samples(nowMs)}
+}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -1,22 +1,27 @@
 package scheduling
 
 // Pool is what a gateway has learnt of the engines of one back end from its own
-// requests: what reading a token costs, what one more request costs those that run
-// beside it, and how long things take at an engine that is like the others. Times are
-// in milliseconds.
+// requests: what reading a token costs, what company costs, and how long things take at
+// an engine that is like the others. Times are in milliseconds.
 type Pool struct {
-	// reading is the time to the first event over the tokens that had to be read, and
-	// crowding the pause between events over the other requests at the engine.
-	reading  Line
-	crowding Line
-	// pace and wait are means over all engines: of the pause between events, and of the
-	// time to the first event beyond the reading.
-	pace Evidence
-	wait Evidence
-	// firstEvents and tokens are the means of what the line of reading is fitted to.
+	// reading is the time to the first event over the tokens that had to be read;
+	// waiting is what is left of it over the other requests at the engine, and pausing
+	// the pause between events over them.
+	reading Line
+	waiting Line
+	pausing Line
+	// firstEvents and tokens are the means of what the line of reading is fitted to,
+	// wait, pace and events those of the time to the first event beyond the reading, of
+	// the pause between events and of the events of a stream.
 	firstEvents Evidence
 	tokens      Evidence
-	// took is the mean time of whole answers by kind of request.
+	wait        Evidence
+	pace        Evidence
+	events      Evidence
+	// company is how many requests a stream met at its engine.
+	company Evidence
+	// took is the mean time of whole answers by kind of request, and of the shortest of a
+	// few pauses.
 	took map[string]*Evidence
 }
 
@@ -26,6 +31,10 @@
 	unknownTokenMs = 1.0
 	// maxKinds bounds the kinds of request that are told apart.
 	maxKinds = 512
+	// largestFactor bounds how many times longer than usual one sample may count.
+	largestFactor = 10
+	// eventWeight is what one pause counts for: those of one stream say much the same.
+	eventWeight = 0.2
 )
 
 // tokenMs is what reading a token takes an engine. Until the samples show a slope, all of
@@ -41,13 +50,6 @@
 	return unknownTokenMs
 }
 
-// crowdMs is how much longer each pause between events is for every further request at
-// an engine, 0 where the samples show nothing.
-func (p *Pool) crowdMs() float64 {
-	slope, _ := p.crowding.Slope()
-	return slope
-}
-
 // FirstEvent learns from the first event of a stream that came took after its send to an
 // engine that had tokens to read.
 func (p *Pool) FirstEvent(health *EngineHealth, nowMs int64, tokens int64, took float64) {
@@ -55,19 +57,28 @@
 	p.firstEvents.Add(nowMs, took, 1)
 	p.tokens.Add(nowMs, float64(tokens), 1)
 	rest := max(took-float64(tokens)*p.tokenMs(), 0)
+	others := max(health.Company(nowMs)-1, 0)
 	p.wait.Add(nowMs, rest, 1)
-	health.wait.Add(nowMs, rest, 1)
+	p.waiting.Add(nowMs, others, rest)
+	p.company.Add(nowMs, others, 1)
 }
 
-// NextEvent learns from the pause before a further event of a stream.
+// NextEvent learns from the pause before a further event of a stream. The shortest of a
+// few pauses tells a slow engine from a busy one: at a busy one the reading of others
+// makes some of them long, at a slow one none is short.
 func (p *Pool) NextEvent(health *EngineHealth, nowMs int64, gap float64) {
-	p.crowding.Add(nowMs, float64(max(health.InFlight-1, 0)), gap)
 	p.pace.Add(nowMs, gap, eventWeight)
-	health.pace.Add(nowMs, gap, eventWeight)
+	p.pausing.Add(nowMs, max(health.Company(nowMs)-1, 0), gap)
+	if shortest, enough := health.pauses.add(nowMs, gap); enough {
+		p.Answered(health, nowMs, pauseKind, shortest)
+	}
 }
 
-// eventWeight is what one pause counts for: those of one stream say much the same.
-const eventWeight = 0.2
+// pauseKind is the kind under which the shortest of a few pauses is judged.
+const pauseKind = "\x00pause"
+
+// StreamEnded learns from a whole stream.
+func (p *Pool) StreamEnded(nowMs int64, events int64) { p.events.Add(nowMs, float64(events), 1) }
 
 // Answered learns from a whole answer of a kind of request.
 func (p *Pool) Answered(health *EngineHealth, nowMs int64, kind string, took float64) {
@@ -79,9 +90,13 @@
 		mean = &Evidence{}
 		p.took[kind] = mean
 	}
-	mean.Add(nowMs, took, 1)
-	if usual, some := mean.own(); some && usual > 0 {
-		health.factor.Add(nowMs, took/usual, 1)
+	usual, some := mean.At(nowMs).own()
+	if !some {
+		usual = took
+	}
+	mean.Add(nowMs, min(took, largestFactor*usual), 1)
+	if usual > 0 {
+		health.sawFactor(nowMs, min(took/usual, largestFactor))
 	}
 }
 
@@ -94,3 +109,32 @@
 	took, _ := mean.At(nowMs).own()
 	return took
 }
+
+// streamMs is how long a stream takes beyond the reading at an engine without company
+// that is like the others.
+func (p *Pool) streamMs(nowMs int64, events float64) float64 {
+	wait, _ := p.wait.At(nowMs).own()
+	pace, _ := p.pace.At(nowMs).own()
+	return wait + events*pace
+}
+
+// expectedEvents is how many events a stream is expected to have, at most as many as it
+// may.
+func (p *Pool) expectedEvents(nowMs int64, most int64) float64 {
+	if mean, known := p.events.At(nowMs).own(); known {
+		return min(mean, float64(most))
+	}
+	return float64(most) / 2
+}
+
+// companyMs is how much longer a stream takes for each other request at its engine.
+// Where the samples show nothing, a full engine is taken to be half as quick as one
+// without company.
+func (p *Pool) companyMs(events, usual float64, slots int) float64 {
+	wait, waitKnown := p.waiting.Slope()
+	pause, pauseKnown := p.pausing.Slope()
+	if !waitKnown && !pauseKnown && slots > 0 {
+		return usual / float64(slots)
+	}
+	return wait + events*pause
+}
