--- a/internal/gateway/chains.go
+++ b/internal/gateway/chains.go
@@ -71,13 +71,19 @@
 	return cachedChain{last, content}
 }
 
-// put keeps the chain up to a turn of a session.
+// put keeps the chain up to a turn of a session in place of the session's earlier one,
+// which it begins with: a turn that goes on from there has the ledger send what is
+// missing.
 func (c *chainCache) put(turn, program, session string, content []byte) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	key := program + "\x00" + session
+	if earlier, ok := c.sessions.Get(key); ok {
+		c.chains.Remove(earlier)
+	}
 	c.chains.Remove(turn)
 	c.chains.Add(turn, content)
-	c.sessions.Add(program+"\x00"+session, turn)
+	c.sessions.Add(key, turn)
 	c.bytes += len(content)
 	for c.bytes > c.maxBytes && c.chains.Len() > 0 {
 		c.chains.RemoveOldest()
