--- a/cmd/ochrebay/process.go
+++ b/cmd/ochrebay/process.go
@@ -69,8 +69,14 @@
 // have arrived and are not read yet.
 const heapShare = 0.55
 
+// heapGrowthPercent is how much the heap may grow beyond what lives before it is
+// collected: half of the runtime's own choice, since memory is dearer on small machines
+// than the processor time of collecting more often.
+const heapGrowthPercent = 40
+
 // limitMemory keeps the heap below what the machine grants.
 func limitMemory(limits config.Limits) {
+	debug.SetGCPercent(heapGrowthPercent)
 	if limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(limits.MemoryMB<<20) * heapShare))
 	}
