--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -26,6 +28,9 @@
 	// frameHeadBytes are a frame's length (4 bytes) and checksum (8 bytes).
 	frameHeadBytes = 12
 	maxFrameBytes  = 1 << 30
+	// imageFrameBytes is how many bytes of entries one frame of an image holds, but for
+	// an entry that is larger by itself.
+	imageFrameBytes = 256 << 10
 )
 
 // errTorn means that a segment ends, or goes on with bytes that were not written whole.
@@ -33,7 +38,8 @@
 
 // journal is the log of all groups in one file that is only appended to: a write costs
 // one sync, where a transaction costs two and a page for each entry. A segment begins with
-// an image of all that lives, so that older segments can go.
+// an image of all that lives, so that older segments can go. The image is written in
+// parts: encoded as one, it would need several times the memory of all that lives.
 //
 // Invariant: what append has returned for is in the newest segment that begins with a
 // whole image.
@@ -46,7 +52,7 @@
 	end      int64
 	appended int
 	live     map[GroupID]*liveLog
-	buffer   []byte
+	buffer   bytes.Buffer
 }
 
 // segment is the file of a segment.
@@ -77,6 +83,8 @@
 	Reset bool `msgpack:"r,omitempty"`
 	// Entries overwrite the log from their first index on.
 	Entries []consensus.Entry `msgpack:"e,omitempty"`
+	// Partial says that the record is of an image and that more of it follows.
+	Partial bool `msgpack:"p,omitempty"`
 }
 
 // openJournal reads the newest whole segment and begins a new one, so that nothing is
@@ -105,7 +113,8 @@
 	return j, whileRefused(j.rotate)
 }
 
-// read takes a segment in; false where not even its image is whole.
+// read takes a segment in; false where not even its image is whole, and then nothing of
+// it counts.
 func (j *journal) read(name string) (bool, error) {
 	file, err := os.Open(name)
 	if err != nil {
@@ -113,14 +122,18 @@
 	}
 	defer file.Close()
 	reader := bufio.NewReader(file)
-	for frames := 0; ; frames++ {
+	for whole := false; ; {
 		records, err := readFrame(reader)
 		if errors.Is(err, errTorn) {
-			return frames > 0, nil
+			if !whole {
+				j.live = map[GroupID]*liveLog{}
+			}
+			return whole, nil
 		}
 		if err != nil {
 			return false, err
 		}
+		whole = whole || len(records) == 0 || !records[0].Partial
 		for position := range records {
 			j.apply(&records[position])
 		}
@@ -200,7 +213,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	written, err := j.writeFrame(j.segment, j.end, records)
+	written, err := j.writeSynced(j.segment, j.end, records)
 	if err != nil {
 		return err
 	}
@@ -217,20 +230,60 @@
 	return nil
 }
 
-// writeFrame writes a frame at an offset and returns after the sync. A frame that was not
+// writeSynced writes a frame at an offset and returns after the sync. A frame that was not
 // written whole is overwritten by the next one at that place.
-func (j *journal) writeFrame(into segment, offset int64, records []journalRecord) (int, error) {
-	body, err := msgpack.Marshal(records)
+func (j *journal) writeSynced(into segment, offset int64, records []journalRecord) (int, error) {
+	written, err := j.writeFrame(into, offset, records)
 	if err != nil {
 		return 0, err
 	}
-	j.buffer = binary.BigEndian.AppendUint32(j.buffer[:0], uint32(len(body)))
-	j.buffer = binary.BigEndian.AppendUint64(j.buffer, xxhash.Sum64(body))
-	j.buffer = append(j.buffer, body...)
-	if _, err := into.WriteAt(j.buffer, offset); err != nil {
+	return written, into.Sync()
+}
+
+// writeFrame writes a frame at an offset, which lasts once the segment is synced.
+func (j *journal) writeFrame(into segment, offset int64, records []journalRecord) (int, error) {
+	var head [frameHeadBytes]byte
+	j.buffer.Reset()
+	j.buffer.Write(head[:])
+	if err := msgpack.NewEncoder(&j.buffer).Encode(records); err != nil {
 		return 0, err
 	}
-	return len(j.buffer), into.Sync()
+	frame := j.buffer.Bytes()
+	body := frame[frameHeadBytes:]
+	binary.BigEndian.PutUint32(frame[:4], uint32(len(body)))
+	binary.BigEndian.PutUint64(frame[4:], xxhash.Sum64(body))
+	return into.WriteAt(frame, offset)
+}
+
+// writeImage writes all that lives from the beginning of a segment on, and returns its
+// length after the sync. Its last frame is empty: only with that one the image is whole.
+func (j *journal) writeImage(into segment) (int64, error) {
+	end := int64(0)
+	for _, group := range slices.Sorted(maps.Keys(j.live)) {
+		for _, part := range imageOf(group, j.live[group]) {
+			written, err := j.writeFrame(into, end, []journalRecord{part})
+			if err != nil {
+				return 0, err
+			}
+			end += int64(written)
+		}
+	}
+	written, err := j.writeSynced(into, end, []journalRecord{})
+	return end + int64(written), err
+}
+
+// imageOf returns a group's part of an image, in records of bounded size.
+func imageOf(group GroupID, log *liveLog) []journalRecord {
+	parts := []journalRecord{{Group: group, HardState: &log.hard, Reset: true, Partial: true}}
+	begin, size := 0, 0
+	for position := range log.entries {
+		if size += len(log.entries[position].Data); size < imageFrameBytes && position < len(log.entries)-1 {
+			continue
+		}
+		parts = append(parts, journalRecord{Group: group, Partial: true, Entries: log.entries[begin : position+1]})
+		begin, size = position+1, 0
+	}
+	return parts
 }
 
 // rotate begins a new segment with an image of what lives, and removes the older ones
@@ -246,7 +299,7 @@
 	if err != nil {
 		return err
 	}
-	written, err := j.writeFrame(segmentFile{file}, 0, j.image())
+	end, err := j.writeImage(segmentFile{file})
 	if err == nil {
 		err = syncFolder(j.folder)
 	}
@@ -260,8 +313,7 @@
 		_ = j.segment.Close()
 	}
 	j.segment = segmentFile{file}
-	j.end = int64(written)
-	j.buffer = nil
+	j.end = end
 	j.appended = 0
 	for _, old := range older {
 		if err := os.Remove(old); err != nil {
@@ -271,16 +323,6 @@
 	return nil
 }
 
-// image returns all that lives, in ascending order of the groups.
-func (j *journal) image() []journalRecord {
-	records := []journalRecord{}
-	for group, log := range j.live {
-		records = append(records, journalRecord{Group: group, HardState: &log.hard, Reset: true, Entries: log.entries})
-	}
-	slices.SortFunc(records, func(a, b journalRecord) int { return int(a.Group) - int(b.Group) })
-	return records
-}
-
 func (j *journal) close() error { return j.segment.Close() }
 
 // syncFolder makes the names in a folder last.
--- a/internal/storage/journal_test.go
+++ b/internal/storage/journal_test.go
@@ -1,10 +1,13 @@
 package storage
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -184,3 +187,81 @@
 		So(restored.Entries[2].Index, ShouldEqual, writes)
 	})
 }
+
+func TestImageInParts(t *testing.T) {
+	const entries, entryBytes = 30, 60 << 10
+	Convey("a store with logs far larger than one part of an image", t, func() {
+		folder := t.TempDir()
+		store := open(folder)
+		want := map[GroupID]string{}
+		for group := GroupID(1); group <= 2; group++ {
+			for index := uint64(1); index <= entries; index++ {
+				data := strings.Repeat(fmt.Sprintf("%d.%d ", group, index), entryBytes/5)
+				want[group] += data
+				So(store.Write([]GroupWrite{{Group: group, Entries: []consensus.Entry{entry(index, 1, data)}}}), ShouldBeNil)
+			}
+		}
+		So(store.Close(), ShouldBeNil)
+		older, olderBytes := lastSegment(folder)
+		So(open(folder).Close(), ShouldBeNil)
+		newer, image := lastSegment(folder)
+		So(newer, ShouldNotEqual, older)
+		ends := frameEnds(image)
+
+		Convey("writes no frame that is much larger than a part", func() {
+			So(len(ends), ShouldBeGreaterThan, 2*entries*entryBytes/imageFrameBytes)
+			begin := 0
+			for _, end := range ends {
+				So(end-begin, ShouldBeLessThan, imageFrameBytes+2*entryBytes)
+				begin = end
+			}
+		})
+		Convey("goes back to the segment before wherever the image ends too early, or a part of it is missing", func() {
+			for _, end := range ends[:len(ends)-1] {
+				hole := slices.Clone(image)
+				clear(hole[end : end+frameHeadBytes])
+				for _, spoiled := range [][]byte{image[:end], image[:end+frameHeadBytes/2], hole} {
+					damaged := t.TempDir()
+					copyDatabase(folder, damaged)
+					So(os.WriteFile(filepath.Join(damaged, filepath.Base(older)), olderBytes, fileMode), ShouldBeNil)
+					So(os.WriteFile(filepath.Join(damaged, filepath.Base(newer)), spoiled, fileMode), ShouldBeNil)
+					again := open(damaged)
+					for group := range want {
+						So(entriesOf(again, group) == want[group], ShouldBeTrue)
+					}
+					So(again.Close(), ShouldBeNil)
+				}
+			}
+		})
+		Convey("reads a segment whose image is one frame, as earlier versions wrote it", func() {
+			earlier := t.TempDir()
+			copyDatabase(folder, earlier)
+			file, err := os.Create(filepath.Join(earlier, fmt.Sprintf(segmentFormat, 7)))
+			So(err, ShouldBeNil)
+			_, err = (&journal{}).writeSynced(segmentFile{file}, 0, []journalRecord{
+				{Group: 1, HardState: &consensus.HardState{Term: 3}, Reset: true, Entries: []consensus.Entry{entry(1, 1, "old")}},
+			})
+			So(err, ShouldBeNil)
+			So(file.Close(), ShouldBeNil)
+			again := open(earlier)
+			So(entriesOf(again, 1), ShouldEqual, "old")
+			So(again.Close(), ShouldBeNil)
+		})
+	})
+}
+
+// frameEnds returns where the frames of a segment end.
+func frameEnds(segment []byte) []int {
+	var ends []int
+	for end := 0; end+frameHeadBytes <= len(segment); {
+		end += frameHeadBytes + int(binary.BigEndian.Uint32(segment[end:]))
+		ends = append(ends, end)
+	}
+	return ends
+}
+
+func copyDatabase(from, to string) {
+	database, err := os.ReadFile(filepath.Join(from, fileName))
+	So(err, ShouldBeNil)
+	So(os.WriteFile(filepath.Join(to, fileName), database, fileMode), ShouldBeNil)
+}
