Mechanisms of the choice can be turned off in the settings, for the ablation

policy.disable lists mechanisms by name; an unknown name is refused with those that there are. Behaviour with nothing turned off is as before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,11 +9,14 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 // The roles of processes.
@@ -52,6 +55,7 @@
 	// discovered cluster: the product's own, or that of a platform.
 	Interface string `yaml:"interface,omitempty" validate:"omitempty,oneof=own platform"`
 	Limits    Limits `yaml:"limits"`
+	Policy    Policy `yaml:"policy,omitempty"`
 
 	file string
 }
@@ -72,6 +76,12 @@
 	Directory string `yaml:"directory,omitempty" validate:"omitempty,ipport"`
 }
 
+// Policy chooses how a gateway decides.
+type Policy struct {
+	// Disable lists mechanisms that are turned off, to measure what they are worth.
+	Disable scheduling.Disabled `yaml:"disable,omitempty" validate:"dive,mechanism"`
+}
+
 // Limits are what the machine grants the process.
 type Limits struct {
 	// MemoryMB is the memory above which the process is killed; 0 for no bound.
@@ -252,6 +262,9 @@
 		_, err := netip.ParseAddrPort(level.Field().String())
 		return err == nil
 	})
+	_ = check.RegisterValidation("mechanism", func(level validator.FieldLevel) bool {
+		return slices.Contains(scheduling.Mechanisms(), scheduling.Mechanism(level.Field().String()))
+	})
 	err := check.Struct(p)
 	var invalid validator.ValidationErrors
 	if errors.As(err, &invalid) {
@@ -271,6 +284,7 @@
 		"min":              "is below " + field.Param(),
 		"max":              "is above " + field.Param(),
 		"gt":               "must be above " + field.Param(),
+		"mechanism":        "is no mechanism; they are: " + mechanismNames(),
 		"hostname_rfc1123": "may hold letters, digits and dashes only",
 	}
 	reason, ok := reasons[field.Tag()]
@@ -284,6 +298,14 @@
 	return Problem{File: p.file, Field: name, Value: value, Reason: reason}
 }
 
+func mechanismNames() string {
+	var names []string
+	for _, mechanism := range scheduling.Mechanisms() {
+		names = append(names, string(mechanism))
+	}
+	return strings.Join(names, ", ")
+}
+
 // checkRole holds what one role needs and others don't.
 func (p Process) checkRole() []error {
 	var problems []error
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 			if !c.route.Repeatable() || !d.ended(engine) {
 				runs++
 			}
-			if !c.mayContinue(outcome) || runs >= max(c.route.MaxAttempts, 1) {
+			if !d.mayContinue(c, outcome) || runs >= max(c.route.MaxAttempts, 1) {
 				return result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
 			}
 		}
@@ -120,8 +120,8 @@
 
 // mayContinue reports whether a call that an engine broke off may be sent to another
 // one: it is repeatable, and what has reached the caller can be gone on from.
-func (c *call) mayContinue(outcome attemptOutcome) bool {
-	if !c.route.Repeatable() {
+func (d *Daemon) mayContinue(c *call, outcome attemptOutcome) bool {
+	if !c.route.Repeatable() || (outcome.started && d.process.Policy.Disable.Has(scheduling.MechanismTakeUp)) {
 		return false
 	}
 	return !outcome.started || (c.route.Resumable && !c.keeps() && c.lastEvent > 0)
@@ -255,7 +255,7 @@
 	if c.lastEvent > 0 {
 		header.Set(d.headers.LastEventID, strconv.FormatInt(c.lastEvent, 10))
 	}
-	if c.route.Kind == routing.KindStream {
+	if c.route.Kind == routing.KindStream && !d.process.Policy.Disable.Has(scheduling.MechanismRank) {
 		header.Set(d.headers.Priority, strconv.Itoa(c.priority()))
 	}
 	request := &upstream.Request{
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -77,12 +77,12 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone),
-		chains:  newChainCache(chainBytes(process.Limits)),
+		engines: newEngines(process.Zone, process.Policy.Disable),
+		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
-	d.ledgers = newLedgers(process.Zone, d.metrics.histories)
+	d.ledgers = newLedgers(process.Zone, d.metrics.histories, process.Policy.Disable)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
@@ -92,7 +92,10 @@
 }
 
 // chainBytes is how much the cache of chains may hold.
-func chainBytes(limits config.Limits) int {
+func chainBytes(limits config.Limits, disabled scheduling.Disabled) int {
+	if disabled.Has(scheduling.MechanismChains) {
+		return 0
+	}
 	if limits.MemoryMB == 0 {
 		return defaultChainBytes
 	}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -19,12 +19,14 @@
 	// learnt is what is known of each back end's engines together.
 	learnt map[string]*scheduling.Pool
 	zone   string
+	// disabled are the mechanisms that are turned off.
+	disabled scheduling.Disabled
 }
 
-func newEngines(zone string) *engines {
+func newEngines(zone string, disabled scheduling.Disabled) *engines {
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
-		learnt: map[string]*scheduling.Pool{}, zone: zone,
+		learnt: map[string]*scheduling.Pool{}, zone: zone, disabled: disabled,
 	}
 }
 
@@ -111,6 +113,7 @@
 	}
 	demand.Zone = e.zone
 	demand.Draw = rand.Uint64()
+	demand.Disabled = e.disabled
 	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
 	if !found {
 		return choice{}, false
@@ -174,6 +177,9 @@
 
 // takeShared takes what all gateways together have seen.
 func (e *engines) takeShared(loads []scheduling.Load, nowMs int64) {
+	if e.disabled.Has(scheduling.MechanismShared) {
+		return
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	for _, load := range loads {
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -12,6 +12,7 @@
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 const (
@@ -42,10 +43,12 @@
 	mutex     sync.Mutex
 	view      *membership.FleetView
 	leaders   *leaders
+	// disabled are the mechanisms that are turned off.
+	disabled scheduling.Disabled
 }
 
-func newLedgers(zone string, histories *prometheus.CounterVec) *ledgers {
-	l := &ledgers{caller: daemon.NewCaller(), zone: zone, histories: histories}
+func newLedgers(zone string, histories *prometheus.CounterVec, disabled scheduling.Disabled) *ledgers {
+	l := &ledgers{caller: daemon.NewCaller(), zone: zone, histories: histories, disabled: disabled}
 	l.leaders = newLeaders(l.members, l.probe)
 	return l
 }
@@ -154,7 +157,10 @@
 	request := &protocol.TurnRequest{Group: group, Contents: reply.Older}
 	older := &protocol.TurnReply{}
 	source := sourceNear
-	near := l.nearReplica(group)
+	near := ""
+	if !l.disabled.Has(scheduling.MechanismNearReads) {
+		near = l.nearReplica(group)
+	}
 	if near == "" || l.caller.CallWithin(ctx, nearTry, near, protocol.KindTurn, request, older) != nil || older.Error != nil {
 		source = sourceLeader
 		older = l.ask(ctx, request)
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -41,7 +41,9 @@
 	Draw uint64
 	// Avoid lists engines that were tried already.
 	Avoid []string
-	NowMs int64
+	// Disabled are the mechanisms that are turned off.
+	Disabled Disabled
+	NowMs    int64
 
 	// slowFrom is the factor from which an engine counts as slow.
 	slowFrom float64
@@ -86,6 +88,12 @@
 	found, second := false, false
 	homeCost := 0.0
 	demand.slowFrom = slowFrom(candidates, demand.NowMs)
+	if demand.Disabled.Has(MechanismSlow) {
+		demand.slowFrom = math.Inf(1)
+	}
+	if demand.Disabled.Has(MechanismHome) {
+		demand.Home = ""
+	}
 	for _, candidate := range compared(candidates, demand) {
 		choice := pool.weigh(candidate, demand)
 		if candidate.ID == demand.Home {
@@ -153,7 +161,7 @@
 		}
 		left = append(left, candidate)
 	}
-	if demand.keyed() {
+	if demand.keyed() || demand.Disabled.Has(MechanismDrawing) {
 		return left
 	}
 	slices.SortFunc(left, func(a, b Candidate) int {
@@ -210,14 +218,14 @@
 }
 
 func unsound(candidate Candidate, demand Demand) int {
-	if candidate.Health.Suspect(demand.NowMs) {
+	if !demand.Disabled.Has(MechanismSuspicion) && candidate.Health.Suspect(demand.NowMs) {
 		return 1
 	}
 	return 0
 }
 
 func far(candidate Candidate, demand Demand) int {
-	if candidate.Zone != demand.Zone {
+	if !demand.Disabled.Has(MechanismZone) && candidate.Zone != demand.Zone {
 		return 1
 	}
 	return 0
@@ -239,7 +247,11 @@
 	company := candidate.Health.Company(demand.NowMs)
 	met, _ := p.company.At(demand.NowMs).own()
 	cost := factor * usual
-	cost += factor * float64(missing) * p.tokenMs() * (1 + met)
+	tokenMs := p.tokenMs()
+	if demand.Disabled.Has(MechanismReading) {
+		tokenMs = unknownTokenMs
+	}
+	cost += factor * float64(missing) * tokenMs * (1 + met)
 	cost += queueing(candidate, company) * usual
 	switch demand.Home {
 	case "":
@@ -248,7 +260,9 @@
 	default:
 		company = max(company, met)
 	}
-	cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
+	if !demand.Disabled.Has(MechanismCompany) {
+		cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
+	}
 	return cost + farMs*float64(far(candidate, demand))
 }
 
@@ -259,6 +273,9 @@
 func (p *Pool) answerCost(candidate Candidate, demand Demand) float64 {
 	usual := p.usual(demand.Kind, demand.NowMs)
 	factor := candidate.Health.Factor(demand.NowMs)
+	if demand.Disabled.Has(MechanismSlow) {
+		factor = 1
+	}
 	company := candidate.Health.Company(demand.NowMs)
 	taken := 0.0
 	if candidate.Slots > 0 {
@@ -289,7 +306,7 @@
 	for _, part := range demand.Prompt[1:] {
 		missing += part.Tokens
 	}
-	if !candidate.Health.hasRead(demand.Prompt[0].ID, demand.NowMs) {
+	if demand.Disabled.Has(MechanismSharedParts) || !candidate.Health.hasRead(demand.Prompt[0].ID, demand.NowMs) {
 		missing += demand.Prompt[0].Tokens
 	}
 	return missing
--- /dev/null
+++ b/internal/scheduling/mechanism.go
@@ -0,0 +1,52 @@
+package scheduling
+
+import "slices"
+
+// Mechanism names a part of the choice of engines that can be turned off, so that what
+// it is worth can be measured.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// MechanismHome keeps a session at the engine that holds what it has read.
+	MechanismHome Mechanism = "home"
+	// MechanismReading learns what reading a token costs; without it a token costs
+	// as much as before anything is known.
+	MechanismReading Mechanism = "reading"
+	// MechanismShared takes what other gateways have seen of engines.
+	MechanismShared Mechanism = "shared"
+	// MechanismSlow tells slow engines from others.
+	MechanismSlow Mechanism = "slow"
+	// MechanismSuspicion passes engines over that have just failed.
+	MechanismSuspicion Mechanism = "suspicion"
+	// MechanismDrawing compares a few engines drawn at random in place of all.
+	MechanismDrawing Mechanism = "drawing"
+	// MechanismZone prefers engines of the request's zone.
+	MechanismZone Mechanism = "zone"
+	// MechanismCompany counts the requests at an engine for new sessions.
+	MechanismCompany Mechanism = "company"
+	// MechanismSharedParts counts what shared first parts of prompts an engine has read.
+	MechanismSharedParts Mechanism = "shared-parts"
+	// MechanismRank tells engines the rank of a request.
+	MechanismRank Mechanism = "rank"
+	// MechanismTakeUp takes a broken stream up at another engine.
+	MechanismTakeUp Mechanism = "take-up"
+	// MechanismNearReads reads histories from a replica in the zone.
+	MechanismNearReads Mechanism = "near-reads"
+	// MechanismChains keeps the chains of sessions that were served lately.
+	MechanismChains Mechanism = "chains"
+)
+
+// Mechanisms lists them all.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing, MechanismZone,
+		MechanismCompany, MechanismSharedParts, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
+	}
+}
+
+// Disabled lists the mechanisms that are turned off.
+type Disabled []Mechanism
+
+// Has reports whether a mechanism is turned off.
+func (d Disabled) Has(mechanism Mechanism) bool { return slices.Contains(d, mechanism) }
