--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -52,6 +52,7 @@
 	registerCapacity(app, registered)
 	registerTrace(app, registered)
 	registerReport(app, registered)
+	registerCompare(app, registered)
 	chosen, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "ochrebay: %v; try --help\n", err)
