--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -15,6 +15,9 @@
 	Zone   string
 	Slots  int
 	Health *EngineHealth
+	// Place is the engine's place in the gateway's order of engines, by which its part of
+	// a large fleet is chosen.
+	Place uint64
 	// order is the engine's place in the order of one request.
 	order uint64
 }
@@ -57,6 +60,12 @@
 	// others are compared, besides the one that holds the session's memory.
 	nearCompared = 2
 	farCompared  = 1
+	// nearSubset and farSubset are how many engines of the request's zone and of others a
+	// gateway sends requests without a home to: each gateway has a part of its own, so that
+	// in a large fleet not every gateway keeps connections to every engine (subsetting:
+	// Site Reliability Engineering, 2016, chapter 20).
+	nearSubset = 12
+	farSubset  = 4
 	// farMs is what another zone costs, milliseconds, its bytes included.
 	farMs = 25.0
 )
@@ -164,20 +173,29 @@
 	if demand.keyed() || demand.Disabled.Has(MechanismDrawing) {
 		return left
 	}
-	slices.SortFunc(left, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(unsound(a, demand), unsound(b, demand)), cmp.Compare(a.order, b.order))
+	if !demand.Disabled.Has(MechanismSubset) {
+		left = firstOf(left, demand, nearSubset, farSubset, func(candidate Candidate) uint64 { return candidate.Place })
+	}
+	return firstOf(left, demand, nearCompared, farCompared, func(candidate Candidate) uint64 { return candidate.order })
+}
+
+// firstOf returns the home and the first engines of the request's zone and of others,
+// sound ones before others, in an order.
+func firstOf(candidates []Candidate, demand Demand, near, distant int, order func(Candidate) uint64) []Candidate {
+	slices.SortFunc(candidates, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(unsound(a, demand), unsound(b, demand)), cmp.Compare(order(a), order(b)))
 	})
-	chosen := left[:0]
-	near, distant := 0, 0
-	for _, candidate := range left {
+	chosen := candidates[:0]
+	for _, candidate := range candidates {
+		left := &near
+		if candidate.Zone != demand.Zone {
+			left = &distant
+		}
 		switch {
 		case candidate.ID == demand.Home:
 			chosen = append(chosen, candidate)
-		case candidate.Zone == demand.Zone && near < nearCompared:
-			near++
-			chosen = append(chosen, candidate)
-		case candidate.Zone != demand.Zone && distant < farCompared:
-			distant++
+		case *left > 0:
+			*left--
 			chosen = append(chosen, candidate)
 		}
 	}
--- a/internal/scheduling/choice_test.go
+++ b/internal/scheduling/choice_test.go
@@ -101,6 +101,30 @@
 			So(chosen["e9"], ShouldBeLessThan, chosen["e0"]/2)
 		}
 	})
+	Convey("a gateway uses a part of a large fleet, any home, and others where its part fails", t, func() {
+		all := candidates(60)
+		for number := range all {
+			all[number].Place = uint64(number)
+		}
+		used := func(spoil func()) map[string]bool {
+			spoil()
+			seen := map[string]bool{}
+			for number := range 500 {
+				demand := stream
+				demand.Draw = draw(number)
+				seen[choose(reader(0.004, 1000), all, demand).ID] = true
+			}
+			return seen
+		}
+		So(len(used(func() {})), ShouldEqual, nearSubset)
+		failed := used(func() { all[3].Health.Failed(1000) })
+		So(len(failed), ShouldEqual, nearSubset)
+		So(failed["e3"], ShouldBeFalse)
+		So(failed[fmt.Sprint("e", nearSubset)], ShouldBeTrue)
+		demand := stream
+		demand.Home = "e50"
+		So(choose(reader(0.004, 1000), all, demand).ID, ShouldEqual, "e50")
+	})
 	Convey("an engine of another zone is taken where those of the zone are crowded or gone", t, func() {
 		all := candidates(4)
 		all[3].Zone = "far"
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -21,6 +21,8 @@
 	MechanismSuspicion Mechanism = "suspicion"
 	// MechanismDrawing compares a few engines drawn at random in place of all.
 	MechanismDrawing Mechanism = "drawing"
+	// MechanismSubset has a gateway use a part of a large fleet.
+	MechanismSubset Mechanism = "subset"
 	// MechanismZone prefers engines of the request's zone.
 	MechanismZone Mechanism = "zone"
 	// MechanismCompany counts the requests at an engine for new sessions.
@@ -40,7 +42,8 @@
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing, MechanismZone,
+		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
+		MechanismSubset, MechanismZone,
 		MechanismCompany, MechanismSharedParts, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 	}
 }
