--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -254,8 +254,8 @@
 // keeps it from what waits: so it costs as if it met the company that streams meet on the
 // mean, wherever it is read. Load is evened out by where new sessions go: one that has a
 // home does not leave it because there is less company elsewhere for the moment, but only
-// where its home is slow, or has a longer queue than engines have on the mean: in an
-// overload all are full, and reading anew adds to it.
+// where its home is slow or turns it away: in an overload all are full, and reading anew
+// adds to it.
 func (p *Pool) streamCost(candidate Candidate, demand Demand, missing int64) float64 {
 	factor := candidate.Health.Factor(demand.NowMs)
 	if factor < demand.slowFrom {
@@ -271,16 +271,14 @@
 		tokenMs = unknownTokenMs
 	}
 	cost += factor * float64(missing) * tokenMs * (1 + met)
-	queued := company
 	switch demand.Home {
 	case "":
 	case candidate.ID:
 		company = min(company, met)
 	default:
 		company = max(company, met)
-		queued = company
 	}
-	cost += queueing(candidate, queued) * p.servedMs(demand.NowMs, events)
+	cost += queueing(candidate, company) * usual
 	if !demand.Disabled.Has(MechanismCompany) {
 		cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
 	}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -118,12 +118,6 @@
 	return wait + events*pace
 }
 
-// servedMs is how long a stream keeps a slot of an engine once it has begun.
-func (p *Pool) servedMs(nowMs int64, events float64) float64 {
-	pace, _ := p.pace.At(nowMs).own()
-	return events * pace
-}
-
 // expectedEvents is how many events a stream is expected to have, at most as many as it
 // may.
 func (p *Pool) expectedEvents(nowMs int64, most int64) float64 {
