--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -65,7 +65,7 @@
 	// in a large fleet not every gateway keeps connections to every engine (subsetting:
 	// Site Reliability Engineering, 2016, chapter 20).
 	nearSubset = 12
-	farSubset  = 4
+	farSubset  = 12
 	// farMs is what another zone costs, milliseconds, its bytes included.
 	farMs = 25.0
 )
