--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -8,7 +8,8 @@
 // Load is what observers know of one engine: one gateway since its last report, or all
 // gateways together.
 type Load struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // It tells the codec to leave names out.
+	//lint:ignore U1000 It tells the codec to leave the fields' names out.
+	_msgpack struct{} `msgpack:",as_array"`
 	Engine   string
 	// InFlight is how many requests were under way, on the mean since the last report.
 	InFlight float32
@@ -18,7 +19,8 @@
 
 // Samples are the sums of some evidence without its time.
 type Samples struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // As above.
+	//lint:ignore U1000 As above.
+	_msgpack struct{} `msgpack:",as_array"`
 	Sum      float32
 	Weight   float32
 }
