--- a/cmd/ochrebay/capacity.go
+++ b/cmd/ochrebay/capacity.go
@@ -10,9 +10,9 @@
 )
 
 func registerCapacity(app *kingpin.Application, registered commands) {
-	command := app.Command("capacity", "Measure how state, messages, processor time and memory grow, for docs/CAPACITY.md.\n\nExample: ochrebay capacity --quick")
+	command := app.Command("capacity", "Measure how state, bytes and memory grow, for docs/CAPACITY.md.\n\nExample: ochrebay capacity --quick")
 	quick := command.Flag("quick", "Smaller sizes, under a minute.").Bool()
-	part := command.Flag("part", "Only this part: program headers, turns of a program, tenants, engine reports, synced writes, fan-out, engines of a cell, ledger groups, calls, runs.").String()
+	part := command.Flag("part", "Only this part: program headers, turns of a program, tenants, engine reports, synced writes, runs.").String()
 	plots := command.Flag("plots", "Folder for one SVG a slope.").String()
 	output := command.Flag("output", "table or json.").Default("table").Enum("table", "json")
 	registered[command.FullCommand()] = func(context.Context) error {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -14,6 +14,12 @@
 	"gonum.org/v1/plot/vg"
 )
 
+// The letter's sizes.
+const (
+	tenantsAtSize  = 48_000
+	programsAtSize = 1_000_000
+)
+
 // Measure takes every slope and run, or the one part named; quick takes smaller
 // sizes. progress gets a line for each part.
 func Measure(quick bool, only string, progress io.Writer) (Report, error) {
@@ -39,14 +45,6 @@
 		}},
 		{"engine reports", func() ([]Slope, error) { return reportSlopes([]int{0, 50, 100, 200}), nil }},
 		{"synced writes", func() ([]Slope, error) { return storeSlopes([]int{1, 8, 32, 128}, 2048) }},
-		{"fan-out", func() ([]Slope, error) {
-			return fanOutSlopes(scale([]int{50, 100, 200, 400, 700}, []int{10, 20, 40, 80}))
-		}},
-		{"engines of a cell", func() ([]Slope, error) { return cellSlopes([]int{5, 10, 20, 40}) }},
-		{"ledger groups", func() ([]Slope, error) {
-			return groupSlopes(scale([]int{64, 128, 256, 512, 1024}, []int{8, 16, 32, 64}))
-		}},
-		{"calls", func() ([]Slope, error) { return turnSlopes(scale([]int{5, 10, 20, 40}, []int{2, 4, 6, 8})) }},
 	} {
 		if only != "" && only != part.name {
 			continue
@@ -67,11 +65,9 @@
 }
 
 func (r *Report) takeRuns(quick bool, only string, progress io.Writer) error {
-	fleet := shape{schedulers: schedulersAtSize, engines: enginesAtSize, zones: zonesAtSize}
-	groups, programs, tenants := groupsAtSize, programsAtSize, tenantsAtSize
+	programs, tenants := programsAtSize, tenantsAtSize
 	if quick {
-		fleet = shape{schedulers: 36, engines: 72, zones: zonesAtSize}
-		groups, programs, tenants = 64, 10_000, 1000
+		programs, tenants = 10_000, 1000
 	}
 	for _, part := range []struct {
 		name string
@@ -79,9 +75,6 @@
 	}{
 		{"1 million program headers", func() ([]Value, error) { return manyPrograms(programs) }},
 		{"48,000 tenants", func() ([]Value, error) { return manyTenants(tenants) }},
-		{"1,024 ledger groups in one process", func() ([]Value, error) { return manyGroups(groups) }},
-		{"700 schedulers, 12,000 engines, 18 zones", func() ([]Value, error) { return wholeFleet(fleet) }},
-		{"12,000 engines reporting into 700 cells", func() ([]Value, error) { return reportingEngines(fleet) }},
 	} {
 		if only != "" && only != "runs" && only != part.name {
 			continue
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -1,6 +1,6 @@
-// Package capacity measures how each role's state, messages, bytes, processor
-// time and memory grow with what drives them, on the real cores in hollow fleets
-// and on the real store, for docs/CAPACITY.md (letter 1).
+// Package capacity measures how state, bytes and memory grow with what drives them, on
+// the real state machines and the real store, for docs/CAPACITY.md (letter 1). What a
+// fleet of processes costs is measured on the bench.
 package capacity
 
 import (
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -2,7 +2,7 @@
 // (Ongaro and Ousterhout, 2014; Ongaro's thesis, 2014, chapters 3, 4, 6 and 9).
 // A Node has no goroutine, clock, socket, disk or global random source: its
 // owner feeds it messages, proposals and ticks, and carries out what Ready
-// returns. The same Node runs in daemons, in the simulator and in hollow runs.
+// returns. The same Node runs in daemons and in the simulator.
 //
 // It departs from the common description in one place (design section 5): a
 // replica's identity is bound to its disk. A member that lost its disk comes
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -170,9 +170,6 @@
 
 // observe holds the tree in force at a daemon against what was accepted.
 func (c *checks) observe(name string, life int, tree treeView) {
-	if !c.world.observed {
-		return
-	}
 	revision := tree.revision()
 	if c.lives[name] == life && revision < c.inForce[name] {
 		c.violate(invariantSettings, "%s went back from revision %d to %d", name, c.inForce[name], revision)
--- a/internal/simulation/controls.go
+++ b/internal/simulation/controls.go
@@ -105,7 +105,7 @@
 		if other.name != member {
 			continue
 		}
-		raw := n.sent(mustEncode(message))
+		raw := mustEncode(message)
 		n.world.network.sendLoose(n.process, other.process, func() { other.takePeer(kind, raw) })
 	}
 }
@@ -134,7 +134,7 @@
 // back.
 func (n *controlNode) ask(from *process, kind protocol.Kind, message any, reply func(decoded any)) {
 	w := n.world
-	raw := from.sent(mustEncode(message))
+	raw := mustEncode(message)
 	fromLife := from.life
 	w.network.send(from, n.process, 0, "ask", func() {
 		request := protocol.NewRequest(kind)
@@ -143,7 +143,7 @@
 		n.next++
 		n.replies[n.next] = func(answer any) {
 			delete(n.pending, open)
-			encoded := n.sent(mustEncode(answer))
+			encoded := mustEncode(answer)
 			w.network.send(n.process, from, fromLife, "reply", func() {
 				decoded := protocol.NewReply(kind)
 				mustDecode(encoded, decoded)
--- a/internal/simulation/schedulers.go
+++ b/internal/simulation/schedulers.go
@@ -69,9 +69,7 @@
 		n.core.Tick(n.nowMs())
 		n.world.checks.observeScheduler(n)
 	})
-	if !n.world.quietEngines {
-		n.every(enginePollUs, n.name+" poll", n.poll)
-	}
+	n.every(enginePollUs, n.name+" poll", n.poll)
 }
 
 // poll asks each engine of the cell for its state.
@@ -137,7 +135,7 @@
 	if answer, ok := message.(*protocol.Answer); ok && answer.Error != nil {
 		n.world.tell("%s answers %s: %s", n.name, node.name, answer.Error)
 	}
-	raw := n.sent(mustEncode(message))
+	raw := mustEncode(message)
 	n.world.network.send(n.process, node.process, route.life, "reply", func() { node.take(route.send, kind, raw) }, func() {
 		if _, still := n.sinks[sink]; still {
 			delete(n.sinks, sink)
--- a/internal/simulation/sidecars.go
+++ b/internal/simulation/sidecars.go
@@ -59,7 +59,7 @@
 		n.world.after(connectRefused, "refused", lost)
 		return
 	}
-	raw := n.sent(mustEncode(request))
+	raw := mustEncode(request)
 	n.world.network.send(n.process, target.process, 0, "call", func() { target.takeCall(n, life, id, kind, raw, lost) }, lost)
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -9,7 +9,6 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -74,11 +73,6 @@
 	checks     *checks
 
 	faultsApplied int
-	// measured turns on the counting of processor time, and observed the checks.
-	measured bool
-	observed bool
-	// quietEngines leaves out the polling of engines' state.
-	quietEngines bool
 
 	calm     bool
 	calmAtUs int64
@@ -87,7 +81,7 @@
 
 func newWorld(options Options, deployment workload.Deployment, seed uint64) *world {
 	w := &world{
-		options: options, deployment: deployment, seed: seed, observed: true,
+		options: options, deployment: deployment, seed: seed,
 		random: rand.New(rand.NewPCG(seed, 0x73696d)), digest: xxhash.New(), byName: map[string]*process{},
 	}
 	w.network = newNetwork(w)
@@ -162,7 +156,6 @@
 	nextID  uint64
 	start   func()
 	stopped func()
-	usage   Usage
 }
 
 // arrival is a message that has reached a process's machine; lost tells its
@@ -210,25 +203,7 @@
 	if p.frozen {
 		return
 	}
-	p.timed(run)
-}
-
-// timed adds the processor time of a step to the process's account.
-func (p *process) timed(run func()) {
-	if !p.world.measured {
-		run()
-		return
-	}
-	begun := time.Now()
 	run()
-	p.usage.Busy += time.Since(begun)
-}
-
-// sent counts a message that the process sends, as encoded.
-func (p *process) sent(raw []byte) []byte {
-	p.usage.Messages++
-	p.usage.Bytes += int64(len(raw))
-	return raw
 }
 
 // receive hands a message to the process.
@@ -240,7 +215,7 @@
 		p.inbox = append(p.inbox, arrival{run: run, lost: lost})
 		return
 	}
-	p.timed(run)
+	run()
 }
 
 func (p *process) freeze() { p.frozen = true }
