--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -34,8 +34,6 @@
 	// refusalPause is when a caller that was refused for want of capacity should come
 	// back.
 	refusalPause = 100 * time.Millisecond
-	// startWait is how long a request waits for the first routing table.
-	startWait = 250 * time.Millisecond
 	// quietBeforeStop is how long no request may have come before a draining gateway
 	// ends, and leastDrain how long it serves in any case.
 	quietBeforeStop = 1500 * time.Millisecond
@@ -68,10 +66,8 @@
 	ledgers  *ledgers
 	chains   *chainCache
 	view     atomic.Pointer[view]
-	// configured is closed once there is a view.
-	configured chan struct{}
-	draining   atomic.Bool
-	inFlight   atomic.Int64
+	draining atomic.Bool
+	inFlight atomic.Int64
 	// lastRequest is when a request last came, Unix milliseconds.
 	lastRequest atomic.Int64
 }
@@ -80,7 +76,7 @@
 // speaks.
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
-		process: process, headers: names, logger: logger, pool: upstream.NewPool(), configured: make(chan struct{}),
+		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
 		engines: newEngines(process.Name, process.Zone, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)),
 	}
@@ -145,7 +141,6 @@
 	}
 	d.view.Store(next)
 	if previous == nil {
-		close(d.configured)
 		d.follower.Poke()
 	}
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -76,7 +76,7 @@
 func (d *Daemon) intake(writer http.ResponseWriter, request *http.Request) (*call, *result.Error) {
 	started := time.Now()
 	id := request.Header.Get(d.headers.RequestID)
-	view := d.awaitView(request)
+	view := d.view.Load()
 	if view == nil {
 		return nil, result.New(result.NotConfigured, "no routing table yet")
 	}
@@ -92,22 +92,6 @@
 	return c, c.readHeaders(d.headers)
 }
 
-// awaitView returns what calls are routed by. A gateway that has just started hears it
-// within a fraction of a second: a request that comes before waits that long and not
-// longer, since a caller that was refused twice in a row gives up. It is nil where nothing
-// was heard.
-func (d *Daemon) awaitView(request *http.Request) *view {
-	if known := d.view.Load(); known != nil {
-		return known
-	}
-	select {
-	case <-d.configured:
-	case <-request.Context().Done():
-	case <-time.After(startWait):
-	}
-	return d.view.Load()
-}
-
 // readBody reads the whole body, so that the request can be sent again and an
 // engine never waits for a slow caller.
 func (c *call) readBody(writer http.ResponseWriter, limit int64) *result.Error {
