--- a/internal/config/policy_test.go
+++ b/internal/config/policy_test.go
@@ -32,6 +32,6 @@
 		_, err := load(settings + "policy: {disable: [home, hoem]}\n")
 		So(err, ShouldNotBeNil)
 		So(err.Error(), ShouldContainSubstring, "hoem")
-		So(err.Error(), ShouldContainSubstring, "shared-parts")
+		So(err.Error(), ShouldContainSubstring, "near-reads")
 	})
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -127,7 +127,7 @@
 		return choice{}, false
 	}
 	health := chosen.Candidate.Health
-	health.Sent(demand.Prompt, demand.NowMs)
+	health.Sent(demand.NowMs)
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -311,9 +311,9 @@
 	return max(inFlight+1-float64(candidate.Slots), 0) / float64(candidate.Slots)
 }
 
-// missingTokens is what an engine must read of the prompt: at the session's home
-// only the last part, elsewhere all that is the session's own, and the shared first
-// part where it was not sent there lately.
+// missingTokens is what an engine must read of the prompt: at the session's home only the
+// last part, elsewhere all of it. What others have had an engine read of the shared first
+// parts is not known; it does not tell the engines apart.
 func missingTokens(candidate Candidate, demand Demand) int64 {
 	if len(demand.Prompt) == 0 {
 		return 0
@@ -322,11 +322,8 @@
 		return demand.Prompt[len(demand.Prompt)-1].Tokens
 	}
 	missing := int64(0)
-	for _, part := range demand.Prompt[1:] {
+	for _, part := range demand.Prompt {
 		missing += part.Tokens
 	}
-	if demand.Disabled.Has(MechanismSharedParts) || !candidate.Health.hasRead(demand.Prompt[0].ID, demand.NowMs) {
-		missing += demand.Prompt[0].Tokens
-	}
 	return missing
 }
--- a/internal/scheduling/choice_test.go
+++ b/internal/scheduling/choice_test.go
@@ -69,7 +69,7 @@
 		for number := range 40 {
 			demand := stream
 			demand.Draw = draw(number)
-			choose(pool, all, demand).Health.Sent(stream.Prompt, stream.NowMs)
+			choose(pool, all, demand).Health.Sent(stream.NowMs)
 		}
 		for _, candidate := range all {
 			So(candidate.Health.InFlight, ShouldBeBetween, 6, 14)
--- a/internal/scheduling/closedloop_test.go
+++ b/internal/scheduling/closedloop_test.go
@@ -247,7 +247,7 @@
 			candidates = append(candidates, scheduling.Candidate{ID: fmt.Sprintf("e%02d", number), Zone: zoneName(number % loopZones), Slots: 64, Health: health, Place: uint64(number)})
 		}
 		choice, _ := scheduling.Choose(gateway.pool, candidates, demand)
-		choice.Candidate.Health.Sent(demand.Prompt, nowMs)
+		choice.Candidate.Health.Sent(nowMs)
 		turn.missing = choice.Missing
 		return slices.IndexFunc(candidates, func(c scheduling.Candidate) bool { return c.ID == choice.Candidate.ID })
 	}
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -26,17 +26,11 @@
 	busy       float64
 	busyMs     int64
 	reportedMs int64
-	// read is when the parts of prompts were last sent to the engine.
-	read map[string]int64
 }
 
 const (
 	firstSuspicionMs   = 300
 	longestSuspicionMs = 4_000
-	// keptReadMs is how long a part of a prompt is taken to stay in an engine's cache
-	// after its last use, and maxKeptParts bounds what is remembered.
-	keptReadMs   = 6_000
-	maxKeptParts = 512
 )
 
 // pauseWindow gathers a few pauses between events, whichever streams they are of.
@@ -68,19 +62,10 @@
 	return shortest, true
 }
 
-// Sent notes a request that goes to the engine and the parts of its prompt.
-func (h *EngineHealth) Sent(prompt []PromptPart, nowMs int64) {
+// Sent notes a request that goes to the engine.
+func (h *EngineHealth) Sent(nowMs int64) {
 	h.count(nowMs)
 	h.InFlight++
-	if len(prompt) == 0 {
-		return
-	}
-	if h.read == nil || len(h.read) > maxKeptParts {
-		h.read = map[string]int64{}
-	}
-	// Only the first part is shared with other programs; the rest is the session's,
-	// of which the ledger knows better where it is.
-	h.read[prompt[0].ID] = nowMs
 }
 
 // Ended takes a request off the engine.
@@ -95,12 +80,6 @@
 	h.busyMs = max(h.busyMs, nowMs)
 }
 
-// hasRead reports whether a part of a prompt was sent to the engine lately.
-func (h *EngineHealth) hasRead(part string, nowMs int64) bool {
-	last, known := h.read[part]
-	return known && nowMs-last < keptReadMs
-}
-
 // Failed notes a request that the engine broke off or did not take.
 func (h *EngineHealth) Failed(nowMs int64) {
 	h.failures++
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -27,8 +27,6 @@
 	MechanismZone Mechanism = "zone"
 	// MechanismCompany counts the requests at an engine for new sessions.
 	MechanismCompany Mechanism = "company"
-	// MechanismSharedParts counts what shared first parts of prompts an engine has read.
-	MechanismSharedParts Mechanism = "shared-parts"
 	// MechanismRank tells engines the rank of a request.
 	MechanismRank Mechanism = "rank"
 	// MechanismTakeUp takes a broken stream up at another engine.
@@ -44,7 +42,7 @@
 	return []Mechanism{
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismSubset, MechanismZone,
-		MechanismCompany, MechanismSharedParts, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
+		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 	}
 }
 
--- a/internal/scheduling/mechanism_test.go
+++ b/internal/scheduling/mechanism_test.go
@@ -48,11 +48,6 @@
 				streams(pool, all, 30, 60, nil)
 				all[0].Health.InFlight = 6
 			}, [2]int{0, 0}, [2]int{20, 120}},
-			MechanismSharedParts: {func(_ *Pool, all []Candidate, _ *Demand) {
-				for _, candidate := range all[1:] {
-					candidate.Health.read = map[string]int64{"shared": 1000}
-				}
-			}, [2]int{0, 0}, [2]int{20, 120}},
 		} {
 			for _, tried := range []struct {
 				disabled []Mechanism
--- a/internal/scheduling/pool_test.go
+++ b/internal/scheduling/pool_test.go
@@ -101,7 +101,7 @@
 		}
 		health.TakeLoad("e1", 0)
 		for range inFlight {
-			health.Sent(nil, 0)
+			health.Sent(0)
 			pool.Answered(health, 0, "k", gap)
 		}
 		load, said := health.TakeLoad("e1", 1000)
@@ -126,8 +126,8 @@
 		report(board, "other", 4, 30)
 		own := &EngineHealth{}
 		own.TakeLoad("e1", 0)
-		own.Sent(nil, 0)
-		own.Sent(nil, 0)
+		own.Sent(0)
+		own.Sent(0)
 		load, _ := own.TakeLoad("e1", 1000)
 		board.Report("own", []Load{load}, 1000)
 		own.TakeShared(board.Loads(1000)[0], 1000)
