--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -158,7 +157,6 @@
 // where it has no key, its home and the first of each zone in an order of its own.
 func compared(candidates []Candidate, demand Demand) []Candidate {
 	left := make([]Candidate, 0, len(candidates))
-	drawn := rand.NewPCG(demand.Draw, uint64(len(candidates)))
 	for _, candidate := range candidates {
 		if slices.Contains(demand.Avoid, candidate.ID) {
 			continue
@@ -166,7 +164,7 @@
 		if demand.keyed() {
 			candidate.order = xxhash.Sum64String(candidate.ID + "\x00" + demand.Key)
 		} else {
-			candidate.order = drawn.Uint64()
+			candidate.order = shuffled(candidate.ID, demand.Draw)
 		}
 		left = append(left, candidate)
 	}
@@ -179,6 +177,14 @@
 	return firstOf(left, demand, nearCompared, farCompared, func(candidate Candidate) uint64 { return candidate.order })
 }
 
+// shuffled returns an engine's place in an order that a draw decides: another draw gives
+// an order that has nothing to do with it.
+func shuffled(engine string, draw uint64) uint64 {
+	digest := xxhash.NewWithSeed(draw)
+	_, _ = digest.WriteString(engine)
+	return digest.Sum64()
+}
+
 // firstOf returns the home and the first engines of the request's zone and of others,
 // sound ones before others, in an order.
 func firstOf(candidates []Candidate, demand Demand, near, distant int, order func(Candidate) uint64) []Candidate {
