Part the choice of engines: which are compared, and what each costs

compared.go holds which engines a request compares and what makes one slow, choice.go what it costs there. Behaviour is as it was.

--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -3,9 +3,6 @@
 import (
 	"cmp"
 	"math"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Candidate is an engine to which a request may go.
@@ -30,12 +27,11 @@
 	Kind string
 	// Home is the engine that most likely holds what the request's session has read.
 	Home string
-	// Prompt are the parts of the prompt, and Events how many events are expected.
+	// Prompt are the parts of the prompt, and Events how many events there may be at most.
 	Prompt []PromptPart
 	Events int64
-	// Key is what requests have in common that an engine should see together; empty
-	// for none. Of streams it only decides between engines that are equally good, so
-	// that gateways which know nothing of each other don't all choose the same one.
+	// Key is what requests have in common that an engine should see together; empty for
+	// none. It counts for requests that are no streams.
 	Key string
 	// Zone is where the request is.
 	Zone string
@@ -54,20 +50,8 @@
 // keyed reports whether an engine should see the requests of a key together.
 func (d Demand) keyed() bool { return !d.Stream && d.Key != "" }
 
-const (
-	// nearCompared and farCompared are how many engines of the request's zone and of
-	// others are compared, besides the one that holds the session's memory.
-	nearCompared = 2
-	farCompared  = 1
-	// nearSubset and farSubset are how many engines of the request's zone and of others a
-	// gateway sends requests without a home to: each gateway has a part of its own, so that
-	// in a large fleet not every gateway keeps connections to every engine (subsetting:
-	// Site Reliability Engineering, 2016, chapter 20).
-	nearSubset = 12
-	farSubset  = 12
-	// farMs is what another zone costs, milliseconds, its bytes included.
-	farMs = 25.0
-)
+// farMs is what another zone costs, milliseconds, its bytes included.
+const farMs = 25.0
 
 // Choice is the engine for a request and what decided for it.
 type Choice struct {
@@ -120,94 +104,6 @@
 	return best, found
 }
 
-// slowFrom returns the factor from which an engine counts as slow: well above what the
-// spread over all of them explains, since in an overload each takes longer now and then,
-// and a session that leaves its engine for that only adds to the overload.
-func slowFrom(candidates []Candidate, nowMs int64) float64 {
-	factors := make([]float64, 0, len(candidates))
-	for _, candidate := range candidates {
-		factors = append(factors, candidate.Health.Factor(nowMs))
-	}
-	middle := median(factors)
-	for position, factor := range factors {
-		factors[position] = math.Abs(factor - middle)
-	}
-	return max(leastSlowFactor*middle, middle+slowDeviations*deviationOfMedian*median(factors))
-}
-
-const (
-	// leastSlowFactor is how many times longer than at the one in the middle things take
-	// at a slow engine at the least, slowDeviations how many standard deviations it lies
-	// above, and deviationOfMedian what makes a median of absolute deviations one.
-	leastSlowFactor   = 1.8
-	slowDeviations    = 4
-	deviationOfMedian = 1.4826
-)
-
-// median returns the middle of values, which it sorts; 1 where there are none.
-func median(values []float64) float64 {
-	if len(values) == 0 {
-		return 1
-	}
-	slices.Sort(values)
-	return values[len(values)/2]
-}
-
-// compared returns the engines that a request compares: those that were not tried, and
-// where it has no key, its home and the first of each zone in an order of its own.
-func compared(candidates []Candidate, demand Demand) []Candidate {
-	left := make([]Candidate, 0, len(candidates))
-	for _, candidate := range candidates {
-		if slices.Contains(demand.Avoid, candidate.ID) {
-			continue
-		}
-		if demand.keyed() {
-			candidate.order = xxhash.Sum64String(candidate.ID + "\x00" + demand.Key)
-		} else {
-			candidate.order = shuffled(candidate.ID, demand.Draw)
-		}
-		left = append(left, candidate)
-	}
-	if demand.keyed() || demand.Disabled.Has(MechanismDrawing) {
-		return left
-	}
-	if !demand.Disabled.Has(MechanismSubset) {
-		left = firstOf(left, demand, nearSubset, farSubset, func(candidate Candidate) uint64 { return candidate.Place })
-	}
-	return firstOf(left, demand, nearCompared, farCompared, func(candidate Candidate) uint64 { return candidate.order })
-}
-
-// shuffled returns an engine's place in an order that a draw decides: another draw gives
-// an order that has nothing to do with it.
-func shuffled(engine string, draw uint64) uint64 {
-	digest := xxhash.NewWithSeed(draw)
-	_, _ = digest.WriteString(engine)
-	return digest.Sum64()
-}
-
-// firstOf returns the home and the first engines of the request's zone and of others,
-// sound ones before others, in an order.
-func firstOf(candidates []Candidate, demand Demand, near, distant int, order func(Candidate) uint64) []Candidate {
-	slices.SortFunc(candidates, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(unsound(a, demand), unsound(b, demand)), cmp.Compare(order(a), order(b)))
-	})
-	chosen := candidates[:0]
-	for _, candidate := range candidates {
-		left := &near
-		if candidate.Zone != demand.Zone {
-			left = &distant
-		}
-		switch {
-		case candidate.ID == demand.Home:
-			chosen = append(chosen, candidate)
-		case *left > 0:
-			*left--
-			chosen = append(chosen, candidate)
-		}
-	}
-	return chosen
-}
-
 // less orders choices; the first that differs decides.
 func (c Choice) less(other Choice) bool {
 	return cmp.Or(
