SIGHUP does not end a process that drains or starts

Cause: watchSettings took SIGHUP off with signal.Stop once the first SIGTERM had ended its context, so that a SIGHUP during the drain had its default action and ended the process in the middle of its streams. Change: SIGHUP is taken before the settings are read and never given back. Gateway, control and ledger share it.

--- a/cmd/ochrebay/control.go
+++ b/cmd/ochrebay/control.go
@@ -23,6 +23,7 @@
 }
 
 func runControl(ctx context.Context, flags processFlags) error {
+	signals := catchHangups()
 	process, logger, err := flags.load(config.RoleControl)
 	if err != nil {
 		return err
@@ -36,7 +37,7 @@
 	}
 	daemon.Frontends = controlFrontends(process, daemon)
 	if process.Cluster.Discovered() {
-		stopWatching := watchSettings(ctx, flags, logger, daemon.SetSeeds)
+		stopWatching := watchSettings(signals, flags, logger, daemon.SetSeeds)
 		defer stopWatching()
 	}
 	err = daemon.Run(ctx)
--- a/cmd/ochrebay/gateway.go
+++ b/cmd/ochrebay/gateway.go
@@ -17,13 +17,14 @@
 }
 
 func runGateway(ctx context.Context, flags processFlags) error {
+	signals := catchHangups()
 	process, logger, err := flags.load(config.RoleGateway)
 	if err != nil {
 		return err
 	}
 	daemon := gateway.NewDaemon(process, gatewayHeaders(process), logger)
 	daemon.Frontends = gatewayFrontends(process, daemon)
-	stopWatching := watchSettings(ctx, flags, logger, daemon.Follower().SetSeeds)
+	stopWatching := watchSettings(signals, flags, logger, daemon.Follower().SetSeeds)
 	defer stopWatching()
 	err = daemon.Run(ctx)
 	telemetry.Info(logger, "stopped", "err", err)
--- a/cmd/ochrebay/ledger.go
+++ b/cmd/ochrebay/ledger.go
@@ -19,6 +19,7 @@
 }
 
 func runLedger(ctx context.Context, flags processFlags) error {
+	signals := catchHangups()
 	process, logger, err := flags.load(config.RoleLedger)
 	if err != nil {
 		return err
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	stopWatching := watchSettings(ctx, flags, logger, daemon.Follower().SetSeeds)
+	stopWatching := watchSettings(signals, flags, logger, daemon.Follower().SetSeeds)
 	defer stopWatching()
 	err = daemon.Run(ctx)
 	telemetry.Info(logger, "stopped", "err", err)
--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -72,7 +72,7 @@
 	for _, name := range []string{"control-0", "control-1", "control-2", "ledger-0", "ledger-1", "ledger-2", "gateway-0", "gateway-1"} {
 		f.start(name)
 	}
-	f.engine = newEngineStand(t)
+	f.engine = newEngineStand(t, "engine-1")
 	return f
 }
 
@@ -231,6 +231,7 @@
 
 // engineStand is an engine of the platform, written for these tests.
 type engineStand struct {
+	id      string
 	address string
 	mutex   sync.Mutex
 	// bodies are the request bodies by request id; runs counts them.
@@ -238,14 +239,16 @@
 	runs   map[string]int
 	// hold stops streams after their first event until it is closed.
 	hold chan struct{}
+	// pause is how long the engine takes for each event.
+	pause time.Duration
 	// cancelled receives the ids of requests whose connection was closed.
 	cancelled chan string
 	// fault is how the engine fails requests of /unsafe/.
 	fault string
 }
 
-func newEngineStand(t *testing.T) *engineStand {
-	stand := &engineStand{bodies: map[string]string{}, runs: map[string]int{}, cancelled: make(chan string, 16)}
+func newEngineStand(t *testing.T, id string) *engineStand {
+	stand := &engineStand{id: id, bodies: map[string]string{}, runs: map[string]int{}, cancelled: make(chan string, 16)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -262,8 +265,8 @@
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("Request-Id", id)
 	e.mutex.Lock()
-	fault, hold := e.fault, e.hold
-	if r.Header.Get("Expect-Instance") != "engine-1" {
+	fault, hold, pause := e.fault, e.hold, e.pause
+	if r.Header.Get("Expect-Instance") != e.id {
 		e.mutex.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -289,6 +292,7 @@
 	for number := 1; number <= eventCount; number++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", number, id, number)
 		w.(http.Flusher).Flush()
+		time.Sleep(pause)
 		if hold == nil {
 			continue
 		}
@@ -329,6 +333,10 @@
 }
 
 func (f *platformFleet) heartbeat(id, state string, sequence int) int {
-	body := fmt.Sprintf(`{"backend":"b","address":%q,"zone":"z0","generation":"v1","slots":9,"state":%q,"seq":%d}`, f.engine.address, state, sequence)
-	return f.operate("POST", "/ochrebay/Instances.Heartbeat/"+id, body).status
+	return f.operate("POST", "/ochrebay/Instances.Heartbeat/"+id, registration(f.engine.address, state, sequence)).status
+}
+
+// registration is the body of an engine's heartbeat.
+func registration(address, state string, sequence int) string {
+	return fmt.Sprintf(`{"backend":"b","address":%q,"zone":"z0","generation":"v1","slots":9,"state":%q,"seq":%d}`, address, state, sequence)
 }
--- a/cmd/ochrebay/watch.go
+++ b/cmd/ochrebay/watch.go
@@ -17,15 +17,24 @@
 // signal.
 const watchEvery = 2 * time.Second
 
+// hangups delivers SIGHUP, which a platform sends when the settings file has changed.
+type hangups <-chan os.Signal
+
+// catchHangups is called before a process reads its settings. Invariant: from then on
+// SIGHUP never has its default action, which is to end the process; it may come while the
+// process still starts and while it drains.
+func catchHangups() hangups {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
 // watchSettings takes the seeds of a settings file that changes while the process
 // runs, at SIGHUP or by the file's time; all else needs a restart. A file with a
 // fault changes nothing. The function returned ends it.
-func watchSettings(ctx context.Context, flags processFlags, logger log.Logger, seeds func([]string)) func() {
-	watching, stop := context.WithCancel(ctx)
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(signals hangups, flags processFlags, logger log.Logger, seeds func([]string)) func() {
+	watching, stop := context.WithCancel(context.Background())
 	go func() {
-		defer signal.Stop(hangups)
 		ticker := time.NewTicker(watchEvery)
 		defer ticker.Stop()
 		changed := modified(*flags.file)
@@ -34,7 +43,7 @@
 			select {
 			case <-watching.Done():
 				return
-			case <-hangups:
+			case <-signals:
 				signalled = true
 			case <-ticker.C:
 			}
