--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -108,6 +108,9 @@
 	startTicks      = 3
 	keptTables      = 4
 	candidateHellos = 3
+	// pauseTicks is from how many ticks on a gap between two counts as a pause: well
+	// below what gateways may be silent for, above what a busy loop is late by.
+	pauseTicks = 4
 )
 
 // Core is the control state of one control process.
@@ -279,6 +282,7 @@
 // Tick advances the core's clock.
 func (c *Core) Tick(nowMs int64) {
 	c.setNow(nowMs)
+	c.notePause(nowMs - c.lastTickMs)
 	c.sendHellos()
 	if !c.formed {
 		return
@@ -299,6 +303,14 @@
 	c.host.Expire()
 }
 
+// notePause takes a long time between ticks for a pause of this process, as when its
+// machine is frozen or slow.
+func (c *Core) notePause(sinceTickMs int64) {
+	if sinceTickMs > pauseTicks*c.options.TickMs && c.fleetTracker != nil {
+		c.fleetTracker.Paused(sinceTickMs)
+	}
+}
+
 // checkPeers wakes quiet groups when a peer process falls silent: a group that
 // has gone quiet relies on the process's presence messages.
 func (c *Core) checkPeers() {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -22,8 +22,11 @@
 
 	// How long engines, gateways and ledger hosts may be silent, and how long the
 	// first placement waits for further ledger hosts, milliseconds.
-	engineSilentMs    = 10_000
-	gatewaySilentMs   = 2_500
+	engineSilentMs  = 10_000
+	gatewaySilentMs = 2_500
+	// gatewayReturnMs is above one resent packet (200 ms) and the pauses of a slow machine
+	// that were seen in replays; callers hold an answer of the directory for a second more.
+	gatewayReturnMs   = 500
 	ledgerSilentMs    = 2_000
 	ledgerForgottenMs = 60_000
 	formationMs       = 1_500
@@ -115,7 +118,7 @@
 	options.MinVoters = 2*process.Cluster.ToleratedMachines + 1
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
-		EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -13,8 +13,10 @@
 
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
 type pendingFleetSync struct {
-	id         RequestID
-	request    *protocol.FleetSync
+	id      RequestID
+	request *protocol.FleetSync
+	// number tells a gateway's heartbeats apart, 0 for ledger hosts.
+	number     uint64
 	deadlineMs int64
 }
 
@@ -144,6 +146,10 @@
 		c.outlet.Reply(id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 		return
 	}
+	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs}
+	if request.Gateway != nil {
+		pending.number = c.fleetTracker.HeardGateway(request.Gateway.Name, c.nowMs)
+	}
 	c.noteSender(group, request)
 	if request.Fresh {
 		c.host.Read(group, func(failure *result.Error) {
@@ -152,22 +158,29 @@
 				reply = c.fleetReply(request)
 				reply.Confirmed = true
 			}
-			c.outlet.Reply(id, reply)
+			c.answerFleetSync(pending, reply)
 		})
 		return
 	}
 	if c.hasFleetNews(request) {
-		c.outlet.Reply(id, c.fleetReply(request))
+		c.answerFleetSync(pending, c.fleetReply(request))
 		return
 	}
-	c.fleetSyncs = append(c.fleetSyncs, pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs})
+	c.fleetSyncs = append(c.fleetSyncs, pending)
+}
+
+// answerFleetSync answers a heartbeat; from then on the next one is expected.
+func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
+	if pending.request.Gateway != nil && c.fleetTracker != nil {
+		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.nowMs)
+	}
+	c.outlet.Reply(pending.id, reply)
 }
 
 // noteSender replicates what is new of the sender of a heartbeat.
 func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
 	var update membership.FleetUpdate
 	if gateway := request.Gateway; gateway != nil {
-		c.fleetTracker.Heard(gateway.Name, c.nowMs)
 		c.loads.Report(gateway.Name, request.Loads, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
@@ -198,7 +211,7 @@
 func (c *Core) fleetReply(request *protocol.FleetSync) *protocol.FleetSyncReply {
 	reply := &protocol.FleetSyncReply{Controls: c.memberNames()}
 	if c.system.fleet.Version() != request.Version {
-		news := c.system.fleet.Since(request.Version, false)
+		news := c.system.fleet.Since(request.Version)
 		reply.Fleet = &news
 	}
 	if request.Gateway != nil && c.loads != nil {
@@ -221,7 +234,7 @@
 			waiting = append(waiting, pending)
 			continue
 		}
-		c.outlet.Reply(pending.id, c.fleetReply(pending.request))
+		c.answerFleetSync(pending, c.fleetReply(pending.request))
 	}
 	clear(c.fleetSyncs[len(waiting):])
 	c.fleetSyncs = waiting
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -140,7 +140,8 @@
 		f.state.Gateways[gateway.Name] = versioned[Gateway]{version, gateway}
 	}
 	for _, name := range update.RemoveGateways {
-		remove(f, f.state.Gateways, name)
+		// Nobody follows gateways, so that their coming and going is news for none.
+		delete(f.state.Gateways, name)
 	}
 	for _, host := range update.PutLedgers {
 		f.state.Ledgers[host.Member] = versioned[LedgerHost]{version, host}
@@ -258,17 +259,16 @@
 type FleetNews struct {
 	Version uint64 `msgpack:"v"`
 	// Whole news replace all that the follower has.
-	Whole    bool            `msgpack:"w,omitempty"`
-	Engines  []ServingEngine `msgpack:"e,omitempty"`
-	Gateways []Gateway       `msgpack:"g,omitempty"`
-	Ledgers  []LedgerHost    `msgpack:"l,omitempty"`
-	Groups   []Placement     `msgpack:"p,omitempty"`
-	Removed  []string        `msgpack:"r,omitempty"`
+	Whole   bool            `msgpack:"w,omitempty"`
+	Engines []ServingEngine `msgpack:"e,omitempty"`
+	Ledgers []LedgerHost    `msgpack:"l,omitempty"`
+	Groups  []Placement     `msgpack:"p,omitempty"`
+	Removed []string        `msgpack:"r,omitempty"`
 }
 
-// Since returns what a follower at a version lacks; withGateways adds the
-// gateways, which only directories need.
-func (f *Fleet) Since(version uint64, withGateways bool) FleetNews {
+// Since returns what a follower at a version lacks. Gateways are no part of it: only
+// directories need them, and those read the replicated fleet itself.
+func (f *Fleet) Since(version uint64) FleetNews {
 	news := FleetNews{Version: f.state.Version}
 	oldest := uint64(0)
 	if len(f.state.Removals) >= keptFleetRemovals/2 {
@@ -281,9 +281,6 @@
 	news.Engines = changedSince(f.state.Engines, version)
 	news.Ledgers = changedSince(f.state.Ledgers, version)
 	news.Groups = changedSince(f.state.Groups, version)
-	if withGateways {
-		news.Gateways = changedSince(f.state.Gateways, version)
-	}
 	for _, gone := range f.state.Removals {
 		if !news.Whole && gone.Version > version {
 			news.Removed = append(news.Removed, gone.Key)
@@ -305,11 +302,11 @@
 	return sortedValues(changed)
 }
 
-// ChangedSince reports whether a follower that needs no gateways lacks something.
+// ChangedSince reports whether a follower lacks something.
 func (f *Fleet) ChangedSince(version uint64) bool {
 	if version >= f.state.Version {
 		return false
 	}
-	news := f.Since(version, false)
+	news := f.Since(version)
 	return news.Whole || len(news.Engines)+len(news.Ledgers)+len(news.Groups)+len(news.Removed) > 0
 }
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -16,7 +16,7 @@
 }
 
 func fleetOptions() FleetOptions {
-	return FleetOptions{Groups: 2, Replicas: 3, EngineSilentMs: 1000, GatewaySilentMs: 1000, LedgerSilentMs: 1000, LedgerForgottenMs: 5000, FormationMs: 100}
+	return FleetOptions{Groups: 2, Replicas: 3, EngineSilentMs: 1000, GatewaySilentMs: 1000, GatewayReturnMs: 200, LedgerSilentMs: 1000, LedgerForgottenMs: 5000, FormationMs: 100}
 }
 
 func TestFleet(t *testing.T) {
@@ -54,6 +54,42 @@
 		_, known = fleet.Ledger(idle.Member)
 		So(known, ShouldBeTrue)
 	})
+	Convey("a gateway that does not come back after an answer is lost soon, one whose heartbeat is held is not", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		for _, name := range []string{"frozen", "held", "impatient", "unheard"} {
+			fleet.Apply(FleetUpdate{PutGateways: []Gateway{{Name: name}}})
+		}
+		frozen := tracker.HeardGateway("frozen", 100)
+		tracker.HeardGateway("held", 100)
+		given := tracker.HeardGateway("impatient", 100)
+		tracker.HeardGateway("impatient", 150)
+		tracker.AnsweredGateway("frozen", frozen, 300)
+		tracker.AnsweredGateway("impatient", given, 300)
+		So(tracker.Plan(fleet, 500).RemoveGateways, ShouldBeEmpty)
+		So(tracker.Plan(fleet, 501).RemoveGateways, ShouldResemble, []string{"frozen"})
+		So(tracker.Plan(fleet, 1000).RemoveGateways, ShouldResemble, []string{"frozen"})
+		So(tracker.Plan(fleet, 1001).RemoveGateways, ShouldResemble, []string{"frozen", "unheard"})
+		So(tracker.Plan(fleet, 1101).RemoveGateways, ShouldResemble, []string{"frozen", "held", "unheard"})
+	})
+	Convey("a leader that was paused does not take its own silence for that of the gateways", t, func() {
+		fleet := NewFleet()
+		tracker := NewFleetTracker(fleetOptions(), 0)
+		fleet.Apply(FleetUpdate{PutGateways: []Gateway{{Name: "g"}}})
+		tracker.AnsweredGateway("g", tracker.HeardGateway("g", 100), 100)
+		tracker.Paused(3000)
+		So(tracker.Plan(fleet, 3200).RemoveGateways, ShouldBeEmpty)
+		So(tracker.Plan(fleet, 3301).RemoveGateways, ShouldResemble, []string{"g"})
+	})
+	Convey("gateways that come and go are no news for followers", t, func() {
+		fleet := NewFleet()
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: "e", Sequence: 1}}})
+		version := fleet.Version()
+		fleet.Apply(FleetUpdate{PutGateways: []Gateway{{Name: "g"}}})
+		fleet.Apply(FleetUpdate{RemoveGateways: []string{"g"}})
+		So(fleet.Gateways(), ShouldBeEmpty)
+		So(fleet.ChangedSince(version), ShouldBeFalse)
+	})
 	Convey("groups are placed over zones once no further host comes, and each once", t, func() {
 		fleet := NewFleet()
 		tracker := NewFleetTracker(fleetOptions(), 0)
@@ -146,7 +182,7 @@
 				if view != nil {
 					version = view.Version
 				}
-				old := fleet.Since(version, false)
+				old := fleet.Since(version)
 				next, _ := view.Follow(old)
 				if stale, changed := next.Follow(FleetNews{Version: version, Whole: true}); changed || stale != next {
 					t.Fatal("older news were taken")
@@ -158,7 +194,7 @@
 		if view != nil {
 			version = view.Version
 		}
-		view, _ = view.Follow(fleet.Since(version, false))
+		view, _ = view.Follow(fleet.Since(version))
 		known := map[string]ServingEngine{}
 		for _, engine := range fleet.Engines() {
 			known[engine.ID] = engine
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -19,6 +19,10 @@
 	EngineSilentMs  int64
 	GatewaySilentMs int64
 	LedgerSilentMs  int64
+	// GatewayReturnMs is how long a gateway may take for its next heartbeat once the last
+	// one was answered. A heartbeat is held for a while and the next follows at once, so
+	// that a gateway that does not come back is frozen or cut off.
+	GatewayReturnMs int64
 	// LedgerForgottenMs is how long a ledger host that holds nothing may be silent before
 	// it is forgotten; it is known again once it reports.
 	LedgerForgottenMs int64
@@ -48,18 +52,65 @@
 	options FleetOptions
 	startMs int64
 	heard   map[string]int64
+	// gateways are the latest heartbeats of gateways.
+	gateways map[string]gatewayHeartbeat
 	// led holds the last word of the groups' leaders.
 	led map[uint32]LedGroup
 	// lastNewLedgerMs is when a ledger host was last seen for the first time.
 	lastNewLedgerMs int64
 }
 
+// gatewayHeartbeat is a gateway's latest heartbeat. A gateway may give one up and send
+// another, so that the answer to an older one says nothing.
+type gatewayHeartbeat struct {
+	number   uint64
+	answered bool
+	// sinceMs is when the heartbeat came, or was answered.
+	sinceMs int64
+}
+
 // NewFleetTracker returns the tracker of a leader that began to lead at nowMs.
 func NewFleetTracker(options FleetOptions, nowMs int64) *FleetTracker {
-	return &FleetTracker{options: options, startMs: nowMs, heard: map[string]int64{}, led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs}
+	return &FleetTracker{options: options, startMs: nowMs, heard: map[string]int64{}, gateways: map[string]gatewayHeartbeat{}, led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs}
+}
+
+// HeardGateway notes a gateway's heartbeat and returns its number.
+func (t *FleetTracker) HeardGateway(name string, nowMs int64) uint64 {
+	number := t.gateways[name].number + 1
+	t.gateways[name] = gatewayHeartbeat{number: number, sinceMs: nowMs}
+	return number
+}
+
+// AnsweredGateway notes that the heartbeat of a number is answered.
+func (t *FleetTracker) AnsweredGateway(name string, number uint64, nowMs int64) {
+	if latest := t.gateways[name]; latest.number == number && !latest.answered {
+		t.gateways[name] = gatewayHeartbeat{number: number, answered: true, sinceMs: nowMs}
+	}
+}
+
+// Paused notes that the leader itself did nothing for a time: what gateways sent
+// meanwhile still waits for it, so that their silence does not count.
+func (t *FleetTracker) Paused(forMs int64) {
+	for name, latest := range t.gateways {
+		latest.sinceMs += forMs
+		t.gateways[name] = latest
+	}
+}
+
+// gatewaySilent reports whether a gateway is taken for lost. One that this leader has
+// not heard yet gets the longer time: it may still look for the leader.
+func (t *FleetTracker) gatewaySilent(name string, nowMs int64) bool {
+	latest, known := t.gateways[name]
+	if !known {
+		return nowMs-t.startMs > t.options.GatewaySilentMs
+	}
+	if latest.answered {
+		return nowMs-latest.sinceMs > t.options.GatewayReturnMs
+	}
+	return nowMs-latest.sinceMs > t.options.GatewaySilentMs
 }
 
-// Heard notes that an engine, gateway or ledger host is alive.
+// Heard notes that an engine is alive.
 func (t *FleetTracker) Heard(key string, nowMs int64) { t.heard[key] = nowMs }
 
 // HeardLedger notes a ledger host's report.
@@ -92,7 +143,7 @@
 		}
 	}
 	for _, gateway := range fleet.Gateways() {
-		if t.silentMs(gateway.Name, nowMs) > t.options.GatewaySilentMs {
+		if t.gatewaySilent(gateway.Name, nowMs) {
 			update.RemoveGateways = append(update.RemoveGateways, gateway.Name)
 		}
 	}
