--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -68,7 +68,7 @@
 	view     atomic.Pointer[view]
 	draining atomic.Bool
 	inFlight atomic.Int64
-	// lastRequest is when a request last came, Unix milliseconds.
+	// lastRequest is when a request last came, telemetry.NowMs.
 	lastRequest atomic.Int64
 }
 
@@ -87,7 +87,7 @@
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
-	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, nowMs()) }
+	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, telemetry.NowMs()) }
 	return d
 }
 
@@ -114,7 +114,7 @@
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
 	}
-	request.Loads = d.engines.takeLoads(nowMs())
+	request.Loads = d.engines.takeLoads(telemetry.NowMs())
 }
 
 // follow puts news of control in force.
@@ -147,8 +147,6 @@
 
 func (d *Daemon) draw() float64 { return rand.Float64() }
 
-func nowMs() int64 { return time.Now().UnixMilli() }
-
 // Run serves until ctx ends, then drains.
 func (d *Daemon) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", d.process.Listen.Callers)
@@ -208,7 +206,7 @@
 	last := began.Add(d.process.Limits.Grace())
 	for time.Now().Before(last) && ctx.Err() == nil {
 		time.Sleep(drainPoll)
-		quiet := time.Since(time.UnixMilli(d.lastRequest.Load())) > quietBeforeStop
+		quiet := telemetry.NowMs()-d.lastRequest.Load() > quietBeforeStop.Milliseconds()
 		if time.Since(began) > leastDrain && quiet && d.inFlight.Load() == 0 {
 			break
 		}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -214,9 +214,9 @@
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
-		a.daemon.engines.firstEvent(c, now, milliseconds(now.Sub(c.started.Add(c.sent))))
+		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
-		a.daemon.engines.nextEvent(c, now, milliseconds(now.Sub(a.lastEvent)))
+		a.daemon.engines.nextEvent(c, milliseconds(now.Sub(a.lastEvent)))
 	}
 	a.lastEvent = now
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -4,12 +4,12 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // engines is what the gateway knows of the engines: their registrations, which
@@ -137,17 +137,17 @@
 }
 
 // firstEvent notes how long an engine took for the first event of a stream.
-func (e *engines) firstEvent(c *call, now time.Time, took float64) {
+func (e *engines) firstEvent(c *call, took float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), now.UnixMilli(), c.chosen.missing, took)
+	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), telemetry.NowMs(), c.chosen.missing, took)
 }
 
 // nextEvent notes the pause of a stream before an event.
-func (e *engines) nextEvent(c *call, now time.Time, gap float64) {
+func (e *engines) nextEvent(c *call, gap float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), now.UnixMilli(), gap)
+	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), telemetry.NowMs(), gap)
 }
 
 // ended takes a call off its engine and notes how it went.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // patience bounds every wait of these tests; it is no measure of anything.
@@ -389,7 +390,7 @@
 		fleet.Engines["gone"] = membership.ServingEngine{ID: "gone", Backend: "b", Zone: "near", Slots: 4, Address: listener.Addr().String()}
 		stand.gateway.engines.follow(&fleet)
 		// The other engine is suspect, so that the one that will be gone comes first.
-		stand.gateway.engines.healthOf("e").Failed(nowMs())
+		stand.gateway.engines.healthOf("e").Failed(telemetry.NowMs())
 		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "3000")
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 502)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,7 +17,7 @@
 func (d *Daemon) serve(writer http.ResponseWriter, request *http.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	d.lastRequest.Store(nowMs())
+	d.lastRequest.Store(telemetry.NowMs())
 	c, failure := d.intake(writer, request)
 	out := &answer{daemon: d, writer: writer}
 	if failure == nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -138,9 +138,18 @@
 	return fmt.Sprintf("heap=%dMB", stats.HeapAlloc>>20)
 }
 
-// NowMs is the wall clock in milliseconds since 1970.
-func NowMs() int64 {
-	return time.Now().UnixMilli()
+// processStart carries both clocks' readings of the process's start.
+var processStart = time.Now()
+
+// NowMs is the time in milliseconds since 1970 as it was at the process's start, advanced
+// by the steady clock. Invariant: it never steps, so that a machine whose time of day
+// jumps takes nobody's silence or deadline for over and holds back no timer.
+func NowMs() int64 { return millisecondsAt(processStart, time.Now()) }
+
+// millisecondsAt returns the start's time of day and what the steady clock has counted
+// since, milliseconds.
+func millisecondsAt(start, now time.Time) int64 {
+	return start.UnixMilli() + now.Sub(start).Milliseconds()
 }
 
 // OneLine joins a multi-line error for a log or terminal.
