--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -145,7 +145,9 @@
 	fleetSyncs    []pendingFleetSync
 	fleetPlanning bool
 	// tables are the routing tables that were in force lately, the newest last.
-	tables      []*routing.Table
+	tables []*routing.Table
+	// news are the latest answers to heartbeats, for those that ask for the same.
+	news        newsCache
 	lastFleetMs int64
 	planning    uint64
 	draining    bool
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -210,16 +210,16 @@
 
 func (c *Core) fleetReply(request *protocol.FleetSync) *protocol.FleetSyncReply {
 	reply := &protocol.FleetSyncReply{Controls: c.memberNames()}
-	if c.system.fleet.Version() != request.Version {
-		news := c.system.fleet.Since(request.Version)
-		reply.Fleet = &news
+	fleet := c.system.fleet
+	if request.Version == 0 || request.Version > fleet.Version() || fleet.ChangedSince(request.Version) {
+		reply.Fleet = c.news.fleetSince(fleet, request.Version)
 	}
 	if request.Gateway != nil && c.loads != nil {
 		reply.Loads = c.loads.Loads(c.nowMs)
 	}
 	table := c.system.tree.Routing()
 	if request.WithRouting && table != nil && table.Generation > request.Generation {
-		reply.Routing = routing.NewDelta(c.tableAt(request.Generation), table)
+		reply.Routing = c.news.routingSince(c.tableAt(request.Generation), table)
 	}
 	return reply
 }
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -204,12 +204,12 @@
 	changed := false
 	if reply.Fleet != nil {
 		var news bool
-		f.view, news = f.view.Follow(*reply.Fleet)
+		f.view, news = f.view.Follow(reply.Fleet.Value)
 		changed = changed || news
 	}
 	if reply.Routing != nil {
 		var news bool
-		f.table, news = reply.Routing.Apply(f.table)
+		f.table, news = reply.Routing.Value.Apply(f.table)
 		changed = changed || news
 	}
 	if reply.Confirmed && !f.confirmed {
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -109,6 +109,9 @@
 type Fleet struct {
 	state fleetState
 	left  map[string]bool
+	// followed is the version of the last change of what followers get. It follows from
+	// the state, so that no snapshot holds it.
+	followed uint64
 }
 
 // NewFleet returns an empty fleet.
@@ -126,6 +129,7 @@
 func (f *Fleet) Apply(update FleetUpdate) {
 	f.state.Version++
 	version := f.state.Version
+	defer f.noteFollowed(update)
 	for _, engine := range update.PutEngines {
 		f.putEngine(engine)
 	}
@@ -157,6 +161,14 @@
 	}
 }
 
+// noteFollowed notes whether an update may have changed what followers get.
+func (f *Fleet) noteFollowed(update FleetUpdate) {
+	update.PutGateways, update.RemoveGateways = nil, nil
+	if !update.Empty() {
+		f.followed = f.state.Version
+	}
+}
+
 // putEngine takes a report. Invariant: an older report never undoes a newer one,
 // and an engine that has left does not come back.
 func (f *Fleet) putEngine(engine ServingEngine) {
@@ -251,6 +263,8 @@
 	for _, id := range fresh.state.Left {
 		fresh.left[id] = true
 	}
+	// What changed last is unknown, so that followers are told once more.
+	fresh.followed = fresh.state.Version
 	*f = *fresh
 	return nil
 }
@@ -302,11 +316,6 @@
 	return sortedValues(changed)
 }
 
-// ChangedSince reports whether a follower lacks something.
-func (f *Fleet) ChangedSince(version uint64) bool {
-	if version >= f.state.Version {
-		return false
-	}
-	news := f.Since(version)
-	return news.Whole || len(news.Engines)+len(news.Ledgers)+len(news.Groups)+len(news.Removed) > 0
-}
+// ChangedSince reports whether a follower may lack something. It is asked for each held
+// heartbeat at each change, so that it must cost next to nothing.
+func (f *Fleet) ChangedSince(version uint64) bool { return version < f.followed }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -53,11 +53,11 @@
 
 // FleetSyncReply carries the news.
 type FleetSyncReply struct {
-	Error  *result.Error         `msgpack:"e,omitempty"`
-	Leader string                `msgpack:"l,omitempty"`
-	Fleet  *membership.FleetNews `msgpack:"f,omitempty"`
+	Error  *result.Error                 `msgpack:"e,omitempty"`
+	Leader string                        `msgpack:"l,omitempty"`
+	Fleet  *Shared[membership.FleetNews] `msgpack:"f,omitempty"`
 	// Routing leads from the sender's generation to the one in force.
-	Routing *routing.Delta `msgpack:"r,omitempty"`
+	Routing *Shared[routing.Delta] `msgpack:"r,omitempty"`
 	// Loads is what all gateways together have seen of engines, for gateways.
 	Loads []scheduling.Load `msgpack:"o,omitempty"`
 	// Controls are the inner addresses of the control processes.
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -7,10 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -72,33 +69,6 @@
 	}
 }
 
-// Dial connects to a peer by IP:port. delay is added to each direction, to
-// stand in for the distance between zones.
-func Dial(address string, timeout, delay time.Duration) (*Connection, error) {
-	dialer := net.Dialer{Timeout: timeout, Control: giveUpOnSilence}
-	socket, err := dialer.Dial("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	connection := newConnection(socket, delay)
-	go connection.writeLoop()
-	go connection.readLoop(connection.dispatchReply)
-	return connection, nil
-}
-
-// giveUpOnSilence makes the kernel end a connection whose peer acknowledges
-// nothing: a machine without power or behind a cut says nothing.
-func giveUpOnSilence(_, _ string, socket syscall.RawConn) error {
-	var failure error
-	err := socket.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failure
-}
-
 // RemoteAddress returns the peer's IP:port.
 func (c *Connection) RemoteAddress() string {
 	return c.socket.RemoteAddr().String()
