--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -116,7 +116,7 @@
 	{DeadlineTooClose, "deadline_too_close", NotRun, 429, time.Second, "The expected finish is after the call's deadline."},
 	{NoEngine, "no_engine", NotRun, 503, 2 * time.Second, "No engine of the service's pool is ready."},
 	{Draining, "draining", NotRun, 503, 500 * time.Millisecond, "The process is stopping and takes no new calls."},
-	{NotConfigured, "not_configured", NotRun, 503, 250 * time.Millisecond, "The process has not heard the routing table in force yet."},
+	{NotConfigured, "not_configured", NotRun, 503, 700 * time.Millisecond, "The process has not heard the routing table in force yet."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica asked is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; every attempt allowed was used."},
