Lines of requests hold what was decided and measured, and nothing else

Zeros stood for choices that were never made, requests before the first table had no time, and routing replaced said so of tables that changed nothing. logCall leaves serve.go for a file of its own. Test: TestCallLog.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -170,8 +170,10 @@
 	}
 }
 
+// budget are the headers of a turn with a budget.
+var budget = []string{"Ochrebay-Token-Budget", "1000", "Ochrebay-Tokens", "5,100"}
+
 func TestTurnsOfAGateway(t *testing.T) {
-	budget := []string{"Ochrebay-Token-Budget", "1000", "Ochrebay-Tokens", "5,100"}
 	Convey("a turn is charged for the events that were handed on", t, func() {
 		stand := newGatewayStand(t, events(3, "", false))
 		response, body, err := stand.send("/stream/", "r1", budget...)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
@@ -18,12 +17,13 @@
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
 	d.lastRequest.Store(telemetry.NowMs())
+	began := time.Now()
 	c, failure := d.intake(writer, request)
 	out := &answer{daemon: d, writer: writer}
 	if failure == nil {
 		failure = d.run(request.Context(), c, out)
 	}
-	d.logCall(c, request, out, failure)
+	d.logCall(c, request, out, failure, time.Since(began))
 	if failure == nil {
 		return
 	}
@@ -124,43 +124,3 @@
 	_, _ = a.writer.Write(append(body, '\n'))
 	a.status = failure.HTTPStatus()
 }
-
-// logCall writes the one line that says how a call ended.
-func (d *Daemon) logCall(c *call, request *http.Request, out *answer, failure *result.Error) {
-	took := ""
-	keyValues := []any{"request", request.Header.Get(d.headers.RequestID)}
-	if c != nil {
-		took = time.Since(c.started).Round(100 * time.Microsecond).String()
-		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
-			"program", c.program, "attempts", c.attempts, "engine", c.engine,
-			"home", c.home, "in_flight", c.chosen.inFlight, "candidates", c.chosen.candidates,
-			"company", int(c.chosen.company), "shared_age_ms", c.chosen.sharedAgeMs, "missing", c.chosen.missing, "cost_ms", int64(c.chosen.cost), "next_cost_ms", int64(c.chosen.nextCost), "home_cost_ms", int64(c.chosen.homeCost),
-			"opened_ms", c.opened.Milliseconds(), "sent_ms", c.sent.Milliseconds(), "kept_ms", c.kept.Milliseconds())
-		if out.events > 0 {
-			keyValues = append(keyValues, "first_event_ms", out.firstEvent.Sub(c.started).Milliseconds(),
-				"events_ms", out.lastEvent.Sub(out.firstEvent).Milliseconds())
-		}
-	}
-	keyValues = append(keyValues, "status", out.status, "events", out.events, "took", took)
-	d.metrics.ended(c, failure)
-	if failure == nil {
-		telemetry.Calm(d.logger, request.Header.Get(d.headers.RequestID), "served", keyValues...)
-		return
-	}
-	keyValues = append(keyValues, "code", int(failure.Code), "outcome", string(failure.Outcome), "err", failure.Error())
-	telemetry.Warn(d.logger, "failed", keyValues...)
-}
-
-// logAttempt writes one line for a send that did not end well.
-func (d *Daemon) logAttempt(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
-	d.metrics.attempts.WithLabelValues(outcome.kind.String()).Inc()
-	if outcome.kind == attemptAnswered {
-		return
-	}
-	telemetry.Warn(d.logger, "attempt failed", "request", c.id, "engine", engine.ID, "address", engine.Address, "attempt", c.attempts,
-		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.started, "err", outcome.err)
-}
-
-func (d *Daemon) logFailure(message string, c *call, failure *result.Error) {
-	telemetry.Warn(d.logger, message, "request", c.id, "program", c.program, "code", int(failure.Code), "err", failure.Error())
-}
