--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -214,8 +214,8 @@
 	if request.Version == 0 || request.Version > fleet.Version() || fleet.ChangedSince(request.Version) {
 		reply.Fleet = c.news.fleetSince(fleet, request.Version)
 	}
-	if request.Gateway != nil && c.loads != nil {
-		reply.Loads = c.loads.Loads(c.nowMs)
+	if request.WithLoads && c.loads != nil {
+		reply.Loads = c.news.loadsOf(c.loads, c.nowMs)
 	}
 	table := c.system.tree.Routing()
 	if request.WithRouting && table != nil && table.Generation > request.Generation {
--- /dev/null
+++ b/internal/control/news_test.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+)
+
+// TestNewsCache holds that what is kept for the next asker is never older than what is in
+// force.
+func TestNewsCache(t *testing.T) {
+	Convey("answers to heartbeats are shared until something changes", t, func() {
+		var news newsCache
+		Convey("the fleet, by the version that the asker has", func() {
+			fleet := membership.NewFleet()
+			fleet.Apply(membership.FleetUpdate{PutEngines: []membership.ServingEngine{{ID: "a", Sequence: 1}}})
+			whole := news.fleetSince(fleet, 0)
+			So(news.fleetSince(fleet, 0), ShouldEqual, whole)
+			So(news.fleetSince(fleet, 1), ShouldNotEqual, whole)
+			fleet.Apply(membership.FleetUpdate{PutEngines: []membership.ServingEngine{{ID: "b", Sequence: 1}}})
+			So(len(news.fleetSince(fleet, 0).Value.Engines), ShouldEqual, 2)
+			So(len(news.fleetSince(fleet, 1).Value.Engines), ShouldEqual, 1)
+		})
+		Convey("the routing table, by the generation that the asker has", func() {
+			first := &routing.Table{Generation: 1, Routes: []routing.Route{{Name: "a", Host: "h", PathPrefix: "/a/"}}}
+			second := &routing.Table{Generation: 2, Routes: append([]routing.Route{{Name: "b", Host: "h", PathPrefix: "/b/"}}, first.Routes...)}
+			So(len(news.routingSince(nil, first).Value.Put), ShouldEqual, 1)
+			So(len(news.routingSince(nil, second).Value.Put), ShouldEqual, 2)
+			So(len(news.routingSince(first, second).Value.Put), ShouldEqual, 1)
+			So(news.routingSince(first, second), ShouldEqual, news.routingSince(first, second))
+		})
+		Convey("loads, for a short time, and not over a step back of the clock", func() {
+			board := scheduling.NewBoard()
+			board.Report("g", []scheduling.Load{{Engine: "e", InFlight: 1}}, 1000)
+			loads := news.loadsOf(board, 1000)
+			board.Report("g", []scheduling.Load{{Engine: "e", InFlight: 5}}, 1010)
+			So(news.loadsOf(board, 1000+loadsEveryMs-1), ShouldEqual, loads)
+			So(news.loadsOf(board, 1000+loadsEveryMs).Value[0].InFlight, ShouldEqual, 5)
+			So(news.loadsOf(board, 500), ShouldNotEqual, loads)
+		})
+	})
+}
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -18,8 +18,11 @@
 )
 
 const (
-	syncHold      = 700 * time.Millisecond
-	syncTimeout   = 1500 * time.Millisecond
+	syncHold    = 700 * time.Millisecond
+	syncTimeout = 1500 * time.Millisecond
+	// loadsEvery is how often loads are asked for at most. Half of what is seen of an engine
+	// counts for 1.5 s, and an answer holds some 30 bytes for each engine.
+	loadsEvery    = 600 * time.Millisecond
 	firstPause    = 20 * time.Millisecond
 	longestPause  = 120 * time.Millisecond
 	leaderUnknown = ""
@@ -52,6 +55,8 @@
 	confirmed bool
 	// redirects counts the hints followed since the last answer of a leader.
 	redirects int
+	// loadsAt is when the last loads came; the goroutine of Run alone uses it.
+	loadsAt time.Time
 	// poke ends the held heartbeat, so that a changed report is told at once.
 	poke chan struct{}
 }
@@ -144,8 +149,9 @@
 		return f.redirected(&reply)
 	}
 	f.take(target, &reply)
-	if f.OnLoads != nil && len(reply.Loads) > 0 {
-		f.OnLoads(reply.Loads)
+	if f.OnLoads != nil && reply.Loads != nil {
+		f.loadsAt = time.Now()
+		f.OnLoads(reply.Loads.Value)
 	}
 	return true
 }
@@ -161,6 +167,7 @@
 func (f *Follower) request() *protocol.FleetSync {
 	f.mutex.Lock()
 	request := &protocol.FleetSync{HoldMs: syncHold.Milliseconds(), WithRouting: f.WithRouting, Fresh: !f.confirmed}
+	request.WithLoads = f.OnLoads != nil && time.Since(f.loadsAt) >= loadsEvery
 	if f.view != nil {
 		request.Version = f.view.Version
 	}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -46,7 +46,9 @@
 	Version     uint64 `msgpack:"v"`
 	Generation  uint64 `msgpack:"n"`
 	WithRouting bool   `msgpack:"r,omitempty"`
-	HoldMs      int64  `msgpack:"w"`
+	// WithLoads asks for what all gateways together have seen of engines.
+	WithLoads bool  `msgpack:"l,omitempty"`
+	HoldMs    int64 `msgpack:"w"`
 	// Fresh asks that the reply be confirmed by a quorum: a process's first sync.
 	Fresh bool `msgpack:"f,omitempty"`
 }
@@ -58,8 +60,8 @@
 	Fleet  *Shared[membership.FleetNews] `msgpack:"f,omitempty"`
 	// Routing leads from the sender's generation to the one in force.
 	Routing *Shared[routing.Delta] `msgpack:"r,omitempty"`
-	// Loads is what all gateways together have seen of engines, for gateways.
-	Loads []scheduling.Load `msgpack:"o,omitempty"`
+	// Loads is what all gateways together have seen of engines, where it was asked for.
+	Loads *Shared[[]scheduling.Load] `msgpack:"o,omitempty"`
 	// Controls are the inner addresses of the control processes.
 	Controls []string `msgpack:"c,omitempty"`
 	// Confirmed says that a quorum confirmed the reply.
