TestPlatform: requests are numbered without a race

Found by -race: the test counted requests in a plain variable that two goroutines used. It now waits for the one request it sent; nothing is judged less strictly.

--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -189,13 +190,13 @@
 	return last
 }
 
-var requestNumber int
+// requestNumber is that of the latest request.
+var requestNumber atomic.Int64
 
 // turn asks a gateway for a turn of a program and returns its request's id too.
 func (f *platformFleet) turn(gateway, path, input string, headers map[string]string) (response, string) {
 	f.t.Helper()
-	requestNumber++
-	id := fmt.Sprintf("req-%d", requestNumber)
+	id := fmt.Sprintf("req-%d", requestNumber.Add(1))
 	all := map[string]string{
 		"Host": standHost, "Request-Id": id, "Deadline-Ms": "20000", "Program-Id": "prog", "Session-Id": "s", "Token-Usage": "10,50", "Token-Budget": "10000",
 	}
--- a/cmd/ochrebay/platform_test.go
+++ b/cmd/ochrebay/platform_test.go
@@ -110,8 +110,7 @@
 			hold := make(chan struct{})
 			f.engine.set(func(e *engineStand) { e.hold = hold })
 			ctx, cancel := context.WithCancel(context.Background())
-			requestNumber++
-			id := fmt.Sprintf("req-%d", requestNumber)
+			id := fmt.Sprintf("req-%d", requestNumber.Add(1))
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
@@ -163,13 +162,13 @@
 			hold := make(chan struct{})
 			f.engine.set(func(e *engineStand) { e.hold = hold })
 			answers := make(chan response, 1)
+			held := fmt.Sprintf("req-%d", requestNumber.Load()+1)
 			go func() {
 				answer, _ := f.turn("gateway-1", "/stream/", "x", map[string]string{"Program-Id": "stopped"})
 				answers <- answer
 			}()
-			before := requestNumber
 			f.until("the run", func() bool {
-				return f.engine.ran(fmt.Sprintf("req-%d", requestNumber)) == 1 && requestNumber >= before
+				return f.engine.ran(held) == 1
 			})
 			So(f.processes["gateway-1"].Process.Signal(syscall.SIGTERM), ShouldBeNil)
 			f.until("unreadiness", func() bool { return !ready("gateway-1") })
