--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -26,7 +26,7 @@
 	gatewaySilentMs = 2_500
 	// gatewayReturnMs is above one resent packet (200 ms) and the pauses of a slow machine
 	// that were seen in replays; callers hold an answer of the directory for a second more.
-	gatewayReturnMs   = 500
+	gatewayReturnMs   = 400
 	ledgerSilentMs    = 2_000
 	ledgerForgottenMs = 60_000
 	formationMs       = 1_500
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -9,7 +9,8 @@
 	"github.com/ochrebay/ochrebay/internal/settings"
 )
 
-const fleetPlanEveryMs = 200
+// fleetPlanEveryMs is how often the leader looks for members that fell silent.
+const fleetPlanEveryMs = 100
 
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
 type pendingFleetSync struct {
