--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -95,19 +95,32 @@
 }
 
 const (
+	// helloEveryMs is how often a process that is not let in yet introduces itself, and
+	// candidateHellos how often it must have done so before the leader lets it in.
 	helloEveryMs    = 200
+	candidateHellos = 3
+	// presenceEveryMs is how often processes tell each other that they are there, and
+	// suspectAfterMs the silence, four of these, after which quiet groups wake.
 	presenceEveryMs = 200
 	suspectAfterMs  = 800
-	planEveryMs     = 200
-	sweepEveryMs    = 2000
-	balanceEveryMs  = 3000
-	proposalWaitMs  = 5000
-	maxAppendBytes  = 1 << 20
-	maxInflight     = 64
-	compactBytes    = 2 << 20
-	startTicks      = 3
-	keptTables      = 4
-	candidateHellos = 3
+	// planEveryMs, sweepEveryMs and balanceEveryMs are how often the leader looks after
+	// schedulers, idle programs and where groups are led.
+	planEveryMs    = 200
+	sweepEveryMs   = 2000
+	balanceEveryMs = 3000
+	// proposalWaitMs is longer than any caller waits for a proposal.
+	proposalWaitMs = 5000
+	// maxAppendBytes and maxInflight bound what is on its way to one follower, bytes of one
+	// message and messages.
+	maxAppendBytes = 1 << 20
+	maxInflight    = 64
+	// compactBytes is how much of a group's log stays.
+	compactBytes = 2 << 20
+	// startTicks is the shortest election timeout of a replica that has known no leader since
+	// its start.
+	startTicks = 3
+	// keptTables is how many routing tables are kept to tell followers the difference.
+	keptTables = 4
 	// pauseTicks is from how many ticks on a gap between two counts as a pause: well
 	// below what gateways may be silent for, above what a busy loop is late by.
 	pauseTicks = 4
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -50,21 +50,38 @@
 }
 
 const (
-	defaultTickMs      = 50
-	electionTicks      = 6
-	startTicks         = 3
-	heartbeatTicks     = 2
-	maxAppendBytes     = 1 << 20
-	maxInflight        = 64
-	proposalWaitMs     = 3000
-	compactEntries     = 2000
-	compactBytes       = 2 << 20
-	reconcileEveryMs   = 100
-	sweepEveryMs       = 1000
+	// defaultTickMs is the length of a consensus tick: some round trips between zones (1 to
+	// 3 ms) and syncs (1 ms), so that a tick decides on what the one before has sent.
+	defaultTickMs = 50
+	// electionTicks is the shortest election timeout, 300 ms: a leader that misses two of
+	// its heartbeats, one each heartbeatTicks, is not replaced yet. startTicks is that of a
+	// replica that has known no leader since its start.
+	electionTicks  = 6
+	startTicks     = 3
+	heartbeatTicks = 2
+	// maxAppendBytes and maxInflight bound what is on its way to one follower, bytes of one
+	// message and messages.
+	maxAppendBytes = 1 << 20
+	maxInflight    = 64
+	// proposalWaitMs is longer than gateways wait for an answer (1.5 s).
+	proposalWaitMs = 3000
+	// compactEntries and compactBytes are how much of the log stays: seconds of a busy
+	// group, so that a host that was away briefly needs no snapshot.
+	compactEntries = 2000
+	compactBytes   = 2 << 20
+	// reconcileEveryMs is how often groups are compared with the placement, sweepEveryMs how
+	// often turns that have expired are looked for.
+	reconcileEveryMs = 100
+	sweepEveryMs     = 1000
+	// forgetGroupAfterMs is how long a replica without a leader, and without a place in the
+	// placement, is kept: the vote that takes it out may still be under way.
 	forgetGroupAfterMs = 5000
-	caughtUpLag        = 8
-	balanceAfterMs     = 5000
-	balanceEveryMs     = 1000
+	// caughtUpLag is how many entries a learner may lack when it becomes a voter.
+	caughtUpLag = 8
+	// balanceAfterMs is how long a host leads before it may hand a group over for balance,
+	// balanceEveryMs the least time between two of these.
+	balanceAfterMs = 5000
+	balanceEveryMs = 1000
 )
 
 // DefaultOptions returns the timings of a fleet whose zones are a few milliseconds
