Tests of the leader's care for gateways: one that freezes leaves soon, a leader's own pause takes none out

TestFrozenGatewayLeavesTheDirectory drives control's core through heartbeats in virtual time. It fails with the time of before (2.5 s), and its second part without the correction for the leader's pauses.

--- /dev/null
+++ b/internal/control/liveness_test.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+const testHoldMs = 200
+
+// heartbeats drives gateways that report again as soon as they are answered, as long as
+// they are not frozen.
+type heartbeats struct {
+	core    *Core
+	nowMs   int64
+	nextID  RequestID
+	senders map[RequestID]string
+	// answered are the gateways whose next heartbeat is due.
+	answered []string
+	frozen   map[string]bool
+}
+
+func (h *heartbeats) reply(id RequestID) { h.answered = append(h.answered, h.senders[id]) }
+
+func (h *heartbeats) send(name string) {
+	h.nextID++
+	h.senders[h.nextID] = name
+	gateway := &membership.Gateway{Name: name, Ready: true}
+	h.core.Request(h.nextID, &protocol.FleetSync{Gateway: gateway, Version: h.core.Fleet().Version(), HoldMs: testHoldMs}, h.nowMs)
+}
+
+// run lets time pass, a tick each step.
+func (h *heartbeats) run(t *testing.T, forMs, stepMs int64) {
+	for end := h.nowMs + forMs; h.nowMs < end; {
+		h.nowMs += stepMs
+		h.core.Tick(h.nowMs)
+		flush(t, h.core)
+		due := h.answered
+		h.answered = nil
+		for _, name := range due {
+			if h.frozen[name] {
+				h.answered = append(h.answered, name)
+				continue
+			}
+			h.send(name)
+		}
+		flush(t, h.core)
+	}
+}
+
+func (h *heartbeats) listed() []string {
+	var names []string
+	for _, gateway := range h.core.Fleet().Gateways() {
+		names = append(names, gateway.Name)
+	}
+	return names
+}
+
+// TestFrozenGatewayLeavesTheDirectory holds that callers are not sent to gateways that
+// stand still, and that the leader does not take a pause of its own for theirs.
+func TestFrozenGatewayLeavesTheDirectory(t *testing.T) {
+	Convey("gateways that report to the leader", t, func() {
+		outlet := &encodingOutlet{test: t}
+		h := &heartbeats{core: leadingCore(t, outlet), senders: map[RequestID]string{}, frozen: map[string]bool{}}
+		outlet.onReply = h.reply
+		h.nowMs = h.core.nowMs
+		tickMs := h.core.options.TickMs
+		for _, name := range []string{"a", "b", "c"} {
+			h.send(name)
+		}
+		h.run(t, 5000, tickMs)
+		So(h.listed(), ShouldResemble, []string{"a", "b", "c"})
+		Convey("one that freezes leaves soon, and is back with its next heartbeat", func() {
+			h.frozen["b"] = true
+			h.run(t, testHoldMs+gatewayReturnMs+fleetPlanEveryMs+4*tickMs, tickMs)
+			So(h.listed(), ShouldResemble, []string{"a", "c"})
+			h.frozen["b"] = false
+			h.run(t, 4*tickMs, tickMs)
+			So(h.listed(), ShouldResemble, []string{"a", "b", "c"})
+		})
+		Convey("a leader that stood still itself takes none out", func() {
+			version := h.core.Fleet().Version()
+			h.run(t, 20_000, 20_000)
+			h.run(t, 1000, tickMs)
+			So(h.core.Fleet().Version(), ShouldEqual, version)
+		})
+	})
+}
