A body that is too large is read on before it is refused; test addresses are given once

Looked at four: three got a reset connection in place of 413, since a server that closes with bytes unread resets what its caller still sends; one fleet's port was taken by another while its owner was down. Ruled out: the inner protocol's new dials; nothing of it shows in the four logs. Change: up to 256 KiB of a refused body are read. Addresses of tests are unique, on a loopback address per process. The new case of TestAnswersOfEngines fails on the code before (connection reset by peer).

--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -35,15 +35,30 @@
 	engine    *engineStand
 }
 
-// freeAddress returns an address that the kernel says is free, on a loopback address
-// of this fleet's own: nothing else on the machine takes its ports meanwhile.
+// given are the addresses that freeAddress has returned. The kernel may name a port again
+// that a process of the fleet has not bound yet, or has not bound again after its kill.
+var given sync.Map
+
+// ownLoopback is a loopback address of this test process's own, so that no other process
+// on the machine takes its ports meanwhile.
+func ownLoopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16&0x7f, pid>>8&0xff, 2+pid&0xff%250)
+}
+
+// freeAddress returns an address that the kernel says is free, each only once.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp", ownLoopback()+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 func startPlatformFleet(t *testing.T) *platformFleet {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -26,6 +26,16 @@
 // patience bounds every wait of these tests; it is no measure of anything.
 const patience = 60 * time.Second
 
+const (
+	// standBodyLimit is the largest body that the stand's table allows, and tooLargeBytes
+	// one above it.
+	standBodyLimit = 1 << 10
+	tooLargeBytes  = 64 << 10
+	// longerThanServersWait is above the 0.5 s after which net/http closes a connection with
+	// bytes unread.
+	longerThanServersWait = 1500 * time.Millisecond
+)
+
 // ledgerStand answers a gateway as its script says; a nil reply is no answer.
 type ledgerStand struct {
 	server   *protocol.Server
@@ -117,7 +127,7 @@
 		}
 	}
 	stand.gateway.follow(fleet, &routing.Table{
-		Generation: 1, Backends: []routing.Backend{{Name: "b", EventTokens: 10}},
+		Generation: 1, Limits: routing.Limits{MaxBodyBytes: standBodyLimit}, Backends: []routing.Backend{{Name: "b", EventTokens: 10}},
 		Routes: []routing.Route{
 			route("/safe/", routing.KindSafe, false), route("/unsafe/", routing.KindUnsafe, false),
 			route("/stream/", routing.KindStream, false), resumable(route("/resumable/", routing.KindStream, false)), route("/kept/", routing.KindStream, true),
@@ -355,6 +365,23 @@
 		So(header.Get("X-End"), ShouldEqual, "2")
 		So(len(header.Get("Ochrebay-Deadline-Ms")), ShouldBeLessThanOrEqualTo, 4)
 	})
+	Convey("a caller whose body is too large gets the answer, also when it sends slowly", t, func() {
+		stand := newGatewayStand(t, events(1, "", false))
+		caller, err := net.Dial("tcp", stand.server.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer caller.Close()
+		_, err = fmt.Fprintf(caller, "POST /safe/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", tooLargeBytes)
+		So(err, ShouldBeNil)
+		_, err = caller.Write(make([]byte, tooLargeBytes/2))
+		So(err, ShouldBeNil)
+		time.Sleep(longerThanServersWait)
+		_, err = caller.Write(make([]byte, tooLargeBytes/2))
+		So(err, ShouldBeNil)
+		answer := make([]byte, 12)
+		_, err = io.ReadFull(caller, answer)
+		So(err, ShouldBeNil)
+		So(string(answer), ShouldEqual, "HTTP/1.1 413")
+	})
 	Convey("a caller's half-sent request runs nowhere", t, func() {
 		stand := newGatewayStand(t, func(http.ResponseWriter, *http.Request) {})
 		raw, err := net.Dial("tcp", stand.server.Listener.Addr().String())
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -99,6 +99,7 @@
 		limit = defaultBodyBytes
 	}
 	if c.request.ContentLength > limit {
+		discard(c.request.Body)
 		return result.New(result.BodyTooLarge, "body of %d bytes, limit %d", c.request.ContentLength, limit)
 	}
 	c.hasBody = c.request.ContentLength != 0
@@ -108,6 +109,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(writer, c.request.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
+		discard(c.request.Body)
 		return result.New(result.BodyTooLarge, "body over the limit of %d bytes", limit)
 	}
 	if err != nil {
@@ -117,6 +119,16 @@
 	return nil
 }
 
+// discardedBytes bounds what is read of a body that is refused.
+const discardedBytes = 256 << 10
+
+// discard reads on in a body that is refused: a connection that is closed with bytes
+// unread is reset, which may take the answer away from a caller that is still sending.
+func discard(body io.Reader) {
+	// Whatever ends it early, the answer is sent all the same.
+	_, _ = io.CopyN(io.Discard, body, discardedBytes)
+}
+
 func (c *call) readHeaders(names Headers) *result.Error {
 	header := c.request.Header
 	limit := time.Duration(c.route.TimeoutMs) * time.Millisecond
