--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -68,9 +68,7 @@
 	links   *daemon.Links
 	caller  *daemon.Caller
 
-	// The control loop alone uses these.
-	nextRequest RequestID
-	replies     map[RequestID]func(reply any)
+	replies daemon.Replies[RequestID, any]
 }
 
 // NewDaemon opens the data folder; it returns storage.ErrInUse where another
@@ -80,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	control := &Daemon{process: process, logger: logger, store: store, replies: map[RequestID]func(reply any){}}
+	control := &Daemon{process: process, logger: logger, store: store}
 	control.status.Store(&status{})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
@@ -226,9 +224,7 @@
 // request hands a request to the core; reply is called from the loop.
 func (d *Daemon) request(request any, reply func(reply any)) {
 	d.loop.Post(func() {
-		d.nextRequest++
-		d.replies[d.nextRequest] = reply
-		d.core.Request(d.nextRequest, request, telemetry.NowMs())
+		d.core.Request(d.replies.Expect(reply), request, telemetry.NowMs())
 	})
 }
 
@@ -269,14 +265,7 @@
 
 // Reply is the core's outlet to whoever asked. The reply is encoded before it
 // returns, since it may share memory with the core's state.
-func (d *Daemon) Reply(request RequestID, reply any) {
-	answer, ok := d.replies[request]
-	if !ok {
-		return
-	}
-	delete(d.replies, request)
-	answer(reply)
-}
+func (d *Daemon) Reply(request RequestID, reply any) { d.replies.Take(request, reply) }
 
 // handle takes a frame from another process.
 func (d *Daemon) handle(connection *protocol.Connection, frame protocol.Frame) {
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -52,9 +52,8 @@
 	expired atomic.Int64
 
 	// The loop alone uses these.
-	nextRequest RequestID
-	replies     map[RequestID]func(reply *protocol.TurnReply)
-	led         map[uint32]uint64
+	replies daemon.Replies[RequestID, *protocol.TurnReply]
+	led     map[uint32]uint64
 }
 
 // NewDaemon opens the data folder; it returns storage.ErrInUse where another
@@ -65,7 +64,7 @@
 		return nil, err
 	}
 	d := &Daemon{
-		process: process, logger: logger, store: store, replies: map[RequestID]func(*protocol.TurnReply){}, led: map[uint32]uint64{},
+		process: process, logger: logger, store: store, led: map[uint32]uint64{},
 	}
 	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
 	d.core = NewCore(options, store, d, telemetry.NowMs())
@@ -177,14 +176,7 @@
 
 // Reply is the core's outlet to whoever asked. The reply is encoded before it
 // returns, since it may share memory with the core's state.
-func (d *Daemon) Reply(request RequestID, reply *protocol.TurnReply) {
-	answer, ok := d.replies[request]
-	if !ok {
-		return
-	}
-	delete(d.replies, request)
-	answer(reply)
-}
+func (d *Daemon) Reply(request RequestID, reply *protocol.TurnReply) { d.replies.Take(request, reply) }
 
 // handle takes a frame from another process.
 func (d *Daemon) handle(connection *protocol.Connection, frame protocol.Frame) {
@@ -233,13 +225,12 @@
 }
 
 func (d *Daemon) request(connection *protocol.Connection, call uint64, request *protocol.TurnRequest) {
-	d.nextRequest++
 	began := time.Now()
-	d.replies[d.nextRequest] = func(reply *protocol.TurnReply) {
+	id := d.replies.Expect(func(reply *protocol.TurnReply) {
 		_ = connection.Reply(call, protocol.KindResponse, reply, true)
 		d.logTurn(request, reply, time.Since(began))
-	}
-	d.core.Request(d.nextRequest, request, telemetry.NowMs())
+	})
+	d.core.Request(id, request, telemetry.NowMs())
 }
 
 // logTurn writes the one line that says what became of a gateway's request.
