The cores' clock has a package of its own

Cause, on reading one heartbeat through: NowMs decides whose silence counts, and stood in telemetry, which is logs and metrics. Change: internal/clock, same function and test; no behaviour changed.

--- a/internal/telemetry/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -1,4 +1,4 @@
-package telemetry
+package clock
 
 import (
 	"testing"
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -82,7 +83,7 @@
 	control.status.Store(&status{})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
-	control.core, err = NewCore(coreOptions(process), store, control, telemetry.NowMs())
+	control.core, err = NewCore(coreOptions(process), store, control, clock.NowMs())
 	if err != nil {
 		_ = store.Close()
 		return nil, err
@@ -209,7 +210,7 @@
 func (d *Daemon) newLoop() *daemon.Loop {
 	loop := daemon.NewLoop(time.Duration(d.core.options.TickMs) * time.Millisecond)
 	wasFormed := d.core.Formed()
-	loop.Tick = func() { d.core.Tick(telemetry.NowMs()) }
+	loop.Tick = func() { d.core.Tick(clock.NowMs()) }
 	loop.Flush = d.core.Flush
 	loop.Publish = func() {
 		if formed := d.core.Formed(); formed != wasFormed {
@@ -224,7 +225,7 @@
 // request hands a request to the core; reply is called from the loop.
 func (d *Daemon) request(request any, reply func(reply any)) {
 	d.loop.Post(func() {
-		d.core.Request(d.replies.Expect(reply), request, telemetry.NowMs())
+		d.core.Request(d.replies.Expect(reply), request, clock.NowMs())
 	})
 }
 
@@ -273,13 +274,13 @@
 	case protocol.KindPeer:
 		var batch protocol.PeerBatch
 		if protocol.Decode(frame.Body, &batch) == nil {
-			d.loop.PostMessage(len(frame.Body), func() { d.core.Peer(batch, telemetry.NowMs()) })
+			d.loop.PostMessage(len(frame.Body), func() { d.core.Peer(batch, clock.NowMs()) })
 			return
 		}
 	case protocol.KindHello:
 		var hello protocol.Hello
 		if protocol.Decode(frame.Body, &hello) == nil {
-			d.loop.Post(func() { d.core.Hello(hello, telemetry.NowMs()) })
+			d.loop.Post(func() { d.core.Hello(hello, clock.NowMs()) })
 			return
 		}
 	default:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,11 +10,11 @@
 	"syscall"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
-	"github.com/ochrebay/ochrebay/internal/telemetry"
 	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
@@ -94,7 +94,7 @@
 		c.chosen = chosen
 		c.sent = time.Since(c.started)
 		outcome := d.attempt(ctx, c, engine, deliver)
-		d.engines.ended(c, telemetry.NowMs(), outcome)
+		d.engines.ended(c, clock.NowMs(), outcome)
 		d.logAttempt(c, engine, outcome)
 		avoid = append(avoid, engine.ID)
 		switch outcome.kind {
@@ -158,7 +158,7 @@
 
 // demand describes the call to the choice of engines.
 func (d *Daemon) demand(c *call, avoid []string) scheduling.Demand {
-	demand := scheduling.Demand{Avoid: avoid, NowMs: telemetry.NowMs(), Kind: c.route.Name}
+	demand := scheduling.Demand{Avoid: avoid, NowMs: clock.NowMs(), Kind: c.route.Name}
 	switch {
 	case c.route.Kind == routing.KindStream:
 		demand.Stream = true
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -68,7 +69,7 @@
 	view     atomic.Pointer[view]
 	draining atomic.Bool
 	inFlight atomic.Int64
-	// lastRequest is when a request last came, telemetry.NowMs.
+	// lastRequest is when a request last came, clock.NowMs.
 	lastRequest atomic.Int64
 }
 
@@ -87,7 +88,7 @@
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
-	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, telemetry.NowMs()) }
+	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, clock.NowMs()) }
 	return d
 }
 
@@ -114,7 +115,7 @@
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
 	}
-	request.Loads = d.engines.takeLoads(telemetry.NowMs())
+	request.Loads = d.engines.takeLoads(clock.NowMs())
 }
 
 // follow puts news of control in force.
@@ -206,7 +207,7 @@
 	last := began.Add(d.process.Limits.Grace())
 	for time.Now().Before(last) && ctx.Err() == nil {
 		time.Sleep(drainPoll)
-		quiet := telemetry.NowMs()-d.lastRequest.Load() > quietBeforeStop.Milliseconds()
+		quiet := clock.NowMs()-d.lastRequest.Load() > quietBeforeStop.Milliseconds()
 		if time.Since(began) > leastDrain && quiet && d.inFlight.Load() == 0 {
 			break
 		}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
-	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // engines is what the gateway knows of the engines: their registrations, which
@@ -140,14 +140,14 @@
 func (e *engines) firstEvent(c *call, took float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), telemetry.NowMs(), c.chosen.missing, took)
+	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), clock.NowMs(), c.chosen.missing, took)
 }
 
 // nextEvent notes the pause of a stream before an event.
 func (e *engines) nextEvent(c *call, gap float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), telemetry.NowMs(), gap)
+	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), clock.NowMs(), gap)
 }
 
 // ended takes a call off its engine and notes how it went.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -15,12 +15,12 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
-	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // patience bounds every wait of these tests; it is no measure of anything.
@@ -419,7 +419,7 @@
 		fleet.Engines["gone"] = membership.ServingEngine{ID: "gone", Backend: "b", Zone: "near", Slots: 4, Address: listener.Addr().String()}
 		stand.gateway.engines.follow(&fleet)
 		// The other engine is suspect, so that the one that will be gone comes first.
-		stand.gateway.engines.healthOf("e").Failed(telemetry.NowMs())
+		stand.gateway.engines.healthOf("e").Failed(clock.NowMs())
 		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "3000")
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 502)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,16 +7,16 @@
 	"strconv"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/result"
-	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 // serve carries one caller's request through.
 func (d *Daemon) serve(writer http.ResponseWriter, request *http.Request) {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	d.lastRequest.Store(telemetry.NowMs())
+	d.lastRequest.Store(clock.NowMs())
 	began := time.Now()
 	c, failure := d.intake(writer, request)
 	out := &answer{daemon: d, writer: writer}
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -67,14 +68,14 @@
 		process: process, logger: logger, store: store, led: map[uint32]uint64{},
 	}
 	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
-	d.core = NewCore(options, store, d, telemetry.NowMs())
-	if err := d.core.Restore(telemetry.NowMs()); err != nil {
+	d.core = NewCore(options, store, d, clock.NowMs())
+	if err := d.core.Restore(clock.NowMs()); err != nil {
 		_ = store.Close()
 		return nil, errorx.Decorate(err, "restoring the placement")
 	}
 	d.links = daemon.NewLinks(func(member string) string { return member }, func(string) time.Duration { return 0 })
 	d.loop = daemon.NewLoop(time.Duration(options.TickMs) * time.Millisecond)
-	d.loop.Tick = func() { d.core.Tick(telemetry.NowMs()) }
+	d.loop.Tick = func() { d.core.Tick(clock.NowMs()) }
 	d.loop.Flush = d.core.Flush
 	d.loop.Publish = d.publish
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
@@ -108,7 +109,7 @@
 		return
 	}
 	d.loop.Post(func() {
-		if err := d.core.Follow(view, telemetry.NowMs()); err != nil {
+		if err := d.core.Follow(view, clock.NowMs()); err != nil {
 			telemetry.Warn(d.logger, "placement not followed", "version", view.Version, "err", err)
 		}
 	})
@@ -184,7 +185,7 @@
 	case protocol.KindPeer:
 		var batch protocol.PeerBatch
 		if protocol.Decode(frame.Body, &batch) == nil {
-			d.loop.PostMessage(len(frame.Body), func() { d.core.Peer(batch, telemetry.NowMs()) })
+			d.loop.PostMessage(len(frame.Body), func() { d.core.Peer(batch, clock.NowMs()) })
 			return
 		}
 	case protocol.KindTurn:
@@ -230,7 +231,7 @@
 		_ = connection.Reply(call, protocol.KindResponse, reply, true)
 		d.logTurn(request, reply, time.Since(began))
 	})
-	d.core.Request(id, request, telemetry.NowMs())
+	d.core.Request(id, request, clock.NowMs())
 }
 
 // logTurn writes the one line that says what became of a gateway's request.
--- a/internal/scheduler/daemon.go
+++ b/internal/scheduler/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/engine"
@@ -118,7 +119,7 @@
 		members = append(members, member.Name)
 	}
 	options := DefaultOptions(d.process.Name, d.process.Zone, server.Address(), uint64(time.Now().UnixNano()), members)
-	d.core = NewCore(options, d, telemetry.NowMs())
+	d.core = NewCore(options, d, clock.NowMs())
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "http", listener.Addr().String())
 
 	tasks := daemon.NewGroup()
@@ -158,9 +159,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			d.core.Tick(telemetry.NowMs())
+			d.core.Tick(clock.NowMs())
 		case next := <-d.events:
-			next(d.core, telemetry.NowMs())
+			next(d.core, clock.NowMs())
 			d.takeWaiting()
 		}
 		d.publish()
@@ -175,7 +176,7 @@
 	for range eventsPerRound {
 		select {
 		case next := <-d.events:
-			next(d.core, telemetry.NowMs())
+			next(d.core, clock.NowMs())
 		default:
 			return
 		}
--- a/internal/sidecar/daemon.go
+++ b/internal/sidecar/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -69,7 +70,7 @@
 	for _, peer := range process.Schedulers {
 		seeds = append(seeds, membership.Scheduler{Name: peer.Name, Zone: peer.Zone, Address: peer.Address})
 	}
-	daemon.core = NewCore(DefaultOptions(process.Name, process.Zone, seeds), daemon, telemetry.NowMs())
+	daemon.core = NewCore(DefaultOptions(process.Name, process.Zone, seeds), daemon, clock.NowMs())
 	daemon.stats.Store(&Stats{})
 	daemon.view.Store(&view{})
 	daemon.monitor = telemetry.NewMonitor(func() bool { return daemon.view.Load().ready })
@@ -128,9 +129,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			d.core.Tick(telemetry.NowMs())
+			d.core.Tick(clock.NowMs())
 		case next := <-d.events:
-			next(d.core, telemetry.NowMs())
+			next(d.core, clock.NowMs())
 		}
 		stats := d.core.Stats()
 		d.stats.Store(&stats)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"runtime"
 	"strings"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -138,20 +137,6 @@
 	return fmt.Sprintf("heap=%dMB", stats.HeapAlloc>>20)
 }
 
-// processStart carries both clocks' readings of the process's start.
-var processStart = time.Now()
-
-// NowMs is the time in milliseconds since 1970 as it was at the process's start, advanced
-// by the steady clock. Invariant: it never steps, so that a machine whose time of day
-// jumps takes nobody's silence or deadline for over and holds back no timer.
-func NowMs() int64 { return millisecondsAt(processStart, time.Now()) }
-
-// millisecondsAt returns the start's time of day and what the steady clock has counted
-// since, milliseconds.
-func millisecondsAt(start, now time.Time) int64 {
-	return start.UnixMilli() + now.Sub(start).Milliseconds()
-}
-
 // OneLine joins a multi-line error for a log or terminal.
 func OneLine(err error) string {
 	return strings.ReplaceAll(err.Error(), "\n", "; ")
