--- a/internal/protocol/queue.go
+++ b/internal/protocol/queue.go
@@ -73,10 +73,3 @@
 	defer q.mutex.Unlock()
 	q.bytes -= size
 }
-
-// waiting is the size of the bodies that wait or are being written.
-func (q *sendQueue) waiting() int {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return q.bytes
-}
--- a/internal/protocol/transport_test.go
+++ b/internal/protocol/transport_test.go
@@ -9,6 +9,13 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// waiting is the size of the bodies that wait or are being written.
+func (q *sendQueue) waiting() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.bytes
+}
+
 // connected returns a connection and the socket of its peer.
 func connected() (*Connection, net.Conn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,10 +3,8 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 
 	"github.com/go-kit/log"
@@ -130,13 +128,6 @@
 	return true
 }
 
-// MemoryLine sums up the process's memory for a log line.
-func MemoryLine() string {
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return fmt.Sprintf("heap=%dMB", stats.HeapAlloc>>20)
-}
-
 // OneLine joins a multi-line error for a log or terminal.
 func OneLine(err error) string {
 	return strings.ReplaceAll(err.Error(), "\n", "; ")
