Followers are not told what is always so

OnNews was called only with confirmed news, and said so in a parameter that both callers ignored. The invariant stands at the field now. No behaviour changed.

--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -38,9 +38,9 @@
 	Report func(request *protocol.FleetSync)
 	// WithRouting asks for the routing table too.
 	WithRouting bool
-	// OnNews takes a new view or table; confirmed says that a quorum has confirmed
-	// the news since the process started.
-	OnNews func(view *membership.FleetView, table *routing.Table, confirmed bool)
+	// OnNews takes a new view or table. Invariant: nothing is handed on before a quorum has
+	// confirmed news since the process started.
+	OnNews func(view *membership.FleetView, table *routing.Table)
 	// OnLoads takes what all gateways together have seen of engines; nil where nobody
 	// asks.
 	OnLoads func(loads []scheduling.Load)
@@ -226,6 +226,6 @@
 	view, table, confirmed := f.view, f.table, f.confirmed
 	f.mutex.Unlock()
 	if changed && confirmed {
-		f.OnNews(view, table, confirmed)
+		f.OnNews(view, table)
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -119,7 +119,7 @@
 }
 
 // follow puts news of control in force.
-func (d *Daemon) follow(fleet *membership.FleetView, table *routing.Table, _ bool) {
+func (d *Daemon) follow(fleet *membership.FleetView, table *routing.Table) {
 	if fleet == nil {
 		return
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -132,7 +132,7 @@
 			route("/safe/", routing.KindSafe, false), route("/unsafe/", routing.KindUnsafe, false),
 			route("/stream/", routing.KindStream, false), resumable(route("/resumable/", routing.KindStream, false)), route("/kept/", routing.KindStream, true),
 		},
-	}, true)
+	})
 	stand.server = httptest.NewServer(http.HandlerFunc(stand.gateway.serve))
 	t.Cleanup(stand.server.Close)
 	return stand
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -67,7 +67,7 @@
 	var view *membership.FleetView
 	view, _ = view.Follow(news)
 	for _, host := range daemons {
-		host.follow(view, nil, true)
+		host.follow(view, nil)
 	}
 	return members
 }
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -104,7 +104,7 @@
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
 // follow hands a new view of the fleet to the core.
-func (d *Daemon) follow(view *membership.FleetView, _ *routing.Table, _ bool) {
+func (d *Daemon) follow(view *membership.FleetView, _ *routing.Table) {
 	if view == nil {
 		return
 	}
