--- a/internal/control/news.go
+++ b/internal/control/news.go
@@ -15,47 +15,50 @@
 // newsCache holds what heartbeats were answered with, by what their senders had: after a
 // change, or when all processes come back at once, hundreds ask for the same.
 type newsCache struct {
-	fleetVersion uint64
-	fleet        map[uint64]*protocol.Shared[membership.FleetNews]
-	generation   uint64
-	routing      map[uint64]*protocol.Shared[routing.Delta]
-	loadsMs      int64
-	loads        *protocol.Shared[[]scheduling.Load]
+	fleet   differences[membership.FleetNews]
+	routing differences[routing.Delta]
+	loadsMs int64
+	loads   *protocol.Shared[[]scheduling.Load]
 }
 
-// loadsOf returns what all gateways together have seen of engines lately.
-func (n *newsCache) loadsOf(board *scheduling.Board, nowMs int64) *protocol.Shared[[]scheduling.Load] {
-	if n.loads == nil || nowMs-n.loadsMs >= loadsEveryMs || nowMs < n.loadsMs {
-		n.loadsMs = nowMs
-		n.loads = protocol.NewShared(board.Loads(nowMs))
+// differences are what leads from older versions to the one in force.
+type differences[T any] struct {
+	version uint64
+	since   map[uint64]*protocol.Shared[T]
+}
+
+// to returns what leads from one version to another, and builds it where nobody has asked
+// for it yet. Invariant: nothing is kept of a version that is not in force any more.
+func (d *differences[T]) to(version, from uint64, build func() T) *protocol.Shared[T] {
+	if d.since == nil || d.version != version {
+		d.version = version
+		d.since = map[uint64]*protocol.Shared[T]{}
 	}
-	return n.loads
+	if d.since[from] == nil {
+		d.since[from] = protocol.NewShared(build())
+	}
+	return d.since[from]
 }
 
 // fleetSince returns what leads from a version to the fleet.
 func (n *newsCache) fleetSince(fleet *membership.Fleet, version uint64) *protocol.Shared[membership.FleetNews] {
-	if n.fleet == nil || n.fleetVersion != fleet.Version() {
-		n.fleetVersion = fleet.Version()
-		n.fleet = map[uint64]*protocol.Shared[membership.FleetNews]{}
-	}
-	if n.fleet[version] == nil {
-		n.fleet[version] = protocol.NewShared(fleet.Since(version))
-	}
-	return n.fleet[version]
+	return n.fleet.to(fleet.Version(), version, func() membership.FleetNews { return fleet.Since(version) })
 }
 
 // routingSince returns what leads from a table, nil for none, to the one in force.
 func (n *newsCache) routingSince(from, to *routing.Table) *protocol.Shared[routing.Delta] {
-	if n.routing == nil || n.generation != to.Generation {
-		n.generation = to.Generation
-		n.routing = map[uint64]*protocol.Shared[routing.Delta]{}
-	}
 	generation := uint64(0)
 	if from != nil {
 		generation = from.Generation
 	}
-	if n.routing[generation] == nil {
-		n.routing[generation] = protocol.NewShared(*routing.NewDelta(from, to))
+	return n.routing.to(to.Generation, generation, func() routing.Delta { return *routing.NewDelta(from, to) })
+}
+
+// loadsOf returns what all gateways together have seen of engines lately.
+func (n *newsCache) loadsOf(board *scheduling.Board, nowMs int64) *protocol.Shared[[]scheduling.Load] {
+	if n.loads == nil || nowMs-n.loadsMs >= loadsEveryMs || nowMs < n.loadsMs {
+		n.loadsMs = nowMs
+		n.loads = protocol.NewShared(board.Loads(nowMs))
 	}
-	return n.routing[generation]
+	return n.loads
 }
