--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -68,23 +68,20 @@
 	return gone
 }
 
-func (e *engines) healthOf(id string) *scheduling.EngineHealth {
-	health, known := e.health[id]
-	if !known {
-		health = &scheduling.EngineHealth{}
-		e.health[id] = health
-	}
-	return health
-}
+// healthOf returns what this gateway has seen of an engine.
+func (e *engines) healthOf(id string) *scheduling.EngineHealth { return entryOf(e.health, id) }
 
 // poolOf returns what is known of a back end's engines.
-func (e *engines) poolOf(backend string) *scheduling.Pool {
-	pool, known := e.learnt[backend]
+func (e *engines) poolOf(backend string) *scheduling.Pool { return entryOf(e.learnt, backend) }
+
+// entryOf returns the entry of a key, a new one where there is none.
+func entryOf[T any](entries map[string]*T, key string) *T {
+	entry, known := entries[key]
 	if !known {
-		pool = &scheduling.Pool{}
-		e.learnt[backend] = pool
+		entry = new(T)
+		entries[key] = entry
 	}
-	return pool
+	return entry
 }
 
 // choice is an engine and what decided for it, for the log.
