--- a/cmd/ochrebay/trace.go
+++ b/cmd/ochrebay/trace.go
@@ -46,7 +46,8 @@
 func readLines(files []string, key, value string) ([]logLine, error) {
 	var lines []logLine
 	err := eachLine(files, func(line logLine) {
-		if line.keys[key] == value {
+		// The ledger names turns and programs TENANT/ID where there are tenants.
+		if found := line.keys[key]; found == value || strings.HasSuffix(found, "/"+value) {
 			lines = append(lines, line)
 		}
 	})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -90,11 +90,34 @@
 	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
 	// GraceSeconds is how long a stopping process may take before it is killed.
 	GraceSeconds float64 `yaml:"grace_s" validate:"min=0,max=3600"`
+	// RevokeWithinMs is how long after the acknowledgement of a table that withdraws a key
+	// a request with that key may still run, milliseconds, on machines that are cut off
+	// too; 0 for no bound there.
+	RevokeWithinMs float64 `yaml:"revoke_within_ms" validate:"min=0,max=3600000"`
+	// QuotaWindowSeconds is the span over which tenants' limits are counted: in any such
+	// span a tenant gets at most rate x span + burst.
+	QuotaWindowSeconds float64 `yaml:"quota_window_s" validate:"min=0,max=3600"`
 }
 
 // graceMargin is what a stopping process leaves of its grace.
 const graceMargin = 1200 * time.Millisecond
 
+// defaultQuotaWindow is the span of a fleet whose settings name none.
+const defaultQuotaWindow = 5 * time.Second
+
+// QuotaWindow returns the span over which tenants' limits are counted.
+func (l Limits) QuotaWindow() time.Duration {
+	if l.QuotaWindowSeconds == 0 {
+		return defaultQuotaWindow
+	}
+	return time.Duration(l.QuotaWindowSeconds * float64(time.Second))
+}
+
+// RevokeWithin returns how long a withdrawn key may be served; false for no bound.
+func (l Limits) RevokeWithin() (time.Duration, bool) {
+	return time.Duration(l.RevokeWithinMs * float64(time.Millisecond)), l.RevokeWithinMs > 0
+}
+
 // Grace returns how long a stopping process may go on serving.
 func (l Limits) Grace() time.Duration {
 	return max(time.Duration(l.GraceSeconds*float64(time.Second))-graceMargin, 0)
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -155,8 +155,12 @@
 	// fleetTracker is the leader's soft state of the fleet, nil elsewhere.
 	fleetTracker *membership.FleetTracker
 	// loads is what gateways have said of engines to this leader, nil elsewhere.
-	loads         *scheduling.Board
-	fleetSyncs    []pendingFleetSync
+	loads      *scheduling.Board
+	fleetSyncs []pendingFleetSync
+	// unproved are heartbeats that wait for the next round of confirmation; proving says
+	// that one is under way.
+	unproved      []pendingFleetSync
+	proving       bool
 	fleetPlanning bool
 	// tables are the routing tables that were in force lately, the newest last.
 	tables []*routing.Table
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -19,6 +19,8 @@
 	// number tells a gateway's heartbeats apart, 0 for ledger hosts.
 	number     uint64
 	deadlineMs int64
+	// proved says that a quorum has confirmed this leader since the heartbeat came.
+	proved bool
 }
 
 // fleetOrder carries out one order of an engine or of the platform's operator.
@@ -152,7 +154,8 @@
 		pending.number = c.fleetTracker.HeardGateway(request.Gateway.Name, c.nowMs)
 	}
 	c.noteSender(group, request)
-	if request.Fresh {
+	switch {
+	case request.Fresh:
 		c.host.Read(group, func(failure *result.Error) {
 			reply := &protocol.FleetSyncReply{Error: failure}
 			if failure == nil {
@@ -161,20 +164,53 @@
 			}
 			c.answerFleetSync(pending, reply)
 		})
-		return
+	case request.Prove:
+		c.unproved = append(c.unproved, pending)
+		c.proveFleetSyncs()
+	default:
+		c.holdFleetSync(pending)
 	}
-	if c.hasFleetNews(request) {
-		c.answerFleetSync(pending, c.fleetReply(request))
+}
+
+// holdFleetSync answers a heartbeat for which there is news and holds any other.
+func (c *Core) holdFleetSync(pending pendingFleetSync) {
+	if pending.request.HoldMs == 0 || c.hasFleetNews(pending.request) {
+		c.answerFleetSync(pending, c.fleetReply(pending.request))
 		return
 	}
 	c.fleetSyncs = append(c.fleetSyncs, pending)
 }
 
+// proveFleetSyncs has a quorum confirm this leader for all heartbeats that have come since
+// the last round began. Invariant: one round at a time is under way, so that the rounds a
+// second are bounded by the way to the quorum and not by the number of gateways.
+func (c *Core) proveFleetSyncs() {
+	if c.proving || len(c.unproved) == 0 {
+		return
+	}
+	batch := c.unproved
+	c.unproved = nil
+	c.proving = true
+	c.host.Read(c.host.Groups[0], func(failure *result.Error) {
+		c.proving = false
+		for _, pending := range batch {
+			if failure != nil {
+				c.answerFleetSync(pending, &protocol.FleetSyncReply{Error: failure})
+				continue
+			}
+			pending.proved = true
+			c.holdFleetSync(pending)
+		}
+		c.proveFleetSyncs()
+	})
+}
+
 // answerFleetSync answers a heartbeat; from then on the next one is expected.
 func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
 	if pending.request.Gateway != nil && c.fleetTracker != nil {
 		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.nowMs)
 	}
+	reply.Confirmed = reply.Confirmed || (pending.proved && reply.Error == nil)
 	c.outlet.Reply(pending.id, reply)
 }
 
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -20,6 +21,9 @@
 const (
 	syncHold    = 700 * time.Millisecond
 	syncTimeout = 1500 * time.Millisecond
+	// proofDue is from when on a proof is asked for without waiting for news: just above the
+	// age that the rhythm of held heartbeats gives, two of them one after the other.
+	proofDue = 2*syncHold + 100*time.Millisecond
 	// loadsEvery is how often loads are asked for at most: well below the 1.5 s in which what
 	// is seen of an engine loses half of its weight. An answer holds an entry for each engine.
 	loadsEvery    = 600 * time.Millisecond
@@ -46,6 +50,10 @@
 	OnLoads func(loads []scheduling.Load)
 	Logger  log.Logger
 
+	// provedAt is when the question left whose answer last proved that the table held is in
+	// force, nil before the first.
+	provedAt atomic.Pointer[time.Time]
+
 	caller    *Caller
 	mutex     sync.Mutex
 	controls  []string
@@ -133,6 +141,7 @@
 	if target == leaderUnknown {
 		return false
 	}
+	asked := time.Now()
 	request := f.request()
 	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
@@ -149,6 +158,7 @@
 		return f.redirected(&reply)
 	}
 	f.take(target, &reply)
+	f.noteProof(asked, &reply)
 	if f.OnLoads != nil && reply.Loads != nil {
 		f.loadsAt = time.Now()
 		f.OnLoads(reply.Loads.Value)
@@ -156,6 +166,36 @@
 	return true
 }
 
+// noteProof remembers that no table newer than the one held had been acknowledged when the
+// question left. Invariant: it runs after the table that came with the answer is in force,
+// and a difference that did not fit proves nothing.
+func (f *Follower) noteProof(asked time.Time, reply *protocol.FleetSyncReply) {
+	if !reply.Confirmed || !f.WithRouting {
+		return
+	}
+	f.mutex.Lock()
+	generation := uint64(0)
+	if f.table != nil {
+		generation = f.table.Generation
+	}
+	f.mutex.Unlock()
+	if reply.Routing != nil && reply.Routing.Value.Generation > generation {
+		return
+	}
+	f.provedAt.Store(&asked)
+}
+
+// ProofAge returns how long ago the table held was surely the newest that was acknowledged;
+// false where that was never so. It goes by the steady clock from before the question, so
+// that neither the way nor a pause of this process makes a proof look younger.
+func (f *Follower) ProofAge() (time.Duration, bool) {
+	proved := f.provedAt.Load()
+	if proved == nil {
+		return 0, false
+	}
+	return time.Since(*proved), true
+}
+
 func (f *Follower) endOnPoke(ctx context.Context, cancel context.CancelFunc) {
 	select {
 	case <-f.poke:
@@ -173,6 +213,10 @@
 	}
 	if f.table != nil {
 		request.Generation = f.table.Generation
+		request.Prove = f.table.Keyed
+	}
+	if age, known := f.ProofAge(); request.Prove && (!known || age > proofDue) {
+		request.HoldMs = 0
 	}
 	f.mutex.Unlock()
 	f.Report(request)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,6 +88,9 @@
 			avoid = nil
 			continue
 		}
+		if failure := d.maySend(ctx, c, mayHaveRun); failure != nil {
+			return failure
+		}
 		engine := chosen.engine
 		c.attempts++
 		c.engine = engine.ID
@@ -242,7 +245,7 @@
 	if c.programLate {
 		return lowestPriority
 	}
-	return min(c.route.Priority, lowestPriority-1)
+	return min(c.tenant.Rank(c.route), lowestPriority-1)
 }
 
 // upstreamRequest is the call as the engine is to get it.
@@ -251,6 +254,12 @@
 	for _, name := range d.headers.Reserved {
 		header.Del(name)
 	}
+	header.Del(d.headers.Priority)
+	header.Del(d.headers.APIKey)
+	header.Del(d.headers.Tenant)
+	if c.tenant != nil {
+		header.Set(d.headers.Tenant, c.tenant.Name)
+	}
 	header.Set(d.headers.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
 	header.Set(d.headers.ExpectEngine, engine.ID)
 	if c.lastEvent > 0 {
--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -17,6 +17,7 @@
 	if c != nil {
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
 			"program", c.program, "attempts", c.attempts)
+		keyValues = append(keyValues, d.tenantFields(c)...)
 		keyValues = append(keyValues, c.choiceFields()...)
 		keyValues = append(keyValues, c.ledgerFields()...)
 	}
@@ -31,6 +32,20 @@
 	telemetry.Warn(d.logger, "failed", keyValues...)
 }
 
+// tenantFields say who asked and how sure the gateway was of its keys, nothing where the
+// table has no tenants.
+func (d *Daemon) tenantFields(c *call) []any {
+	age, known := d.proofAge()
+	if c.tenant == nil || !known {
+		return nil
+	}
+	fields := []any{"tenant", c.tenant.Name, "proof_age_ms", age.Milliseconds()}
+	if c.granted > 0 {
+		fields = append(fields, "granted_ms", milliseconds(c.granted))
+	}
+	return fields
+}
+
 // choiceFields say what decided for the engine that was sent the call last, nothing where
 // none was chosen.
 func (c *call) choiceFields() []any {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -66,7 +66,10 @@
 	engines  *engines
 	ledgers  *ledgers
 	chains   *chainCache
+	denials  *denials
 	view     atomic.Pointer[view]
+	// proofAge says how old the proof is that the routing table is in force.
+	proofAge func() (time.Duration, bool)
 	draining atomic.Bool
 	inFlight atomic.Int64
 	// lastRequest is when a request last came, clock.NowMs.
@@ -79,7 +82,7 @@
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
 		engines: newEngines(process.Name, process.Zone, process.Policy.Disable),
-		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)),
+		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
@@ -88,6 +91,7 @@
 	d.follower.WithRouting = true
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
+	d.proofAge = d.follower.ProofAge
 	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, clock.NowMs()) }
 	return d
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -228,7 +228,7 @@
 func (a *answer) keepTurn(c *call) bool {
 	content := append(append(make([]byte, 0, len(c.body)+len(a.output)), c.body...), a.output...)
 	settle := &program.Settle{
-		Program: c.program, Request: c.id, Used: a.used(c), Keep: true, Previous: c.previous,
+		Program: c.program, Request: c.turn, Used: a.used(c), Keep: true, Previous: c.previous,
 		Session: c.session, Engine: c.engine, Content: content, RetentionMs: c.route.RetentionMs,
 	}
 	if c.foreign {
@@ -243,7 +243,7 @@
 		return false
 	}
 	c.reserved = false
-	a.daemon.chains.put(c.id, c.program, c.session, append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...))
+	a.daemon.chains.put(c.turn, c.program, c.session, append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...))
 	return true
 }
 
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -25,9 +25,12 @@
 	Previous    string
 	LastEventID string
 	Affinity    string
+	// APIKey holds the key of the caller's tenant; engines never see it.
+	APIKey string
 	// To the engine, set by the gateway alone.
 	ExpectEngine string
 	Priority     string
+	Tenant       string
 	// From the engine.
 	NotExecuted string
 	Signature   string
@@ -42,7 +45,7 @@
 		Session: "Ochrebay-Thread", FinishMs: "Ochrebay-Finish-Ms", Prefix: "Ochrebay-Prefix",
 		Budget: "Ochrebay-Token-Budget", Usage: "Ochrebay-Tokens", Previous: "Ochrebay-Previous-Turn",
 		LastEventID: "Last-Event-Id", Affinity: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
-		Priority: "Ochrebay-Priority", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
+		Priority: "Ochrebay-Priority", APIKey: "Ochrebay-Key", Tenant: "Ochrebay-Tenant", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
 	}
 }
 
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -21,13 +22,17 @@
 	hasBody bool
 	route   *routing.Route
 	backend routing.Backend
+	// tenant holds the caller's key, nil where the route needs none.
+	tenant *routing.Tenant
 	// generation is the routing table by which the call was routed.
 	generation uint64
 	started    time.Time
 	// deadline is when the caller or the route gives the call up.
 	deadline time.Time
 
-	// program, budget, most and previous describe a turn.
+	// turn, program, budget, most and previous describe a turn. The ledger's names of turns
+	// and programs are those of their tenant.
+	turn    string
 	program string
 	session string
 	// programLate says that the program has missed its time already.
@@ -54,6 +59,10 @@
 	// engine is the one that was sent the call last.
 	engine string
 	chosen choice
+	// grants are what the owner of the tenant's limit has granted, one a run, and granted is
+	// how long it took the last time.
+	grants  []*quota.Grant
+	granted time.Duration
 	// opened and sent are how long after its start the call was opened by the ledger
 	// and sent to its last engine, and kept how long the ledger took to keep it.
 	opened time.Duration
@@ -85,6 +94,10 @@
 		return nil, result.New(result.NoRoute, "no route for host %s and this path", request.Host)
 	}
 	c := &call{id: id, request: request, route: route, generation: view.routes.Table.Generation, started: started}
+	if failure := d.identify(c, view.routes); failure != nil {
+		discard(request.Body)
+		return c, failure
+	}
 	c.backend = view.routes.Backend(route.Choose(d.draw()))
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
@@ -140,12 +153,13 @@
 		limit = min(limit, time.Duration(left)*time.Millisecond)
 	}
 	c.deadline = c.started.Add(limit)
-	c.program = header.Get(names.Program)
+	c.turn = c.ofTenant(c.id)
+	c.program = c.ofTenant(header.Get(names.Program))
 	c.session = header.Get(names.Session)
 	if finish, err := strconv.ParseInt(header.Get(names.FinishMs), 10, 64); err == nil {
 		c.programLate = finish <= 0
 	}
-	c.previous = header.Get(names.Previous)
+	c.previous = c.ofTenant(header.Get(names.Previous))
 	c.affinity = header.Get(names.Affinity)
 	var failure *result.Error
 	c.budget = number(header, names.Budget, &failure)
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -11,6 +11,7 @@
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
@@ -117,7 +118,7 @@
 	return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "%s", last.Message)}
 }
 
-// groupOf returns the group that keeps a program's turns.
+// groupOf returns the group that keeps a program's turns, or counts a tenant's requests.
 func (l *ledgers) groupOf(id string) (uint32, bool) {
 	groups := l.groups()
 	if groups == 0 {
@@ -212,3 +213,12 @@
 	}
 	return missing
 }
+
+// askQuota asks the owner of a tenant's limit for one request, or gives one back.
+func (l *ledgers) askQuota(ctx context.Context, ask *quota.Ask) *protocol.TurnReply {
+	group, placed := l.groupOf(ask.Tenant)
+	if !placed {
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
+	}
+	return l.ask(ctx, &protocol.TurnRequest{Group: group, Quota: ask})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,21 +44,24 @@
 			d.settleLater(c, out)
 		}
 	}()
+	failure := d.open(ctx, c)
 	if c.isTurn() {
-		failure := d.openTurn(ctx, c)
 		c.opened = time.Since(c.started)
-		if failure != nil {
-			return failure
-		}
 	}
-	return d.serveAttempts(ctx, c, out.deliver)
+	if failure == nil {
+		failure = d.serveAttempts(ctx, c, out.deliver)
+	}
+	if failure != nil && failure.Outcome == result.NotRun {
+		d.returnQuota(c)
+	}
+	return failure
 }
 
 // openTurn has the ledger reserve the turn and fetches the chain it goes on from.
 func (d *Daemon) openTurn(ctx context.Context, c *call) *result.Error {
 	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(reserveTimeout)))
 	defer cancel()
-	reserve := &program.Reserve{Program: c.program, Request: c.id, Budget: c.budget, Most: c.most, Session: c.session}
+	reserve := &program.Reserve{Program: c.program, Request: c.turn, Budget: c.budget, Most: c.most, Session: c.session}
 	var known cachedChain
 	if c.route.Retain && c.previous != "" {
 		reserve.Previous = c.previous
@@ -98,7 +101,7 @@
 
 // settleLater charges a turn that is not kept; the caller need not wait for it.
 func (d *Daemon) settleLater(c *call, out *answer) {
-	settle := &program.Settle{Program: c.program, Request: c.id, Used: out.used(c), Session: c.session, Engine: c.engine}
+	settle := &program.Settle{Program: c.program, Request: c.turn, Used: out.used(c), Session: c.session, Engine: c.engine}
 	go func() {
 		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
 			d.logFailure("turn not settled", c, failure)
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -44,6 +44,8 @@
 	TickMs int64
 	// Replication holds the timings of the groups.
 	Replication replication.Options
+	// QuotaWindowMs is the span over which tenants' limits are counted (config.Limits).
+	QuotaWindowMs int64
 	// DisableBudget turns the check of budgets off, for runs that show what it is
 	// for.
 	DisableBudget bool
@@ -118,7 +120,9 @@
 	ledSinceMs    map[storage.GroupID]int64
 	lastBalanceMs int64
 	// settles are the charges that wait for the next entry of their group.
-	settles  map[storage.GroupID][]waitingSettle
+	settles map[storage.GroupID][]waitingSettle
+	// quotas grant the requests of tenants in the groups led here.
+	quotas   map[storage.GroupID]*quotaOwner
 	draining bool
 	// noted is the placement as the disk remembers it.
 	noted []byte
@@ -129,6 +133,7 @@
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{}, ledSinceMs: map[storage.GroupID]int64{},
+		quotas: map[storage.GroupID]*quotaOwner{},
 	}
 	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
 		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
@@ -229,7 +234,7 @@
 	if _, first := placement.Initial.Find(c.storage.Replica()); first {
 		bootstrap = placement.Initial
 	}
-	_, err := c.host.Add(id, newStateMachine(c.options.DisableBudget), bootstrap)
+	_, err := c.host.Add(id, newStateMachine(c.options), bootstrap)
 	return err
 }
 
@@ -259,6 +264,7 @@
 	if nowMs-c.lastSweepMs >= sweepEveryMs {
 		c.lastSweepMs = nowMs
 		c.sweep()
+		c.dropQuotas()
 	}
 	c.host.Expire()
 }
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -68,6 +68,7 @@
 		process: process, logger: logger, store: store, led: map[uint32]uint64{},
 	}
 	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
+	options.QuotaWindowMs = process.Limits.QuotaWindow().Milliseconds()
 	d.core = NewCore(options, store, d, clock.NowMs())
 	if err := d.core.Restore(clock.NowMs()); err != nil {
 		_ = store.Close()
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -37,6 +37,8 @@
 		return
 	}
 	switch {
+	case request.Quota != nil:
+		c.askQuota(id, group, request)
 	case request.Reserve != nil:
 		c.reserve(id, group, request)
 	case request.Settle != nil && !request.Settle.Keep:
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -13,12 +14,14 @@
 // stateMachine is the replicated state of one ledger group.
 type stateMachine struct {
 	turns *program.Turns
+	// quotas are the reservations of the limits of the tenants that belong to the group.
+	quotas *quota.State
 }
 
-func newStateMachine(disableBudget bool) *stateMachine {
+func newStateMachine(options Options) *stateMachine {
 	turns := program.NewTurns()
-	turns.DisableBudget = disableBudget
-	return &stateMachine{turns: turns}
+	turns.DisableBudget = options.DisableBudget
+	return &stateMachine{turns: turns, quotas: quota.NewState(options.QuotaWindowMs)}
 }
 
 // Turns returns the turns for reading.
@@ -30,6 +33,10 @@
 	if err := protocol.Decode(data, &command); err != nil {
 		return program.TurnOutcome{Error: result.New(result.Internal, "undecodable entry: %v", err)}, nil
 	}
+	if command.Quota != nil {
+		m.quotas.Apply(*command.Quota)
+		return program.TurnOutcome{}, nil
+	}
 	outcome, effects := m.turns.Apply(command)
 	var records []storage.Record
 	if effects.Write != "" {
@@ -45,8 +52,36 @@
 	return outcome, records
 }
 
-// Snapshot encodes the turns without their content, which is in the records.
-func (m *stateMachine) Snapshot() ([]byte, error) { return m.turns.Snapshot() }
+// groupSnapshot is the encoded form of a group's state.
+type groupSnapshot struct {
+	Turns  []byte `msgpack:"turns"`
+	Quotas []byte `msgpack:"quotas"`
+}
+
+// Snapshot encodes the turns without their content, which is in the records, and the
+// reservations.
+func (m *stateMachine) Snapshot() ([]byte, error) {
+	turns, err := m.turns.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	quotas, err := m.quotas.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	return protocol.Encode(&groupSnapshot{Turns: turns, Quotas: quotas})
+}
 
-// Restore replaces the turns.
-func (m *stateMachine) Restore(data []byte) error { return m.turns.Restore(data) }
+// Restore replaces the state.
+func (m *stateMachine) Restore(data []byte) error {
+	var encoded groupSnapshot
+	if len(data) > 0 {
+		if err := protocol.Decode(data, &encoded); err != nil {
+			return err
+		}
+	}
+	if err := m.turns.Restore(encoded.Turns); err != nil {
+		return err
+	}
+	return m.quotas.Restore(encoded.Quotas)
+}
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 )
 
@@ -62,6 +63,8 @@
 	Reserve *Reserve `msgpack:"r,omitempty"`
 	Settle  *Settle  `msgpack:"s,omitempty"`
 	Sweep   bool     `msgpack:"w,omitempty"`
+	// Quota reserves a part of a tenant's limit.
+	Quota *quota.Reservation `msgpack:"q,omitempty"`
 }
 
 // TurnEffects are the writes that a command asks of the owner's disk.
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -51,6 +52,10 @@
 	HoldMs    int64 `msgpack:"w"`
 	// Fresh asks that the reply be confirmed by a quorum: a process's first sync.
 	Fresh bool `msgpack:"f,omitempty"`
+	// Prove asks that a quorum confirm, after the request has come, that its receiver leads:
+	// the reply then proves that no table newer than what it leads to was acknowledged
+	// before the request was sent. Unlike Fresh it lets the reply be held.
+	Prove bool `msgpack:"p,omitempty"`
 }
 
 // FleetSyncReply carries the news.
@@ -64,12 +69,12 @@
 	Loads *Shared[[]scheduling.Load] `msgpack:"o,omitempty"`
 	// Controls are the inner addresses of the control processes.
 	Controls []string `msgpack:"c,omitempty"`
-	// Confirmed says that a quorum confirmed the reply.
+	// Confirmed says that a quorum confirmed the reply after the request had come.
 	Confirmed bool `msgpack:"q,omitempty"`
 }
 
 // TurnRequest asks the leader of a ledger group for one thing; exactly one of Reserve,
-// Settle, Find, Contents and Probe is set. Any replica that has them may answer Contents.
+// Settle, Find, Contents, Quota and Probe is set. Any replica that has them may answer Contents.
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
 	Reserve *program.Reserve `msgpack:"r,omitempty"`
@@ -84,6 +89,8 @@
 	Find string `msgpack:"f,omitempty"`
 	// Contents asks for the content of turns, joined in the order given.
 	Contents []string `msgpack:"c,omitempty"`
+	// Quota asks for one request of a tenant.
+	Quota *quota.Ask `msgpack:"q,omitempty"`
 	// Probe asks whether the receiver leads the group.
 	Probe bool `msgpack:"p,omitempty"`
 	// WithinMs is how long the sender waits for this answer; a request that has waited
@@ -104,4 +111,6 @@
 	Older []string `msgpack:"o,omitempty"`
 	// Engine most likely holds what the turn's session has read.
 	Engine string `msgpack:"g,omitempty"`
+	// Grant answers Quota.
+	Grant *quota.Grant `msgpack:"q,omitempty"`
 }
--- /dev/null
+++ b/internal/quota/owner.go
@@ -0,0 +1,233 @@
+package quota
+
+import "slices"
+
+// Verdict is an owner's answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Granted lets the request run.
+	Granted Verdict = iota
+	// Denied says that the tenant has used its limit up.
+	Denied
+	// Short says that more has to be reserved before the owner can decide.
+	Short
+)
+
+// Decision is an owner's answer with what belongs to it.
+type Decision struct {
+	Verdict Verdict
+	// RetryAfterMs is, with Denied, when the tenant has room again.
+	RetryAfterMs int64
+	// Used and Allowed are what counts in the window and what the limit allows there.
+	Used    int64
+	Allowed int64
+}
+
+const (
+	// reserveShare-th of the limit is reserved at the least, so that a tenant with few
+	// requests needs no log entry for each.
+	reserveShare = 32
+	// programIdleMs is how long a program without requests is taken for one that goes on:
+	// above the longest pause for a tool.
+	programIdleMs = 30_000
+	// startedShare is the part of the limit, in tenths, that new programs may fill while
+	// requests of programs under way are being denied.
+	startedShare = 8
+	// sweepEveryMs is how often idle programs and tenants are forgotten.
+	sweepEveryMs = 5000
+)
+
+// Owner grants the requests of the tenants that one ledger group holds, for as long as its
+// process leads the group in one term.
+//
+// Invariant: what all owners together have granted of a tenant in any window is within its
+// limit. An owner grants only from reservations that are committed, each within
+// ReservationMs of its proposal; its successor holds them all and counts them as granted at
+// the last moment possible.
+type Owner struct {
+	windowMs int64
+	tenants  map[string]*owned
+	sweptMs  int64
+}
+
+// owned is one tenant.
+type owned struct {
+	limit Limit
+	// granted is what this owner has granted, inherited what its predecessors may have.
+	granted   window
+	inherited window
+	// recent is what was granted within the last ReservationMs: what the next one is
+	// expected to need.
+	recent window
+	// available may be granted, oldest first.
+	available []expiring
+	// programs are those of which a request was granted, with the time of the last one.
+	programs map[string]int64
+	// deniedMs is when a request of a program under way was last denied.
+	deniedMs int64
+	// lastReturnMs is when the request that was denied last was told to come back.
+	lastReturnMs int64
+}
+
+// expiring is what is left of a reservation.
+type expiring struct {
+	untilMs int64
+	count   int64
+}
+
+// NewOwner returns the owner that follows on a state. The state must hold every reservation
+// that was committed before this owner's term.
+func NewOwner(state *State, nowMs int64) *Owner {
+	owner := &Owner{windowMs: state.windowMs, tenants: map[string]*owned{}, sweptMs: nowMs}
+	for name, known := range state.tenants {
+		tenant := owner.tenant(name)
+		tenant.limit = known.Limit
+		for _, item := range known.Reserved {
+			// A predecessor that is cut off may grant from its last reservation until the
+			// end of it.
+			age := state.clockMs - item.AtMs
+			tenant.inherited.add(nowMs+ReservationMs-age, item.Count)
+		}
+	}
+	return owner
+}
+
+func (o *Owner) tenant(name string) *owned {
+	known := o.tenants[name]
+	if known == nil {
+		known = &owned{
+			granted: window{lengthMs: o.windowMs}, inherited: window{lengthMs: o.windowMs},
+			recent: window{lengthMs: ReservationMs}, programs: map[string]int64{}, deniedMs: -o.windowMs,
+		}
+		o.tenants[name] = known
+	}
+	return known
+}
+
+// Ask decides on one request.
+func (o *Owner) Ask(ask Ask, nowMs int64) Decision {
+	o.sweep(nowMs)
+	tenant := o.tenant(ask.Tenant)
+	if ask.Limit.Generation >= tenant.limit.Generation {
+		tenant.limit = ask.Limit
+	}
+	tenant.expire(nowMs)
+	decision := Decision{Used: tenant.used(), Allowed: tenant.limit.Within(o.windowMs)}
+	if decision.Used >= tenant.room(ask.Program, decision.Allowed, nowMs-o.windowMs) {
+		decision.Verdict = Denied
+		decision.RetryAfterMs = tenant.comeBackMs(decision.Allowed, nowMs) - nowMs
+		if tenant.underWay(ask.Program) {
+			tenant.deniedMs = nowMs
+		}
+		return decision
+	}
+	if len(tenant.available) == 0 {
+		decision.Verdict = Short
+		return decision
+	}
+	tenant.grant(ask.Program, nowMs)
+	return decision
+}
+
+// Return takes back a request that was granted at a time and did not run.
+func (o *Owner) Return(name string, grantedMs int64) {
+	if tenant := o.tenants[name]; tenant != nil {
+		tenant.granted.remove(grantedMs)
+	}
+}
+
+// Size returns how much to reserve of a tenant for which so many requests wait.
+func (o *Owner) Size(name string, waiting int, nowMs int64) Reservation {
+	tenant := o.tenant(name)
+	tenant.expire(nowMs)
+	allowed := tenant.limit.Within(o.windowMs)
+	wanted := max(int64(waiting), tenant.recent.sum, allowed/reserveShare, 1)
+	return Reservation{Tenant: name, Count: min(wanted, max(allowed-tenant.used(), 1)), Limit: tenant.limit, NowMs: nowMs}
+}
+
+// Reserved takes a reservation of this owner that is committed.
+func (o *Owner) Reserved(reservation Reservation) {
+	tenant := o.tenant(reservation.Tenant)
+	tenant.available = append(tenant.available, expiring{untilMs: reservation.NowMs + ReservationMs, count: reservation.Count})
+}
+
+// sweep forgets idle programs and the tenants that nothing is known of any more.
+func (o *Owner) sweep(nowMs int64) {
+	if nowMs-o.sweptMs < sweepEveryMs {
+		return
+	}
+	o.sweptMs = nowMs
+	for name, tenant := range o.tenants {
+		tenant.expire(nowMs)
+		for program, lastMs := range tenant.programs {
+			if nowMs-lastMs > programIdleMs {
+				delete(tenant.programs, program)
+			}
+		}
+		if tenant.used() == 0 && len(tenant.programs) == 0 && len(tenant.available) == 0 {
+			delete(o.tenants, name)
+		}
+	}
+}
+
+func (t *owned) used() int64 { return t.granted.sum + t.inherited.sum }
+
+func (t *owned) expire(nowMs int64) {
+	t.granted.expire(nowMs)
+	t.inherited.expire(nowMs)
+	t.recent.expire(nowMs)
+	t.available = slices.DeleteFunc(t.available, func(item expiring) bool { return item.untilMs <= nowMs || item.count == 0 })
+}
+
+func (t *owned) underWay(program string) bool {
+	_, known := t.programs[program]
+	return known
+}
+
+// room returns up to where a request of a program may fill the window. While programs under
+// way are denied, new ones have to leave room: a program that is begun and can't go on is
+// work in vain, for its tenant and for the engines.
+func (t *owned) room(program string, allowed, recentMs int64) int64 {
+	if program == "" || t.underWay(program) || t.deniedMs <= recentMs {
+		return allowed
+	}
+	return allowed * startedShare / 10
+}
+
+func (t *owned) grant(program string, nowMs int64) {
+	t.granted.add(nowMs, 1)
+	t.recent.add(nowMs, 1)
+	t.available[0].count--
+	if t.available[0].count == 0 {
+		t.available = t.available[1:]
+	}
+	if program != "" {
+		t.programs[program] = nowMs
+	}
+}
+
+// comeBackMs returns when a denied request is to come back: once there is room, and one after
+// the other at the rate at which room comes, so that those denied together don't return
+// together.
+func (t *owned) comeBackMs(allowed, nowMs int64) int64 {
+	const millisecondsPerSecond = 1000
+	next := t.lastReturnMs + int64(millisecondsPerSecond/max(t.limit.RatePerSecond, 1))
+	t.lastReturnMs = min(max(t.roomAtMs(allowed, nowMs), next), nowMs+t.granted.lengthMs)
+	return t.lastReturnMs
+}
+
+// roomAtMs returns when less than allowed counts in the window.
+func (t *owned) roomAtMs(allowed, nowMs int64) int64 {
+	leaving := append(slices.Clone(t.granted.grains), t.inherited.grains...)
+	slices.SortFunc(leaving, func(a, b grain) int { return int(a.atMs - b.atMs) })
+	used := t.used()
+	for _, item := range leaving {
+		used -= item.count
+		if used < allowed {
+			return max(t.granted.leavesMs(item), nowMs+1)
+		}
+	}
+	return nowMs + t.granted.lengthMs
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -45,6 +45,7 @@
 	NoRoute           Code = 1011
 	UnknownTurn       Code = 1012
 	HeadersTooLarge   Code = 1013
+	UnknownKey        Code = 1014
 	ProgramClosed     Code = 1101
 	BudgetExhausted   Code = 1102
 	TurnLimit         Code = 1103
@@ -58,6 +59,7 @@
 	NoEngine          Code = 1204
 	Draining          Code = 1205
 	NotConfigured     Code = 1206
+	KeysUnconfirmed   Code = 1207
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -104,6 +106,7 @@
 	{NoRoute, "no_route", NotRun, 404, 0, "No route has this host and path."},
 	{UnknownTurn, "unknown_turn", NotRun, 404, 0, "The turn that the request goes on from does not exist."},
 	{HeadersTooLarge, "headers_too_large", NotRun, 431, 0, "The request's header is over the limit."},
+	{UnknownKey, "unknown_key", NotRun, 401, 0, "The route needs the key of a tenant; the request has none, or one that no tenant holds."},
 	{ProgramClosed, "program_closed", NotRun, 410, 0, "The program has ended."},
 	{BudgetExhausted, "budget_exhausted", NotRun, 402, 0, "The program's token budget does not cover the call."},
 	{TurnLimit, "turn_limit", NotRun, 402, 0, "The program has used all its turns."},
@@ -117,6 +120,7 @@
 	{NoEngine, "no_engine", NotRun, 503, 2 * time.Second, "No engine of the service's pool is ready."},
 	{Draining, "draining", NotRun, 503, 500 * time.Millisecond, "The process is stopping and takes no new calls."},
 	{NotConfigured, "not_configured", NotRun, 503, 700 * time.Millisecond, "The process has not heard the routing table in force yet."},
+	{KeysUnconfirmed, "keys_unconfirmed", NotRun, 503, 500 * time.Millisecond, "The gateway has been cut off from control for too long to know which keys are still valid."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica asked is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; every attempt allowed was used."},
--- a/internal/routing/delta.go
+++ b/internal/routing/delta.go
@@ -12,33 +12,47 @@
 	Removed    []string  `msgpack:"r,omitempty"`
 	Backends   []Backend `msgpack:"b,omitempty"`
 	Limits     Limits    `msgpack:"l"`
+	Keyed      bool      `msgpack:"y,omitempty"`
+	// PutTenants are new or changed, RemovedTenants gone, by name.
+	PutTenants     []Tenant `msgpack:"t,omitempty"`
+	RemovedTenants []string `msgpack:"d,omitempty"`
 }
 
 func routeKey(route *Route) string { return route.Host + "\x00" + route.PathPrefix }
 
+func tenantKey(tenant *Tenant) string { return tenant.Name }
+
 // NewDelta returns what leads from a table, nil for none, to a later one.
 func NewDelta(from, to *Table) *Delta {
-	delta := &Delta{Generation: to.Generation, Backends: to.Backends, Limits: to.Limits}
-	old := map[string]*Route{}
-	if from != nil {
-		delta.From = from.Generation
-		for position := range from.Routes {
-			old[routeKey(&from.Routes[position])] = &from.Routes[position]
-		}
+	delta := &Delta{Generation: to.Generation, Backends: to.Backends, Limits: to.Limits, Keyed: to.Keyed}
+	if from == nil {
+		from = &Table{}
+	}
+	delta.From = from.Generation
+	delta.Put, delta.Removed = difference(from.Routes, to.Routes, routeKey)
+	delta.PutTenants, delta.RemovedTenants = difference(from.Tenants, to.Tenants, tenantKey)
+	return delta
+}
+
+// difference returns the items of to that from lacks or has otherwise, and the keys of those
+// that to lacks.
+func difference[T any](from, to []T, key func(*T) string) (put []T, removed []string) {
+	old := make(map[string]*T, len(from))
+	for position := range from {
+		old[key(&from[position])] = &from[position]
 	}
-	for position := range to.Routes {
-		route := &to.Routes[position]
-		key := routeKey(route)
-		previous, known := old[key]
-		delete(old, key)
-		if !known || !reflect.DeepEqual(previous, route) {
-			delta.Put = append(delta.Put, *route)
+	for position := range to {
+		item := &to[position]
+		previous, known := old[key(item)]
+		delete(old, key(item))
+		if !known || !reflect.DeepEqual(previous, item) {
+			put = append(put, *item)
 		}
 	}
-	for key := range old {
-		delta.Removed = append(delta.Removed, key)
+	for gone := range old {
+		removed = append(removed, gone)
 	}
-	return delta
+	return put, removed
 }
 
 // Apply returns the table after a delta; false where the delta builds on another
@@ -50,23 +64,31 @@
 	if d.From != 0 && (current == nil || current.Generation != d.From) {
 		return current, false
 	}
-	removed := map[string]bool{}
-	for _, key := range d.Removed {
-		removed[key] = true
+	base := &Table{}
+	if d.From != 0 {
+		base = current
+	}
+	return &Table{
+		Generation: d.Generation, Backends: d.Backends, Limits: d.Limits, Keyed: d.Keyed,
+		Routes:  applied(base.Routes, d.Put, d.Removed, routeKey),
+		Tenants: applied(base.Tenants, d.PutTenants, d.RemovedTenants, tenantKey),
+	}, true
+}
+
+// applied returns the items without the removed and replaced ones, and after them the new.
+func applied[T any](items, put []T, removed []string, key func(*T) string) []T {
+	gone := make(map[string]bool, len(removed)+len(put))
+	for _, name := range removed {
+		gone[name] = true
 	}
-	replaced := map[string]bool{}
-	for position := range d.Put {
-		replaced[routeKey(&d.Put[position])] = true
+	for position := range put {
+		gone[key(&put[position])] = true
 	}
-	next := &Table{Generation: d.Generation, Backends: d.Backends, Limits: d.Limits}
-	if d.From != 0 {
-		for position := range current.Routes {
-			key := routeKey(&current.Routes[position])
-			if !removed[key] && !replaced[key] {
-				next.Routes = append(next.Routes, current.Routes[position])
-			}
+	var next []T
+	for position := range items {
+		if !gone[key(&items[position])] {
+			next = append(next, items[position])
 		}
 	}
-	next.Routes = append(next.Routes, d.Put...)
-	return next, true
+	return append(next, put...)
 }
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -10,11 +10,12 @@
 	Table    *Table
 	byHost   map[string][]*Route
 	backends map[string]Backend
+	holders  map[KeyDigest]*Tenant
 }
 
 // NewIndex returns the index of a table, which must not change after that.
 func NewIndex(table *Table) *Index {
-	index := &Index{Table: table, byHost: map[string][]*Route{}, backends: map[string]Backend{}}
+	index := &Index{Table: table, byHost: map[string][]*Route{}, backends: map[string]Backend{}, holders: map[KeyDigest]*Tenant{}}
 	for position := range table.Routes {
 		route := &table.Routes[position]
 		host := strings.ToLower(route.Host)
@@ -26,6 +27,11 @@
 	for _, backend := range table.Backends {
 		index.backends[backend.Name] = backend
 	}
+	for position := range table.Tenants {
+		for _, digest := range table.Tenants[position].Keys {
+			index.holders[digest] = &table.Tenants[position]
+		}
+	}
 	return index
 }
 
@@ -41,6 +47,10 @@
 	return nil
 }
 
+// Holder returns the tenant that holds a key, nil where there is none. Look-ups go by digest:
+// how long one takes tells nothing of the keys that exist.
+func (i *Index) Holder(key string) *Tenant { return i.holders[DigestKey(key)] }
+
 // Backend returns a back end of the table.
 func (i *Index) Backend(name string) Backend { return i.backends[name] }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -54,6 +54,8 @@
 	RetentionMs int64 `msgpack:"m,omitempty" json:"retention_ms,omitempty"`
 	// Affinity says that an engine which saw the same object lately works faster.
 	Affinity bool `msgpack:"f,omitempty" json:"affinity,omitempty"`
+	// Anonymous requests need no key where the table has tenants.
+	Anonymous bool `msgpack:"o,omitempty" json:"anonymous,omitempty"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -88,6 +90,9 @@
 	Routes     []Route   `msgpack:"r" json:"routes"`
 	Backends   []Backend `msgpack:"b" json:"backends"`
 	Limits     Limits    `msgpack:"l" json:"limits"`
+	// Keyed says that a request needs the key of one of Tenants, which may be none.
+	Keyed   bool     `msgpack:"y,omitempty" json:"keyed,omitempty"`
+	Tenants []Tenant `msgpack:"t,omitempty" json:"tenants,omitempty"`
 	// Document is the table in the form in which its operator sent it; it is given
 	// back unchanged and never looked into.
 	Document []byte `msgpack:"d,omitempty" json:"-"`
@@ -114,7 +119,7 @@
 		}
 		places[place] = true
 	}
-	return nil
+	return t.validateTenants()
 }
 
 func (r *Route) validate(backends map[string]bool) *result.Error {
