--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -235,7 +235,8 @@
 func (t *owned) comeBackMs(allowed, nowMs int64) int64 {
 	const millisecondsPerSecond = 1000
 	next := t.lastReturnMs + int64(millisecondsPerSecond/max(t.limit.RatePerSecond, 1))
-	t.lastReturnMs = min(max(t.roomAtMs(allowed, nowMs), next), nowMs+t.granted.lengthMs)
+	room := t.roomAtMs(allowed, nowMs)
+	t.lastReturnMs = min(max(room, next), room+t.granted.lengthMs)
 	return t.lastReturnMs
 }
 
--- a/internal/quota/window.go
+++ b/internal/quota/window.go
@@ -4,6 +4,10 @@
 // counts until the last of it has left the window: a fiftieth of a window of 5 s.
 const grainMs = 100
 
+// rateMarginMs covers what the clocks of two machines, or one clock and true time, may drift
+// apart within a window and a reservation: 0.1% of 6 s and some.
+const rateMarginMs = 10
+
 // grain is what was counted within grainMs.
 type grain struct {
 	atMs  int64
@@ -52,4 +56,4 @@
 }
 
 // leavesMs is when the last of a grain has left the window.
-func (w *window) leavesMs(item grain) int64 { return item.atMs + grainMs + w.lengthMs }
+func (w *window) leavesMs(item grain) int64 { return item.atMs + grainMs + w.lengthMs + rateMarginMs }
