--- /dev/null
+++ b/internal/gateway/tenants_test.go
@@ -0,0 +1,275 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+)
+
+const (
+	testKey   = "k-alpha-0123456789"
+	otherKey  = "k-beta-0123456789"
+	testBound = 5 * time.Second
+)
+
+// tenantStand is a gateway whose table has two tenants, one of them limited.
+type tenantStand struct {
+	*gatewayStand
+	// age is how old the proof is that the table is in force, nanoseconds; below zero there
+	// is none.
+	age atomic.Int64
+	// seen is the header that the engine was sent last.
+	seen atomic.Pointer[http.Header]
+}
+
+func newTenantStand(t *testing.T, engine http.HandlerFunc) *tenantStand {
+	stand := &tenantStand{}
+	stand.gatewayStand = newGatewayStand(t, func(w http.ResponseWriter, r *http.Request) {
+		header := r.Header.Clone()
+		stand.seen.Store(&header)
+		engine(w, r)
+	})
+	stand.gateway.headers.Reserved = []string{"Hold", "Pin-Ms", "Kv-From"}
+	stand.gateway.process.Limits.RevokeWithinMs = float64(testBound.Milliseconds())
+	stand.gateway.proofAge = func() (time.Duration, bool) {
+		age := time.Duration(stand.age.Load())
+		return age, age >= 0
+	}
+	view := stand.gateway.view.Load()
+	table := *view.routes.Table
+	table.Generation++
+	table.Keyed = true
+	table.Tenants = []routing.Tenant{
+		{Name: "alpha", Keys: []routing.KeyDigest{routing.DigestKey(testKey)}},
+		{Name: "beta", Keys: []routing.KeyDigest{routing.DigestKey(otherKey)}, RatePerSecond: 2, Burst: 1},
+	}
+	open := table.Routes[0]
+	open.PathPrefix, open.Anonymous = "/open/", true
+	table.Routes = append(append([]routing.Route{}, table.Routes...), open)
+	stand.gateway.follow(view.fleet, &table)
+	return stand
+}
+
+func answerSigned(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Ochrebay-Signature", "s")
+	_, _ = io.WriteString(w, "out")
+}
+
+func TestKeys(t *testing.T) {
+	Convey("the engine learns the tenant's name and never the key", t, func() {
+		stand := newTenantStand(t, answerSigned)
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", testKey, "Ochrebay-Tenant", "beta", "Hold", "h", "Ochrebay-Priority", "0")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		seen := *stand.seen.Load()
+		So(seen["Ochrebay-Tenant"], ShouldResemble, []string{"alpha"})
+		So(seen, ShouldNotContainKey, "Ochrebay-Key")
+		So(seen, ShouldNotContainKey, "Hold")
+		So(seen, ShouldNotContainKey, "Ochrebay-Priority")
+	})
+	Convey("no key, or one that nobody holds, is 401 where the table is surely in force, 503 where it may lack keys", t, func() {
+		stand := newTenantStand(t, answerSigned)
+		for _, key := range []string{"", "nobody's"} {
+			stand.age.Store(int64(time.Second))
+			response, body, err := stand.send("/safe/", "r1", "Ochrebay-Key", key)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 401)
+			So(body, ShouldNotContainSubstring, "nobody's")
+			for _, age := range []time.Duration{3 * time.Second, -1} {
+				stand.age.Store(int64(age))
+				response, _, err = stand.send("/safe/", "r2", "Ochrebay-Key", key)
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, 503)
+				So(response.Header.Get("Retry-After"), ShouldNotBeBlank)
+			}
+		}
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
+	Convey("a gateway that has been cut off for the bound serves no key; what needs none is served on", t, func() {
+		stand := newTenantStand(t, answerSigned)
+		stand.age.Store(int64(testBound - 2*clockRateMargin))
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", testKey)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		stand.age.Store(int64(testBound))
+		response, _, err = stand.send("/safe/", "r2", "Ochrebay-Key", testKey)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		response, _, err = stand.send("/open/", "r3", "Ochrebay-Tenant", "alpha")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(*stand.seen.Load(), ShouldNotContainKey, "Ochrebay-Tenant")
+		So(stand.runs.Load(), ShouldEqual, 2)
+	})
+	Convey("a process that is paused between taking a request and sending it asks again", t, func() {
+		stand := newTenantStand(t, events(1, "", false))
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Reserve != nil {
+				stand.age.Store(int64(testBound))
+			}
+			return &protocol.TurnReply{}
+		})
+		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", testKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
+	Convey("programs and turns are their tenant's: another tenant's names are other ones", t, func() {
+		stand := newTenantStand(t, events(1, "", false))
+		var reserves []turnNames
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Reserve != nil {
+				reserves = append(reserves, turnNames{request.Reserve.Program, request.Reserve.Request, request.Reserve.Previous})
+			}
+			return &protocol.TurnReply{Grant: &quota.Grant{}}
+		})
+		for _, key := range []string{testKey, otherKey} {
+			_, _, err := stand.send("/kept/", "r2", append(budget, "Ochrebay-Key", key, "Ochrebay-Previous-Turn", "r1")...)
+			So(err, ShouldBeNil)
+		}
+		So(reserves, ShouldResemble, []turnNames{{"alpha/p", "alpha/r2", "alpha/r1"}, {"beta/p", "beta/r2", "beta/r1"}})
+	})
+}
+
+// turnNames are what a turn is called at the ledger.
+type turnNames struct{ program, turn, previous string }
+
+func TestQuotaOfAGateway(t *testing.T) {
+	Convey("a request beyond its tenant's limit is 429 with the time to come back, and does not run", t, func() {
+		stand := newTenantStand(t, answerSigned)
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			return &protocol.TurnReply{Error: result.New(result.TenantLimit, "full").WithRetryAfter(250 * time.Millisecond)}
+		})
+		response, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Key", otherKey)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 429)
+		So(response.Header.Get("Retry-After"), ShouldEqual, "0.25")
+		asked := (<-stand.ledger.requests).Quota
+		So(asked, ShouldResemble, &quota.Ask{Tenant: "beta", Program: "beta/p", Limit: quota.Limit{Generation: 2, RatePerSecond: 2, Burst: 1}})
+		response, _, err = stand.send("/unsafe/", "r2", "Ochrebay-Key", testKey)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(stand.runs.Load(), ShouldEqual, 1)
+	})
+	Convey("a turn that is denied leaves nothing reserved of its program's budget", t, func() {
+		stand := newTenantStand(t, events(1, "", false))
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Quota != nil {
+				return &protocol.TurnReply{Error: result.New(result.TenantLimit, "full")}
+			}
+			return &protocol.TurnReply{}
+		})
+		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 429)
+		So(stand.ledger.settled("beta/r1").Settle.Used, ShouldEqual, 0)
+	})
+	Convey("what was granted to a request that no engine ran is given back", t, func() {
+		stand := newTenantStand(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Ochrebay-Not-Run", "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		grant := quota.Grant{Term: 3, AtMs: 77}
+		returned := make(chan quota.Grant, 8)
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Quota.Return != nil {
+				returned <- *request.Quota.Return
+			}
+			return &protocol.TurnReply{Grant: &grant}
+		})
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", otherKey, "Ochrebay-Deadline-Ms", "300")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		select {
+		case given := <-returned:
+			So(given, ShouldResemble, grant)
+		case <-time.After(patience):
+			So("nothing was returned", ShouldBeBlank)
+		}
+	})
+	Convey("a second run needs a second grant; without it the answer does not say that nothing ran", t, func() {
+		stand := newTenantStand(t, events(1, "", true))
+		grants := atomic.Int64{}
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Quota != nil && grants.Add(1) > 1 {
+				return &protocol.TurnReply{Error: result.New(result.TenantLimit, "full")}
+			}
+			return &protocol.TurnReply{Grant: &quota.Grant{}}
+		})
+		_, _, err := stand.send("/resumable/", "r1", "Ochrebay-Key", otherKey)
+		So(err, ShouldNotBeNil)
+		So(stand.runs.Load(), ShouldEqual, 1)
+	})
+}
+
+// TestHeadersProperty sends heads written byte by byte: whatever a caller writes, an engine
+// gets its tenant's name once, no key and nothing that only gateways set.
+func TestHeadersProperty(t *testing.T) {
+	stand := newTenantStand(t, answerSigned)
+	address := strings.TrimPrefix(stand.server.URL, "http://")
+	forbidden := []string{"Ochrebay-Key", "Hold", "Pin-Ms", "Kv-From", "Ochrebay-Priority"}
+	names := append([]string{"Ochrebay-Tenant", "Connection", "X-Other"}, forbidden...)
+	rapid.Check(t, func(t *rapid.T) {
+		spelled := func(name string) string {
+			switch rapid.IntRange(0, 3).Draw(t, "case") {
+			case 0:
+				return strings.ToLower(name)
+			case 1:
+				return strings.ToUpper(name)
+			}
+			return name
+		}
+		head := "POST /safe/ HTTP/1.1\r\nHost: h\r\nOchrebay-Request: r1\r\nContent-Length: 2\r\nOchrebay-Key: " + testKey + "\r\n"
+		for range rapid.IntRange(0, 6).Draw(t, "lines") {
+			value := rapid.SampledFrom([]string{"beta", testKey, "", "a, b", "Ochrebay-Tenant", "ochrebay-key, Hold", "close", "x\r\n Ochrebay-Tenant: beta"}).Draw(t, "value")
+			head += fmt.Sprintf("%s: %s\r\n", spelled(rapid.SampledFrom(names).Draw(t, "name")), value)
+		}
+		stand.seen.Store(nil)
+		connection, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		_ = connection.SetDeadline(time.Now().Add(patience))
+		_, _ = io.WriteString(connection, head+"\r\nin")
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		seen := stand.seen.Load()
+		if seen == nil {
+			if response.StatusCode < 400 {
+				t.Fatalf("status %d and no run", response.StatusCode)
+			}
+			return
+		}
+		if tenants := (*seen)["Ochrebay-Tenant"]; len(tenants) != 1 || tenants[0] != "alpha" {
+			t.Fatalf("tenant %q", tenants)
+		}
+		for _, name := range forbidden {
+			if values, sent := (*seen)[name]; sent {
+				t.Fatalf("%s: %q reached the engine", name, values)
+			}
+		}
+		for name, values := range *seen {
+			if name != "X-Other" && name != "Connection" && strings.Contains(strings.Join(values, " "), testKey) {
+				t.Fatalf("the key reached the engine in %s", name)
+			}
+		}
+	})
+}
