--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -33,6 +33,7 @@
 	addresses map[string]string
 	operators []string
 	engine    *engineStand
+	limits    string
 }
 
 // given are the addresses that freeAddress has returned. The kernel may name a port again
@@ -61,8 +62,9 @@
 	}
 }
 
-func startPlatformFleet(t *testing.T) *platformFleet {
-	f := &platformFleet{t: t, folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
+// startPlatformFleet starts a fleet; limits are further lines of its processes' limits.
+func startPlatformFleet(t *testing.T, limits ...string) *platformFleet {
+	f := &platformFleet{t: t, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
 	t.Cleanup(f.stop)
 	var seeds []string
 	for number := range 3 {
@@ -95,9 +97,9 @@
 func (f *platformFleet) write(name, role string, zone int, inner string, seeds []string, listen string) {
 	quoted, _ := json.Marshal(seeds)
 	f.addresses["http-"+name] = freeAddress(f.t)
-	text := fmt.Sprintf("role: %s\nname: %s\nzone: z%d\nregion: r\ninterface: platform\nlisten:\n  address: %s\n  http: %s\n%slimits:\n  memory_mb: 256\n  grace_s: 8\n"+
+	text := fmt.Sprintf("role: %s\nname: %s\nzone: z%d\nregion: r\ninterface: platform\nlisten:\n  address: %s\n  http: %s\n%slimits:\n  memory_mb: 256\n  grace_s: 8\n%s"+
 		"data:\n  path: %s\ncluster:\n  seeds: %s\n  bootstrap: true\n  tolerated_machines: 1\n  ledger_groups: 3\n",
-		role, name, zone, inner, f.addresses["http-"+name], listen, filepath.Join(f.folder, "data", name), quoted)
+		role, name, zone, inner, f.addresses["http-"+name], listen, f.limits, filepath.Join(f.folder, "data", name), quoted)
 	if err := os.WriteFile(filepath.Join(f.folder, name+".yaml"), []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -253,6 +255,8 @@
 	// bodies are the request bodies by request id; runs counts them.
 	bodies map[string]string
 	runs   map[string]int
+	// headers are those of the requests by request id.
+	headers map[string]http.Header
 	// hold stops streams after their first event until it is closed.
 	hold chan struct{}
 	// pause is how long the engine takes for each event.
@@ -264,7 +268,7 @@
 }
 
 func newEngineStand(t *testing.T, id string) *engineStand {
-	stand := &engineStand{id: id, bodies: map[string]string{}, runs: map[string]int{}, cancelled: make(chan string, 16)}
+	stand := &engineStand{id: id, bodies: map[string]string{}, runs: map[string]int{}, headers: map[string]http.Header{}, cancelled: make(chan string, 16)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -295,6 +299,7 @@
 	}
 	e.bodies[id] = string(body)
 	e.runs[id]++
+	e.headers[id] = r.Header.Clone()
 	e.mutex.Unlock()
 	if fault == "cut" && strings.HasPrefix(r.URL.Path, "/unsafe/") {
 		panic(http.ErrAbortHandler)
@@ -334,6 +339,12 @@
 	return e.bodies[id]
 }
 
+func (e *engineStand) header(id string) http.Header {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.headers[id]
+}
+
 func (e *engineStand) ran(id string) int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
