--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -59,7 +59,7 @@
 		return failure
 	}
 	failure := d.order(&protocol.FleetOrder{Routing: table}).Error
-	telemetry.Info(d.logger, "routing acknowledged", "generation", table.Generation, "routes", len(table.Routes), "err", failure)
+	telemetry.Info(d.logger, "routing acknowledged", "generation", table.Generation, "routes", len(table.Routes), "tenants", len(table.Tenants), "err", failure)
 	return failure
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -142,7 +142,8 @@
 		next.routes = previous.routes
 	} else {
 		next.routes = routing.NewIndex(table)
-		telemetry.Info(d.logger, "routing in force", "generation", table.Generation, "routes", len(table.Routes))
+		telemetry.Info(d.logger, "routing in force", "generation", table.Generation, "routes", len(table.Routes),
+			"keyed", table.Keyed, "tenants", len(table.Tenants))
 	}
 	d.view.Store(next)
 	if previous == nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	kept       *prometheus.HistogramVec
 	firstEvent *prometheus.HistogramVec
 	histories  *prometheus.CounterVec
+	granted    *prometheus.HistogramVec
 }
 
 // newMetrics registers the figures of a gateway.
@@ -31,6 +32,12 @@
 		}
 		return 0
 	})
+	monitor.Gauge("gateway_proof_age_seconds", "How long ago the routing table was surely in force; -1 for never.", func() float64 {
+		if age, known := d.proofAge(); known {
+			return age.Seconds()
+		}
+		return -1
+	})
 	return &metrics{
 		requests:   monitor.Latencies("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
 		failures:   monitor.Counters("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
@@ -39,6 +46,7 @@
 		kept:       monitor.Latencies("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
 		firstEvent: monitor.Latencies("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
 		histories:  monitor.Counters("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
+		granted:    monitor.Latencies("gateway_quota_seconds", "Time until the owner of a tenant's limit had answered.", "outcome"),
 	}
 }
 
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -84,6 +84,7 @@
 	defer cancel()
 	reply := d.ledgers.askQuota(bounded, &quota.Ask{Tenant: c.tenant.Name, Limit: c.limit(), Program: c.program})
 	c.granted = time.Since(began)
+	d.metrics.granted.WithLabelValues(quotaOutcome(reply.Error)).Observe(c.granted.Seconds())
 	if reply.Error == nil {
 		c.grants = append(c.grants, reply.Grant)
 		return nil
@@ -94,6 +95,17 @@
 	return reply.Error
 }
 
+// quotaOutcome names how a question for quota ended, for metrics.
+func quotaOutcome(failure *result.Error) string {
+	switch {
+	case failure == nil:
+		return "granted"
+	case failure.Code == result.TenantLimit:
+		return "denied"
+	}
+	return "unanswered"
+}
+
 // limit is the tenant's, with the generation of the table by which the call was routed.
 func (c *call) limit() quota.Limit {
 	return quota.Limit{Generation: c.generation, RatePerSecond: c.tenant.RatePerSecond, Burst: c.tenant.Burst}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"slices"
+	"sync/atomic"
 
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -124,6 +125,10 @@
 	// quotas grant the requests of tenants in the groups led here.
 	quotas   map[storage.GroupID]*quotaOwner
 	draining bool
+
+	quotasGranted atomic.Int64
+	quotasDenied  atomic.Int64
+
 	// noted is the placement as the disk remembers it.
 	noted []byte
 }
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -98,6 +98,8 @@
 	d.monitor.Gauge("ledger_requests_expired", "Requests dropped since the start: they waited longer than their senders.", func() float64 { return float64(d.expired.Load()) })
 	d.monitor.Gauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().turns) })
 	d.monitor.Gauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
+	d.monitor.Gauge("ledger_quota_granted", "Requests of tenants granted since the start.", func() float64 { return float64(d.core.QuotasGranted()) })
+	d.monitor.Gauge("ledger_quota_denied", "Requests of tenants denied since the start: their limit was used up.", func() float64 { return float64(d.core.QuotasDenied()) })
 	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().synced) })
 }
 
@@ -237,6 +239,10 @@
 
 // logTurn writes the one line that says what became of a gateway's request.
 func (d *Daemon) logTurn(request *protocol.TurnRequest, reply *protocol.TurnReply, took time.Duration) {
+	if request.Quota != nil && (reply.Error == nil || reply.Error.Code == result.TenantLimit) {
+		// The gateway's own line tells of a denial, and of a grant how long it took.
+		return
+	}
 	id := request.Find
 	keyValues := []any{"group", request.Group, "took", took.Round(100 * time.Microsecond).String()}
 	message := "turn looked for"
@@ -249,6 +255,10 @@
 		id, message = request.Settle.Request, "turn settled"
 		keyValues = append(keyValues, "program", request.Settle.Program, "used", request.Settle.Used, "keep", request.Settle.Keep)
 	}
+	if request.Quota != nil {
+		message = "quota asked for"
+		keyValues = append(keyValues, "tenant", request.Quota.Tenant)
+	}
 	if len(request.Contents) > 0 {
 		id, message = request.Contents[len(request.Contents)-1], "contents read"
 		keyValues = append(keyValues, "turns", len(request.Contents), "bytes", len(reply.Chain))
--- a/internal/ledger/quotas.go
+++ b/internal/ledger/quotas.go
@@ -86,8 +86,10 @@
 	case quota.Short:
 		return false
 	case quota.Granted:
+		c.quotasGranted.Add(1)
 		reply.Grant = &quota.Grant{Term: owner.term, AtMs: c.nowMs}
 	case quota.Denied:
+		c.quotasDenied.Add(1)
 		reply.Error = result.New(result.TenantLimit, "%d requests in the window, limit %d", decision.Used, decision.Allowed).
 			WithRetryAfter(time.Duration(decision.RetryAfterMs) * time.Millisecond)
 	}
@@ -166,3 +168,9 @@
 		}
 	}
 }
+
+// QuotasGranted counts the requests that were granted since the start; any goroutine may ask.
+func (c *Core) QuotasGranted() int64 { return c.quotasGranted.Load() }
+
+// QuotasDenied counts the requests that were denied since the start; any goroutine may ask.
+func (c *Core) QuotasDenied() int64 { return c.quotasDenied.Load() }
