--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -213,6 +213,7 @@
 	a.events++
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
+		c.began = true
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -24,7 +24,9 @@
 	health map[string]*scheduling.EngineHealth
 	// learnt is what is known of each back end's engines together.
 	learnt map[string]*scheduling.Pool
-	zone   string
+	// admissions decide which programs may begin at each back end.
+	admissions map[string]*scheduling.Admission
+	zone       string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
 }
@@ -32,7 +34,7 @@
 func newEngines(name, zone string, disabled scheduling.Disabled) *engines {
 	return &engines{
 		name: name, byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
-		learnt: map[string]*scheduling.Pool{}, zone: zone, disabled: disabled,
+		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: disabled,
 	}
 }
 
@@ -137,7 +139,33 @@
 func (e *engines) firstEvent(c *call, took float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), clock.NowMs(), c.chosen.missing, took)
+	nowMs := clock.NowMs()
+	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), nowMs, c.chosen.missing, took)
+	if c.route.TargetLatencyMs > 0 {
+		entryOf(e.admissions, c.backend.Name).Began(nowMs, took > float64(c.route.TargetLatencyMs))
+	}
+}
+
+// neverBegan notes a stream that an engine was sent and that ended without an event.
+func (e *engines) neverBegan(c *call, took float64) {
+	if c.route.TargetLatencyMs <= 0 || took <= float64(c.route.TargetLatencyMs) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	entryOf(e.admissions, c.backend.Name).Began(clock.NowMs(), true)
+}
+
+// admit reports whether a call that begins a program may go on, and else when it is to come
+// back.
+func (e *engines) admit(c *call, position, ranks int) (retryAfterMs int64, admitted bool) {
+	if e.disabled.Has(scheduling.MechanismAdmission) {
+		return 0, true
+	}
+	draw := float64(xxhash.Sum64String(c.program)) / (1 << 64)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return entryOf(e.admissions, c.backend.Name).Admit(clock.NowMs(), position, ranks, draw)
 }
 
 // nextEvent notes the pause of a stream before an event.
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -24,6 +24,9 @@
 	backend routing.Backend
 	// tenant holds the caller's key, nil where the route needs none.
 	tenant *routing.Tenant
+	// rankPosition is how many of the ranks in use at the back end are less urgent.
+	rankPosition int
+	ranks        int
 	// generation is the routing table by which the call was routed.
 	generation uint64
 	started    time.Time
@@ -45,6 +48,8 @@
 	most     int64
 	previous string
 	affinity string
+	// began says that an event of the stream has come.
+	began bool
 	// lastEvent is the event after which the caller wants the stream, 0 for all.
 	lastEvent int64
 
@@ -99,6 +104,7 @@
 		return c, failure
 	}
 	c.backend = view.routes.Backend(route.Choose(d.draw()))
+	c.rankPosition, c.ranks = view.routes.Position(c.backend.Name, c.tenant, route)
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -89,9 +89,23 @@
 		c.chain = known.continued(reply)
 	}
 	c.reserved = c.budget > 0
+	if reply.First && c.previous == "" {
+		return d.admit(c)
+	}
 	return nil
 }
 
+// admit decides whether a program may begin. Invariant: a program that has begun is never
+// rejected for want of capacity, nor one that goes on from a kept turn.
+func (d *Daemon) admit(c *call) *result.Error {
+	retryAfterMs, admitted := d.engines.admit(c, c.rankPosition, c.ranks)
+	if admitted {
+		return nil
+	}
+	return result.New(result.Overloaded, "new programs of rank %d of %d wait until engines keep up", c.rankPosition, c.ranks).
+		WithRetryAfter(time.Duration(retryAfterMs) * time.Millisecond)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -108,13 +108,14 @@
 		case program.TurnOutcome:
 			answer.Error = typed.Error
 			answer.Engine = typed.Engine
+			answer.First = typed.First
 		case *result.Error:
 			answer.Error = typed
 		}
 		if answer.Error == nil && reply != nil {
-			engine := answer.Engine
+			engine, first := answer.Engine, answer.First
 			answer = reply()
-			answer.Engine = engine
+			answer.Engine, answer.First = engine, first
 		}
 		c.outlet.Reply(id, answer)
 	})
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -117,6 +117,9 @@
 	}
 }
 
+// first reports whether nothing of the program has run, and no more than one turn is open.
+func (b *budget) first() bool { return b.Engine == "" && b.Spent == 0 && len(b.Reserved) <= 1 }
+
 // reserved sums up the open turns.
 func (b *budget) reserved() int64 {
 	total := int64(0)
@@ -197,6 +200,8 @@
 	Error *result.Error
 	// Engine is the one that most likely holds what a reserved turn's session has read.
 	Engine string
+	// First says that no turn of the program has run yet, nor is another one open.
+	First bool
 }
 
 // Apply carries out one command.
@@ -204,7 +209,11 @@
 	switch {
 	case command.Reserve != nil:
 		failure := t.reserve(command.NowMs, command.Reserve)
-		return TurnOutcome{Error: failure, Engine: t.EngineOf(command.Reserve.Program, command.Reserve.Session)}, TurnEffects{}
+		outcome := TurnOutcome{Error: failure, Engine: t.EngineOf(command.Reserve.Program, command.Reserve.Session)}
+		if known, ok := t.budgets[command.Reserve.Program]; ok {
+			outcome.First = known.first()
+		}
+		return outcome, TurnEffects{}
 	case command.Settle != nil:
 		return TurnOutcome{}, t.settle(command.NowMs, command.Settle)
 	case command.Sweep:
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -111,6 +111,8 @@
 	Older []string `msgpack:"o,omitempty"`
 	// Engine most likely holds what the turn's session has read.
 	Engine string `msgpack:"g,omitempty"`
+	// First says, of a reserved turn with a budget, that nothing of its program has run yet.
+	First bool `msgpack:"f,omitempty"`
 	// Grant answers Quota.
 	Grant *quota.Grant `msgpack:"q,omitempty"`
 }
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -11,11 +12,23 @@
 	byHost   map[string][]*Route
 	backends map[string]Backend
 	holders  map[KeyDigest]*Tenant
+	// ranks are those of the streams of each back end, the least urgent first.
+	ranks map[string][]rank
+}
+
+// rank orders requests: by the tenant's priority, then by the route's, 0 first.
+type rank struct{ first, second int }
+
+func rankOf(tenant *Tenant, route *Route) rank { return rank{tenant.Rank(route), route.Priority} }
+
+// lessUrgent orders ranks, the least urgent first.
+func lessUrgent(a, b rank) int {
+	return cmp.Or(cmp.Compare(b.first, a.first), cmp.Compare(b.second, a.second))
 }
 
 // NewIndex returns the index of a table, which must not change after that.
 func NewIndex(table *Table) *Index {
-	index := &Index{Table: table, byHost: map[string][]*Route{}, backends: map[string]Backend{}, holders: map[KeyDigest]*Tenant{}}
+	index := &Index{Table: table, byHost: map[string][]*Route{}, backends: map[string]Backend{}, holders: map[KeyDigest]*Tenant{}, ranks: map[string][]rank{}}
 	for position := range table.Routes {
 		route := &table.Routes[position]
 		host := strings.ToLower(route.Host)
@@ -32,6 +45,7 @@
 			index.holders[digest] = &table.Tenants[position]
 		}
 	}
+	index.addRanks()
 	return index
 }
 
@@ -47,6 +61,37 @@
 	return nil
 }
 
+// addRanks gathers the ranks that the table gives to the streams of each back end.
+func (i *Index) addRanks() {
+	table := i.Table
+	for position := range table.Routes {
+		route := &table.Routes[position]
+		if route.Kind != KindStream {
+			continue
+		}
+		given := []rank{rankOf(nil, route)}
+		if len(table.Tenants) > 0 {
+			given = given[:0]
+		}
+		for number := range table.Tenants {
+			given = append(given, rankOf(&table.Tenants[number], route))
+		}
+		for _, share := range route.Shares {
+			ranks := append(i.ranks[share.Backend], given...)
+			slices.SortFunc(ranks, lessUrgent)
+			i.ranks[share.Backend] = slices.Compact(ranks)
+		}
+	}
+}
+
+// Position returns how many of the ranks in use at a back end are less urgent than a
+// request's, and how many are in use.
+func (i *Index) Position(backend string, tenant *Tenant, route *Route) (position, ranks int) {
+	known := i.ranks[backend]
+	place, _ := slices.BinarySearchFunc(known, rankOf(tenant, route), lessUrgent)
+	return place, len(known)
+}
+
 // Holder returns the tenant that holds a key, nil where there is none. Look-ups go by digest:
 // how long one takes tells nothing of the keys that exist.
 func (i *Index) Holder(key string) *Tenant { return i.holders[DigestKey(key)] }
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -33,6 +33,8 @@
 	MechanismTakeUp Mechanism = "take-up"
 	// MechanismNearReads reads histories from a replica in the zone.
 	MechanismNearReads Mechanism = "near-reads"
+	// MechanismAdmission rejects new programs while engines fall behind.
+	MechanismAdmission Mechanism = "admission"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
 )
@@ -43,6 +45,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismSubset, MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
+		MechanismAdmission,
 	}
 }
 
