--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -156,16 +156,39 @@
 	entryOf(e.admissions, c.backend.Name).Began(clock.NowMs(), true)
 }
 
-// admit reports whether a call that begins a program may go on, and else when it is to come
-// back.
-func (e *engines) admit(c *call, position, ranks int) (retryAfterMs int64, admitted bool) {
+// concurrency is the mean of all gateways' requests over the engines of a back end.
+func (e *engines) concurrency(backend string, nowMs int64) float64 {
+	pool := e.byPool[backend]
+	total := 0.0
+	for _, engine := range pool {
+		total += e.healthOf(engine.ID).Company(nowMs)
+	}
+	return total / float64(max(len(pool), 1))
+}
+
+// admission is a decision whether a program may begin, with what it was made from.
+type admission struct {
+	admitted     bool
+	retryAfterMs int64
+	concurrency  float64
+	limit        float64
+}
+
+// admit decides whether a call that begins a program may go on.
+func (e *engines) admit(c *call, position, ranks int) admission {
 	if e.disabled.Has(scheduling.MechanismAdmission) {
-		return 0, true
+		return admission{admitted: true}
 	}
 	draw := float64(xxhash.Sum64String(c.program)) / (1 << 64)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return entryOf(e.admissions, c.backend.Name).Admit(clock.NowMs(), position, ranks, draw)
+	nowMs := clock.NowMs()
+	decision := admission{concurrency: e.concurrency(c.backend.Name, nowMs)}
+	learnt := entryOf(e.admissions, c.backend.Name)
+	learnt.Learn(nowMs, decision.concurrency, c.backend.Slots)
+	decision.limit = learnt.Limit()
+	decision.retryAfterMs, decision.admitted = learnt.Admit(decision.concurrency, position, ranks, draw)
+	return decision
 }
 
 // nextEvent notes the pause of a stream before an event.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -98,12 +98,12 @@
 // admit decides whether a program may begin. Invariant: a program that has begun is never
 // rejected for want of capacity, nor one that goes on from a kept turn.
 func (d *Daemon) admit(c *call) *result.Error {
-	retryAfterMs, admitted := d.engines.admit(c, c.rankPosition, c.ranks)
-	if admitted {
+	decision := d.engines.admit(c, c.rankPosition, c.ranks)
+	if decision.admitted {
 		return nil
 	}
-	return result.New(result.Overloaded, "new programs of rank %d of %d wait until engines keep up", c.rankPosition, c.ranks).
-		WithRetryAfter(time.Duration(retryAfterMs) * time.Millisecond)
+	return result.New(result.Overloaded, "%.1f requests an engine, begun in time up to %.1f; rank %d of %d",
+		decision.concurrency, decision.limit, c.rankPosition, c.ranks).WithRetryAfter(time.Duration(decision.retryAfterMs) * time.Millisecond)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -4,20 +4,37 @@
 
 const (
 	// admissionPrior is for how many streams in time a gateway's few streams count besides,
-	// so that one late stream of two rejects nobody.
+	// so that one late stream of two changes nothing.
 	admissionPrior = 8
 	// toleratedLate is the share of streams that may begin late. Engines that keep up have
 	// under 0.05 through bursts and lost machines; engines of half the speed went from 0.07
 	// through 0.34 to 0.99 within 12 s and stayed there (docs/design/0008-shifted-work.md).
 	toleratedLate = 0.1
-	// admissionGain is how fast the rejected share follows, a second, for each unit that the
-	// late share lies above the tolerated one.
-	admissionGain = 1.5
-	// mostRejected is the share of new programs of one rank that is rejected at the most, and
-	// rankStep from which rejected share of a rank on the next more urgent one is rejected
-	// too: nobody is starved, and the least urgent go first.
+	// lowerPerSecond is how much of the limit goes in a second, for each unit that the late
+	// share lies above the tolerated one, and raisePerSecond how much is added in a second
+	// while nearly all begin in time.
+	lowerPerSecond = 1.0
+	raisePerSecond = 0.1
+	// nearLimit is the part of the limit from which on concurrency shows whether the limit is
+	// right: below it, what is in time says nothing of more.
+	nearLimit = 0.8
+	// leastShare-th of an engine's slots, leastLimit at the least, is never limited: streams
+	// that begin late before emptier engines do so for another reason, as when nothing is
+	// cached yet.
+	leastShare = 4
+	leastLimit = 2
+	// fullShare is the part of the limit up to which the least urgent programs all begin,
+	// rankShare what is added up to the most urgent rank, and rampShare the part over which
+	// the admitted share falls from all to the fewest.
+	fullShare = 0.7
+	rankShare = 0.2
+	rampShare = 0.2
+	// mostRejected is the share of new programs that is rejected at the most, so that no rank
+	// is starved.
 	mostRejected = 0.9
-	rankStep     = 0.6
+	// returnWithinMs spreads those who are rejected together: the time within which callers
+	// of turns of 3 s come back at the latest.
+	returnWithinMs = 1000
 )
 
 // Admission decides which programs may begin at the engines of one back end. Once engines
@@ -25,17 +42,18 @@
 // is pushed out, so that they do less and less: then it is better for callers that some are
 // rejected at once, before anything was done for them, and the others served in time.
 //
-// It is an integral controller on the share of streams whose first event comes later than
-// its route's target: it needs no model of the engines and leaves alone what is in time.
+// It learns the concurrency, in requests an engine, up to which streams begin within their
+// route's target, and lets programs begin while concurrency is below it. It needs no model
+// of the engines and no figure of theirs; until streams begin late there is no limit.
 type Admission struct {
-	late   Evidence
-	share  float64
+	late Evidence
+	// limit is in requests an engine, 0 for none.
+	limit  float64
 	lastMs int64
 }
 
 // Began notes a stream that began, or that ended without a first event, late or in time.
 func (a *Admission) Began(nowMs int64, late bool) {
-	a.age(nowMs)
 	sample := 0.0
 	if late {
 		sample = 1
@@ -43,16 +61,27 @@
 	a.late.Add(nowMs, sample, 1)
 }
 
-// age advances the rejected share to nowMs.
-func (a *Admission) age(nowMs int64) {
+// Learn brings the limit up to nowMs, from the mean concurrency over the engines. Lateness
+// above the limit comes of what is under way and will pass: only lateness at or below it
+// shows that the limit is too high. Slots is how many requests an engine works on at once, 0
+// where that is not known.
+func (a *Admission) Learn(nowMs int64, concurrency float64, slots int) {
+	least := max(float64(slots)/leastShare, leastLimit)
 	const millisecondsPerSecond = 1000
-	elapsed := float64(nowMs-a.lastMs) / millisecondsPerSecond
+	elapsed := min(float64(nowMs-a.lastMs)/millisecondsPerSecond, 1)
 	a.lastMs = max(a.lastMs, nowMs)
 	if elapsed <= 0 {
 		return
 	}
-	a.share += admissionGain * min(elapsed, 1) * (a.lateShare(nowMs) - toleratedLate)
-	a.share = max(a.share, 0)
+	above := a.lateShare(nowMs) - toleratedLate
+	switch {
+	case above > 0 && a.limit == 0:
+		a.limit = max(concurrency, least)
+	case above > 0 && concurrency <= a.limit:
+		a.limit = max(a.limit*(1-lowerPerSecond*above*elapsed), least)
+	case above <= -toleratedLate/2 && concurrency >= nearLimit*a.limit:
+		a.limit *= 1 + raisePerSecond*elapsed
+	}
 }
 
 // lateShare is the share of streams that began late lately.
@@ -61,24 +90,30 @@
 	return counted.Sum / (counted.Weight + admissionPrior)
 }
 
-// Admit reports whether a new program may begin, and else when it is to come back,
-// milliseconds. Position is how many ranks in use are less urgent than its own, of ranks in
-// all; draw is within 0..1 and the same for each try of a program, at every gateway: a
-// program that comes back is not drawn again. Programs are told to come back when the
-// rejected share will have gone below their draw at the soonest, so that they return one
-// after the other, as fast as more may be let in.
-func (a *Admission) Admit(nowMs int64, position, ranks int, draw float64) (retryAfterMs int64, admitted bool) {
-	const millisecondsPerSecond = 1000
-	a.age(nowMs)
-	a.share = min(a.share, mostRejected+rankStep*float64(max(ranks-1, 0)))
-	above := a.Rejected(position) - draw
+// Admit reports whether a new program may begin at a mean concurrency, and else when it is to
+// come back, milliseconds. Position is how many ranks in use are less urgent than its own, of
+// ranks in all; draw is within 0..1 and the same for each try of a program, at every gateway:
+// who comes back more often is not let in more often.
+func (a *Admission) Admit(concurrency float64, position, ranks int, draw float64) (retryAfterMs int64, admitted bool) {
+	above := a.Rejected(concurrency, position, ranks) - draw
 	if above <= 0 {
 		return 0, true
 	}
-	return max(int64(above/(admissionGain*toleratedLate)*millisecondsPerSecond), 1), false
+	return int64(math.Ceil(above * returnWithinMs)), false
 }
 
-// Rejected returns the share of new programs that is rejected at a position among the ranks.
-func (a *Admission) Rejected(position int) float64 {
-	return math.Min(math.Max(a.share-rankStep*float64(position), 0), mostRejected)
+// Rejected returns the share of new programs that is rejected at a concurrency.
+func (a *Admission) Rejected(concurrency float64, position, ranks int) float64 {
+	if a.limit == 0 {
+		return 0
+	}
+	full := fullShare
+	if ranks > 1 {
+		full += rankShare * float64(position) / float64(ranks-1)
+	}
+	above := (concurrency/a.limit - full) / rampShare
+	return math.Min(math.Max(above, 0), 1) * mostRejected
 }
+
+// Limit returns the learnt concurrency, requests an engine; 0 for no limit.
+func (a *Admission) Limit() float64 { return a.limit }
