--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -219,6 +219,7 @@
 	var update membership.FleetUpdate
 	if gateway := request.Gateway; gateway != nil {
 		c.loads.Report(gateway.Name, request.Loads, c.nowMs)
+		c.loads.ReportLate(request.Late, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
 		}
@@ -254,6 +255,9 @@
 	if request.WithLoads && c.loads != nil {
 		reply.Loads = c.news.loadsOf(c.loads, c.nowMs)
 	}
+	if request.Gateway != nil && c.loads != nil {
+		reply.Late = c.loads.Late(c.nowMs)
+	}
 	table := c.system.tree.Routing()
 	if request.WithRouting && table != nil && table.Generation > request.Generation {
 		reply.Routing = c.news.routingSince(c.tableAt(request.Generation), table)
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -48,6 +48,8 @@
 	// OnLoads takes what all gateways together have seen of engines; nil where nobody
 	// asks.
 	OnLoads func(loads []scheduling.Load)
+	// OnLate takes what all gateways together have seen of streams; nil where nobody asks.
+	OnLate func(shares []scheduling.LateShare)
 	Logger  log.Logger
 
 	// provedAt is when the question left whose answer last proved that the table held is in
@@ -159,6 +161,9 @@
 	}
 	f.take(target, &reply)
 	f.noteProof(asked, &reply)
+	if f.OnLate != nil && len(reply.Late) > 0 {
+		f.OnLate(reply.Late)
+	}
 	if f.OnLoads != nil && reply.Loads != nil {
 		f.loadsAt = time.Now()
 		f.OnLoads(reply.Loads.Value)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,9 +98,6 @@
 		c.sent = time.Since(c.started)
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.ended(c, clock.NowMs(), outcome)
-		if c.route.Kind == routing.KindStream && !c.began && outcome.kind != attemptRefused {
-			d.engines.neverBegan(c, milliseconds(time.Since(c.started.Add(c.sent))))
-		}
 		d.logAttempt(c, engine, outcome)
 		avoid = append(avoid, engine.ID)
 		switch outcome.kind {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -93,6 +93,7 @@
 	d.follower.OnNews = d.follow
 	d.proofAge = d.follower.ProofAge
 	d.follower.OnLoads = func(loads []scheduling.Load) { d.engines.takeShared(loads, clock.NowMs()) }
+	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
 	return d
 }
 
@@ -120,6 +121,7 @@
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
+	request.Late = d.engines.lateNews(clock.NowMs())
 }
 
 // follow puts news of control in force.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -213,7 +213,6 @@
 	a.events++
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
-		c.began = true
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -12,6 +12,34 @@
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
+// slowFactor is from how many times the time that others take on an engine counts as slow.
+const slowFactor = 1.3
+
+// activity notes when this gateway sent or received something of streams, and so shows when
+// its process, or its machine, stood still.
+type activity struct {
+	lastMs int64
+	// fromMs and toMs are the last time without any, if it was longer than a pause may be.
+	fromMs, toMs int64
+}
+
+// leastPauseMs is the shortest time without activity that may be a pause of the process.
+const leastPauseMs = 100
+
+func (a *activity) note(nowMs int64) {
+	if nowMs-a.lastMs >= leastPauseMs {
+		a.fromMs, a.toMs = a.lastMs, nowMs
+	}
+	a.lastMs = nowMs
+}
+
+// paused reports whether nothing happened for half of the time up to nowMs or more.
+func (a *activity) paused(nowMs int64, tookMs float64) bool {
+	const half = 2
+	idleMs := a.toMs - max(a.fromMs, nowMs-int64(tookMs))
+	return float64(idleMs)*half >= tookMs
+}
+
 // engines is what the gateway knows of the engines: their registrations, which
 // control tells, and their health, which it sees itself.
 type engines struct {
@@ -23,7 +51,8 @@
 	name   string
 	health map[string]*scheduling.EngineHealth
 	// learnt is what is known of each back end's engines together.
-	learnt map[string]*scheduling.Pool
+	learnt   map[string]*scheduling.Pool
+	activity activity
 	// admissions decide which programs may begin at each back end.
 	admissions map[string]*scheduling.Admission
 	zone       string
@@ -125,6 +154,7 @@
 	if !found {
 		return choice{}, false
 	}
+	e.activity.note(demand.NowMs)
 	health := chosen.Candidate.Health
 	health.Sent(demand.NowMs)
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
@@ -140,20 +170,21 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
+	e.activity.note(nowMs)
 	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), nowMs, c.chosen.missing, took)
-	if c.route.TargetLatencyMs > 0 {
-		entryOf(e.admissions, c.backend.Name).Began(nowMs, took > float64(c.route.TargetLatencyMs))
-	}
+	e.noteBeginning(c, nowMs, took)
 }
 
-// neverBegan notes a stream that an engine was sent and that ended without an event.
-func (e *engines) neverBegan(c *call, took float64) {
-	if c.route.TargetLatencyMs <= 0 || took <= float64(c.route.TargetLatencyMs) {
+// noteBeginning tells admission whether a stream began within its target. What lasted long
+// for another reason than that engines have too much to do is left out: an engine that is
+// slower than the others, or a pause of this process.
+func (e *engines) noteBeginning(c *call, nowMs int64, took float64) {
+	target := float64(c.route.TargetLatencyMs)
+	slow := e.healthOf(c.engine).Factor(nowMs) > slowFactor
+	if target <= 0 || (took > target && (slow || e.activity.paused(nowMs, took))) {
 		return
 	}
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	entryOf(e.admissions, c.backend.Name).Began(clock.NowMs(), true)
+	entryOf(e.admissions, c.backend.Name).Began(nowMs, took > target)
 }
 
 // concurrency is the mean of all gateways' requests over the engines of a back end.
@@ -195,7 +226,9 @@
 func (e *engines) nextEvent(c *call, gap float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), clock.NowMs(), gap)
+	nowMs := clock.NowMs()
+	e.activity.note(nowMs)
+	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), nowMs, gap)
 }
 
 // ended takes a call off its engine and notes how it went.
@@ -242,3 +275,25 @@
 		e.healthOf(load.Engine).TakeShared(load, nowMs)
 	}
 }
+
+// lateNews returns what this gateway has seen of streams since the last call.
+func (e *engines) lateNews(nowMs int64) []scheduling.LateShare {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var shares []scheduling.LateShare
+	for backend, learnt := range e.admissions {
+		if news := learnt.TakeNews(nowMs); news.Weight > 0 {
+			shares = append(shares, scheduling.LateShare{Backend: backend, Streams: news})
+		}
+	}
+	return shares
+}
+
+// takeLate takes what all gateways together have seen of streams.
+func (e *engines) takeLate(shares []scheduling.LateShare, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, share := range shares {
+		entryOf(e.admissions, share.Backend).TakeShared(share.Streams, nowMs)
+	}
+}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -48,8 +48,6 @@
 	most     int64
 	previous string
 	affinity string
-	// began says that an event of the stream has come.
-	began bool
 	// lastEvent is the event after which the caller wants the stream, 0 for all.
 	lastEvent int64
 
--- a/internal/program/turns_test.go
+++ b/internal/program/turns_test.go
@@ -123,3 +123,25 @@
 		}
 	})
 }
+
+func TestFirstTurns(t *testing.T) {
+	Convey("a turn is its program's first until one has run; a turn that never ran leaves it so", t, func() {
+		turns := NewTurns()
+		reserve := func(request string) bool {
+			outcome, _ := turns.Apply(TurnCommand{Reserve: &Reserve{Program: "p", Request: request, Budget: 100, Most: 10}})
+			So(outcome.Error, ShouldBeNil)
+			return outcome.First
+		}
+		settle := func(request, engine string, used int64) {
+			turns.Apply(TurnCommand{Settle: &Settle{Program: "p", Request: request, Engine: engine, Used: used}})
+		}
+		So(reserve("a"), ShouldBeTrue)
+		So(reserve("a"), ShouldBeTrue)
+		So(reserve("b"), ShouldBeFalse)
+		settle("a", "", 0)
+		settle("b", "", 0)
+		So(reserve("c"), ShouldBeTrue)
+		settle("c", "e", 0)
+		So(reserve("d"), ShouldBeFalse)
+	})
+}
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// admissionPrior is for how many streams in time a gateway's few streams count besides,
-	// so that one late stream of two changes nothing.
+	// admissionPrior is for how many streams in time the few streams of an idle fleet count
+	// besides, so that one late stream of two changes nothing.
 	admissionPrior = 8
 	// toleratedLate is the share of streams that may begin late. Engines that keep up have
 	// under 0.05 through bursts and lost machines; engines of half the speed went from 0.07
@@ -45,20 +45,42 @@
 // It learns the concurrency, in requests an engine, up to which streams begin within their
 // route's target, and lets programs begin while concurrency is below it. It needs no model
 // of the engines and no figure of theirs; until streams begin late there is no limit.
+//
+// What one gateway sees of a large fleet is little, and chance would have it learn limits
+// that no other has: the late share is that of all gateways' streams, as control adds it up,
+// and the gateway's own only where nothing has been heard lately.
 type Admission struct {
-	late Evidence
+	own    Evidence
+	news   Evidence
+	shared Evidence
+	// sharedMs is when the shared evidence came.
+	sharedMs int64
 	// limit is in requests an engine, 0 for none.
 	limit  float64
 	lastMs int64
 }
 
-// Began notes a stream that began, or that ended without a first event, late or in time.
+// Began notes a stream that began, late or in time.
 func (a *Admission) Began(nowMs int64, late bool) {
 	sample := 0.0
 	if late {
 		sample = 1
 	}
-	a.late.Add(nowMs, sample, 1)
+	a.own.Add(nowMs, sample, 1)
+	a.news.Add(nowMs, sample, 1)
+}
+
+// TakeNews returns what this gateway has seen since the last call.
+func (a *Admission) TakeNews(nowMs int64) Samples {
+	news := a.news.samples(nowMs)
+	a.news = Evidence{}
+	return news
+}
+
+// TakeShared takes what all gateways together have seen.
+func (a *Admission) TakeShared(samples Samples, nowMs int64) {
+	a.shared = samples.evidence(nowMs)
+	a.sharedMs = nowMs
 }
 
 // Learn brings the limit up to nowMs, from the mean concurrency over the engines. Lateness
@@ -86,7 +108,10 @@
 
 // lateShare is the share of streams that began late lately.
 func (a *Admission) lateShare(nowMs int64) float64 {
-	counted := a.late.At(nowMs)
+	counted := a.own.At(nowMs)
+	if a.sharedMs > 0 && nowMs-a.sharedMs <= loadForgottenMs {
+		counted = a.shared.At(nowMs)
+	}
 	return counted.Sum / (counted.Weight + admissionPrior)
 }
 
--- /dev/null
+++ b/internal/scheduling/admission_test.go
@@ -0,0 +1,81 @@
+package scheduling
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// TestAdmissionProperty holds for any history of streams and concurrency: nobody is rejected
+// below the floor, some are always let in, the more urgent rank never fares worse, and who is
+// let in at one draw is let in at any higher one.
+func TestAdmissionProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var admission Admission
+		nowMs := int64(0)
+		slots := rapid.IntRange(0, 64).Draw(t, "slots")
+		for range rapid.IntRange(0, 200).Draw(t, "steps") {
+			nowMs += rapid.Int64Range(0, 400).Draw(t, "ms")
+			for range rapid.IntRange(0, 20).Draw(t, "streams") {
+				admission.Began(nowMs, rapid.Bool().Draw(t, "late"))
+			}
+			admission.Learn(nowMs, rapid.Float64Range(0, 200).Draw(t, "concurrency"), slots)
+		}
+		concurrency := rapid.Float64Range(0, 200).Draw(t, "now")
+		ranks := rapid.IntRange(1, 5).Draw(t, "ranks")
+		least := max(float64(slots)/leastShare, leastLimit)
+		last := 1.0
+		for position := range ranks {
+			share := admission.Rejected(concurrency, position, ranks)
+			if share < 0 || share > mostRejected || share > last {
+				t.Fatalf("rank %d of %d: %v rejected, the rank before %v", position, ranks, share, last)
+			}
+			if share > 0 && concurrency < fullShare*least {
+				t.Fatalf("%v rejected at %v requests an engine of %d slots", share, concurrency, slots)
+			}
+			last = share
+			draw := rapid.Float64Range(0, 1).Draw(t, "draw")
+			retryAfterMs, admitted := admission.Admit(concurrency, position, ranks, draw)
+			if admitted != (draw >= share) || admitted == (retryAfterMs > 0) {
+				t.Fatalf("draw %v of %v rejected: admitted %v, back after %d ms", draw, share, admitted, retryAfterMs)
+			}
+		}
+	})
+}
+
+func TestAdmission(t *testing.T) {
+	Convey("no stream late, no limit, whatever the concurrency", t, func() {
+		var admission Admission
+		for second := range int64(60) {
+			for range 20 {
+				admission.Began(second*1000, false)
+			}
+			admission.Learn(second*1000, 500, 12)
+		}
+		So(admission.Limit(), ShouldEqual, 0)
+	})
+	Convey("one late stream of two rejects nobody", t, func() {
+		var admission Admission
+		admission.Began(0, true)
+		admission.Began(0, false)
+		admission.Learn(100, 50, 12)
+		So(admission.Limit(), ShouldEqual, 0)
+	})
+	Convey("late streams above the limit lower nothing; streams in time at it raise it again", t, func() {
+		var admission Admission
+		late := func(fromS, toS int64, late bool, concurrency float64) {
+			for ms := fromS * 1000; ms < toS*1000; ms += 50 {
+				admission.Began(ms, late)
+				admission.Learn(ms, concurrency, 12)
+			}
+		}
+		late(0, 2, true, 10)
+		first := admission.Limit()
+		So(first, ShouldBeBetween, 3, 10)
+		late(2, 6, true, 30)
+		So(admission.Limit(), ShouldEqual, first)
+		late(6, 30, false, first)
+		So(admission.Limit(), ShouldBeGreaterThan, 1.2*first)
+	})
+}
--- a/internal/scheduling/closedloop_test.go
+++ b/internal/scheduling/closedloop_test.go
@@ -33,6 +33,9 @@
 	programsPerMs  = 0.026
 	burstFactor    = 2.2
 	settledAfterMs = 25_000
+	loopSlots      = 64
+	// loopTargetMs is the time to the first event within which a turn is in time.
+	loopTargetMs = 200
 )
 
 // decide picks an engine for a turn at a gateway.
@@ -47,6 +50,7 @@
 	// inFlight, wait and pace are what the earlier policy went by.
 	inFlight   []int
 	wait, pace []float64
+	admission  scheduling.Admission
 }
 
 type loopProgram struct {
@@ -55,6 +59,8 @@
 	tokens  int64
 	history []emulator.Segment
 	home    int
+	// late says that a turn began later than loopTargetMs.
+	late bool
 }
 
 type loopTurn struct {
@@ -80,6 +86,13 @@
 	first map[int64][]float64
 	away  int
 	sent  int
+	// admits says that new programs need to be admitted; overload, from burstFromMs on, that
+	// the burst does not end.
+	admits   bool
+	overload bool
+	begun    int
+	rejected int
+	inTime   int
 }
 
 func newLoop(seed uint64, hardware engine.Hardware, policy decide) *loop {
@@ -106,7 +119,7 @@
 func (l *loop) run() {
 	for nowMs := int64(1); nowMs <= loopMs; nowMs++ {
 		rate := programsPerMs
-		if nowMs >= burstFromMs && nowMs < burstToMs {
+		if nowMs >= burstFromMs && (nowMs < burstToMs || l.overload) {
 			rate *= burstFactor
 		}
 		if l.draw.Float64() < rate {
@@ -134,9 +147,26 @@
 	}
 	shared := uint64(1 + l.draw.IntN(sharedParts))
 	program.history = []emulator.Segment{{Chain: shared, Tokens: sharedTokens}}
+	if l.admits && !l.admit(program, nowMs) {
+		l.rejected++
+		return
+	}
+	l.begun++
 	l.send(program, nowMs)
 }
 
+// admit has a gateway decide whether a program may begin.
+func (l *loop) admit(program *loopProgram, nowMs int64) bool {
+	gateway := l.gateways[l.draw.IntN(loopGateways)]
+	concurrency := 0.0
+	for _, health := range gateway.health {
+		concurrency += health.Company(nowMs) / loopEngines
+	}
+	gateway.admission.Learn(nowMs, concurrency, loopSlots)
+	_, admitted := gateway.admission.Admit(concurrency, 0, 1, float64(program.id%97)/97)
+	return admitted
+}
+
 func (l *loop) send(program *loopProgram, nowMs int64) {
 	chain := uint64(program.id)<<16 + uint64(program.turns)<<1
 	program.history = append(program.history, emulator.Segment{Chain: chain, Tokens: program.tokens})
@@ -166,6 +196,8 @@
 			second := turn.sentMs / 1000
 			l.first[second] = append(l.first[second], took)
 			turn.gateway.pool.FirstEvent(health, nowMs, turn.missing, took)
+			turn.gateway.admission.Began(nowMs, took > loopTargetMs)
+			turn.program.late = turn.program.late || took > loopTargetMs
 			turn.gateway.wait[number] += 0.1 * (took - turn.gateway.wait[number])
 			turn.lastMs = nowMs
 		case step.Generated%eventTokens == 0:
@@ -192,6 +224,8 @@
 	if program.turns--; program.turns > 0 {
 		at := nowMs + thinkMs
 		l.due[at] = append(l.due[at], program)
+	} else if !program.late {
+		l.inTime++
 	}
 }
 
@@ -244,7 +278,7 @@
 		}
 		var candidates []scheduling.Candidate
 		for number, health := range gateway.health {
-			candidates = append(candidates, scheduling.Candidate{ID: fmt.Sprintf("e%02d", number), Zone: zoneName(number % loopZones), Slots: 64, Health: health, Place: uint64(number)})
+			candidates = append(candidates, scheduling.Candidate{ID: fmt.Sprintf("e%02d", number), Zone: zoneName(number % loopZones), Slots: loopSlots, Health: health, Place: uint64(number)})
 		}
 		choice, _ := scheduling.Choose(gateway.pool, candidates, demand)
 		choice.Candidate.Health.Sent(nowMs)
@@ -279,11 +313,13 @@
 	return best
 }
 
+// slowReader are engines that read a prompt slowly.
+var slowReader = engine.Hardware{
+	PrefillTokensPerSecond: 37_900, StepMicros: 4_630, SequenceMicros: 153, ContextNanosPerToken: 3, MemoryTokens: 211_000,
+	ChunkTokens: 2_048, MaxSequences: loopSlots,
+}
+
 func TestClosedLoop(t *testing.T) {
-	slowReader := engine.Hardware{
-		PrefillTokensPerSecond: 37_900, StepMicros: 4_630, SequenceMicros: 153, ContextNanosPerToken: 3, MemoryTokens: 211_000,
-		ChunkTokens: 2_048, MaxSequences: 64,
-	}
 	halfMemory := slowReader
 	halfMemory.MemoryTokens /= 2
 	quickReader := slowReader
@@ -311,3 +347,31 @@
 		}
 	})
 }
+
+// TestAdmissionClosedLoop holds what admission is for: asked for more than engines can do,
+// more programs end in time with it than without, and nobody is rejected while they keep up.
+func TestAdmissionClosedLoop(t *testing.T) {
+	Convey("under lasting overload more programs are in time when some are rejected", t, func() {
+		for seed := range uint64(3) {
+			inTime := map[bool]int{}
+			for _, admits := range []bool{false, true} {
+				l := newLoop(seed, slowReader, present(rand.New(rand.NewPCG(seed, 4))))
+				l.overload, l.admits = true, admits
+				l.run()
+				inTime[admits] = l.inTime
+				t.Logf("seed %d, admission %v: %d begun, %d rejected, %d in time", seed, admits, l.begun, l.rejected, l.inTime)
+			}
+			So(inTime[true], ShouldBeGreaterThan, inTime[false])
+		}
+	})
+	Convey("engines that keep up take every program", t, func() {
+		quick := slowReader
+		quick.PrefillTokensPerSecond *= 5
+		for seed := range uint64(3) {
+			l := newLoop(seed, quick, present(rand.New(rand.NewPCG(seed, 4))))
+			l.admits = true
+			l.run()
+			So(l.rejected, ShouldEqual, 0)
+		}
+	})
+}
--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -17,6 +17,15 @@
 	Factor Samples
 }
 
+// LateShare is what observers know of the streams of one back end: how many began, and how
+// many of these later than their target.
+type LateShare struct {
+	//lint:ignore U1000 As above.
+	_msgpack struct{} `msgpack:",as_array"`
+	Backend  string
+	Streams  Samples
+}
+
 // Samples are the sums of some evidence without its time.
 type Samples struct {
 	//lint:ignore U1000 As above.
@@ -73,13 +82,46 @@
 // ever a hint. Times are in milliseconds.
 type Board struct {
 	engines map[string]*boardEntry
+	// late holds the streams of each back end.
+	late    map[string]*Evidence
 	sweptMs int64
 	// next is where the answers go on when there are more engines than fit.
 	next int
 }
 
 // NewBoard returns a board that has heard nothing.
-func NewBoard() *Board { return &Board{engines: map[string]*boardEntry{}} }
+func NewBoard() *Board {
+	return &Board{engines: map[string]*boardEntry{}, late: map[string]*Evidence{}}
+}
+
+// maxLateShares bounds the back ends of one report.
+const maxLateShares = 64
+
+// ReportLate takes what a gateway has seen of streams since its last report.
+func (b *Board) ReportLate(shares []LateShare, nowMs int64) {
+	for _, share := range shares[:min(len(shares), maxLateShares)] {
+		known := b.late[share.Backend]
+		if known == nil {
+			known = &Evidence{}
+			b.late[share.Backend] = known
+		}
+		known.Merge(nowMs, share.Streams.evidence(nowMs))
+	}
+	for backend, known := range b.late {
+		if known.At(nowMs).Weight < minimumWeight {
+			delete(b.late, backend)
+		}
+	}
+}
+
+// Late returns what all gateways together have seen of streams.
+func (b *Board) Late(nowMs int64) []LateShare {
+	var shares []LateShare
+	for backend, known := range b.late {
+		shares = append(shares, LateShare{Backend: backend, Streams: known.samples(nowMs)})
+	}
+	return shares
+}
 
 // Report takes what a gateway says.
 func (b *Board) Report(gateway string, loads []Load, nowMs int64) {
