--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -36,10 +36,13 @@
 // table has no tenants.
 func (d *Daemon) tenantFields(c *call) []any {
 	age, known := d.proofAge()
-	if c.tenant == nil || !known {
+	if !c.keyed || !known {
 		return nil
 	}
-	fields := []any{"tenant", c.tenant.Name, "proof_age_ms", age.Milliseconds()}
+	fields := []any{"proof_age_ms", age.Milliseconds()}
+	if c.tenant != nil {
+		fields = append(fields, "tenant", c.tenant.Name)
+	}
 	if c.granted > 0 {
 		fields = append(fields, "granted_ms", milliseconds(c.granted))
 	}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -22,7 +22,9 @@
 	hasBody bool
 	route   *routing.Route
 	backend routing.Backend
-	// tenant holds the caller's key, nil where the route needs none.
+	// keyed says that the table has tenants; tenant holds the caller's key, nil where the
+	// route needs none.
+	keyed  bool
 	tenant *routing.Tenant
 	// rankPosition is how many of the ranks in use at the back end are less urgent.
 	rankPosition int
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -24,7 +24,8 @@
 // unknown only where the table is known to be in force; a gateway that has been cut off may
 // lack keys that were added since.
 func (d *Daemon) identify(c *call, routes *routing.Index) *result.Error {
-	if !routes.Table.Keyed {
+	c.keyed = routes.Table.Keyed
+	if !c.keyed {
 		return nil
 	}
 	key := c.request.Header.Get(d.headers.APIKey)
