--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -69,6 +69,8 @@
 	electionTimeout  int
 	quiescent        bool
 	idleTicks        int
+	// ticks counts those of this leader; it only goes up.
+	ticks int
 
 	votes    map[ReplicaID]bool
 	progress map[ReplicaID]*progress
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -16,8 +16,48 @@
 	active          bool
 	wasActive       bool
 	answered        bool
-	// resendIn is how many ticks must go by before what is on its way is sent again.
+	// resendIn is how many ticks must go by before a snapshot on its way is sent again.
 	resendIn int
+	// sentTick is when something was last appended there, in ticks of this leader.
+	sentTick int
+	// timedIndex is the entry whose answer is being timed since timedTick, 0 for none, and
+	// roundTicks what that took lately at the most.
+	timedIndex uint64
+	timedTick  int
+	roundTicks int
+	// resends counts what was sent again since the last timed answer.
+	resends int
+}
+
+// longestResendTicks bounds how long a leader waits before it sends again what may be lost.
+const longestResendTicks = 40
+
+// resendTicks is how long an answer to what was sent last may take: twice the time that
+// answers took lately, doubled for each time that it was sent again without one (as in RFC
+// 6298). Invariant: what is slow is not taken for lost, since sending it again makes a
+// crowded link slower for good.
+func (p *progress) resendTicks(heartbeatTicks int) int {
+	return min((2*p.roundTicks+heartbeatTicks)<<min(p.resends, 8), longestResendTicks)
+}
+
+// noteSent remembers an append of entries up to an index.
+func (p *progress) noteSent(tick int, last uint64, entries int) {
+	p.sentTick = tick
+	if p.timedIndex == 0 && entries > 0 {
+		p.timedIndex = last
+		p.timedTick = tick
+	}
+}
+
+// noteAnswered takes the time of an answer that covers the entry that is being timed.
+func (p *progress) noteAnswered(tick int, match uint64) {
+	if p.timedIndex == 0 || match < p.timedIndex {
+		return
+	}
+	const keptOfEight = 7
+	p.roundTicks = max(tick-p.timedTick, p.roundTicks*keptOfEight/8)
+	p.timedIndex = 0
+	p.resends = 0
 }
 
 // snapshotTicks is how long a snapshot may take before it is sent again.
@@ -94,6 +134,7 @@
 	}
 	entries := n.log.slice(follower.next, n.log.lastIndex(), n.options.MaxAppendBytes)
 	follower.inflight++
+	follower.noteSent(n.ticks, previous+uint64(len(entries)), len(entries))
 	if !follower.probing {
 		follower.next += uint64(len(entries))
 	}
@@ -118,6 +159,7 @@
 	n.electionElapsed++
 	n.heartbeatElapsed++
 	n.idleTicks++
+	n.ticks++
 	for _, follower := range n.progress {
 		follower.resendIn = max(follower.resendIn-1, 0)
 	}
@@ -344,6 +386,7 @@
 	follower.probing = false
 	follower.waitingSnapshot = false
 	follower.resendIn = 0
+	follower.noteAnswered(n.ticks, message.Index)
 	if message.Index > follower.match {
 		follower.match = message.Index
 		if message.From == n.transfer {
@@ -374,8 +417,10 @@
 	follower.answered = false
 	// Invariant: answers that arrive together, as when a cut heals, make the leader
 	// send again once; a snapshot on its way is not one that was lost.
-	if stalled && follower.resendIn == 0 && follower.match < n.log.lastIndex() {
-		follower.resendIn = n.options.HeartbeatTicks
+	due := n.ticks-follower.sentTick >= follower.resendTicks(n.options.HeartbeatTicks)
+	if stalled && due && follower.resendIn == 0 && follower.match < n.log.lastIndex() {
+		follower.resends++
+		follower.timedIndex = 0
 		// A lost probe is sent again as it was: of a replica that has answered nothing yet
 		// the leader knows no position to go back to.
 		if !follower.probing || follower.waitingSnapshot {
--- a/internal/consensus/resend_test.go
+++ b/internal/consensus/resend_test.go
@@ -26,6 +26,10 @@
 		if compacted {
 			node.Compact(node.Applied())
 		}
+		// Replica 3 is cut off for as long as an answer may take.
+		for range options.HeartbeatTicks {
+			node.Tick()
+		}
 		return node
 	}
 	burst := func(node *Node) (snapshots, appends int) {
