--- /dev/null
+++ b/internal/control/heartbeats.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/replication"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+)
+
+// pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
+type pendingFleetSync struct {
+	id      RequestID
+	request *protocol.FleetSync
+	// number tells a gateway's heartbeats apart, 0 for ledger hosts.
+	number     uint64
+	deadlineMs int64
+	// proved says that a quorum has confirmed this leader since the heartbeat came.
+	proved bool
+}
+
+// fleetSync takes the heartbeat of a gateway or ledger host.
+func (c *Core) fleetSync(id RequestID, request *protocol.FleetSync) {
+	group, leader, failure := c.leading(0)
+	if failure != nil || c.fleetTracker == nil {
+		c.outlet.Reply(id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+		return
+	}
+	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs}
+	if request.Gateway != nil {
+		pending.number = c.fleetTracker.HeardGateway(request.Gateway.Name, c.nowMs)
+	}
+	c.noteSender(group, request)
+	switch {
+	case request.Fresh:
+		c.host.Read(group, func(failure *result.Error) {
+			reply := &protocol.FleetSyncReply{Error: failure}
+			if failure == nil {
+				reply = c.fleetReply(request)
+				reply.Confirmed = true
+			}
+			c.answerFleetSync(pending, reply)
+		})
+	case request.Prove:
+		c.unproved = append(c.unproved, pending)
+		c.proveFleetSyncs()
+	default:
+		c.holdFleetSync(pending)
+	}
+}
+
+// holdFleetSync answers a heartbeat for which there is news and holds any other.
+func (c *Core) holdFleetSync(pending pendingFleetSync) {
+	if pending.request.HoldMs == 0 || c.hasFleetNews(pending.request) {
+		c.answerFleetSync(pending, c.fleetReply(pending.request))
+		return
+	}
+	c.fleetSyncs = append(c.fleetSyncs, pending)
+}
+
+// proveFleetSyncs has a quorum confirm this leader for all heartbeats that have come since
+// the last round began. Invariant: one round at a time is under way, so that the rounds a
+// second are bounded by the way to the quorum and not by the number of gateways.
+func (c *Core) proveFleetSyncs() {
+	if c.proving || len(c.unproved) == 0 {
+		return
+	}
+	batch := c.unproved
+	c.unproved = nil
+	c.proving = true
+	c.host.Read(c.host.Groups[0], func(failure *result.Error) {
+		c.proving = false
+		for _, pending := range batch {
+			if failure != nil {
+				c.answerFleetSync(pending, &protocol.FleetSyncReply{Error: failure})
+				continue
+			}
+			pending.proved = true
+			c.holdFleetSync(pending)
+		}
+		c.proveFleetSyncs()
+	})
+}
+
+// answerFleetSync answers a heartbeat; from then on the next one is expected.
+func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
+	if pending.request.Gateway != nil && c.fleetTracker != nil {
+		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.nowMs)
+	}
+	reply.Confirmed = reply.Confirmed || (pending.proved && reply.Error == nil)
+	c.outlet.Reply(pending.id, reply)
+}
+
+// noteSender replicates what is new of the sender of a heartbeat.
+func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
+	var update membership.FleetUpdate
+	if gateway := request.Gateway; gateway != nil {
+		c.loads.Report(gateway.Name, request.Loads, c.nowMs)
+		c.loads.ReportLate(request.Late, c.nowMs)
+		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
+			update.PutGateways = append(update.PutGateways, *gateway)
+		}
+	}
+	if report := request.Ledger; report != nil {
+		c.fleetTracker.HeardLedger(*report, c.nowMs)
+		host := report.Host
+		known, ok := c.system.fleet.Ledger(host.Member)
+		// Invariant: only the operator's order makes a host retire; an empty disk
+		// under the same address is another host.
+		host.Retiring = ok && known.Retiring && known.Replica == host.Replica
+		if !ok || known != host {
+			update.PutLedgers = append(update.PutLedgers, host)
+		}
+	}
+	if !update.Empty() {
+		_ = c.host.Propose(group, &systemCommand{Fleet: &update}, func(any) {})
+	}
+}
+
+func (c *Core) hasFleetNews(request *protocol.FleetSync) bool {
+	table := c.system.tree.Routing()
+	newTable := request.WithRouting && table != nil && table.Generation > request.Generation
+	return newTable || c.system.fleet.ChangedSince(request.Version)
+}
+
+func (c *Core) fleetReply(request *protocol.FleetSync) *protocol.FleetSyncReply {
+	reply := &protocol.FleetSyncReply{Controls: c.memberNames()}
+	fleet := c.system.fleet
+	if request.Version == 0 || request.Version > fleet.Version() || fleet.ChangedSince(request.Version) {
+		reply.Fleet = c.news.fleetSince(fleet, request.Version)
+	}
+	if request.WithLoads && c.loads != nil {
+		reply.Loads = c.news.loadsOf(c.loads, c.nowMs)
+	}
+	if request.Gateway != nil && c.loads != nil {
+		reply.Late = c.loads.Late(c.nowMs)
+	}
+	table := c.system.tree.Routing()
+	if request.WithRouting && table != nil && table.Generation > request.Generation {
+		reply.Routing = c.news.routingSince(c.tableAt(request.Generation), table)
+	}
+	return reply
+}
+
+// answerFleetSyncs answers the heartbeats for which there is news and those that
+// have waited long enough.
+func (c *Core) answerFleetSyncs() {
+	c.keepTable()
+	waiting := c.fleetSyncs[:0]
+	for _, pending := range c.fleetSyncs {
+		if c.nowMs < pending.deadlineMs && !c.hasFleetNews(pending.request) {
+			waiting = append(waiting, pending)
+			continue
+		}
+		c.answerFleetSync(pending, c.fleetReply(pending.request))
+	}
+	clear(c.fleetSyncs[len(waiting):])
+	c.fleetSyncs = waiting
+}
+
+// expireFleetSyncs ends the waiting of heartbeats by the clock, or because this
+// process does not lead any more.
+func (c *Core) expireFleetSyncs() {
+	if len(c.fleetSyncs) == 0 {
+		return
+	}
+	if c.fleetTracker != nil {
+		c.answerFleetSyncs()
+		return
+	}
+	leader := c.leaderName(c.host.Groups[0])
+	for _, pending := range c.fleetSyncs {
+		c.outlet.Reply(pending.id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
+	}
+	c.fleetSyncs = nil
+}
+
+// keepTable remembers the tables that were in force lately, so that followers get
+// differences.
+func (c *Core) keepTable() {
+	table := c.system.tree.Routing()
+	if table == nil || (len(c.tables) > 0 && c.tables[len(c.tables)-1].Generation == table.Generation) {
+		return
+	}
+	c.tables = append(c.tables, table.WithoutDocument())
+	if len(c.tables) > keptTables {
+		c.tables = c.tables[1:]
+	}
+}
+
+// tableAt returns a table that was in force lately, nil where it is not kept.
+func (c *Core) tableAt(generation uint64) *routing.Table {
+	for _, table := range c.tables {
+		if table.Generation == generation {
+			return table
+		}
+	}
+	return nil
+}
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -50,7 +50,7 @@
 	OnLoads func(loads []scheduling.Load)
 	// OnLate takes what all gateways together have seen of streams; nil where nobody asks.
 	OnLate func(shares []scheduling.LateShare)
-	Logger  log.Logger
+	Logger log.Logger
 
 	// provedAt is when the question left whose answer last proved that the table held is in
 	// force, nil before the first.
--- /dev/null
+++ b/internal/gateway/admission.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+)
+
+// slowFactor is from how many times the time that others take on an engine counts as slow.
+const slowFactor = 1.3
+
+// activity notes when this gateway sent or received something of streams, and so shows when
+// its process, or its machine, stood still.
+type activity struct {
+	lastMs int64
+	// fromMs and toMs are the last time without any, if it was longer than a pause may be.
+	fromMs, toMs int64
+}
+
+// leastPauseMs is the shortest time without activity that may be a pause of the process.
+const leastPauseMs = 100
+
+func (a *activity) note(nowMs int64) {
+	if nowMs-a.lastMs >= leastPauseMs {
+		a.fromMs, a.toMs = a.lastMs, nowMs
+	}
+	a.lastMs = nowMs
+}
+
+// paused reports whether nothing happened for half of the time up to nowMs or more.
+func (a *activity) paused(nowMs int64, tookMs float64) bool {
+	const half = 2
+	idleMs := a.toMs - max(a.fromMs, nowMs-int64(tookMs))
+	return float64(idleMs)*half >= tookMs
+}
+
+// noteBeginning tells admission whether a stream began within its target. What lasted long
+// for another reason than that engines have too much to do is left out: an engine that is
+// slower than the others, or a pause of this process.
+func (e *engines) noteBeginning(c *call, nowMs int64, took float64) {
+	target := float64(c.route.TargetLatencyMs)
+	slow := e.healthOf(c.engine).Factor(nowMs) > slowFactor
+	if target <= 0 || (took > target && (slow || e.activity.paused(nowMs, took))) {
+		return
+	}
+	entryOf(e.admissions, c.backend.Name).Began(nowMs, took > target)
+}
+
+// concurrency is the mean of all gateways' requests over the engines of a back end.
+func (e *engines) concurrency(backend string, nowMs int64) float64 {
+	pool := e.byPool[backend]
+	total := 0.0
+	for _, engine := range pool {
+		total += e.healthOf(engine.ID).Company(nowMs)
+	}
+	return total / float64(max(len(pool), 1))
+}
+
+// admission is a decision whether a program may begin, with what it was made from.
+type admission struct {
+	admitted     bool
+	retryAfterMs int64
+	concurrency  float64
+	limit        float64
+}
+
+// admit decides whether a call that begins a program may go on.
+func (e *engines) admit(c *call, position, ranks int) admission {
+	if e.disabled.Has(scheduling.MechanismAdmission) {
+		return admission{admitted: true}
+	}
+	draw := float64(xxhash.Sum64String(c.program)) / (1 << 64)
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	nowMs := clock.NowMs()
+	decision := admission{concurrency: e.concurrency(c.backend.Name, nowMs)}
+	learnt := entryOf(e.admissions, c.backend.Name)
+	learnt.Learn(nowMs, decision.concurrency, c.backend.Slots)
+	decision.limit = learnt.Limit()
+	decision.retryAfterMs, decision.admitted = learnt.Admit(decision.concurrency, position, ranks, draw)
+	return decision
+}
+
+// lateNews returns what this gateway has seen of streams since the last call.
+func (e *engines) lateNews(nowMs int64) []scheduling.LateShare {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var shares []scheduling.LateShare
+	for backend, learnt := range e.admissions {
+		if news := learnt.TakeNews(nowMs); news.Weight > 0 {
+			shares = append(shares, scheduling.LateShare{Backend: backend, Streams: news})
+		}
+	}
+	return shares
+}
+
+// takeLate takes what all gateways together have seen of streams.
+func (e *engines) takeLate(shares []scheduling.LateShare, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, share := range shares {
+		entryOf(e.admissions, share.Backend).TakeShared(share.Streams, nowMs)
+	}
+}
