--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -214,7 +214,7 @@
 	return missing
 }
 
-// askQuota asks the owner of a tenant's limit for one request, or gives one back.
+// askQuota asks the owner of a tenant's limit for one request.
 func (l *ledgers) askQuota(ctx context.Context, ask *quota.Ask) *protocol.TurnReply {
 	group, placed := l.groupOf(ask.Tenant)
 	if !placed {
@@ -222,3 +222,25 @@
 	}
 	return l.ask(ctx, &protocol.TurnRequest{Group: group, Quota: ask})
 }
+
+// returnQuota gives a grant back. Invariant: it is sent once at the most. An answer that is
+// lost leaves the grant counted until it has left the window; a return that came twice would
+// take another request's grant out of it.
+func (l *ledgers) returnQuota(tenant string, grant *quota.Grant) *result.Error {
+	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
+	defer cancel()
+	group, placed := l.groupOf(tenant)
+	if !placed {
+		return result.New(result.LedgerUnreachable, "no ledger group is placed")
+	}
+	leader := l.leaders.find(ctx, group)
+	if leader == "" {
+		return result.New(result.LedgerUnreachable, "group %d: no leader found", group)
+	}
+	request := &protocol.TurnRequest{Group: group, Quota: &quota.Ask{Tenant: tenant, Return: grant}}
+	reply := &protocol.TurnReply{}
+	if err := l.caller.CallWithin(ctx, ledgerTry, leader, protocol.KindTurn, request, reply); err != nil {
+		return result.New(result.LedgerUnreachable, "group %d: %s: %v", group, leader, err)
+	}
+	return reply.Error
+}
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -118,11 +118,8 @@
 			continue
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
-			defer cancel()
-			reply := d.ledgers.askQuota(ctx, &quota.Ask{Tenant: c.tenant.Name, Return: grant})
-			if reply.Error != nil {
-				d.logFailure("quota not returned", c, reply.Error)
+			if failure := d.ledgers.returnQuota(c.tenant.Name, grant); failure != nil {
+				d.logFailure("quota not returned", c, failure)
 			}
 		}()
 	}
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -201,6 +201,24 @@
 			So("nothing was returned", ShouldBeBlank)
 		}
 	})
+	Convey("a return whose answer is lost is not sent again", t, func() {
+		stand := newTenantStand(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Ochrebay-Not-Run", "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		returns := atomic.Int64{}
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Quota.Return != nil {
+				returns.Add(1)
+				return nil
+			}
+			return &protocol.TurnReply{Grant: &quota.Grant{}}
+		})
+		_, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", otherKey, "Ochrebay-Deadline-Ms", "300")
+		So(err, ShouldBeNil)
+		time.Sleep(2 * ledgerTry)
+		So(returns.Load(), ShouldEqual, 1)
+	})
 	Convey("a second run needs a second grant; without it the answer does not say that nothing ran", t, func() {
 		stand := newTenantStand(t, events(1, "", true))
 		grants := atomic.Int64{}
--- a/internal/ledger/quotas_test.go
+++ b/internal/ledger/quotas_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"testing"
 
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/quota"
 )
@@ -135,3 +138,30 @@
 		t.Fatalf("%d granted before and %d after the loss of power, allowed 50", used, len(callers.granted)-used)
 	}
 }
+
+func TestSnapshotOfAGroup(t *testing.T) {
+	filled := func() *stateMachine {
+		machine := newStateMachine(Options{QuotaWindowMs: testQuotaWindowMs})
+		machine.turns.Apply(program.TurnCommand{NowMs: 1, Settle: &program.Settle{Program: "p", Request: "r", Keep: true, RetentionMs: 60_000}})
+		machine.quotas.Apply(quota.Reservation{Tenant: "t", Count: 3, Term: 1, NowMs: 1})
+		return machine
+	}
+	Convey("a snapshot holds turns and reservations", t, func() {
+		raw, err := filled().Snapshot()
+		So(err, ShouldBeNil)
+		restored := newStateMachine(Options{QuotaWindowMs: testQuotaWindowMs})
+		So(restored.Restore(raw), ShouldBeNil)
+		So(restored.turns.Has("r"), ShouldBeTrue)
+		So(restored.quotas.Tenants(), ShouldEqual, 1)
+		So(restored.Restore(nil), ShouldBeNil)
+		So(restored.turns.Has("r"), ShouldBeFalse)
+	})
+	Convey("one of turns alone, as disks from before there were limits hold it, is read too", t, func() {
+		raw, err := filled().turns.Snapshot()
+		So(err, ShouldBeNil)
+		restored := newStateMachine(Options{QuotaWindowMs: testQuotaWindowMs})
+		So(restored.Restore(raw), ShouldBeNil)
+		So(restored.turns.Has("r"), ShouldBeTrue)
+		So(restored.quotas.Tenants(), ShouldEqual, 0)
+	})
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -80,6 +80,10 @@
 			return err
 		}
 	}
+	if encoded.Turns == nil {
+		// A snapshot from before there were limits is that of the turns alone.
+		encoded.Turns = data
+	}
 	if err := m.turns.Restore(encoded.Turns); err != nil {
 		return err
 	}
