--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -8,6 +8,10 @@
 	"github.com/ochrebay/ochrebay/internal/routing"
 )
 
+// loadsSummedMs is how long a leader gathers what gateways have seen before it tells the sums:
+// a little more than the time between two heartbeats of a gateway (0.7 s).
+const loadsSummedMs = 1000
+
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
 type pendingFleetSync struct {
 	id      RequestID
@@ -129,10 +133,12 @@
 	if request.Version == 0 || request.Version > fleet.Version() || fleet.ChangedSince(request.Version) {
 		reply.Fleet = c.news.fleetSince(fleet, request.Version)
 	}
-	if request.WithLoads && c.loads != nil {
+	// Until every gateway has reported to a new leader its sums lack those that have not.
+	summed := c.loads != nil && c.nowMs-c.leadingSinceMs >= loadsSummedMs
+	if request.WithLoads && summed {
 		reply.Loads = c.news.loadsOf(c.loads, c.nowMs)
 	}
-	if request.Gateway != nil && c.loads != nil {
+	if request.Gateway != nil && summed {
 		reply.Late = c.loads.Late(c.nowMs)
 	}
 	table := c.system.tree.Routing()
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -47,14 +47,22 @@
 	entryOf(e.admissions, c.backend.Name).Began(nowMs, took > target)
 }
 
-// concurrency is the mean of all gateways' requests over the engines of a back end.
-func (e *engines) concurrency(backend string, nowMs int64) float64 {
+// concurrency is the mean of all gateways' requests over the engines of a back end that the
+// others have spoken of lately; false where that is less than half of them, as while control
+// has no leader: this gateway's own requests alone would look like an idle fleet.
+func (e *engines) concurrency(backend string, nowMs int64) (mean float64, known bool) {
 	pool := e.byPool[backend]
-	total := 0.0
+	total, heard := 0.0, 0
 	for _, engine := range pool {
-		total += e.healthOf(engine.ID).Company(nowMs)
+		health := e.healthOf(engine.ID)
+		if !health.SharedLately(nowMs) {
+			continue
+		}
+		total += health.Company(nowMs)
+		heard++
 	}
-	return total / float64(max(len(pool), 1))
+	const half = 2
+	return total / float64(max(heard, 1)), heard > 0 && heard*half >= len(pool)
 }
 
 // admission is a decision whether a program may begin, with what it was made from.
@@ -74,7 +82,11 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
-	decision := admission{concurrency: e.concurrency(c.backend.Name, nowMs)}
+	concurrency, known := e.concurrency(c.backend.Name, nowMs)
+	if !known {
+		return admission{admitted: true}
+	}
+	decision := admission{concurrency: concurrency}
 	learnt := entryOf(e.admissions, c.backend.Name)
 	learnt.Learn(nowMs, decision.concurrency, c.backend.Slots)
 	decision.limit = learnt.Limit()
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -24,6 +24,7 @@
 		learnt.Began(clock.NowMs(), true)
 	}
 	learnt.Learn(clock.NowMs(), concurrency, 4)
+	engines.healthOf("e").TakeShared(scheduling.Load{Engine: "e"}, clock.NowMs())
 	for range 10 * concurrency {
 		engines.healthOf("e").Sent(clock.NowMs())
 	}
@@ -58,6 +59,12 @@
 		count, _ = rejected(newOverloadedStand(t, true), "/kept/", "Ochrebay-Previous-Turn", "t1")
 		So(count, ShouldEqual, 0)
 	})
+	Convey("without word of the other gateways nobody is rejected", t, func() {
+		stand := newOverloadedStand(t, true)
+		stand.gateway.engines.health = map[string]*scheduling.EngineHealth{}
+		count, _ := rejected(stand, "/stream/")
+		So(count, ShouldEqual, 0)
+	})
 	Convey("turned off it rejects nobody", t, func() {
 		stand := newOverloadedStand(t, true)
 		stand.gateway.engines.disabled = scheduling.Disabled{scheduling.MechanismAdmission}
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -6,10 +6,15 @@
 	// admissionPrior is for how many streams in time the few streams of an idle fleet count
 	// besides, so that one late stream of two changes nothing.
 	admissionPrior = 8
-	// toleratedLate is the share of streams that may begin late. Engines that keep up have
-	// under 0.05 through bursts and lost machines; engines of half the speed went from 0.07
-	// through 0.34 to 0.99 within 12 s and stayed there (docs/design/0008-shifted-work.md).
-	toleratedLate = 0.1
+	// overloadedLate is the share of late streams from which on a fleet counts as overloaded
+	// and a limit begins, toleratedLate the share that the limit then aims at. A burst of 2.5
+	// times the traffic took engines that recover by themselves to 0.32 for some seconds; to
+	// reject programs there cost 0.1 of worth. Engines of half the speed went from 0.07 through
+	// 0.34 to 0.99 within 12 s and stayed there (docs/design/0008-shifted-work.md).
+	overloadedLate = 0.4
+	toleratedLate  = 0.1
+	// unboundAfterMs is how long a limit that rejected nobody, with few streams late, stays.
+	unboundAfterMs = 5000
 	// lowerPerSecond is how much of the limit goes in a second, for each unit that the late
 	// share lies above the tolerated one, and raisePerSecond how much is added in a second
 	// while nearly all begin in time.
@@ -44,7 +49,7 @@
 //
 // It learns the concurrency, in requests an engine, up to which streams begin within their
 // route's target, and lets programs begin while concurrency is below it. It needs no model
-// of the engines and no figure of theirs; until streams begin late there is no limit.
+// of the engines and no figure of theirs; until most streams begin late there is no limit.
 //
 // What one gateway sees of a large fleet is little, and chance would have it learn limits
 // that no other has: the late share is that of all gateways' streams, as control adds it up,
@@ -58,6 +63,8 @@
 	// limit is in requests an engine, 0 for none.
 	limit  float64
 	lastMs int64
+	// boundMs is when a new program last met the limit.
+	boundMs int64
 }
 
 // Began notes a stream that began, late or in time.
@@ -95,10 +102,16 @@
 	if elapsed <= 0 {
 		return
 	}
-	above := a.lateShare(nowMs) - toleratedLate
+	late := a.lateShare(nowMs)
+	above := late - toleratedLate
 	switch {
-	case above > 0 && a.limit == 0:
-		a.limit = max(concurrency, least)
+	case a.limit == 0:
+		if late > overloadedLate {
+			a.limit = max(concurrency, least)
+			a.boundMs = nowMs
+		}
+	case above < 0 && nowMs-a.boundMs > unboundAfterMs:
+		a.limit = 0
 	case above > 0 && concurrency <= a.limit:
 		a.limit = max(a.limit*(1-lowerPerSecond*above*elapsed), least)
 	case above <= -toleratedLate/2 && concurrency >= nearLimit*a.limit:
@@ -120,7 +133,11 @@
 // ranks in all; draw is within 0..1 and the same for each try of a program, at every gateway:
 // who comes back more often is not let in more often.
 func (a *Admission) Admit(concurrency float64, position, ranks int, draw float64) (retryAfterMs int64, admitted bool) {
-	above := a.Rejected(concurrency, position, ranks) - draw
+	rejected := a.Rejected(concurrency, position, ranks)
+	if rejected > 0 {
+		a.boundMs = a.lastMs
+	}
+	above := rejected - draw
 	if above <= 0 {
 		return 0, true
 	}
--- a/internal/scheduling/admission_test.go
+++ b/internal/scheduling/admission_test.go
@@ -62,6 +62,21 @@
 		admission.Learn(100, 50, 12)
 		So(admission.Limit(), ShouldEqual, 0)
 	})
+	Convey("a burst that has a third of the streams late begins no limit; one that rejects nobody any more ends", t, func() {
+		var admission Admission
+		third := func(fromS, toS int64, of int, concurrency float64) {
+			for ms := fromS * 1000; ms < toS*1000; ms += 50 {
+				admission.Began(ms, of > 0 && ms/50%int64(of) == 0)
+				admission.Learn(ms, concurrency, 12)
+			}
+		}
+		third(0, 10, 3, 15)
+		So(admission.Limit(), ShouldEqual, 0)
+		third(10, 14, 1, 15)
+		So(admission.Limit(), ShouldBeGreaterThan, 0)
+		third(14, 24, 0, 1)
+		So(admission.Limit(), ShouldEqual, 0)
+	})
 	Convey("late streams above the limit lower nothing; streams in time at it raise it again", t, func() {
 		var admission Admission
 		late := func(fromS, toS int64, late bool, concurrency float64) {
@@ -75,7 +90,10 @@
 		So(first, ShouldBeBetween, 3, 10)
 		late(2, 6, true, 30)
 		So(admission.Limit(), ShouldEqual, first)
-		late(6, 30, false, first)
+		for second := int64(6); second < 30; second++ {
+			admission.Admit(first, 0, 1, 1)
+			late(second, second+1, false, first)
+		}
 		So(admission.Limit(), ShouldBeGreaterThan, 1.2*first)
 	})
 }
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -112,12 +112,17 @@
 
 // Company is how many requests of all gateways are expected to be at the engine.
 func (h *EngineHealth) Company(nowMs int64) float64 {
-	if h.sharedMs == 0 || nowMs-h.sharedMs > loadForgottenMs {
+	if !h.SharedLately(nowMs) {
 		return float64(h.InFlight)
 	}
 	return max(h.sharedInFlight-h.reportedInFlight, 0) + float64(h.InFlight)
 }
 
+// SharedLately reports whether other gateways have spoken of the engine lately.
+func (h *EngineHealth) SharedLately(nowMs int64) bool {
+	return h.sharedMs > 0 && nowMs-h.sharedMs <= loadForgottenMs
+}
+
 // SharedAgeMs is how old what other gateways have said is, -1 where nothing is known.
 func (h *EngineHealth) SharedAgeMs(nowMs int64) int64 {
 	if h.sharedMs == 0 {
