--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -65,6 +65,8 @@
 	lastMs int64
 	// boundMs is when a new program last met the limit.
 	boundMs int64
+	// inTime is the concurrency at which few streams were late last, while there is no limit.
+	inTime float64
 }
 
 // Began notes a stream that began, late or in time.
@@ -105,10 +107,16 @@
 	late := a.lateShare(nowMs)
 	above := late - toleratedLate
 	switch {
+	case a.limit == 0 && late > overloadedLate:
+		a.limit = concurrency
+		if a.inTime > 0 {
+			a.limit = min(a.limit, a.inTime)
+		}
+		a.limit = max(a.limit, least)
+		a.boundMs = nowMs
 	case a.limit == 0:
-		if late > overloadedLate {
-			a.limit = max(concurrency, least)
-			a.boundMs = nowMs
+		if above <= 0 {
+			a.inTime = concurrency
 		}
 	case above < 0 && nowMs-a.boundMs > unboundAfterMs:
 		a.limit = 0
