--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -50,6 +50,7 @@
 	registerSimulate(app, registered)
 	registerReplay(app, registered)
 	registerCapacity(app, registered)
+	registerCheckConfiguration(app, registered)
 	registerTrace(app, registered)
 	registerReport(app, registered)
 	registerCompare(app, registered)
--- a/cmd/ochrebay/platform.go
+++ b/cmd/ochrebay/platform.go
@@ -5,6 +5,8 @@
 	"github.com/ochrebay/ochrebay/internal/control"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/gateway"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/platform"
 )
 
@@ -47,3 +49,8 @@
 	}
 	return frontends
 }
+
+// parseConfiguration translates a configuration document of the platform.
+func parseConfiguration(document []byte) (*routing.Table, *result.Error) {
+	return platform.ParseConfiguration(document)
+}
