--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -1,6 +1,6 @@
 // Package capacity measures how state, bytes and memory grow with what drives them, on
-// the real state machines and the real store, for docs/CAPACITY.md (letter 1). What a
-// fleet of processes costs is measured on the bench.
+// the real state machines and the real store, for docs/CAPACITY.md. What a
+// fleet of processes costs is measured with whole processes and stands on that page too.
 package capacity
 
 import (
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -37,7 +37,7 @@
 	MaxInflight int
 
 	// DisablePreVote, DisableCheckQuorum and DisableReadConfirm turn one
-	// mechanism off, for runs that show what it is for (issue 4).
+	// mechanism off, for runs that show what it is for.
 	DisablePreVote     bool
 	DisableCheckQuorum bool
 	DisableReadConfirm bool
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -81,7 +81,7 @@
 	programs map[string]*Header
 
 	// DisableFence accepts the result of any attempt, and DisableBudget refuses
-	// no call for its budget; for runs that show what each is for (issue 4).
+	// no call for its budget; for runs that show what each is for.
 	DisableFence  bool
 	DisableBudget bool
 	// DisableOnce lets a call that is not repeatable run again.
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -96,7 +96,7 @@
 type Tree struct {
 	state
 	// DisableVersionCheck lets an older version overwrite a newer one, for runs
-	// that show what the check is for (issue 4).
+	// that show what the check is for.
 	DisableVersionCheck bool
 }
 
