Only a host of the placement is handed a ledger group; a replica never heard has not caught up

Two ledger hosts had been added, the placement named them in place of those two; the leader, itself outside the placement, handed the group to the first voter that was heard: the other one that was to leave, which handed it back. Each change began the transfer to the new hosts anew, so that it never ended. Ruled out: the balance of leaders (5 s apart), the loss of control's leader at 9 to 11 s (before it began).

Change: only a voter that the placement names is handed a group for its placement's sake. And, found by the test of it: a learner that has acknowledged nothing counted as caught up in a log of fewer than 8 entries, and voted; CaughtUp now wants an acknowledgement.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -170,10 +170,11 @@
 func (n *Node) Quiescent() bool { return n.quiescent }
 
 // CaughtUp reports whether the leader knows that id has all of its log but at
-// most lag entries.
+// most lag entries. Invariant: a replica that has acknowledged nothing is never caught up: in a
+// short log it lacks few entries too.
 func (n *Node) CaughtUp(id ReplicaID, lag uint64) bool {
 	follower, ok := n.progress[id]
-	return n.role == Leader && ok && follower.match+lag >= n.log.lastIndex()
+	return n.role == Leader && ok && follower.match > 0 && follower.match+lag >= n.log.lastIndex()
 }
 
 // TermAt returns the term of the entry at index, zero where it is not held.
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -301,7 +301,7 @@
 func (c *Core) Drain() {
 	c.draining = true
 	for _, group := range c.host.Groups {
-		c.handOver(group)
+		c.handOver(group, anyMember)
 	}
 }
 
@@ -310,18 +310,22 @@
 	return !slices.ContainsFunc(c.host.Groups, (*replication.Group).Leads)
 }
 
-// handOver gives leadership to any voter that is heard and has the whole log.
-func (c *Core) handOver(group *replication.Group) {
+// handOver gives leadership to a voter that is heard, has the whole log and is eligible.
+func (c *Core) handOver(group *replication.Group, eligible func(member string) bool) {
 	if !group.Leads() {
 		return
 	}
 	for _, replica := range group.Node.Configuration().Replicas {
-		if replica.ID != group.Node.ID() && group.Node.RecentlyActive(replica.ID) && group.Node.TransferLeadership(replica.ID) {
+		candidate := replica.ID != group.Node.ID() && eligible(replica.Member) && group.Node.RecentlyActive(replica.ID)
+		if candidate && group.Node.TransferLeadership(replica.ID) {
 			return
 		}
 	}
 }
 
+// anyMember makes every voter eligible: a host that stops leaves its groups to whoever can lead.
+func anyMember(string) bool { return true }
+
 // sweep forgets expired turns and idle budgets in the groups led here.
 func (c *Core) sweep() {
 	for _, group := range c.host.Groups {
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -25,20 +25,27 @@
 			continue
 		}
 		if c.draining {
-			c.handOver(group)
+			c.handOver(group, anyMember)
 			continue
 		}
 		next, step := nextConfiguration(group.Node, placement.Members, c.currentReplicas(placement))
 		if step {
 			_ = group.Node.ProposeConfiguration(next)
-		} else if !slices.Contains(placement.Members, c.options.Member) {
-			c.handOver(group)
+		} else if !placedAt(placement, c.options.Member) {
+			// Invariant: only a host of the placement is handed the group. Two that are both to
+			// leave it would hand it to and fro, and each change of leadership interrupts the
+			// transfer to their successors, so that these never catch up.
+			c.handOver(group, func(member string) bool { return placedAt(placement, member) })
 		} else {
 			c.balance(group, c.nowMs)
 		}
 	}
 }
 
+func placedAt(placement membership.Placement, member string) bool {
+	return slices.Contains(placement.Members, member)
+}
+
 // balance hands a group to the member that is to lead it, so that no host stays the
 // leader of more groups than its share after others were lost: a leader does several
 // times a follower's work. It waits until this host has led for a while and hands over
@@ -84,7 +91,7 @@
 // does not speak to this replica. What the disk holds stays: it is the same replica
 // if it is placed here again.
 func (c *Core) dropForgotten(group *replication.Group, placement membership.Placement) {
-	if slices.Contains(placement.Members, c.options.Member) || group.Node.Leader() != consensus.None {
+	if placedAt(placement, c.options.Member) || group.Node.Leader() != consensus.None {
 		delete(c.leaderlessMs, group.ID)
 		return
 	}
