A read and a leader's soft state belong to a term; an overwritten proposal ends at once

Cause: a leader that lost the lead and was handed it back between two ticks kept a read that consensus had dropped (becomeFollower forgot its reads) and that nobody would confirm: Host.Expire ended it only where the process did not lead at that moment.

The same look at what else waits for a callback found: - a proposal whose entry another leader overwrote was kept at its index until 5 s were over, and when the next proposal took that index its callback was lost for good: the caller got no answer, and control's fleetPlanning stayed set for as long as the process led (TestPlansOverTerms); - trackers, permits and load sums outlived the term when the lead came back between two ticks; - a heartbeat whose read was confirmed as the lead was lost was held by a process that answers none; - a draining process that had handed over answered held heartbeats as a leader. Not wrong: quota owners are of one term already, and settles, finds and reserves of ledgers wait for reads and proposals only.

Change: consensus answers each accepted read once, in ReadStates or LostReads; the host ends lost reads (NotLeader) with the flush in which the term moved on, and proposals whose entries the log no longer holds (NoQuorum, outcome unknown; what is committed and not applied still tells it); control begins its soft state anew with each term and ends the heartbeats that wait.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -21,7 +21,7 @@
 	n.knewLeader = n.knewLeader || leader != None
 	n.votes = nil
 	n.progress = nil
-	n.reads = nil
+	n.loseReads()
 	n.transfer = None
 	n.resetElectionTimer()
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -85,6 +85,7 @@
 	messagesAfter   []Message
 	pendingSnapshot *Snapshot
 	readStates      []ReadState
+	lostReads       []uint64
 	snapshotsWanted []ReplicaID
 	savedHardState  HardState
 }
@@ -311,7 +312,7 @@
 // HasReady reports whether Ready would return work.
 func (n *Node) HasReady() bool {
 	return len(n.messages) > 0 || len(n.messagesAfter) > 0 || n.pendingSnapshot != nil ||
-		len(n.readStates) > 0 || len(n.snapshotsWanted) > 0 ||
+		len(n.readStates) > 0 || len(n.lostReads) > 0 || len(n.snapshotsWanted) > 0 ||
 		n.hardState() != n.savedHardState || n.log.stable < n.log.lastIndex() ||
 		n.log.applied < n.log.commit
 }
@@ -327,6 +328,7 @@
 		MessagesAfterSync: n.messagesAfter,
 		Snapshot:          n.pendingSnapshot,
 		ReadStates:        n.readStates,
+		LostReads:         n.lostReads,
 		SnapshotsWanted:   n.snapshotsWanted,
 		Entries:           n.log.slice(n.log.stable+1, n.log.lastIndex(), maxInt),
 		Committed:         n.log.slice(n.log.applied+1, n.log.commit, maxInt),
@@ -338,6 +340,7 @@
 	n.messagesAfter = nil
 	n.pendingSnapshot = nil
 	n.readStates = nil
+	n.lostReads = nil
 	n.snapshotsWanted = nil
 	return ready
 }
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -1,8 +1,9 @@
 package consensus
 
 // ReadIndex asks for an index at which a read is linearizable (thesis, section
-// 6.4). The answer comes in Ready.ReadStates with the same context, or never:
-// the owner gives up when the replica stops leading.
+// 6.4). Each call that returns nil is answered once, with the same context: in
+// Ready.ReadStates, or in Ready.LostReads where this leader's term ends first.
+// Only a leader that no quorum answers keeps it waiting, until it steps down.
 func (n *Node) ReadIndex(context uint64) error {
 	if n.role != Leader {
 		return ErrNotLeader
@@ -71,3 +72,13 @@
 	}
 	n.reads = waiting
 }
+
+// loseReads ends the reads that no quorum has confirmed. Invariant: a read belongs to the
+// term in which it was asked for, so that a leader which regains the lead has none that
+// nobody will confirm any more.
+func (n *Node) loseReads() {
+	for _, read := range n.reads {
+		n.lostReads = append(n.lostReads, read.context)
+	}
+	n.reads = nil
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -190,6 +190,9 @@
 	MessagesAfterSync []Message
 	Committed         []Entry
 	ReadStates        []ReadState
+	// LostReads are the contexts of ReadIndex calls whose term ended before a quorum
+	// confirmed them: they get no ReadState.
+	LostReads []uint64
 	// SnapshotsWanted lists replicas that need a snapshot; the owner answers
 	// with SendSnapshot.
 	SnapshotsWanted []ReplicaID
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -178,7 +178,9 @@
 	draining    bool
 	// leaderSeenMs is when the settings group was last known to have a leader.
 	leaderSeenMs int64
-	// leadingSinceMs is when this process began to lead the settings group.
+	// leadingTerm is the term in which this process last led the settings group, and
+	// leadingSinceMs when that began.
+	leadingTerm    uint64
 	leadingSinceMs int64
 }
 
@@ -324,6 +326,7 @@
 	}
 	c.checkPeers()
 	c.noteLeader()
+	c.followTerm()
 	c.tickLeader()
 	c.expireSyncs()
 	c.expireFleetSyncs()
@@ -397,6 +400,7 @@
 		return
 	}
 	c.host.Step(batch)
+	c.followTerm()
 	c.takeEngineList(batch.From, batch.Engines)
 }
 
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -72,8 +72,12 @@
 	batch := c.unproved
 	c.unproved = nil
 	c.proving = true
+	tracker := c.fleetTracker
 	c.host.Read(c.host.Groups[0], func(failure *result.Error) {
 		c.proving = false
+		if failure == nil && c.fleetTracker != tracker {
+			failure = result.New(result.NotLeader, "leadership moved on")
+		}
 		for _, pending := range batch {
 			if failure != nil {
 				c.answerFleetSync(pending, &protocol.FleetSyncReply{Error: failure})
@@ -206,21 +210,21 @@
 	c.fleetSyncs = waiting
 }
 
-// expireFleetSyncs ends the waiting of heartbeats by the clock, or because this
-// process does not lead any more.
+// expireFleetSyncs ends the waiting of heartbeats by the clock.
 func (c *Core) expireFleetSyncs() {
-	if len(c.fleetSyncs) == 0 {
-		return
-	}
-	if c.fleetTracker != nil {
+	if len(c.fleetSyncs) > 0 && c.fleetTracker != nil {
 		c.answerFleetSyncs()
-		return
 	}
+}
+
+// refuseFleetSyncs ends the waiting of heartbeats because their term is over.
+func (c *Core) refuseFleetSyncs() {
 	leader := c.leaderName(c.host.Groups[0])
-	for _, pending := range c.fleetSyncs {
+	for _, pending := range slices.Concat(c.fleetSyncs, c.unproved) {
 		c.outlet.Reply(pending.id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 	}
 	c.fleetSyncs = nil
+	c.unproved = nil
 }
 
 // keepTable remembers the tables that were in force lately, so that followers get
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -9,6 +9,45 @@
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
+// followTerm ends what belongs to a term of this leader that is over, and begins anew where
+// it leads. Invariant: soft state is of one term. A leader that lost the lead and regained it
+// between two ticks knows no more of what happened meanwhile than any other.
+func (c *Core) followTerm() {
+	node := c.host.Groups[0].Node
+	leads := node.Role() == consensus.Leader
+	if leads && c.tracker != nil && c.leadingTerm == node.Term() {
+		return
+	}
+	if c.tracker != nil {
+		c.endTerm()
+	}
+	if leads && !c.draining {
+		c.beginTerm(node.Term())
+	}
+}
+
+func (c *Core) beginTerm(term uint64) {
+	c.leadingTerm = term
+	c.leadingSinceMs = c.nowMs
+	c.tracker = membership.NewTracker(c.options.LeaseMs, c.nowMs)
+	c.permits = reconcile.NewPermits(c.nowMs)
+	c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
+	c.loads = scheduling.NewBoard()
+	c.planning = 0
+	c.fleetPlanning = false
+}
+
+// endTerm sends the heartbeats that wait to whoever leads now: they were counted by the
+// trackers of this term.
+func (c *Core) endTerm() {
+	c.tracker = nil
+	c.permits = nil
+	c.fleetTracker = nil
+	c.loads = nil
+	c.refuseSyncs()
+	c.refuseFleetSyncs()
+}
+
 // tickLeader does what only leaders do from time to time.
 func (c *Core) tickLeader() {
 	c.admitCandidates()
@@ -20,21 +59,8 @@
 		return
 	}
 	c.balance()
-	if c.host.Groups[0].Node.Role() != consensus.Leader {
-		c.tracker = nil
-		c.permits = nil
-		c.fleetTracker = nil
-		c.loads = nil
-		return
-	}
 	if c.tracker == nil {
-		c.tracker = membership.NewTracker(c.options.LeaseMs, c.nowMs)
-		c.permits = reconcile.NewPermits(c.nowMs)
-		c.planning = 0
-		c.leadingSinceMs = c.nowMs
-		c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
-		c.loads = scheduling.NewBoard()
-		c.fleetPlanning = false
+		return
 	}
 	c.replaceLost()
 	c.plan()
--- a/internal/control/requests.go
+++ b/internal/control/requests.go
@@ -228,13 +228,13 @@
 }
 
 func (c *Core) expireSyncs() {
-	if len(c.syncs) == 0 {
-		return
-	}
-	if c.host.Groups[0].Node.Role() == consensus.Leader {
+	if len(c.syncs) > 0 && c.tracker != nil {
 		c.answerSyncs(false)
-		return
 	}
+}
+
+// refuseSyncs ends the waiting of heartbeats because their term is over.
+func (c *Core) refuseSyncs() {
 	leader := c.leaderName(c.host.Groups[0])
 	for _, pending := range c.syncs {
 		c.outlet.Reply(pending.id, &protocol.SyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
--- a/internal/replication/group.go
+++ b/internal/replication/group.go
@@ -46,6 +46,8 @@
 	waiting map[uint64]proposal
 	reads   map[uint64]pendingRead
 	readID  uint64
+	// checkedTerm is the term in which the waiting proposals were last held against the log.
+	checkedTerm uint64
 	// unsaved are the records of entries applied since the last compaction, nil where
 	// they are deleted. The log still has the entries, so that the records need not be on
 	// the disk before it is compacted; until then reads look here first.
@@ -97,6 +99,7 @@
 	if err != nil {
 		return result.New(result.Internal, "%v", err)
 	}
+	h.endOverwritten(group)
 	index, term, err := group.Node.Propose(data)
 	if err != nil {
 		return result.New(result.NotLeader, "%s does not lead group %d", h.options.Name, group.ID)
@@ -138,6 +141,7 @@
 	var readies []consensus.Ready
 	var writes []storage.GroupWrite
 	for _, group := range h.Groups {
+		h.endOverwritten(group)
 		if !group.Node.HasReady() && !group.wantSnapshot && len(group.answers) == 0 {
 			continue
 		}
@@ -267,6 +271,9 @@
 			group.reads[state.Context] = pending
 		}
 	}
+	for _, context := range ready.LostReads {
+		h.endRead(group, context)
+	}
 	h.answerReads(group)
 	for _, to := range ready.SnapshotsWanted {
 		if err := h.startTransfer(group, to); err != nil {
@@ -313,31 +320,6 @@
 	}
 }
 
-// Expire gives up on what no quorum confirmed in time or on what this
-// replica can't see through because it doesn't lead any more.
-func (h *Host) Expire() {
-	for _, group := range h.Groups {
-		h.note(h.tendTransfers(group))
-		leads := group.Node.Role() == consensus.Leader
-		for _, index := range SortedKeys(group.waiting) {
-			waiting := group.waiting[index]
-			if leads && h.NowMs-waiting.sinceMs < h.options.ProposalWaitMs {
-				continue
-			}
-			delete(group.waiting, index)
-			waiting.answer(result.New(result.NoQuorum, "group %d did not confirm in time", group.ID))
-		}
-		for _, id := range SortedKeys(group.reads) {
-			pending := group.reads[id]
-			if leads && h.NowMs-pending.sinceMs < h.options.ProposalWaitMs {
-				continue
-			}
-			delete(group.reads, id)
-			pending.done(result.New(result.NotLeader, "group %d has no confirmed leader here", group.ID))
-		}
-	}
-}
-
 // Records returns a program's turn records after a turn, unsaved ones included.
 func (h *Host) Records(group *Group, program string, after uint64) ([][]byte, error) {
 	stored, err := h.storage.Records(group.ID, program, after)
