Followers log each leader of control that answers, also one found by a hint

A leader found by a hint was noted before it answered and gave no line; one that never answered gave a line of its loss. Test: TestFollowerLogsEachLeader, failing before.

--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -60,8 +60,10 @@
 	mutex    sync.Mutex
 	controls []string
 	// told is the digest of the control processes that the leader last named.
-	told      uint64
-	leader    string
+	told   uint64
+	leader string
+	// answering is the leader whose answer came last, "" once it is lost.
+	answering string
 	view      *membership.FleetView
 	table     *routing.Table
 	confirmed bool
@@ -134,8 +136,14 @@
 func (f *Follower) lost(target string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.leader == target && target != leaderUnknown {
+	if target == leaderUnknown {
+		return
+	}
+	if f.answering == target {
 		telemetry.Warn(f.Logger, "control leader lost", "leader", target)
+		f.answering = leaderUnknown
+	}
+	if f.leader == target {
 		f.leader = leaderUnknown
 	}
 }
@@ -246,10 +254,10 @@
 // within the life of the process.
 func (f *Follower) take(target string, reply *protocol.FleetSyncReply) {
 	f.mutex.Lock()
-	if f.leader != target || !f.confirmed {
+	if f.answering != target {
 		telemetry.Info(f.Logger, "control leader found", "leader", target)
 	}
-	f.leader = target
+	f.leader, f.answering = target, target
 	f.redirects = 0
 	if len(reply.Controls) > 0 {
 		f.told = protocol.ControlsDigest(reply.Controls)
--- a/internal/daemon/follower_test.go
+++ b/internal/daemon/follower_test.go
@@ -1,13 +1,18 @@
 package daemon
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
@@ -30,3 +35,32 @@
 		})
 	})
 }
+
+// TestFollowerLogsEachLeader holds that a log tells of each leader that was lost and of each
+// that answers, however the process came to it.
+func TestFollowerLogsEachLeader(t *testing.T) {
+	Convey("a follower whose leader is lost", t, func() {
+		var lines bytes.Buffer
+		follower := NewFollower(nil, log.NewLogfmtLogger(&lines))
+		follower.OnNews = func(*membership.FleetView, *routing.Table) {}
+		count := func(message, leader string) int {
+			return strings.Count(lines.String(), "msg=\"control leader "+message+"\" leader="+leader)
+		}
+		follower.take("a:1", &protocol.FleetSyncReply{Confirmed: true})
+		follower.take("a:1", &protocol.FleetSyncReply{Confirmed: true})
+		follower.lost("a:1")
+		So(count("found", "a:1"), ShouldEqual, 1)
+		So(count("lost", "a:1"), ShouldEqual, 1)
+		Convey("finds the next by a hint", func() {
+			So(follower.redirected(&protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: "b:1"}), ShouldBeTrue)
+			follower.take("b:1", &protocol.FleetSyncReply{Confirmed: true})
+			So(count("found", "b:1"), ShouldEqual, 1)
+		})
+		Convey("tells of no loss where a process named by a hint never answered", func() {
+			follower.redirected(&protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: "b:1"})
+			follower.lost("b:1")
+			So(count("lost", "b:1"), ShouldEqual, 0)
+			So(follower.target(), ShouldEqual, leaderUnknown)
+		})
+	})
+}
