Followers pass over control processes that let a question run out of time

It picked the process to ask at random among five, the frozen one included, and followed the hints of the others to it; each question there took 1.5 s. By chance one follower in a hundred meets it three times in a row, and there are 70. Ruled out: the leader's round of confirmations (58 gateways followed it meanwhile).

Change: a process that let a question run out of time is asked only where no other is left for 4 s, and not for a hint for 1 s; a question to a process that has not answered as the leader is not held and is given up after 0.5 s. A timeout that comes far too late shows that the follower itself stood still, and says nothing of the process asked.

--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -21,16 +21,22 @@
 const (
 	syncHold    = 700 * time.Millisecond
 	syncTimeout = 1500 * time.Millisecond
+	// searchTimeout bounds a question to a process that has not answered as the leader yet. It
+	// is not held there, so that an answer takes a round of the quorum, some milliseconds; the
+	// rest is for a process whose share of the processor is used up.
+	searchTimeout = 500 * time.Millisecond
 	// proofDue is from when on a proof is asked for without waiting for news: just above the
 	// age that the rhythm of held heartbeats gives, two of them one after the other.
 	proofDue = 2*syncHold + 100*time.Millisecond
 	// loadsEvery is how often loads are asked for at most: well below the 1.5 s in which what
 	// is seen of an engine loses half of its weight. An answer holds an entry for each engine.
-	loadsEvery    = 600 * time.Millisecond
+	loadsEvery = 600 * time.Millisecond
+	// pausedFrom is how much later than due a timeout shows that this process stood still itself,
+	// so that it says nothing of the process asked.
+	pausedFrom    = 200 * time.Millisecond
 	firstPause    = 20 * time.Millisecond
 	longestPause  = 120 * time.Millisecond
 	leaderUnknown = ""
-	maxRedirects  = 2
 )
 
 // Follower keeps a process in step with control: it reports to the leader of the
@@ -56,19 +62,16 @@
 	// force, nil before the first.
 	provedAt atomic.Pointer[time.Time]
 
-	caller   *Caller
-	mutex    sync.Mutex
-	controls []string
+	caller *Caller
+	mutex  sync.Mutex
+	search leaderSearch
 	// told is the digest of the control processes that the leader last named.
-	told   uint64
-	leader string
+	told uint64
 	// answering is the leader whose answer came last, "" once it is lost.
 	answering string
 	view      *membership.FleetView
 	table     *routing.Table
 	confirmed bool
-	// redirects counts the hints followed since the last answer of a leader.
-	redirects int
 	// loadsAt is when the last loads came; the goroutine of Run alone uses it.
 	loadsAt time.Time
 	// poke ends the held heartbeat, so that a changed report is told at once.
@@ -77,7 +80,7 @@
 
 // NewFollower returns a follower that has heard nothing.
 func NewFollower(seeds []string, logger log.Logger) *Follower {
-	return &Follower{Seeds: seeds, Logger: logger, caller: NewCaller(), controls: slices.Clone(seeds), poke: make(chan struct{}, 1)}
+	return &Follower{Seeds: seeds, Logger: logger, caller: NewCaller(), search: leaderSearch{controls: slices.Clone(seeds)}, poke: make(chan struct{}, 1)}
 }
 
 // SetSeeds takes the seeds of a settings file that has changed.
@@ -86,8 +89,8 @@
 	defer f.mutex.Unlock()
 	f.Seeds = seeds
 	for _, seed := range seeds {
-		if !slices.Contains(f.controls, seed) {
-			f.controls = append(f.controls, seed)
+		if !slices.Contains(f.search.controls, seed) {
+			f.search.controls = append(f.search.controls, seed)
 		}
 	}
 }
@@ -110,7 +113,6 @@
 			pause = firstPause
 			continue
 		}
-		f.lost(target)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause + rand.N(firstPause)):
@@ -120,32 +122,33 @@
 	return ctx.Err()
 }
 
-// target is the leader where it is known, and else any control process.
+// target is the process to ask next.
 func (f *Follower) target() string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.leader != leaderUnknown {
-		return f.leader
-	}
-	if len(f.controls) == 0 {
-		return leaderUnknown
-	}
-	return f.controls[rand.IntN(len(f.controls))]
+	return f.search.target(time.Now(), rand.Int())
 }
 
-func (f *Follower) lost(target string) {
+// failed notes that a process did not answer as the leader; silent says that it did not answer
+// within its time.
+func (f *Follower) failed(target string, silent bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if target == leaderUnknown {
 		return
 	}
 	if f.answering == target {
-		telemetry.Warn(f.Logger, "control leader lost", "leader", target)
+		telemetry.Warn(f.Logger, "control leader lost", "leader", target, "silent", silent)
 		f.answering = leaderUnknown
 	}
-	if f.leader == target {
-		f.leader = leaderUnknown
-	}
+	f.search.failed(target, silent, time.Now())
+}
+
+// proven reports whether a process was the last to answer as the leader.
+func (f *Follower) proven(target string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.answering == target
 }
 
 // syncOnce reports once and takes the answer; false where the target is no leader.
@@ -155,7 +158,12 @@
 	}
 	asked := time.Now()
 	request := f.request()
-	bounded, cancel := context.WithTimeout(ctx, syncTimeout)
+	within := syncTimeout
+	if !f.proven(target) {
+		request.HoldMs = 0
+		within = searchTimeout
+	}
+	bounded, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	go f.endOnPoke(bounded, cancel)
 	var reply protocol.FleetSyncReply
@@ -165,8 +173,10 @@
 		return true
 	case err != nil:
 		f.caller.Drop(target)
+		f.failed(target, bounded.Err() != nil && time.Since(asked) < within+pausedFrom)
 		return false
 	case reply.Error != nil:
+		f.failed(target, false)
 		return f.redirected(&reply)
 	}
 	f.take(target, &reply)
@@ -240,14 +250,12 @@
 
 // redirected follows the hint of a process that does not lead.
 func (f *Follower) redirected(reply *protocol.FleetSyncReply) bool {
-	if reply.Error.Code != result.NotLeader || reply.Leader == "" {
+	if reply.Error.Code != result.NotLeader {
 		return false
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.redirects++
-	f.leader = reply.Leader
-	return f.redirects <= maxRedirects
+	return f.search.hinted(reply.Leader, time.Now())
 }
 
 // take puts the news in force. Invariant: neither fleet nor table ever steps back
@@ -257,14 +265,14 @@
 	if f.answering != target {
 		telemetry.Info(f.Logger, "control leader found", "leader", target)
 	}
-	f.leader, f.answering = target, target
-	f.redirects = 0
+	f.answering = target
+	f.search.found(target)
 	if len(reply.Controls) > 0 {
 		f.told = protocol.ControlsDigest(reply.Controls)
-		f.controls = slices.Clone(reply.Controls)
+		f.search.controls = slices.Clone(reply.Controls)
 		for _, seed := range f.Seeds {
-			if !slices.Contains(f.controls, seed) {
-				f.controls = append(f.controls, seed)
+			if !slices.Contains(f.search.controls, seed) {
+				f.search.controls = append(f.search.controls, seed)
 			}
 		}
 	}
--- a/internal/daemon/follower_test.go
+++ b/internal/daemon/follower_test.go
@@ -48,7 +48,7 @@
 		}
 		follower.take("a:1", &protocol.FleetSyncReply{Confirmed: true})
 		follower.take("a:1", &protocol.FleetSyncReply{Confirmed: true})
-		follower.lost("a:1")
+		follower.failed("a:1", true)
 		So(count("found", "a:1"), ShouldEqual, 1)
 		So(count("lost", "a:1"), ShouldEqual, 1)
 		Convey("finds the next by a hint", func() {
@@ -58,7 +58,7 @@
 		})
 		Convey("tells of no loss where a process named by a hint never answered", func() {
 			follower.redirected(&protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: "b:1"})
-			follower.lost("b:1")
+			follower.failed("b:1", true)
 			So(count("lost", "b:1"), ShouldEqual, 0)
 			So(follower.target(), ShouldEqual, leaderUnknown)
 		})
