--- /dev/null
+++ b/internal/membership/compat_test.go
@@ -0,0 +1,14 @@
+package membership
+
+import (
+	"testing"
+
+	"github.com/ochrebay/ochrebay/internal/compat"
+)
+
+// TestEarlierReleases holds what this package sends and stores against earlier releases.
+func TestEarlierReleases(t *testing.T) {
+	compat.Hold(t, map[string]any{
+		"fleetState": &fleetState{}, "directory": &snapshot{},
+	})
+}
--- /dev/null
+++ b/internal/protocol/compat_test.go
@@ -0,0 +1,43 @@
+package protocol
+
+import (
+	"testing"
+
+	"github.com/ochrebay/ochrebay/internal/compat"
+)
+
+// TestEarlierReleases holds what this package sends and stores against earlier releases.
+func TestEarlierReleases(t *testing.T) {
+	compat.Hold(t, map[string]any{
+		"PeerBatch": &PeerBatch{}, "Hello": &Hello{},
+		"LedgerRequest": &LedgerRequest{}, "LedgerReply": &LedgerReply{},
+		"SyncRequest": &SyncRequest{}, "SyncReply": &SyncReply{},
+		"ReleasedRequest": &ReleasedRequest{}, "ReleasedReply": &ReleasedReply{},
+		"PermitRequest": &PermitRequest{}, "PermitReply": &PermitReply{},
+		"SettingsRequest": &SettingsRequest{}, "SettingsReply": &SettingsReply{},
+		"ReadRequest": &ReadRequest{}, "ReadReply": &ReadReply{},
+		"FleetOrder": &FleetOrder{}, "FleetOrderReply": &FleetOrderReply{},
+		"FleetSync": &FleetSync{}, "FleetSyncReply": &FleetSyncReply{},
+		"TurnRequest": &TurnRequest{}, "TurnReply": &TurnReply{},
+		"CallRequest": &CallRequest{}, "Piece": &Piece{}, "Answer": &Answer{}, "Cancel": &Cancel{},
+		"FollowRequest": &FollowRequest{}, "FollowReply": &FollowReply{},
+		"ProgramRequest": &ProgramRequest{}, "ProgramReply": &ProgramReply{},
+	})
+}
+
+// TestFramesOfEarlierReleases holds the form of frames and the numbers of messages: a process
+// of another release takes a message by its number.
+func TestFramesOfEarlierReleases(t *testing.T) {
+	var raw []byte
+	for _, kind := range []Kind{
+		KindClosed, KindPeer, KindHello, KindLedger, KindSync, KindReleased, KindPermit, KindSettings, KindRead,
+		KindFleetOrder, KindFleetSync, KindTurn, KindCall, KindPiece, KindAnswer, KindCancel, KindFollow, KindProgram,
+		KindEnd, KindResponse,
+	} {
+		raw = AppendFrame(raw, Frame{Call: 300 + uint64(kind), Kind: kind, Last: kind%2 == 0, Body: []byte("body")})
+	}
+	for _, topic := range []ReadTopic{ReadSettings, ReadHistory, ReadStatus, ReadEngines, ReadPrograms, ReadProgram, ReadTree} {
+		raw = append(raw, byte(topic))
+	}
+	compat.HoldBytes(t, "frames", raw)
+}
--- /dev/null
+++ b/internal/settings/compat_test.go
@@ -0,0 +1,14 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/ochrebay/ochrebay/internal/compat"
+)
+
+// TestEarlierReleases holds what this package sends and stores against earlier releases.
+func TestEarlierReleases(t *testing.T) {
+	compat.Hold(t, map[string]any{
+		"snapshot": &snapshot{}, "Change": &Change{},
+	})
+}
