Limits by program: a program begins where it fits, and its requests wait for room

Change: the owner of a limit learns how many requests programs of a kind make and how often, and lets a new one begin only where what it will ask for fits with what counts in the window and what those under way will ask for. What counts is unchanged: grants are still given at the present from reservations. Test changed: TestQuotaOfAGateway compared the question field by field; it names the new fields.

--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -44,7 +44,7 @@
 		fields = append(fields, "tenant", c.tenant.Name)
 	}
 	if c.granted > 0 {
-		fields = append(fields, "granted_ms", milliseconds(c.granted))
+		fields = append(fields, "granted_ms", milliseconds(c.granted), "queued", c.queued)
 	}
 	return fields
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -67,6 +67,7 @@
 	ledgers  *ledgers
 	chains   *chainCache
 	denials  *denials
+	services *services
 	view     atomic.Pointer[view]
 	// proofAge says how old the proof is that the routing table is in force.
 	proofAge func() (time.Duration, bool)
@@ -83,6 +84,7 @@
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
 		engines: newEngines(process.Zone, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
+		services: newServices(),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,6 +43,9 @@
 	answer   atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
 }
 
+// testRouteTimeoutMs is how long the routes of the tests allow a request.
+const testRouteTimeoutMs = 30_000
+
 func newLedgerStand(t *testing.T) *ledgerStand {
 	stand := &ledgerStand{requests: make(chan *protocol.TurnRequest, 256)}
 	server, err := protocol.Listen("127.0.0.1:0", func(connection *protocol.Connection, frame protocol.Frame) {
@@ -122,7 +125,7 @@
 	}
 	route := func(prefix string, kind routing.Kind, retain bool) routing.Route {
 		return routing.Route{
-			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, TimeoutMs: 30_000, MaxAttempts: 2, Retain: retain, RetentionMs: 1000,
+			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, TimeoutMs: testRouteTimeoutMs, MaxAttempts: 2, Retain: retain, RetentionMs: 1000,
 			Shares: []routing.Share{{Backend: "b", Weight: 1}},
 		}
 	}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -68,6 +68,8 @@
 	// how long it took the last time.
 	grants  []*quota.Grant
 	granted time.Duration
+	// queued says that it waited for room in its tenant's limit.
+	queued bool
 	// opened and sent are how long after its start the call was opened by the ledger
 	// and sent to its last engine, and kept how long the ledger took to keep it.
 	opened time.Duration
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -223,13 +223,13 @@
 	return l.ask(ctx, &protocol.TurnRequest{Group: group, Quota: ask})
 }
 
-// returnQuota gives a grant back. Invariant: it is sent once at the most. An answer that is
-// lost leaves the grant counted until it has left the window; a return that came twice would
-// take another request's grant out of it.
-func (l *ledgers) returnQuota(tenant string, grant *quota.Grant) *result.Error {
+// tellQuotaOnce gives a grant or a place in the queue back. Invariant: it is sent once at the
+// most. An answer that is lost leaves the grant counted until it has left the window; a return
+// that came twice would take another request's grant out of it.
+func (l *ledgers) tellQuotaOnce(ask *quota.Ask) *result.Error {
 	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
 	defer cancel()
-	group, placed := l.groupOf(tenant)
+	group, placed := l.groupOf(ask.Tenant)
 	if !placed {
 		return result.New(result.LedgerUnreachable, "no ledger group is placed")
 	}
@@ -237,9 +237,8 @@
 	if leader == "" {
 		return result.New(result.LedgerUnreachable, "group %d: no leader found", group)
 	}
-	request := &protocol.TurnRequest{Group: group, Quota: &quota.Ask{Tenant: tenant, Return: grant}}
 	reply := &protocol.TurnReply{}
-	if err := l.caller.CallWithin(ctx, ledgerTry, leader, protocol.KindTurn, request, reply); err != nil {
+	if err := l.caller.CallWithin(ctx, ledgerTry, leader, protocol.KindTurn, &protocol.TurnRequest{Group: group, Quota: ask}, reply); err != nil {
 		return result.New(result.LedgerUnreachable, "group %d: %s: %v", group, leader, err)
 	}
 	return reply.Error
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
 )
 
 const (
@@ -63,26 +67,30 @@
 		}
 		return d.openTurn(ctx, c)
 	}
+	waiting, cancel := context.WithCancel(ctx)
+	defer cancel()
 	taken := make(chan *result.Error, 1)
-	go func() { taken <- d.takeQuota(ctx, c) }()
+	go func() { taken <- d.takeQuota(waiting, c) }()
 	failure := d.openTurn(ctx, c)
-	if denied := <-taken; denied != nil {
-		return denied
+	if failure != nil {
+		cancel()
+		<-taken
+		return failure
 	}
-	return failure
+	return <-taken
 }
 
-// takeQuota has the owner of the tenant's limit grant one run of the call. Invariant: every
-// run at an engine has a grant of its own, given between the caller's send and the run, so
-// that the runs of any window are at most the grants of that window.
+// takeQuota has the owner of the tenant's limit grant one run of the call, and waits for it
+// where the call belongs to a program under way and there will be room while a grant is still
+// of use. Invariant: every run at an engine has a grant of its own, given between the caller's
+// send and the run, so that the runs of any window are at most the grants of that window.
 func (d *Daemon) takeQuota(ctx context.Context, c *call) *result.Error {
 	if c.tenant == nil || !c.tenant.Limited() {
 		return nil
 	}
 	began := time.Now()
-	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, began.Add(quotaTimeout)))
-	defer cancel()
-	reply := d.ledgers.askQuota(bounded, &quota.Ask{Tenant: c.tenant.Name, Limit: c.limit(), Program: c.program})
+	ask := d.quotaAsk(c)
+	reply := d.awaitQuota(ctx, c, ask, began)
 	c.granted = time.Since(began)
 	d.metrics.granted.WithLabelValues(quotaOutcome(reply.Error)).Observe(c.granted.Seconds())
 	if reply.Error == nil {
@@ -91,10 +99,53 @@
 	}
 	if reply.Error.Code == result.TenantLimit {
 		d.denials.note(c.tenant.Name)
+	} else {
+		d.cancelQuota(c, ask)
 	}
 	return reply.Error
 }
 
+// quotaAsk describes the next run of a call to the owner of its tenant's limit.
+func (d *Daemon) quotaAsk(c *call) quota.Ask {
+	const base = 36
+	ask := quota.Ask{Tenant: c.tenant.Name, Limit: c.limit(), Program: c.program, Ticket: strconv.FormatUint(rand.Uint64(), base)}
+	if c.route.Kind == routing.KindStream {
+		ask.Kind = c.route.Name
+	}
+	ask.Continues = c.program != "" && (c.route.Kind != routing.KindStream || c.previous != "")
+	return ask
+}
+
+// awaitQuota asks for a run until it is granted, denied or of no use any more. The same ticket
+// keeps its place in the owner's queue from question to question, and how long it has waited
+// gives it its place at an owner that is new.
+func (d *Daemon) awaitQuota(ctx context.Context, c *call, ask quota.Ask, began time.Time) *protocol.TurnReply {
+	for {
+		ask.WaitMs = (c.timeLeft() - d.services.expected(c.route.Name)).Milliseconds()
+		ask.WaitedMs = time.Since(began).Milliseconds()
+		bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(quotaTimeout)))
+		reply := d.ledgers.askQuota(bounded, &ask)
+		cancel()
+		if reply.Error != nil || reply.Queued == nil {
+			return reply
+		}
+		c.queued = true
+		if ctx.Err() != nil {
+			return &protocol.TurnReply{Error: result.New(result.Cancelled, "the caller left while its request waited for room in its tenant's limit")}
+		}
+	}
+}
+
+// cancelQuota gives a place in the queue back, or a grant whose answer did not come.
+func (d *Daemon) cancelQuota(c *call, ask quota.Ask) {
+	ask.Cancel = true
+	go func() {
+		if failure := d.ledgers.tellQuotaOnce(&ask); failure != nil {
+			d.logFailure("place in the queue not given back", c, failure)
+		}
+	}()
+}
+
 // quotaOutcome names how a question for quota ended, for metrics.
 func quotaOutcome(failure *result.Error) string {
 	switch {
@@ -118,7 +169,8 @@
 			continue
 		}
 		go func() {
-			if failure := d.ledgers.returnQuota(c.tenant.Name, grant); failure != nil {
+			unrun := quota.Ask{Tenant: c.tenant.Name, Program: c.program, Return: grant}
+			if failure := d.ledgers.tellQuotaOnce(&unrun); failure != nil {
 				d.logFailure("quota not returned", c, failure)
 			}
 		}()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,7 +51,10 @@
 	if failure == nil {
 		failure = d.serveAttempts(ctx, c, out.deliver)
 	}
-	if failure != nil && failure.Outcome == result.NotRun {
+	switch {
+	case failure == nil:
+		d.services.served(c.route.Name, time.Since(c.started)-c.sent)
+	case failure.Outcome == result.NotRun:
 		d.returnQuota(c)
 	}
 	return failure
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -159,7 +159,12 @@
 		So(response.StatusCode, ShouldEqual, 429)
 		So(response.Header.Get("Retry-After"), ShouldEqual, "0.25")
 		asked := (<-stand.ledger.requests).Quota
-		So(asked, ShouldResemble, &quota.Ask{Tenant: "beta", Program: "beta/p", Limit: quota.Limit{Generation: 2, RatePerSecond: 2, Burst: 1}})
+		So(asked.Ticket, ShouldNotBeBlank)
+		So(asked.WaitMs, ShouldBeBetween, 0, testRouteTimeoutMs)
+		So(asked, ShouldResemble, &quota.Ask{
+			Tenant: "beta", Program: "beta/p", Limit: quota.Limit{Generation: 2, RatePerSecond: 2, Burst: 1},
+			Continues: true, Ticket: asked.Ticket, WaitMs: asked.WaitMs,
+		})
 		response, _, err = stand.send("/unsafe/", "r2", "Ochrebay-Key", testKey)
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 200)
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -9,6 +9,7 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -124,7 +125,9 @@
 	// settles are the charges that wait for the next entry of their group.
 	settles map[storage.GroupID][]waitingSettle
 	// quotas grant the requests of tenants in the groups led here.
-	quotas   map[storage.GroupID]*quotaOwner
+	quotas map[storage.GroupID]*quotaOwner
+	// kinds is what was learnt of the kinds of tenants' programs, in all groups led here.
+	kinds    *admission.Kinds
 	draining bool
 
 	quotasGranted atomic.Int64
@@ -139,7 +142,7 @@
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{}, ledSinceMs: map[storage.GroupID]int64{},
-		quotas: map[storage.GroupID]*quotaOwner{},
+		quotas: map[storage.GroupID]*quotaOwner{}, kinds: admission.NewKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
 		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
@@ -258,6 +261,7 @@
 	c.setNow(nowMs)
 	if nowMs-c.lastTickMs >= c.options.TickMs {
 		c.lastTickMs = nowMs
+		c.tickQuotas()
 		for _, group := range c.host.Groups {
 			c.proposeSettles(group)
 			group.Node.Tick()
@@ -270,7 +274,6 @@
 	if nowMs-c.lastSweepMs >= sweepEveryMs {
 		c.lastSweepMs = nowMs
 		c.sweep()
-		c.dropQuotas()
 	}
 	c.host.Expire()
 }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -136,6 +136,7 @@
 	Engine string `msgpack:"g,omitempty"`
 	// First says, of a reserved turn with a budget, that nothing of its program has run yet.
 	First bool `msgpack:"f,omitempty"`
-	// Grant answers Quota.
-	Grant *quota.Grant `msgpack:"q,omitempty"`
+	// Grant answers Quota; Queued does where the request waits and is to be asked for again.
+	Grant  *quota.Grant `msgpack:"q,omitempty"`
+	Queued *quota.Place `msgpack:"u,omitempty"`
 }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -1,6 +1,10 @@
 package quota
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/admission"
+)
 
 // Verdict is an owner's answer.
 type Verdict uint8
@@ -13,6 +17,8 @@
 	Denied
 	// Short says that more has to be reserved before the owner can decide.
 	Short
+	// Waiting says that the request has a place in its tenant's queue.
+	Waiting
 )
 
 // Decision is an owner's answer with what belongs to it.
@@ -23,6 +29,12 @@
 	// Used and Allowed are what counts in the window and what the limit allows there.
 	Used    int64
 	Allowed int64
+	// GrantedMs is, with Granted, when that was.
+	GrantedMs int64
+	// Place is, with Waiting, where the request stands.
+	Place Place
+	// Program is, where a new program was denied, what it was held against.
+	Program *admission.Fit
 }
 
 const (
@@ -56,8 +68,12 @@
 // the last moment possible.
 type Owner struct {
 	windowMs int64
+	beganMs  int64
 	tenants  map[string]*owned
 	sweptMs  int64
+	kinds    *admission.Kinds
+	// queued are the tenants with requests that wait for room.
+	queued map[string]*owned
 }
 
 // owned is one tenant.
@@ -73,12 +89,23 @@
 	available []expiring
 	// programs are those of which a request was granted, with the time of the last one.
 	programs map[string]int64
+	// begun are the same programs with what they will ask for, as far as their gateways tell
+	// the kind.
+	begun *admission.Programs
+	// queue are the requests of programs under way that wait for room, first asked first.
+	queue []*waiter
+	// issued are the grants to tickets lately.
+	issued map[string]*issue
+	// unfetched are the tickets that were granted while their gateways were to ask again.
+	unfetched []string
 	// startShare is the part of the limit that new programs may fill, and mayRaiseMs when it
 	// may go up again.
 	startShare float64
 	mayRaiseMs int64
 	// lastReturnMs is when the request that was denied last was told to come back.
 	lastReturnMs int64
+	// lastStartMs is when the new program that was denied last was told to come back.
+	lastStartMs int64
 }
 
 // expiring is what is left of a reservation.
@@ -90,7 +117,14 @@
 // NewOwner returns the owner that follows on a state. The state must hold every reservation
 // that was committed before this owner's term.
 func NewOwner(state *State, nowMs int64) *Owner {
-	owner := &Owner{windowMs: state.windowMs, tenants: map[string]*owned{}, sweptMs: nowMs}
+	return NewLearntOwner(state, nowMs, admission.NewKinds())
+}
+
+// NewLearntOwner is NewOwner with what is known of the kinds of programs.
+func NewLearntOwner(state *State, nowMs int64, kinds *admission.Kinds) *Owner {
+	owner := &Owner{
+		windowMs: state.windowMs, beganMs: nowMs, tenants: map[string]*owned{}, sweptMs: nowMs, kinds: kinds, queued: map[string]*owned{},
+	}
 	for name, known := range state.tenants {
 		tenant := owner.tenant(name)
 		tenant.limit = known.Limit
@@ -110,6 +144,7 @@
 		known = &owned{
 			granted: window{lengthMs: o.windowMs}, inherited: window{lengthMs: o.windowMs},
 			recent: window{lengthMs: ReservationMs}, programs: map[string]int64{}, startShare: 1,
+			begun: admission.NewPrograms(o.kinds, o.windowMs), issued: map[string]*issue{},
 		}
 		o.tenants[name] = known
 	}
@@ -124,7 +159,16 @@
 		tenant.limit = ask.Limit
 	}
 	tenant.expire(nowMs)
+	if ask.Ticket != "" {
+		return o.askWithTicket(tenant, ask, nowMs)
+	}
 	decision := Decision{Used: tenant.used(), Allowed: tenant.limit.Within(o.windowMs)}
+	if len(tenant.queue) > 0 {
+		// What can't wait doesn't pass what waits.
+		decision.Verdict = Denied
+		decision.RetryAfterMs = tenant.comeBackMs(decision.Allowed, nowMs) - nowMs
+		return decision
+	}
 	if decision.Used >= tenant.room(ask.Program, decision.Allowed) {
 		decision.Verdict = Denied
 		decision.RetryAfterMs = tenant.comeBackMs(decision.Allowed, nowMs) - nowMs
@@ -136,6 +180,10 @@
 		return decision
 	}
 	tenant.grant(ask.Program, nowMs)
+	if ask.Program != "" {
+		tenant.begun.Granted(ask.Program, ask.Kind, nowMs, nowMs)
+	}
+	decision.GrantedMs = nowMs
 	return decision
 }
 
@@ -151,7 +199,7 @@
 	tenant := o.tenant(name)
 	tenant.expire(nowMs)
 	allowed := tenant.limit.Within(o.windowMs)
-	wanted := max(int64(waiting), tenant.recent.sum, allowed/reserveShare, 1)
+	wanted := max(int64(waiting+len(tenant.queue)), tenant.recent.sum, allowed/reserveShare, 1)
 	return Reservation{Tenant: name, Count: min(wanted, max(allowed-tenant.used(), 1)), Limit: tenant.limit, NowMs: nowMs}
 }
 
@@ -174,7 +222,9 @@
 				delete(tenant.programs, program)
 			}
 		}
-		if tenant.used() == 0 && len(tenant.programs) == 0 && len(tenant.available) == 0 {
+		tenant.begun.Sweep(nowMs)
+		tenant.sweepTickets(nowMs)
+		if tenant.used() == 0 && len(tenant.programs) == 0 && tenant.begun.Len() == 0 && len(tenant.available) == 0 && len(tenant.queue) == 0 {
 			delete(o.tenants, name)
 		}
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -36,6 +36,29 @@
 	Program string `msgpack:"p,omitempty"`
 	// Return gives back a grant whose request no engine has run and none will.
 	Return *Grant `msgpack:"u,omitempty"`
+	// Ticket names the run that is asked for, the same when the question is put again, so that
+	// it keeps its place in the queue and is granted once. Asks of gateways that don't wait
+	// have none.
+	Ticket string `msgpack:"k,omitempty"`
+	// Kind is the route of a turn, "" for another request. Continues says that the caller
+	// shows that the program has begun: the request is a tool's call, or a turn that goes on
+	// from another.
+	Kind      string `msgpack:"n,omitempty"`
+	Continues bool   `msgpack:"c,omitempty"`
+	// WaitMs is how long a grant is still of use, and WaitedMs how long ago it was first asked
+	// for, milliseconds.
+	WaitMs   int64 `msgpack:"w,omitempty"`
+	WaitedMs int64 `msgpack:"d,omitempty"`
+	// Cancel says that nobody waits for the ticket any more and that no engine runs its request.
+	Cancel bool `msgpack:"x,omitempty"`
+}
+
+// Place tells a request that waits for room in its tenant's window where it stands; it is
+// to be asked for again.
+type Place struct {
+	// Ahead is how many requests go first, ExpectedMs when there will be room, milliseconds.
+	Ahead      int   `msgpack:"a"`
+	ExpectedMs int64 `msgpack:"e"`
 }
 
 // Grant tells when and in which term of the group's leader a request was granted.
