Programs under way may use half of a limit's tolerance, where the settings name one

Ours counts exactly and used none of it; programs that have begun now may use half of it (off while limits.quota_overage and quota_slack are 0), new programs never. Not measured yet.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,11 @@
 	// QuotaWindowSeconds is the span over which tenants' limits are counted: in any such
 	// span a tenant gets at most rate x span + burst.
 	QuotaWindowSeconds float64 `yaml:"quota_window_s" validate:"min=0,max=3600"`
+	// QuotaOverage and QuotaSlack are by how much of a limit, and by how many requests, the
+	// requests of a span may exceed it before it counts as broken. Programs that have begun may
+	// use half of it, new ones never; with 0 and 0 nothing goes beyond a limit.
+	QuotaOverage float64 `yaml:"quota_overage" validate:"min=0,max=1"`
+	QuotaSlack   float64 `yaml:"quota_slack" validate:"min=0,max=1000000"`
 }
 
 // graceMargin is what a stopping process leaves of its grace.
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -126,13 +126,13 @@
 		bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(quotaTimeout)))
 		reply := d.ledgers.askQuota(bounded, &ask)
 		cancel()
+		if ctx.Err() != nil {
+			return &protocol.TurnReply{Error: result.New(result.Cancelled, "the caller left before its tenant's limit had room")}
+		}
 		if reply.Error != nil || reply.Queued == nil {
 			return reply
 		}
 		c.queued = true
-		if ctx.Err() != nil {
-			return &protocol.TurnReply{Error: result.New(result.Cancelled, "the caller left while its request waited for room in its tenant's limit")}
-		}
 	}
 }
 
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -13,6 +13,7 @@
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -48,6 +49,8 @@
 	Replication replication.Options
 	// QuotaWindowMs is the span over which tenants' limits are counted (config.Limits).
 	QuotaWindowMs int64
+	// QuotaTolerance is what programs under way may use beyond a limit (config.Limits).
+	QuotaTolerance quota.Tolerance
 	// DisableBudget turns the check of budgets off, for runs that show what it is
 	// for.
 	DisableBudget bool
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/storage"
@@ -69,6 +70,7 @@
 	}
 	options := DefaultOptions(process.Listen.Address, process.Name, process.Zone)
 	options.QuotaWindowMs = process.Limits.QuotaWindow().Milliseconds()
+	options.QuotaTolerance = quota.Tolerance{Overage: process.Limits.QuotaOverage, Slack: process.Limits.QuotaSlack}
 	d.core = NewCore(options, store, d, clock.NowMs())
 	if err := d.core.Restore(clock.NowMs()); err != nil {
 		_ = store.Close()
--- a/internal/ledger/quotas.go
+++ b/internal/ledger/quotas.go
@@ -91,7 +91,7 @@
 		return nil, result.New(result.NoQuorum, "group %d: what was granted before term %d is not known yet", group.ID, term)
 	}
 	created := &quotaOwner{
-		term: term, owner: quota.NewLearntOwner(group.State.(*stateMachine).quotas, c.nowMs, c.kinds),
+		term: term, owner: quota.NewLearntOwner(group.State.(*stateMachine).quotas, c.nowMs, c.kinds, c.options.QuotaTolerance),
 		waiting: map[string][]waitingAsk{}, reserving: map[string]bool{}, held: map[string]waitingAsk{},
 	}
 	c.quotas[group.ID] = created
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -72,13 +72,16 @@
 	tenants  map[string]*owned
 	sweptMs  int64
 	kinds    *admission.Kinds
+	// tolerance is what programs under way may use beyond a limit.
+	tolerance Tolerance
 	// queued are the tenants with requests that wait for room.
 	queued map[string]*owned
 }
 
 // owned is one tenant.
 type owned struct {
-	limit Limit
+	limit     Limit
+	tolerance Tolerance
 	// granted is what this owner has granted, inherited what its predecessors may have.
 	granted   window
 	inherited window
@@ -117,13 +120,14 @@
 // NewOwner returns the owner that follows on a state. The state must hold every reservation
 // that was committed before this owner's term.
 func NewOwner(state *State, nowMs int64) *Owner {
-	return NewLearntOwner(state, nowMs, admission.NewKinds())
+	return NewLearntOwner(state, nowMs, admission.NewKinds(), Tolerance{})
 }
 
-// NewLearntOwner is NewOwner with what is known of the kinds of programs.
-func NewLearntOwner(state *State, nowMs int64, kinds *admission.Kinds) *Owner {
+// NewLearntOwner is NewOwner with what is known of the kinds of programs, and with what programs
+// under way may use beyond the limit.
+func NewLearntOwner(state *State, nowMs int64, kinds *admission.Kinds, tolerance Tolerance) *Owner {
 	owner := &Owner{
-		windowMs: state.windowMs, beganMs: nowMs, tenants: map[string]*owned{}, sweptMs: nowMs, kinds: kinds, queued: map[string]*owned{},
+		windowMs: state.windowMs, beganMs: nowMs, tenants: map[string]*owned{}, sweptMs: nowMs, kinds: kinds, tolerance: tolerance, queued: map[string]*owned{},
 	}
 	for name, known := range state.tenants {
 		tenant := owner.tenant(name)
@@ -142,7 +146,7 @@
 	known := o.tenants[name]
 	if known == nil {
 		known = &owned{
-			granted: window{lengthMs: o.windowMs}, inherited: window{lengthMs: o.windowMs},
+			tolerance: o.tolerance, granted: window{lengthMs: o.windowMs}, inherited: window{lengthMs: o.windowMs},
 			recent: window{lengthMs: ReservationMs}, programs: map[string]int64{}, startShare: 1,
 			begun: admission.NewPrograms(o.kinds, o.windowMs), issued: map[string]*issue{},
 		}
@@ -200,7 +204,7 @@
 	tenant.expire(nowMs)
 	allowed := tenant.limit.Within(o.windowMs)
 	wanted := max(int64(waiting+len(tenant.queue)), tenant.recent.sum, allowed/reserveShare, 1)
-	return Reservation{Tenant: name, Count: min(wanted, max(allowed-tenant.used(), 1)), Limit: tenant.limit, NowMs: nowMs}
+	return Reservation{Tenant: name, Count: min(wanted, max(tenant.most()-tenant.used(), 1)), Limit: tenant.limit, NowMs: nowMs}
 }
 
 // Reserved takes a reservation of this owner that is committed.
--- a/internal/quota/queue.go
+++ b/internal/quota/queue.go
@@ -60,7 +60,7 @@
 		}
 		return 1
 	})
-	if position == 0 && tenant.used() < tenant.limit.Within(o.windowMs) {
+	if position == 0 && tenant.used() < tenant.most() {
 		if len(tenant.available) == 0 {
 			return tenant.decision(Short, 0)
 		}
@@ -90,15 +90,15 @@
 // begin; else how it is answered.
 func (o *Owner) begins(tenant *owned, ask Ask, nowMs int64) (Decision, bool) {
 	if ask.Program == "" {
-		if len(tenant.queue) == 0 && tenant.used() < tenant.limit.Within(o.windowMs) {
+		if len(tenant.queue) == 0 && tenant.used() < tenant.allowed() {
 			return Decision{}, true
 		}
-		return tenant.denied(tenant.comeBackMs(tenant.limit.Within(o.windowMs), nowMs), nowMs), false
+		return tenant.denied(tenant.comeBackMs(tenant.allowed(), nowMs), nowMs), false
 	}
 	if ask.Continues || tenant.begun.UnderWay(ask.Program) {
 		return Decision{}, true
 	}
-	allowed := tenant.limit.Within(o.windowMs)
+	allowed := tenant.allowed()
 	fit := tenant.begun.Fits(ask.Kind, nowMs, allowed, o.unheard(tenant, nowMs), tenant.countedAt)
 	due := nowMs-tenant.begun.BegunMs() >= o.windowMs
 	if due || (fit.Fits && len(tenant.queue) == 0 && tenant.used() < allowed) {
@@ -144,8 +144,8 @@
 	tenant.queue = slices.DeleteFunc(tenant.queue, func(item *waiter) bool {
 		return nowMs-item.heardMs > placeKeptMs || nowMs > item.usefulMs
 	})
-	allowed := tenant.limit.Within(o.windowMs)
-	for len(tenant.queue) > 0 && tenant.used() < allowed {
+	most := tenant.most()
+	for len(tenant.queue) > 0 && tenant.used() < most {
 		if len(tenant.available) == 0 {
 			return tickets, true
 		}
@@ -222,11 +222,15 @@
 	}
 }
 
+// allowed is what the limit allows in a window, most what programs under way may fill it up to.
+func (t *owned) allowed() int64 { return t.limit.Within(t.granted.lengthMs) }
+
+func (t *owned) most() int64 { return t.allowed() + t.tolerance.beyond(t.allowed()) }
+
 // expected says when a request at a position in the queue gets its grant, or denies it where
 // that is too late for its caller.
 func (t *owned) expected(position int, waiting *waiter, nowMs int64) Decision {
-	allowed := t.limit.Within(t.granted.lengthMs)
-	atMs := t.roomAtMs(allowed-int64(position), nowMs)
+	atMs := t.roomAtMs(t.most()-int64(position), nowMs)
 	if atMs > waiting.usefulMs {
 		return t.denied(atMs, nowMs)
 	}
@@ -236,7 +240,7 @@
 }
 
 func (t *owned) decision(verdict Verdict, grantedMs int64) Decision {
-	return Decision{Verdict: verdict, GrantedMs: grantedMs, Used: t.used(), Allowed: t.limit.Within(t.granted.lengthMs)}
+	return Decision{Verdict: verdict, GrantedMs: grantedMs, Used: t.used(), Allowed: t.allowed()}
 }
 
 // denied answers a request that is to come back at a time.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,28 @@
 	return int64(math.Floor(l.RatePerSecond*float64(windowMs)/millisecondsPerSecond + l.Burst))
 }
 
+// toleranceShare is the part of a tolerance that is used. The rest stays for what enforcement
+// can't see: clocks of engines that run apart, and requests that arrive later than others that
+// were granted after them.
+const toleranceShare = 0.5
+
+// Tolerance is by how much the requests of a window may exceed a limit before whoever set it
+// counts that as broken: by a part of the limit and a number of requests. It is there for
+// counting that can't be exact. Ours is; it lets programs that have begun go on, while new ones
+// are held to the limit itself.
+type Tolerance struct {
+	Overage float64
+	Slack   float64
+}
+
+// beyond returns how many requests above a limit programs under way may use.
+func (t Tolerance) beyond(allowed int64) int64 {
+	if allowed <= 0 {
+		return 0
+	}
+	return int64(toleranceShare * (float64(allowed)*t.Overage + t.Slack))
+}
+
 // Ask asks for one request of a tenant.
 type Ask struct {
 	Tenant string `msgpack:"t"`
