--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -9,9 +9,11 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -47,6 +49,8 @@
 	Replication replication.Options
 	// QuotaWindowMs is the span over which tenants' limits are counted (config.Limits).
 	QuotaWindowMs int64
+	// QuotaTolerance is what programs under way may use beyond a limit (config.Limits).
+	QuotaTolerance quota.Tolerance
 	// DisableBudget turns the check of budgets off, for runs that show what it is
 	// for.
 	DisableBudget bool
@@ -124,7 +128,9 @@
 	// settles are the charges that wait for the next entry of their group.
 	settles map[storage.GroupID][]waitingSettle
 	// quotas grant the requests of tenants in the groups led here.
-	quotas   map[storage.GroupID]*quotaOwner
+	quotas map[storage.GroupID]*quotaOwner
+	// kinds is what was learnt of the kinds of tenants' programs, in all groups led here.
+	kinds    *admission.Kinds
 	draining bool
 
 	quotasGranted atomic.Int64
@@ -139,7 +145,7 @@
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{}, ledSinceMs: map[storage.GroupID]int64{},
-		quotas: map[storage.GroupID]*quotaOwner{},
+		quotas: map[storage.GroupID]*quotaOwner{}, kinds: admission.NewKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
 		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
@@ -258,6 +264,7 @@
 	c.setNow(nowMs)
 	if nowMs-c.lastTickMs >= c.options.TickMs {
 		c.lastTickMs = nowMs
+		c.tickQuotas()
 		for _, group := range c.host.Groups {
 			c.proposeSettles(group)
 			group.Node.Tick()
@@ -270,7 +277,6 @@
 	if nowMs-c.lastSweepMs >= sweepEveryMs {
 		c.lastSweepMs = nowMs
 		c.sweep()
-		c.dropQuotas()
 	}
 	c.host.Expire()
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -28,6 +28,28 @@
 	return int64(math.Floor(l.RatePerSecond*float64(windowMs)/millisecondsPerSecond + l.Burst))
 }
 
+// toleranceShare is the part of a tolerance that is used. The rest stays for what enforcement
+// can't see: clocks of engines that run apart, and requests that arrive later than others that
+// were granted after them.
+const toleranceShare = 0.5
+
+// Tolerance is by how much the requests of a window may exceed a limit before whoever set it
+// counts that as broken: by a part of the limit and a number of requests. It is there for
+// counting that can't be exact. Ours is; it lets programs that have begun go on, while new ones
+// are held to the limit itself.
+type Tolerance struct {
+	Overage float64
+	Slack   float64
+}
+
+// beyond returns how many requests above a limit programs under way may use.
+func (t Tolerance) beyond(allowed int64) int64 {
+	if allowed <= 0 {
+		return 0
+	}
+	return int64(toleranceShare * (float64(allowed)*t.Overage + t.Slack))
+}
+
 // Ask asks for one request of a tenant.
 type Ask struct {
 	Tenant string `msgpack:"t"`
@@ -36,6 +58,29 @@
 	Program string `msgpack:"p,omitempty"`
 	// Return gives back a grant whose request no engine has run and none will.
 	Return *Grant `msgpack:"u,omitempty"`
+	// Ticket names the run that is asked for, the same when the question is put again, so that
+	// it keeps its place in the queue and is granted once. Asks of gateways that don't wait
+	// have none.
+	Ticket string `msgpack:"k,omitempty"`
+	// Kind is the route of a turn, "" for another request. Continues says that the caller
+	// shows that the program has begun: the request is a tool's call, or a turn that goes on
+	// from another.
+	Kind      string `msgpack:"n,omitempty"`
+	Continues bool   `msgpack:"c,omitempty"`
+	// WaitMs is how long a grant is still of use, and WaitedMs how long ago it was first asked
+	// for, milliseconds.
+	WaitMs   int64 `msgpack:"w,omitempty"`
+	WaitedMs int64 `msgpack:"d,omitempty"`
+	// Cancel says that nobody waits for the ticket any more and that no engine runs its request.
+	Cancel bool `msgpack:"x,omitempty"`
+}
+
+// Place tells a request that waits for room in its tenant's window where it stands; it is
+// to be asked for again.
+type Place struct {
+	// Ahead is how many requests go first, ExpectedMs when there will be room, milliseconds.
+	Ahead      int   `msgpack:"a"`
+	ExpectedMs int64 `msgpack:"e"`
 }
 
 // Grant tells when and in which term of the group's leader a request was granted.
