Incarnations of engines, and heartbeats that others write

Cause: an engine may start again under the id that it had. Until now the id stood for one life: its new reports had a lower sequence than the last ones of the life before and were taken for late until they caught up, an id that had left was refused for good, and gateways kept in-flight counts, failures, speeds, session affinity and idle connections of a process that is gone.

TakeReport and TakeLeave (pure) say what a leader proposes: outdated incarnations are void, also with a newer one's report still under way; an incarnation changes neither back end, address nor zone, and an older engine takes no younger one's address, unless it insists while that one is silent (the rule for superseded addresses, which it replaces); an unknown engine of a back end that the table does not name is acknowledged and left out. A heartbeat without born goes by its sequence as before. - A restart is proposed as a loss and a registration, which replicas of apply alike; an id that has left is taken up again once all control processes have said that they know incarnations. - Gateways drop health, in-flight counts and idle connections of the life before, count its requests for it alone, and bind sessions to an incarnation (the ledger keeps the engine's key). Control drops its sums and leaves out what gateways say that have not heard of the restart.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -36,25 +36,45 @@
 // ReportEngine takes an engine's report of itself; it returns once what is new of
 // it is committed.
 func (d *Daemon) ReportEngine(engine membership.ServingEngine) *result.Error {
-	failure := d.order(&protocol.FleetOrder{Report: &engine}).Error
+	reply := d.order(&protocol.FleetOrder{Report: &engine, Incarnations: true})
+	if reply.Void != "" {
+		d.noteVoid(engine.Incarnation(), reply.Void)
+	}
 	if engine.Draining {
 		telemetry.Info(d.logger, "engine report", "engine", engine.ID, "backend", engine.Backend, "draining", engine.Draining,
-			"sequence", engine.Sequence, "err", failure)
-	} else if failure != nil {
+			"born", engine.Born, "sequence", engine.Sequence, "err", reply.Error)
+	} else if reply.Error != nil {
 		d.reportsRefused.Add(1)
 		d.refusalLog.Do(func() {
-			telemetry.Warn(d.logger, "engine reports not taken", "engine", engine.ID, "sequence", engine.Sequence, "err", failure,
+			telemetry.Warn(d.logger, "engine reports not taken", "engine", engine.ID, "sequence", engine.Sequence, "err", reply.Error,
 				"reports", d.reportsRefused.Swap(0))
 		})
 	}
-	return failure
+	return reply.Error
 }
 
 // EngineLeaves takes an engine's word that it ends.
-func (d *Daemon) EngineLeaves(id string) *result.Error {
-	failure := d.order(&protocol.FleetOrder{Leave: id}).Error
-	telemetry.Info(d.logger, "engine leaves", "engine", id, "err", failure)
-	return failure
+func (d *Daemon) EngineLeaves(life membership.Incarnation) *result.Error {
+	reply := d.order(&protocol.FleetOrder{Leave: life.ID, LeaveBorn: life.Born, Incarnations: true})
+	if reply.Void != "" {
+		d.noteVoid(life, reply.Void)
+	}
+	telemetry.Info(d.logger, "engine leaves", "engine", life.ID, "born", life.Born, "err", reply.Error)
+	return reply.Error
+}
+
+// ReportIgnored notes a report that names no engine to use.
+func (d *Daemon) ReportIgnored(engine, reason string) {
+	d.noteVoid(membership.Incarnation{ID: engine}, reason)
+}
+
+// noteVoid counts a report that changed nothing, and writes one line a voidLogEvery.
+func (d *Daemon) noteVoid(life membership.Incarnation, reason string) {
+	d.reportsVoid.WithLabelValues(reason).Inc()
+	d.voidCount.Add(1)
+	d.voidLog.Do(func() {
+		telemetry.Warn(d.logger, "engine reports void", "engine", life.ID, "born", life.Born, "reason", reason, "reports", d.voidCount.Swap(0))
+	})
 }
 
 // ReplaceRouting puts a whole routing table in force where its generation is above
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -146,8 +146,10 @@
 	lastBalanceMs  int64
 	heardMs        map[string]int64
 	revisions      map[string]uint64
-	unformed       map[string]consensus.ReplicaID
-	candidates     map[string]*candidate
+	// knowIncarnations are the other processes whose replicas know incarnations of engines.
+	knowIncarnations map[string]bool
+	unformed         map[string]consensus.ReplicaID
+	candidates       map[string]*candidate
 
 	tracker *membership.Tracker
 	permits *reconcile.Permits
@@ -195,7 +197,7 @@
 func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) (*Core, error) {
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, startMs: nowMs, lastTickMs: nowMs,
-		heardMs: map[string]int64{}, revisions: map[string]uint64{}, unformed: map[string]consensus.ReplicaID{},
+		heardMs: map[string]int64{}, revisions: map[string]uint64{}, knowIncarnations: map[string]bool{}, unformed: map[string]consensus.ReplicaID{},
 		candidates: map[string]*candidate{}, reports: newEngineReports(),
 	}
 	core.host = replication.NewHost(hostOptions(options), disk, core.sendBatch)
@@ -350,7 +352,7 @@
 		for _, member := range c.memberNames() {
 			if member != c.options.Name {
 				c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
-					From: c.options.Name, Revision: c.Revision(), Engines: c.engineList(member),
+					From: c.options.Name, Revision: c.Revision(), Engines: c.engineList(member), Incarnations: true,
 				})
 			}
 		}
@@ -396,6 +398,7 @@
 	c.setNow(nowMs)
 	c.heardMs[batch.From] = nowMs
 	c.revisions[batch.From] = batch.Revision
+	c.knowIncarnations[batch.From] = batch.Incarnations
 	if !c.formed {
 		return
 	}
@@ -407,7 +410,7 @@
 // sendBatch is the host's way to another control process.
 func (c *Core) sendBatch(member string, messages []protocol.PeerMessage) {
 	c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
-		From: c.options.Name, Revision: c.Revision(), Messages: messages,
+		From: c.options.Name, Revision: c.Revision(), Messages: messages, Incarnations: true,
 	})
 }
 
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
@@ -46,6 +47,9 @@
 	// refusalLogEvery is how often a process writes that it takes no reports: while there is no
 	// leader all engines are refused.
 	refusalLogEvery = time.Second
+	// voidLogEvery is how often a process writes that reports of engines changed nothing: who
+	// writes such reports writes many.
+	voidLogEvery = time.Second
 	// directoryEvery is how often the directory is made anew at the most: its cost grows with the
 	// gateways, and so does the number of changes when all come back at once.
 	directoryEvery = 50 * time.Millisecond
@@ -95,6 +99,11 @@
 	// about them, of which refusalLog writes one a refusalLogEvery.
 	reportsRefused atomic.Int64
 	refusalLog     rate.Sometimes
+	// reportsVoid counts the reports that changed nothing, by reason, and voidCount those since
+	// the last line about them, of which voidLog writes one a voidLogEvery.
+	reportsVoid *prometheus.CounterVec
+	voidCount   atomic.Int64
+	voidLog     rate.Sometimes
 
 	replies daemon.Replies[RequestID, any]
 }
@@ -106,7 +115,8 @@
 	if err != nil {
 		return nil, err
 	}
-	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery}}
+	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery},
+		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
 	control.status.Store(&status{})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
@@ -182,6 +192,7 @@
 }
 
 func (d *Daemon) registerMetrics() {
+	d.reportsVoid = d.monitor.Counters("control_engine_reports_void_total", "Reports of engines that changed nothing, by reason.", "reason")
 	d.monitor.Gauge("settings_revision", "Settings revision in force.", func() float64 { return float64(d.status.Load().revision) })
 	d.monitor.Gauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().leading) })
 	d.monitor.Gauge("programs", "Program headers held.", func() float64 { return float64(d.status.Load().programs) })
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"slices"
+
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/replication"
@@ -29,9 +31,9 @@
 	}
 	switch {
 	case order.Report != nil:
-		c.engineReport(id, group, *order.Report)
+		c.engineReport(id, group, order)
 	case order.Leave != "":
-		c.engineLeaves(id, group, order.Leave)
+		c.engineLeaves(id, group, order)
 	case order.Routing != nil:
 		c.replaceRouting(id, group, order.Routing)
 	case order.ReadRouting:
@@ -67,21 +69,58 @@
 // engineReport notes that an engine is alive and replicates what is new of it.
 // Invariant: a change, above all the word that it drains, is acknowledged only once
 // it is committed.
-func (c *Core) engineReport(id RequestID, group *replication.Group, engine membership.ServingEngine) {
-	c.fleetTracker.Heard(engine.ID, c.nowMs)
-	if c.system.fleet.Outdated(engine) || c.unchanged(engine) || !c.fleetTracker.Believes(c.system.fleet, engine.ID) {
-		c.outlet.Reply(id, &protocol.FleetOrderReply{})
-		return
+func (c *Core) engineReport(id RequestID, group *replication.Group, order *protocol.FleetOrder) {
+	updates, verdict := c.fleetTracker.TakeReport(c.system.fleet, *order.Report, membership.ReportTerms{
+		Relayed: !order.Incarnations, BackendKnown: c.backendKnown(order.Report.Backend), AllKnow: c.allKnowIncarnations(), NowMs: c.nowMs,
+	})
+	known, there := c.system.fleet.Engine(order.Report.ID)
+	if verdict == membership.ReportTaken && !(there && known.Born == order.Report.Born) {
+		// What gateways have said was of an earlier life, if of any.
+		c.loads.Forget(order.Report.ID)
 	}
-	c.proposeFleet(id, group, &membership.FleetUpdate{PutEngines: []membership.ServingEngine{engine}})
+	c.proposeUpdates(id, group, updates, verdict)
 }
 
-func (c *Core) engineLeaves(id RequestID, group *replication.Group, engine string) {
-	if c.system.fleet.HasLeft(engine) {
-		c.outlet.Reply(id, &protocol.FleetOrderReply{})
+func (c *Core) engineLeaves(id RequestID, group *replication.Group, order *protocol.FleetOrder) {
+	updates, verdict := c.fleetTracker.TakeLeave(c.system.fleet, membership.Incarnation{ID: order.Leave, Born: order.LeaveBorn})
+	c.proposeUpdates(id, group, updates, verdict)
+}
+
+// proposeUpdates proposes updates one after the other; the last one answers the order.
+func (c *Core) proposeUpdates(id RequestID, group *replication.Group, updates []membership.FleetUpdate, verdict membership.Verdict) {
+	if len(updates) == 0 {
+		reply := &protocol.FleetOrderReply{}
+		if verdict.Void() {
+			reply.Void = verdict.String()
+		}
+		c.outlet.Reply(id, reply)
 		return
 	}
-	c.proposeFleet(id, group, &membership.FleetUpdate{LeftEngines: []string{engine}})
+	last := len(updates) - 1
+	for position := range updates[:last] {
+		// Where this one is lost, so is the one after it.
+		_ = c.host.Propose(group, &systemCommand{Fleet: &updates[position]}, func(any) {})
+	}
+	c.proposeFleet(id, group, &updates[last])
+}
+
+// backendKnown reports whether engines of a back end may come: it is named by the table in
+// force, or there is none yet.
+func (c *Core) backendKnown(name string) bool {
+	table := c.system.tree.Routing()
+	return table == nil || slices.ContainsFunc(table.Backends, func(backend routing.Backend) bool { return backend.Name == name })
+}
+
+// allKnowIncarnations reports whether all processes that hold the settings group have said
+// that they know incarnations of engines. Invariant: what a replica of an earlier release
+// would apply to another state is not proposed before.
+func (c *Core) allKnowIncarnations() bool {
+	for _, member := range c.memberNames() {
+		if member != c.options.Name && !c.knowIncarnations[member] {
+			return false
+		}
+	}
+	return true
 }
 
 // replaceRouting validates a table and puts it in force.
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -107,9 +107,13 @@
 func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
 	var update membership.FleetUpdate
 	if gateway := request.Gateway; gateway != nil {
-		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return c.notInFleet(load.Engine) })
+		// What a gateway says that does not know of an engine's restart yet is of the life before.
+		void := func(engine string) bool {
+			return c.notInFleet(engine) || request.Version < c.system.fleet.BegunAt(engine)
+		}
+		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return void(load.Engine) })
 		c.loads.Report(gateway.Name, loads, c.nowMs)
-		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, c.notInFleet), c.nowMs)
+		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, void), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -90,23 +90,13 @@
 // that the leader does not hear acknowledges nothing, so that no engine which is alive stays
 // with it until it counts as lost.
 func (c *Core) acknowledges(engine membership.ServingEngine) bool {
-	if !c.formed || c.reports.leader == "" || c.nowMs-c.reports.receivedMs > vouchMs || !c.unchanged(engine) {
+	if !c.formed || c.reports.leader == "" || c.nowMs-c.reports.receivedMs > vouchMs || !c.system.fleet.Unchanged(engine) {
 		return false
 	}
 	c.reports.heard[engine.ID] = c.nowMs
 	return true
 }
 
-// unchanged reports whether a report says nothing that is not replicated already.
-func (c *Core) unchanged(engine membership.ServingEngine) bool {
-	known, ok := c.system.fleet.Engine(engine.ID)
-	if !ok || engine.Sequence < known.Sequence {
-		return false
-	}
-	known.Sequence = engine.Sequence
-	return known == engine
-}
-
 // engineList returns what a presence message tells another process of engines: the leader a
 // list, the others, where this process leads, which list has come.
 func (c *Core) engineList(member string) *protocol.EngineList {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -40,7 +40,7 @@
 // slower than the others, or a pause of this process.
 func (e *engines) noteBeginning(c *call, nowMs int64, took float64) {
 	target := float64(c.route.TargetLatencyMs)
-	slow := e.healthOf(c.engine).Factor(nowMs) > slowFactor
+	slow := c.chosen.health.Factor(nowMs) > slowFactor
 	if target <= 0 || (took > target && (slow || e.activity.paused(nowMs, took))) {
 		return
 	}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -229,7 +229,7 @@
 	content := append(append(make([]byte, 0, len(c.body)+len(a.output)), c.body...), a.output...)
 	settle := &program.Settle{
 		Program: c.program, Request: c.turn, Used: a.used(c), Keep: true, Previous: c.previous,
-		Session: c.session, Engine: c.engine, Content: content, RetentionMs: c.route.RetentionMs,
+		Session: c.session, Engine: c.chosen.engine.Key(), Content: content, RetentionMs: c.route.RetentionMs,
 	}
 	if c.foreign {
 		settle.Previous = ""
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -16,6 +16,8 @@
 	mutex  sync.Mutex
 	byPool map[string][]membership.ServingEngine
 	health map[string]*scheduling.EngineHealth
+	// born are the incarnations of the engines that say when they started.
+	born map[string]int64
 	// learnt is what is known of each back end's engines together.
 	learnt   map[string]*scheduling.Pool
 	activity activity
@@ -28,13 +30,14 @@
 
 func newEngines(zone string, disabled scheduling.Disabled) *engines {
 	return &engines{
-		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
+		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, born: map[string]int64{},
 		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: disabled,
 	}
 }
 
-// follow takes a new view of the fleet and returns the addresses that are gone.
-// Invariant: an engine that drains or has left gets nothing from here on.
+// follow takes a new view of the fleet and returns the addresses that are gone, or whose
+// engine has started again. Invariant: an engine that drains or has left gets nothing from here
+// on.
 func (e *engines) follow(view *membership.FleetView) []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -51,18 +54,54 @@
 			e.byPool[engine.Backend] = append(e.byPool[engine.Backend], engine)
 		}
 	}
+	gone := e.followIncarnations(view)
 	for id, health := range e.health {
 		if _, known := view.Engines[id]; !known && health.InFlight == 0 {
 			delete(e.health, id)
 		}
 	}
-	var gone []string
 	for address := range previous {
 		gone = append(gone, address)
 	}
 	return gone
 }
 
+// followIncarnations forgets what was learnt of engines that have started again under their
+// ids, and returns their addresses. Invariant: an incarnation begins with nothing said of it;
+// requests that are under way at the one before are counted for that one.
+func (e *engines) followIncarnations(view *membership.FleetView) []string {
+	var restarted []string
+	for id := range e.born {
+		_, told := view.Engines[id]
+		if _, remembered := e.health[id]; !told && !remembered {
+			delete(e.born, id)
+		}
+	}
+	for id, engine := range view.Engines {
+		known := e.born[id]
+		if engine.Born == known {
+			continue
+		}
+		e.born[id] = engine.Born
+		// The first word of when an engine started tells of no other life.
+		if known != 0 {
+			delete(e.health, id)
+			restarted = append(restarted, engine.Address)
+		}
+	}
+	return restarted
+}
+
+// affineEngine returns the id of the engine that a session's last turn ran at. The key of an
+// incarnation that is over stays what it is and names none: it holds nothing of the session.
+func affineEngine(pool []membership.ServingEngine, key string) string {
+	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.HasKey(key) })
+	if position < 0 {
+		return key
+	}
+	return pool[position].ID
+}
+
 // healthOf returns what this gateway has seen of an engine.
 func (e *engines) healthOf(id string) *scheduling.EngineHealth { return entryOf(e.health, id) }
 
@@ -97,6 +136,8 @@
 	cost        float64
 	nextCost    float64
 	homeCost    float64
+	// health is that of the engine's incarnation, which the next one does not take over.
+	health *scheduling.EngineHealth
 }
 
 // choose picks the engine for a call and counts it as under way there.
@@ -111,6 +152,7 @@
 		}
 		candidates = append(candidates, candidate)
 	}
+	demand.Home = affineEngine(pool, demand.Home)
 	demand.Zone = e.zone
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
@@ -125,7 +167,7 @@
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
-		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost,
+		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost, health: health,
 	}, true
 }
 
@@ -135,7 +177,7 @@
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
 	e.activity.note(nowMs)
-	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), nowMs, c.chosen.missing, took)
+	e.poolOf(c.backend.Name).FirstEvent(c.chosen.health, nowMs, c.chosen.missing, took)
 	e.noteBeginning(c, nowMs, took)
 }
 
@@ -145,14 +187,14 @@
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
 	e.activity.note(nowMs)
-	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), nowMs, gap)
+	e.poolOf(c.backend.Name).NextEvent(c.chosen.health, nowMs, gap)
 }
 
 // ended takes a call off its engine and notes how it went.
 func (e *engines) ended(c *call, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	health := e.healthOf(c.engine)
+	health := c.chosen.health
 	health.Ended(nowMs)
 	switch attempt.kind {
 	case attemptAnswered:
--- /dev/null
+++ b/internal/gateway/incarnations_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+)
+
+func incarnationsView(engines ...membership.ServingEngine) *membership.FleetView {
+	view := &membership.FleetView{Engines: map[string]membership.ServingEngine{}}
+	for _, engine := range engines {
+		view.Engines[engine.ID] = engine
+	}
+	return view
+}
+
+// TestRestartedEngines answers engines that crash under load and start again under the ids
+// that they had.
+func TestRestartedEngines(t *testing.T) {
+	const nowMs = 1000
+	first := membership.ServingEngine{ID: "e", Backend: "b", Address: "10.0.0.1:1", Slots: 4, Born: 100}
+	second := first
+	second.Born = 200
+	begin := func(e *engines) *call {
+		chosen, found := e.choose("b", 4, scheduling.Demand{NowMs: nowMs, Stream: true, Kind: "r"})
+		So(found, ShouldBeTrue)
+		return &call{engine: chosen.engine.ID, chosen: chosen, backend: routing.Backend{Name: "b"}, route: &routing.Route{Name: "r"}}
+	}
+	Convey("what was learnt of the life before is void, and its requests are counted for it alone", t, func() {
+		e := newEngines("z", nil)
+		e.follow(incarnationsView(first))
+		lost, broken := begin(e), begin(e)
+		e.ended(broken, nowMs, attemptOutcome{kind: attemptBroken})
+		So(e.healthOf("e").Suspect(nowMs), ShouldBeTrue)
+		So(e.follow(incarnationsView(second)), ShouldResemble, []string{"10.0.0.1:1"})
+		So(e.healthOf("e").Suspect(nowMs), ShouldBeFalse)
+		So(e.healthOf("e").InFlight, ShouldEqual, 0)
+		current := begin(e)
+		e.ended(lost, nowMs, attemptOutcome{kind: attemptBroken})
+		So(e.healthOf("e").InFlight, ShouldEqual, 1)
+		So(e.healthOf("e").Suspect(nowMs), ShouldBeFalse)
+		e.ended(current, nowMs, attemptOutcome{kind: attemptAnswered})
+		So(e.healthOf("e").InFlight, ShouldEqual, 0)
+	})
+	Convey("also when the engine was away in between, while requests of its earlier life are still under way", t, func() {
+		e := newEngines("z", nil)
+		e.follow(incarnationsView(first))
+		begin(e)
+		e.follow(incarnationsView())
+		e.follow(incarnationsView(second))
+		So(e.healthOf("e").InFlight, ShouldEqual, 0)
+	})
+	Convey("the first word of when an engine started, and a report without news, change nothing", t, func() {
+		e := newEngines("z", nil)
+		silent := first
+		silent.Born = 0
+		e.follow(incarnationsView(silent))
+		begin(e)
+		So(e.follow(incarnationsView(first)), ShouldBeEmpty)
+		So(e.follow(incarnationsView(first)), ShouldBeEmpty)
+		So(e.healthOf("e").InFlight, ShouldEqual, 1)
+	})
+	Convey("a session is bound to the incarnation that ran its last turn", t, func() {
+		So(affineEngine([]membership.ServingEngine{first}, first.Key()), ShouldEqual, "e")
+		So(affineEngine([]membership.ServingEngine{second}, first.Key()), ShouldNotEqual, "e")
+		So(affineEngine([]membership.ServingEngine{second}, "e"), ShouldEqual, "e")
+		So(affineEngine(nil, "e"), ShouldEqual, "e")
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -115,7 +115,7 @@
 
 // settleLater charges a turn that is not kept; the caller need not wait for it.
 func (d *Daemon) settleLater(c *call, out *answer) {
-	settle := &program.Settle{Program: c.program, Request: c.turn, Used: out.used(c), Session: c.session, Engine: c.engine}
+	settle := &program.Settle{Program: c.program, Request: c.turn, Used: out.used(c), Session: c.session, Engine: c.chosen.engine.Key()}
 	go func() {
 		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
 			d.logFailure("turn not settled", c, failure)
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -14,7 +14,7 @@
 
 // ServingEngine is one start of an engine that registered itself.
 type ServingEngine struct {
-	// ID is new at every start.
+	// ID is mostly new at every start.
 	ID         string `msgpack:"i" json:"id"`
 	Backend    string `msgpack:"b" json:"backend"`
 	Address    string `msgpack:"a" json:"address"`
@@ -23,8 +23,11 @@
 	Slots      int    `msgpack:"s" json:"slots"`
 	// Draining engines get no new work.
 	Draining bool `msgpack:"d,omitempty" json:"draining,omitempty"`
-	// Sequence orders the reports of one engine.
+	// Sequence orders the reports of one incarnation.
 	Sequence uint64 `msgpack:"q" json:"sequence"`
+	// Born tells the incarnations of an id apart and orders them: when the engine started by
+	// its own clock, Unix milliseconds; 0 where the engine does not say.
+	Born int64 `msgpack:"n,omitempty" json:"born,omitempty"`
 }
 
 // Gateway is one process that takes callers' requests.
@@ -61,8 +64,10 @@
 // FleetUpdate is one command that changes a fleet; it is applied as a whole.
 type FleetUpdate struct {
 	PutEngines []ServingEngine `msgpack:"e,omitempty"`
-	// LeftEngines said that they end; they never come back under their id.
+	// LeftEngines said that they end; that incarnation never comes back.
 	LeftEngines []string `msgpack:"l,omitempty"`
+	// Ended are incarnations that are over, those of LeftEngines among them.
+	Ended []Incarnation `msgpack:"b,omitempty"`
 	// LostEngines fell silent; they may come back.
 	LostEngines    []string     `msgpack:"o,omitempty"`
 	PutGateways    []Gateway    `msgpack:"g,omitempty"`
@@ -95,6 +100,9 @@
 	Groups   map[uint32]versioned[Placement]     `msgpack:"p"`
 	// Left are the ids of engines that ended.
 	Left []string `msgpack:"f"`
+	// Ended are, for ids whose engines say when they started, the latest incarnations that
+	// are over. Oldest entry first.
+	Ended []Incarnation `msgpack:"b,omitempty"`
 	// Superseded are the ids of engines that ended without a word: others have taken their
 	// addresses since. Oldest first.
 	Superseded []string `msgpack:"u,omitempty"`
@@ -107,6 +115,10 @@
 type Fleet struct {
 	state fleetState
 	left  map[string]bool
+	// ended are the latest incarnations that are over, and begun the versions at which ids
+	// were last taken up by another incarnation.
+	ended map[string]int64
+	begun map[string]uint64
 	// advertised is what followers are told.
 	advertised advertised
 	// addresses are the engines by their addresses.
@@ -117,7 +129,7 @@
 
 // NewFleet returns an empty fleet.
 func NewFleet() *Fleet {
-	return &Fleet{left: map[string]bool{}, advertised: newAdvertised(), addresses: map[string]string{}, state: fleetState{
+	return &Fleet{left: map[string]bool{}, ended: map[string]int64{}, begun: map[string]uint64{}, advertised: newAdvertised(), addresses: map[string]string{}, state: fleetState{
 		Engines: map[string]versioned[ServingEngine]{}, Gateways: map[string]versioned[Gateway]{},
 		Ledgers: map[string]versioned[LedgerHost]{}, Groups: map[uint32]versioned[Placement]{},
 	}}
@@ -141,10 +153,16 @@
 }
 
 func (f *Fleet) applyEngines(update FleetUpdate) {
+	for _, over := range update.Ended {
+		f.noteEnded(over)
+	}
 	for _, engine := range update.PutEngines {
 		f.putEngine(engine)
 	}
 	for _, id := range update.LeftEngines {
+		if known, ok := f.state.Engines[id]; ok && f.outlives(known.Value) {
+			continue
+		}
 		f.markLeft(id)
 		f.removeEngine(id)
 	}
@@ -196,13 +214,14 @@
 	f.advertised.resize(f.state.Version, size)
 }
 
-// putEngine takes a report. Invariant: an older report never undoes a newer one,
-// and an engine that has left does not come back.
+// putEngine takes a report. Invariant: an older report never undoes a newer one, and an
+// incarnation that has left, or that another one has followed, does not come back.
 func (f *Fleet) putEngine(engine ServingEngine) {
 	if f.Outdated(engine) {
 		return
 	}
 	known, ok := f.state.Engines[engine.ID]
+	f.begin(engine)
 	f.takeAddress(engine)
 	if ok && known.Value.withoutSequence() != engine.withoutSequence() {
 		f.advertised.remove(f.state.Version, known.Value)
@@ -225,6 +244,7 @@
 		if f.addresses[known.Value.Address] == id {
 			delete(f.addresses, known.Value.Address)
 		}
+		delete(f.begun, id)
 		f.advertised.remove(f.state.Version, known.Value)
 	}
 }
@@ -249,9 +269,6 @@
 	return entry.Value, ok
 }
 
-// HasLeft reports whether an engine said that it ends.
-func (f *Fleet) HasLeft(id string) bool { return f.left[id] }
-
 // EngineCount returns how many engines there are.
 func (f *Fleet) EngineCount() int { return len(f.state.Engines) }
 
@@ -317,6 +334,9 @@
 	for _, id := range fresh.state.Left {
 		fresh.left[id] = true
 	}
+	for _, over := range fresh.state.Ended {
+		fresh.ended[over.ID] = over.Born
+	}
 	for id, entry := range fresh.state.Engines {
 		fresh.addresses[entry.Value.Address] = id
 		if !entry.Value.Draining {
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -38,8 +38,9 @@
 		fleet := NewFleet()
 		tracker := NewFleetTracker(fleetOptions(), 0)
 		report := func(id string) {
-			if tracker.Believes(fleet, id) {
-				fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: id, Address: "10.0.0.1:1"}}})
+			engine := ServingEngine{ID: id, Address: "10.0.0.1:1"}
+			if tracker.Believes(fleet, engine, 0) {
+				fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{engine}})
 			}
 		}
 		known := func(id string) bool {
@@ -49,7 +50,7 @@
 		report("old")
 		report("new")
 		So(known("old"), ShouldBeFalse)
-		for range supersededReports - 1 {
+		for range doubtfulReports - 1 {
 			report("old")
 		}
 		So(known("old"), ShouldBeFalse)
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -61,8 +61,10 @@
 	lastNewLedgerMs int64
 	// enginesCheckedMs is when silent engines were last looked for.
 	enginesCheckedMs int64
-	// lateReports counts the reports of superseded engines.
-	lateReports map[string]int
+	// doubts are the engines whose reports contradict what is known.
+	doubts map[string]doubt
+	// newest are the latest incarnations that were heard of lately.
+	newest newestLives
 	// calmSinceMs is since when the pools that are larger than they need be are so.
 	calmSinceMs map[poolKey]int64
 }
@@ -84,7 +86,7 @@
 func NewFleetTracker(options FleetOptions, nowMs int64) *FleetTracker {
 	return &FleetTracker{
 		options: options, startMs: nowMs, heard: map[string]int64{}, gateways: map[string]gatewayHeartbeat{},
-		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, lateReports: map[string]int{}, calmSinceMs: map[poolKey]int64{},
+		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, doubts: map[string]doubt{}, newest: newestLives{}, calmSinceMs: map[poolKey]int64{},
 	}
 }
 
@@ -181,11 +183,13 @@
 	if len(t.heard) <= 2*len(fleet.state.Engines)+len(fleet.state.Ledgers) {
 		return
 	}
-	maps.DeleteFunc(t.heard, func(key string, _ int64) bool {
+	gone := func(key string) bool {
 		_, engine := fleet.state.Engines[key]
 		_, host := fleet.state.Ledgers[key]
 		return !engine && !host
-	})
+	}
+	maps.DeleteFunc(t.heard, func(key string, _ int64) bool { return gone(key) })
+	maps.DeleteFunc(t.newest, func(key string, _ int64) bool { return gone(key) })
 }
 
 // lostGateways returns the gateways that fell silent, in ascending order.
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -18,8 +18,11 @@
 type FleetOrder struct {
 	// Report is an engine's report of itself.
 	Report *membership.ServingEngine `msgpack:"e,omitempty"`
-	// Leave names an engine that ends.
-	Leave string `msgpack:"l,omitempty"`
+	// Leave names an engine that ends, LeaveBorn its incarnation where it says so.
+	Leave     string `msgpack:"l,omitempty"`
+	LeaveBorn int64  `msgpack:"b,omitempty"`
+	// Incarnations says that the sender reads from reports which incarnation they are of.
+	Incarnations bool `msgpack:"i,omitempty"`
 	// Routing is a whole routing table to put in force.
 	Routing *routing.Table `msgpack:"r,omitempty"`
 	// ReadRouting asks for the table in force, confirmed by a quorum.
@@ -37,6 +40,8 @@
 	Routing *routing.Table `msgpack:"r,omitempty"`
 	// Done answers RetireState.
 	Done bool `msgpack:"d,omitempty"`
+	// Void names why a report or leave that is acknowledged changed nothing (membership.Verdict).
+	Void string `msgpack:"v,omitempty"`
 }
 
 // FleetSync is the heartbeat of a gateway or ledger host; the reply is held until
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -73,6 +73,8 @@
 	Messages []PeerMessage `msgpack:"m,omitempty"`
 	// Engines goes between control processes with the messages that they send in any case.
 	Engines *EngineList `msgpack:"e,omitempty"`
+	// Incarnations says that the sender's replicas know incarnations of engines.
+	Incarnations bool `msgpack:"i,omitempty"`
 }
 
 // EngineList tells the leader of the settings group which engines have reported to the
--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -173,6 +173,12 @@
 	}
 }
 
+// Forget drops what is known of an engine, which has started again.
+func (b *Board) Forget(engine string) {
+	delete(b.engines, engine)
+	delete(b.failing, engine)
+}
+
 // sweep forgets engines that nobody speaks of any more and gateways that fell silent.
 func (b *Board) sweep(nowMs int64) {
 	b.sweepFailing(nowMs)
