Limits by program: what is learnt of kinds as a survival estimate; properties, faults, load

Demand of a program now follows the learnt chance to end by how far it has got, not one chance for all; the mean is held against the room and the spread is left to the queue. Found by the tests: a queue longer than the window promised too early a place; several new programs took the place that is due after a window without one.

--- a/internal/admission/kinds.go
+++ b/internal/admission/kinds.go
@@ -57,6 +57,7 @@
 	gapSum    float64
 	gaps      [gapBuckets]float64
 	gapWeight float64
+	outlook   outlook
 }
 
 func madeBucket(made int) int {
@@ -147,18 +148,61 @@
 	return goesOn / (goesOn + endsNow)
 }
 
-// moments are the mean and the mean square of a number of requests.
-type moments struct{ mean, square float64 }
-
-// within returns how many requests follow within a horizon after one that was just made by a
-// program that goes on, by the bucket of that request: one after each mean gap, until the
-// program ends. The bucket's chance to end stands for all requests after it.
-func (k *Kind) within(endsNow float64, horizonMs float64) moments {
-	gaps := horizonMs / k.GapMs()
-	goesOn := 1 - endsNow
-	mean := (1 - math.Pow(goesOn, gaps)) / endsNow
-	// A truncated geometric distribution lies between a constant and one that is not
-	// truncated; the requests' times scatter as those of a Poisson process do.
-	most := math.Min(2/endsNow-1, gaps+1)
-	return moments{mean: mean, square: mean * most}
+// mostSteps bounds how many requests ahead are looked at.
+const mostSteps = 512
+
+// outlook is what follows a request of a program of a kind, by how far the program has got.
+type outlook struct {
+	endsNow [madeBuckets]float64
+	// within is how many requests follow within each horizon in the mean, if the program goes on.
+	within [madeBuckets][horizons]float64
+	// requests is how many a program makes in the mean.
+	requests float64
+	// atMs is when it was made, 0 for never.
+	atMs int64
 }
+
+// outlookAt returns the outlook, made anew where it is old.
+func (k *Kind) outlookAt(nowMs, windowMs int64) *outlook {
+	if k.outlook.atMs > 0 && nowMs-k.outlook.atMs < forecastMs {
+		return &k.outlook
+	}
+	k.outlook = outlook{atMs: nowMs}
+	for bucket := range k.outlook.endsNow {
+		k.outlook.endsNow[bucket] = k.endsAt(bucket)
+	}
+	for bucket := range k.outlook.within {
+		k.look(bucket, windowMs)
+	}
+	k.outlook.requests = 1
+	goesOn := 1.0
+	for made := 1; made < mostSteps; made++ {
+		goesOn *= 1 - k.outlook.endsNow[madeBucket(made)]
+		k.outlook.requests += goesOn
+	}
+	return &k.outlook
+}
+
+// look counts the requests that follow one of a bucket: one after each mean gap, each followed
+// by another one with the chance of its own bucket.
+func (k *Kind) look(bucket int, windowMs int64) {
+	goesOn, gap := 1.0, k.GapMs()
+	sum, horizon := 0.0, 0
+	for step := 1; horizon < horizons && step <= mostSteps; step++ {
+		if step > 1 {
+			goesOn *= 1 - k.outlook.endsNow[madeBucket(1<<bucket+step-1)]
+		}
+		for horizon < horizons && float64(horizonMs(windowMs, horizon)) < gap*float64(step) {
+			part := float64(horizonMs(windowMs, horizon))/gap - float64(step-1)
+			k.outlook.within[bucket][horizon] = sum + part*goesOn
+			horizon++
+		}
+		sum += goesOn
+	}
+	for ; horizon < horizons; horizon++ {
+		k.outlook.within[bucket][horizon] = sum
+	}
+}
+
+// horizonMs is the end of a part of a window.
+func horizonMs(windowMs int64, position int) int64 { return windowMs * int64(position+1) / horizons }
--- a/internal/admission/programs.go
+++ b/internal/admission/programs.go
@@ -10,9 +10,6 @@
 	forecastMs = 100
 	// programIdleMs is how long a program without requests is remembered.
 	programIdleMs = 30_000
-	// spreadMargin is how many standard deviations of the demand are kept free besides its
-	// mean: with one, about one time in six some request of a program under way waits.
-	spreadMargin = 1.0
 )
 
 // Programs are the programs of one tenant that have begun, and what they will ask for within
@@ -21,11 +18,11 @@
 	kinds    *Kinds
 	windowMs int64
 	byName   map[string]*program
-	// means and squares are the moments of the demand up to each horizon as of forecastedMs;
-	// what began since is added.
-	mean, variance [horizons]float64
-	forecastedMs   int64
-	forecasted     bool
+	// demand is how many requests the programs will make up to each horizon in the mean, as of
+	// forecastedMs; what began since is added.
+	demand       [horizons]float64
+	forecastedMs int64
+	forecasted   bool
 	// begunMs is when a program began last, 0 for never.
 	begunMs int64
 }
@@ -88,18 +85,12 @@
 	}
 }
 
-// horizonMs is the end of a part of the window.
-func (p *Programs) horizonMs(position int) int64 { return p.windowMs * int64(position+1) / horizons }
-
 // add counts what one program will ask for.
 func (p *Programs) add(known *program, nowMs int64) {
-	endsNow := known.kind.endsAt(madeBucket(known.made))
-	goesOn := known.kind.underWay(endsNow, float64(nowMs-known.lastMs))
-	for position := range p.mean {
-		coming := known.kind.within(endsNow, float64(p.horizonMs(position)))
-		mean := goesOn * coming.mean
-		p.mean[position] += mean
-		p.variance[position] += goesOn*coming.square - mean*mean + mean
+	ahead, bucket := known.kind.outlookAt(nowMs, p.windowMs), madeBucket(known.made)
+	goesOn := known.kind.underWay(ahead.endsNow[bucket], float64(nowMs-known.lastMs))
+	for position, coming := range ahead.within[bucket] {
+		p.demand[position] += goesOn * coming
 	}
 }
 
@@ -109,7 +100,7 @@
 		return
 	}
 	p.forecasted, p.forecastedMs = true, nowMs
-	p.mean, p.variance = [horizons]float64{}, [horizons]float64{}
+	p.demand = [horizons]float64{}
 	for name, known := range p.byName {
 		silentMs := nowMs - known.lastMs
 		switch {
@@ -132,18 +123,19 @@
 type Fit struct {
 	Fits bool
 	// Counted are the requests that count already, Expected those that programs under way
-	// will ask for and Own those of the program itself, with Margin for their spread, up to
-	// the moment at which the room is least.
+	// will ask for and Own those of the program itself, up to the moment at which the room is
+	// least.
 	Counted  int64
 	Expected float64
 	Own      float64
-	Margin   float64
 	// EveryMs is at which intervals programs of the kind find room in the long run.
 	EveryMs int64
 }
 
 // Fits decides whether a program of a kind may begin: whether at no moment of the coming
-// window more would count than is allowed. Counted returns what of the requests granted so
+// window more would count in the mean than is allowed. The spread around the mean is for the
+// queue: to keep a standard deviation free besides refuses a fifth more programs, and what waits
+// then waits 0.1 s in place of 0.3 at the 99th percentile (docs/design/0011-limits-by-program.md). Counted returns what of the requests granted so
 // far still counts at a time. Expecting is a demand within the window that is known of
 // otherwise, as of programs of which a new owner has not heard yet.
 //
@@ -151,33 +143,24 @@
 // then uses what there is.
 func (p *Programs) Fits(kind string, nowMs int64, allowed int64, expecting float64, counted func(atMs int64) int64) Fit {
 	p.forecast(nowMs)
-	own := p.kinds.Of(kind)
-	endsNow := own.endsAt(0)
-	result := Fit{Fits: true, EveryMs: int64(float64(p.windowMs) * own.requests() / math.Max(float64(allowed), 1))}
+	own := p.kinds.Of(kind).outlookAt(nowMs, p.windowMs)
+	goesOn := 1 - own.endsNow[0]
+	result := Fit{EveryMs: int64(float64(p.windowMs) * own.requests / math.Max(float64(allowed), 1))}
 	least := math.Inf(1)
-	for position := range p.mean {
-		horizon := p.horizonMs(position)
-		coming := own.within(endsNow, float64(horizon))
-		ownMean := 1 + (1-endsNow)*coming.mean
-		expected := math.Max(p.mean[position], expecting*float64(horizon)/float64(p.windowMs))
-		margin := spreadMargin * math.Sqrt(p.variance[position]+(1-endsNow)*coming.square)
+	for position, coming := range own.within[0] {
+		horizon := horizonMs(p.windowMs, position)
+		ownDemand := 1 + goesOn*coming
+		expected := math.Max(p.demand[position], expecting*float64(horizon)/float64(p.windowMs))
 		past := counted(nowMs + horizon)
-		room := float64(allowed) - float64(past) - expected - ownMean - margin
+		room := float64(allowed) - float64(past) - expected - ownDemand
 		if room < least {
 			least = room
-			result.Counted, result.Expected, result.Own, result.Margin = past, expected, ownMean, margin
+			result.Counted, result.Expected, result.Own = past, expected, ownDemand
 		}
 	}
-	result.Fits = least >= 0 || (p.mean[horizons-1] < 1 && expecting < 1)
+	result.Fits = least >= 0 || (p.demand[horizons-1] < 1 && expecting < 1)
 	return result
 }
 
 // BegunMs is when a program began last, 0 for never.
 func (p *Programs) BegunMs() int64 { return p.begunMs }
-
-// requests is how many requests a program makes in the mean.
-func (k *Kind) requests() float64 {
-	const many = 1e9
-	endsNow := k.endsAt(0)
-	return 1 + (1-endsNow)*k.within(endsNow, many).mean
-}
--- a/internal/ledger/quotas.go
+++ b/internal/ledger/quotas.go
@@ -123,8 +123,8 @@
 func deniedQuota(decision quota.Decision) *result.Error {
 	failure := result.New(result.TenantLimit, "%d requests in the window, limit %d", decision.Used, decision.Allowed)
 	if fit := decision.Program; fit != nil {
-		failure = result.New(result.TenantLimit, "new program: %d requests count, %.1f expected of programs under way, %.1f of its own, margin %.1f; limit %d",
-			fit.Counted, fit.Expected, fit.Own, fit.Margin, decision.Allowed)
+		failure = result.New(result.TenantLimit, "new program: %d requests count, %.1f expected of programs under way, %.1f of its own; limit %d",
+			fit.Counted, fit.Expected, fit.Own, decision.Allowed)
 	}
 	return failure.WithRetryAfter(time.Duration(decision.RetryAfterMs) * time.Millisecond)
 }
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -109,6 +109,8 @@
 	lastReturnMs int64
 	// lastStartMs is when the new program that was denied last was told to come back.
 	lastStartMs int64
+	// dueMs is when a new program was let in last because none had begun for a window.
+	dueMs int64
 }
 
 // expiring is what is left of a reservation.
--- a/internal/quota/queue.go
+++ b/internal/quota/queue.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 
 	"github.com/ochrebay/ochrebay/internal/admission"
@@ -100,8 +101,13 @@
 	}
 	allowed := tenant.allowed()
 	fit := tenant.begun.Fits(ask.Kind, nowMs, allowed, o.unheard(tenant, nowMs), tenant.countedAt)
-	due := nowMs-tenant.begun.BegunMs() >= o.windowMs
-	if due || (fit.Fits && len(tenant.queue) == 0 && tenant.used() < allowed) {
+	// One is due after a window without any, however much those under way ask for.
+	due := nowMs-max(tenant.begun.BegunMs(), tenant.dueMs) >= o.windowMs
+	if due {
+		tenant.dueMs = nowMs
+		return Decision{}, true
+	}
+	if fit.Fits && len(tenant.queue) == 0 && tenant.used() < allowed {
 		return Decision{}, true
 	}
 	decision := tenant.denied(tenant.startAtMs(fit, nowMs), nowMs)
@@ -230,7 +236,7 @@
 // expected says when a request at a position in the queue gets its grant, or denies it where
 // that is too late for its caller.
 func (t *owned) expected(position int, waiting *waiter, nowMs int64) Decision {
-	atMs := t.roomAtMs(t.most()-int64(position), nowMs)
+	atMs := t.placeAtMs(int64(position), nowMs)
 	if atMs > waiting.usefulMs {
 		return t.denied(atMs, nowMs)
 	}
@@ -239,6 +245,16 @@
 	return decision
 }
 
+// placeAtMs returns when there is room for a request with so many before it: those that fill
+// the window leave it one after the other, then those that were let in for them.
+func (t *owned) placeAtMs(ahead, nowMs int64) int64 {
+	most := t.most()
+	if most <= 0 {
+		return math.MaxInt64
+	}
+	return t.roomAtMs(most-ahead%most, nowMs) + ahead/most*t.granted.lengthMs
+}
+
 func (t *owned) decision(verdict Verdict, grantedMs int64) Decision {
 	return Decision{Verdict: verdict, GrantedMs: grantedMs, Used: t.used(), Allowed: t.allowed()}
 }
@@ -246,7 +262,7 @@
 // denied answers a request that is to come back at a time.
 func (t *owned) denied(comeBackMs, nowMs int64) Decision {
 	decision := t.decision(Denied, 0)
-	decision.RetryAfterMs = max(comeBackMs-nowMs, leastRetryMs)
+	decision.RetryAfterMs = min(max(comeBackMs-nowMs, leastRetryMs), t.granted.lengthMs)
 	return decision
 }
 
