Fair shares among tenants of a back end that is short: use adds up at control, gateways admit by it

Each gateway fills the room max-min by weight and rejects new programs of tenants above their share (1208); those at or below are held only against what would be left if the others were at theirs.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -155,7 +156,9 @@
 	// fleetTracker is the leader's soft state of the fleet, nil elsewhere.
 	fleetTracker *membership.FleetTracker
 	// loads is what gateways have said of engines to this leader, nil elsewhere.
-	loads      *scheduling.Board
+	loads *scheduling.Board
+	// uses is what gateways have said of tenants to this leader, nil elsewhere.
+	uses       *admission.UseBoard
 	fleetSyncs []pendingFleetSync
 	// reports are those of engines that the leader is told of in lists.
 	reports engineReports
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -107,6 +107,7 @@
 		c.loads.Report(gateway.Name, loads, c.nowMs)
 		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, c.notInFleet), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
+		c.uses.Report(gateway.Name, request.Uses, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
 		}
@@ -179,6 +180,9 @@
 	if request.WithLoads && summed {
 		summed := c.news.loadsOf(c.loads, fleet, scope, c.nowMs)
 		reply.Loads, reply.Failing = summed.loads, summed.failing
+		if table := c.system.tree.Routing(); table != nil && table.Keyed {
+			reply.Uses = c.news.usesOf(c.uses, c.nowMs)
+		}
 	}
 	if request.Gateway != nil && summed {
 		reply.Late = c.loads.Late(c.nowMs)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -25,6 +26,7 @@
 		c.permits = nil
 		c.fleetTracker = nil
 		c.loads = nil
+		c.uses = nil
 		return
 	}
 	if c.tracker == nil {
@@ -34,6 +36,7 @@
 		c.leadingSinceMs = c.nowMs
 		c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
 		c.loads = scheduling.NewBoard()
+		c.uses = admission.NewUseBoard()
 		c.fleetPlanning = false
 	}
 	c.replaceLost()
--- a/internal/control/news.go
+++ b/internal/control/news.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/routing"
@@ -19,6 +20,10 @@
 	routing differences[routing.Delta]
 	// loads are the sums that gateways were told, by what they are told of.
 	loads map[membership.Scope]summedLoads
+	// uses are the sums of tenants' use that gateways were told, of usesBoard.
+	uses        *protocol.Shared[[]admission.BackendUse]
+	usesBoard   *admission.UseBoard
+	usesVersion uint64
 }
 
 // summedLoads are sums of what gateways have seen, as of atMs.
@@ -86,3 +91,12 @@
 	n.loads[scope] = known
 	return known
 }
+
+// usesOf returns what all gateways' tenants together use of back ends that are short.
+func (n *newsCache) usesOf(board *admission.UseBoard, nowMs int64) *protocol.Shared[[]admission.BackendUse] {
+	sums := board.Sums(nowMs)
+	if n.uses == nil || n.usesBoard != board || n.usesVersion != board.Version {
+		n.uses, n.usesBoard, n.usesVersion = protocol.NewShared(sums), board, board.Version
+	}
+	return n.uses
+}
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -50,6 +51,8 @@
 	OnLoads func(loads []scheduling.Load, failing []string)
 	// OnLate takes what all gateways together have seen of streams; nil where nobody asks.
 	OnLate func(shares []scheduling.LateShare)
+	// OnUses takes what all gateways' tenants together use of back ends; nil where nobody asks.
+	OnUses func(uses []admission.BackendUse)
 	Logger log.Logger
 
 	// provedAt is when the question left whose answer last proved that the table held is in
@@ -166,6 +169,9 @@
 	if f.OnLate != nil && len(reply.Late) > 0 {
 		f.OnLate(reply.Late)
 	}
+	if f.OnUses != nil && reply.Uses != nil {
+		f.OnUses(reply.Uses.Value)
+	}
 	if f.OnLoads != nil && reply.Loads != nil {
 		f.loadsAt = time.Now()
 		f.OnLoads(reply.Loads.Value, reply.Failing)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
@@ -65,18 +66,21 @@
 	return total / float64(max(heard, 1)), heard > 0 && heard*half >= len(pool)
 }
 
-// admission is a decision whether a program may begin, with what it was made from.
-type admission struct {
+// decision is one whether a program may begin, with what it was made from.
+type decision struct {
 	admitted     bool
 	retryAfterMs int64
 	concurrency  float64
 	limit        float64
+	// room is for how many requests an engine has room, position where the tenant stands.
+	room     float64
+	position admission.Position
 }
 
 // admit decides whether a call that begins a program may go on.
-func (e *engines) admit(c *call, position, ranks int) admission {
+func (e *engines) admit(c *call, position, ranks int) decision {
 	if e.disabled.Has(scheduling.MechanismAdmission) {
-		return admission{admitted: true}
+		return decision{admitted: true}
 	}
 	draw := float64(xxhash.Sum64String(c.program)) / (1 << 64)
 	e.mutex.Lock()
@@ -84,14 +88,68 @@
 	nowMs := clock.NowMs()
 	concurrency, known := e.concurrency(c.backend.Name, nowMs)
 	if !known {
-		return admission{admitted: true}
+		return decision{admitted: true}
 	}
-	decision := admission{concurrency: concurrency}
+	made := decision{concurrency: concurrency}
 	learnt := entryOf(e.admissions, c.backend.Name)
-	learnt.Learn(nowMs, decision.concurrency, c.backend.Slots)
-	decision.limit = learnt.Limit()
-	decision.retryAfterMs, decision.admitted = learnt.Admit(decision.concurrency, position, ranks, draw)
-	return decision
+	learnt.Learn(nowMs, concurrency, c.backend.Slots)
+	made.limit = learnt.Limit()
+	made.room = admission.Room(c.backend.Slots, learnt.Room())
+	made.position = e.position(c, made.room, nowMs)
+	if made.position.Above {
+		made.retryAfterMs, made.admitted = made.position.Admit(draw)
+		return made
+	}
+	// What others use beyond their shares is theirs to give back.
+	excess := made.position.Excess / float64(max(len(e.byPool[c.backend.Name]), 1))
+	made.retryAfterMs, made.admitted = learnt.Admit(concurrency-excess, position, ranks, draw)
+	return made
+}
+
+// position returns where the tenant of a call stands at its back end.
+func (e *engines) position(c *call, room float64, nowMs int64) admission.Position {
+	if c.tenant == nil || e.disabled.Has(scheduling.MechanismShares) {
+		return admission.Position{}
+	}
+	return e.shares.Of(c.backend.Name, c.tenant.Name, room*float64(len(e.byPool[c.backend.Name])), nowMs)
+}
+
+// underWay counts a call at its back end, or takes it off again.
+func (e *engines) underWay(c *call, change int) {
+	if !c.keyed {
+		return
+	}
+	name := ""
+	if c.tenant != nil {
+		name = c.tenant.Name
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.meter.Change(c.backend.Name, name, c.weight, change, clock.NowMs())
+	e.slots[c.backend.Name] = c.backend.Slots
+}
+
+// nearlyShort is the part of the room of a back end from which on gateways speak of the use of
+// their tenants.
+const nearlyShort = 0.7
+
+// usesNews returns what this gateway's tenants have used, since the last call, of back ends that
+// are short or nearly so.
+func (e *engines) usesNews(nowMs int64) []admission.BackendUse {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.meter.Read(nowMs, func(backend string) bool {
+		concurrency, known := e.concurrency(backend, nowMs)
+		room := admission.Room(e.slots[backend], entryOf(e.admissions, backend).Room())
+		return known && room > 0 && concurrency >= nearlyShort*room
+	})
+}
+
+// takeUses takes what all gateways' tenants together use of back ends.
+func (e *engines) takeUses(uses []admission.BackendUse, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.shares.Take(uses, nowMs)
 }
 
 // lateNews returns what this gateway has seen of streams since the last call.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -96,6 +97,7 @@
 	d.proofAge = d.follower.ProofAge
 	d.follower.OnLoads = d.takeShared
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
+	d.follower.OnUses = func(uses []admission.BackendUse) { d.engines.takeUses(uses, clock.NowMs()) }
 	return d
 }
 
@@ -125,6 +127,7 @@
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
 	request.Late = d.engines.lateNews(clock.NowMs())
+	request.Uses = d.engines.usesNews(clock.NowMs())
 }
 
 // takeShared takes what all gateways together have seen of engines.
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -21,7 +22,12 @@
 	activity activity
 	// admissions decide which programs may begin at each back end.
 	admissions map[string]*scheduling.Admission
-	zone       string
+	// meter measures the use of tenants here, shares holds that of all gateways' tenants, and
+	// slots those of back ends' engines.
+	meter  *admission.Meter
+	shares admission.Shares
+	slots  map[string]int
+	zone   string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
 }
@@ -30,6 +36,7 @@
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
 		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: disabled,
+		meter: admission.NewMeter(clock.NowMs()), slots: map[string]int{},
 	}
 }
 
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -29,6 +29,8 @@
 	// rankPosition is how many of the ranks in use at the back end are less urgent.
 	rankPosition int
 	ranks        int
+	// weight is the tenant's part in what is shared while a back end is short of room.
+	weight float64
 	// generation is the routing table by which the call was routed.
 	generation uint64
 	started    time.Time
@@ -107,6 +109,7 @@
 	}
 	c.backend = view.routes.Backend(route.Choose(d.draw()))
 	c.rankPosition, c.ranks = view.routes.Position(c.backend.Name, c.tenant, route)
+	c.weight = view.routes.Weight(c.tenant)
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,7 +49,9 @@
 		c.opened = time.Since(c.started)
 	}
 	if failure == nil {
+		d.engines.underWay(c, 1)
 		failure = d.serveAttempts(ctx, c, out.deliver)
+		d.engines.underWay(c, -1)
 	}
 	switch {
 	case failure == nil:
@@ -105,8 +107,13 @@
 	if decision.admitted {
 		return nil
 	}
-	return result.New(result.Overloaded, "%.1f requests an engine, begun in time up to %.1f; rank %d of %d",
-		decision.concurrency, decision.limit, c.rankPosition, c.ranks).WithRetryAfter(time.Duration(decision.retryAfterMs) * time.Millisecond)
+	failure := result.New(result.Overloaded, "%.1f requests an engine, begun in time up to %.1f; rank %d of %d",
+		decision.concurrency, decision.limit, c.rankPosition, c.ranks)
+	if position := decision.position; position.Above {
+		failure = result.New(result.ShareUsed, "%.1f of the tenant's requests under way, its share %.1f; %.1f requests an engine, room for %.1f",
+			position.Use, position.Share, decision.concurrency, decision.room)
+	}
+	return failure.WithRetryAfter(time.Duration(decision.retryAfterMs) * time.Millisecond)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,6 +51,8 @@
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what the gateway has seen of streams since its last heartbeat.
 	Late []scheduling.LateShare `msgpack:"t,omitempty"`
+	// Uses is what the gateway's tenants use of back ends that are short of room.
+	Uses []admission.BackendUse `msgpack:"uses,omitempty"`
 	// Version and Generation are the fleet and the routing table in force at the
 	// sender; WithRouting says that it wants the table at all.
 	Version     uint64 `msgpack:"v"`
@@ -90,6 +93,9 @@
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what all gateways together have seen of streams, with every answer to one.
 	Late []scheduling.LateShare `msgpack:"t,omitempty"`
+	// Uses is what all gateways' tenants together use of back ends that are short of room; it
+	// comes with Loads, where the routing table has tenants.
+	Uses *Shared[[]admission.BackendUse] `msgpack:"uses,omitempty"`
 	// Controls are the inner addresses of the control processes, where the sender knows others.
 	Controls []string `msgpack:"c,omitempty"`
 	// Confirmed says that a quorum confirmed the reply after the request had come.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,7 @@
 	Draining          Code = 1205
 	NotConfigured     Code = 1206
 	KeysUnconfirmed   Code = 1207
+	ShareUsed         Code = 1208
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -121,6 +122,7 @@
 	{Draining, "draining", NotRun, 503, 500 * time.Millisecond, "The process is stopping and takes no new calls."},
 	{NotConfigured, "not_configured", NotRun, 503, 700 * time.Millisecond, "The process has not heard the routing table in force yet."},
 	{KeysUnconfirmed, "keys_unconfirmed", NotRun, 503, 500 * time.Millisecond, "The gateway has been cut off from control for too long to know which keys are still valid."},
+	{ShareUsed, "share_used", NotRun, 429, time.Second, "The back end is short of room and the tenant uses more than its share of it."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica asked is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; every attempt allowed was used."},
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -12,6 +12,8 @@
 	byHost   map[string][]*Route
 	backends map[string]Backend
 	holders  map[KeyDigest]*Tenant
+	// meanRate is that of the tenants that have one, requests a second.
+	meanRate float64
 	// ranks are those of the streams of each back end, the least urgent first.
 	ranks map[string][]rank
 }
@@ -46,6 +48,7 @@
 		}
 	}
 	index.addRanks()
+	index.meanRate = meanRate(table.Tenants)
 	return index
 }
 
@@ -119,3 +122,27 @@
 	}
 	return chosen
 }
+
+// meanRate returns the mean rate of the tenants that are bounded, 1 where none is.
+func meanRate(tenants []Tenant) float64 {
+	sum, bounded := 0.0, 0
+	for position := range tenants {
+		if tenants[position].Limited() {
+			sum += tenants[position].RatePerSecond
+			bounded++
+		}
+	}
+	if bounded == 0 {
+		return 1
+	}
+	return sum / float64(bounded)
+}
+
+// Weight returns a tenant's part in what is shared while it is short: its rate, and for one
+// without a bound the mean of the others.
+func (i *Index) Weight(tenant *Tenant) float64 {
+	if tenant == nil || !tenant.Limited() {
+		return i.meanRate
+	}
+	return tenant.RatePerSecond
+}
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -167,3 +167,7 @@
 
 // Limit returns the learnt concurrency, requests an engine; 0 for no limit.
 func (a *Admission) Limit() float64 { return a.limit }
+
+// Room returns up to which concurrency the least urgent programs all begin, requests an engine; 0
+// for no limit.
+func (a *Admission) Room() float64 { return a.limit * fullShare }
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -33,6 +33,8 @@
 	MechanismNearReads Mechanism = "near-reads"
 	// MechanismAdmission rejects new programs while engines fall behind.
 	MechanismAdmission Mechanism = "admission"
+	// MechanismShares holds tenants to their shares of a back end that is short of room.
+	MechanismShares Mechanism = "shares"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
 )
@@ -43,7 +45,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission,
+		MechanismAdmission, MechanismShares,
 	}
 }
 
