--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,6 +86,8 @@
 type Limits struct {
 	// MemoryMB is the memory above which the process is killed; 0 for no bound.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// CPUShare is the share of a core that the process may use; 0 where it is not known.
+	CPUShare float64 `yaml:"cpu_share" validate:"min=0,max=1024"`
 	// HeaderBytes bounds the header of a caller's request.
 	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
 	// GraceSeconds is how long a stopping process may take before it is killed.
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -14,10 +13,6 @@
 const (
 	// orderTimeout is below the second after which callers turn to another process.
 	orderTimeout = 900 * time.Millisecond
-	// maxDirectoryAddresses bounds one answer to a caller that asks where to go.
-	maxDirectoryAddresses = 64
-	// fewGatewaysNear is how many gateways of the caller's own zone are enough.
-	fewGatewaysNear = 2
 )
 
 // order has the leader carry out a fleet order.
@@ -89,28 +84,8 @@
 	return reply.Done, reply.Error
 }
 
-// Gateways returns the addresses of ready gateways for a caller: those of its zone,
-// and the others after them where the zone has few. It answers from what this
-// process knows.
-func (d *Daemon) Gateways(zone, region string) []string {
-	var near, far, farther []string
-	for _, gateway := range d.status.Load().gateways {
-		switch {
-		case !gateway.Ready:
-		case gateway.Zone == zone:
-			near = append(near, gateway.Address)
-		case gateway.Region == region:
-			far = append(far, gateway.Address)
-		default:
-			farther = append(farther, gateway.Address)
-		}
-	}
-	addresses := near
-	if len(addresses) < fewGatewaysNear {
-		addresses = slices.Concat(near, far)
-	}
-	if len(addresses) < fewGatewaysNear {
-		addresses = slices.Concat(near, far, farther)
-	}
-	return addresses[:min(len(addresses), maxDirectoryAddresses)]
+// Gateways returns the addresses of the gateways that a caller should use. It answers from
+// what this process knows.
+func (d *Daemon) Gateways(caller membership.Caller) []string {
+	return d.status.Load().spread.Named(caller)
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -61,9 +61,9 @@
 	leading  int
 	programs int
 	applied  uint64
-	// gateways is the directory for callers, gatewaysVersion the fleet's version at which it
+	// spread is the directory for callers, gatewaysVersion the fleet's version at which it
 	// last changed, and fleetLogged what the last line about the fleet told.
-	gateways        []membership.Gateway
+	spread          *membership.Spread
 	gatewaysVersion uint64
 	gatewaysAt      time.Time
 	fleetLogged     loggedFleet
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery}}
-	control.status.Store(&status{})
+	control.status.Store(&status{spread: membership.NewSpread(nil)})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
 	control.core, err = NewCore(coreOptions(process), store, control, clock.NowMs())
@@ -279,17 +279,17 @@
 func (d *Daemon) publishFleet(current *status) {
 	previous := d.status.Load()
 	fleet := d.core.Fleet()
-	current.gateways, current.gatewaysVersion, current.gatewaysAt = previous.gateways, previous.gatewaysVersion, previous.gatewaysAt
+	current.spread, current.gatewaysVersion, current.gatewaysAt = previous.spread, previous.gatewaysVersion, previous.gatewaysAt
 	current.fleetLogged = previous.fleetLogged
 	if fleet.GatewaysVersion() != previous.gatewaysVersion && time.Since(previous.gatewaysAt) >= directoryEvery {
-		current.gateways, current.gatewaysVersion, current.gatewaysAt = fleet.Gateways(), fleet.GatewaysVersion(), time.Now()
+		current.spread, current.gatewaysVersion, current.gatewaysAt = membership.NewSpread(fleet.Gateways()), fleet.GatewaysVersion(), time.Now()
 	}
 	if fleet.Version() == previous.fleetLogged.version || time.Since(previous.fleetLogged.at) < fleetLogEvery {
 		return
 	}
 	current.fleetLogged = loggedFleet{version: fleet.Version(), at: time.Now()}
 	telemetry.Info(d.logger, "fleet in force", "version", fleet.Version(), "engines", fleet.EngineCount(), "advertised", fleet.Advertised(),
-		"gateways", len(current.gateways), "ledgers", fleet.LedgerCount(), "leads", d.core.Leads(0))
+		"gateways", current.spread.Ready(), "ledgers", fleet.LedgerCount(), "leads", d.core.Leads(0))
 }
 
 // Send is the core's outlet to other control processes.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -119,6 +119,7 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
+		Capacity: d.process.Limits.CPUShare,
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -37,8 +37,18 @@
 	Address string `msgpack:"a" json:"address"`
 	// Ready gateways are told to callers.
 	Ready bool `msgpack:"e" json:"ready"`
+	// Capacity is the share of a core that it may use, 0 where it does not say.
+	Capacity float64 `msgpack:"c,omitempty" json:"capacity,omitempty"`
+	// Busy is how hot it is: each step halves what callers bring it.
+	Busy uint8 `msgpack:"b,omitempty" json:"busy,omitempty"`
 }
 
+// room returns what part of its capacity is left to callers that ask where to go.
+func (g Gateway) room() float64 { return 1 / float64(uint64(1)<<min(g.Busy, mostBusy)) }
+
+// mostBusy bounds how little of its capacity a hot gateway is given: one in eight.
+const mostBusy = 3
+
 // LedgerHost is one process that may hold ledger replicas; its inner address is
 // its name in the groups' configurations.
 type LedgerHost struct {
