--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -258,7 +258,7 @@
 }
 
 func (d *Daemon) publish() {
-	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision()}
+	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision(), spread: d.status.Load().spread}
 	if current.formed {
 		d.publishFleet(current)
 		current.drained = d.core.Drained()
@@ -279,7 +279,7 @@
 func (d *Daemon) publishFleet(current *status) {
 	previous := d.status.Load()
 	fleet := d.core.Fleet()
-	current.spread, current.gatewaysVersion, current.gatewaysAt = previous.spread, previous.gatewaysVersion, previous.gatewaysAt
+	current.gatewaysVersion, current.gatewaysAt = previous.gatewaysVersion, previous.gatewaysAt
 	current.fleetLogged = previous.fleetLogged
 	if fleet.GatewaysVersion() != previous.gatewaysVersion && time.Since(previous.gatewaysAt) >= directoryEvery {
 		current.spread, current.gatewaysVersion, current.gatewaysAt = membership.NewSpread(fleet.Gateways()), fleet.GatewaysVersion(), time.Now()
