Gateways are heard more often while there are few

Change: the leader holds a heartbeat without news for 250 ms as long as it hears no more than 300 a second, which is up to 75 gateways; 210 and more are held for 0.7 s as before. It is the leader's own choice: no field, and gateways of any build follow it.

--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -21,6 +21,16 @@
 // this much later, against the seconds for which it may get work.
 const fleetNewsEveryMs = 100
 
+const (
+	// leastHoldMs is how long a gateway's heartbeat without news is held at the least: a gateway
+	// that stands still is noticed when its next heartbeat is overdue, so that its callers lose
+	// what they send it for half of this time more on the mean.
+	leastHoldMs = 250
+	// heldEndsPerSecond bounds the heartbeats of gateways that end for want of news, so that what
+	// they cost the leader does not grow with the gateways.
+	heldEndsPerSecond = 300
+)
+
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
 type pendingFleetSync struct {
 	id      RequestID
@@ -39,7 +49,7 @@
 		c.outlet.Reply(id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 		return
 	}
-	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs}
+	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + c.holdMs(request)}
 	if request.Gateway != nil {
 		pending.number = c.fleetTracker.HeardGateway(request.Gateway.Name, c.nowMs)
 	}
@@ -52,6 +62,16 @@
 	c.proveFleetSyncs()
 }
 
+// holdMs returns how long a heartbeat without news is held: as long as its sender allows, and a
+// gateway's no longer than the leader can afford to hear it again.
+func (c *Core) holdMs(request *protocol.FleetSync) int64 {
+	if request.Gateway == nil {
+		return request.HoldMs
+	}
+	affordedMs := int64(c.system.fleet.GatewayCount()) * 1000 / heldEndsPerSecond
+	return min(request.HoldMs, max(leastHoldMs, affordedMs))
+}
+
 // holdFleetSync answers a heartbeat for which there is news and holds any other.
 func (c *Core) holdFleetSync(pending pendingFleetSync) {
 	if pending.request.HoldMs == 0 || c.hasFleetNews(pending.request) {
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -21,15 +22,21 @@
 	// answered are the gateways whose next heartbeat is due.
 	answered []string
 	frozen   map[string]bool
+	// holdMs is how long gateways let their heartbeats be held, and replies counts the answers.
+	holdMs  int64
+	replies int
 }
 
-func (h *heartbeats) reply(id RequestID) { h.answered = append(h.answered, h.senders[id]) }
+func (h *heartbeats) reply(id RequestID) {
+	h.replies++
+	h.answered = append(h.answered, h.senders[id])
+}
 
 func (h *heartbeats) send(name string) {
 	h.nextID++
 	h.senders[h.nextID] = name
 	gateway := &membership.Gateway{Name: name, Ready: true}
-	h.core.Request(h.nextID, &protocol.FleetSync{Gateway: gateway, Version: h.core.Fleet().Version(), HoldMs: testHoldMs}, h.nowMs)
+	h.core.Request(h.nextID, &protocol.FleetSync{Gateway: gateway, Version: h.core.Fleet().Version(), HoldMs: h.holdMs}, h.nowMs)
 }
 
 // run lets time pass, a tick each step.
@@ -64,7 +71,7 @@
 func TestFrozenGatewayLeavesTheDirectory(t *testing.T) {
 	Convey("gateways that report to the leader", t, func() {
 		outlet := &encodingOutlet{test: t}
-		h := &heartbeats{core: leadingCore(t, outlet), senders: map[RequestID]string{}, frozen: map[string]bool{}}
+		h := &heartbeats{core: leadingCore(t, outlet), senders: map[RequestID]string{}, frozen: map[string]bool{}, holdMs: testHoldMs}
 		outlet.onReply = h.reply
 		h.nowMs = h.core.nowMs
 		tickMs := h.core.options.TickMs
@@ -89,3 +96,38 @@
 		})
 	})
 }
+
+// TestHeartbeatsAsOftenAsTheLeaderAffords holds that a few gateways are heard often enough for one
+// that stands still to be noticed soon, and that very many don't cost the leader more for it.
+func TestHeartbeatsAsOftenAsTheLeaderAffords(t *testing.T) {
+	const longHoldMs = 700
+	heard := func(gateways int) *heartbeats {
+		outlet := &encodingOutlet{test: t}
+		h := &heartbeats{core: leadingCore(t, outlet), senders: map[RequestID]string{}, frozen: map[string]bool{}, holdMs: longHoldMs}
+		outlet.onReply = h.reply
+		h.nowMs = h.core.nowMs
+		for number := range gateways {
+			h.send(fmt.Sprintf("gateway-%d", number))
+		}
+		h.run(t, 3000, h.core.options.TickMs)
+		return h
+	}
+	Convey("a few gateways that let their heartbeats be held for long", t, func() {
+		h := heard(20)
+		h.frozen["gateway-7"] = true
+		h.run(t, leastHoldMs+gatewayReturnMs+fleetPlanEveryMs+4*h.core.options.TickMs, h.core.options.TickMs)
+		So(h.listed(), ShouldHaveLength, 19)
+	})
+	Convey("many of them", t, func() {
+		h := heard(800)
+		before := h.replies
+		h.run(t, 2*longHoldMs, h.core.options.TickMs)
+		So(h.replies-before, ShouldBeLessThanOrEqualTo, 2*800)
+	})
+	Convey("a number between", t, func() {
+		h := heard(150)
+		before := h.replies
+		h.run(t, 2000, h.core.options.TickMs)
+		So(h.replies-before, ShouldBeBetween, 1.5*heldEndsPerSecond, 2*heldEndsPerSecond+150)
+	})
+}
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -265,6 +265,9 @@
 // EngineCount returns how many engines there are.
 func (f *Fleet) EngineCount() int { return len(f.state.Engines) }
 
+// GatewayCount returns how many gateways there are.
+func (f *Fleet) GatewayCount() int { return len(f.state.Gateways) }
+
 // LedgerCount returns how many ledger hosts there are.
 func (f *Fleet) LedgerCount() int { return len(f.state.Ledgers) }
 
