--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -52,9 +52,8 @@
 	OnLate func(shares []scheduling.LateShare)
 	Logger log.Logger
 
-	// provedAt is when the question left whose answer last proved that the table held is in
-	// force, nil before the first.
-	provedAt atomic.Pointer[time.Time]
+	// proved is the latest proof.
+	proved atomic.Pointer[proof]
 
 	caller   *Caller
 	mutex    sync.Mutex
@@ -73,9 +72,19 @@
 	poke chan struct{}
 }
 
+// proof says that no table newer than the one held had been acknowledged at a time.
+type proof struct {
+	// askedAt is when the question left whose answer is the proof, zero before the first.
+	askedAt time.Time
+	// next is closed once the next proof has come.
+	next chan struct{}
+}
+
 // NewFollower returns a follower that has heard nothing.
 func NewFollower(seeds []string, logger log.Logger) *Follower {
-	return &Follower{Seeds: seeds, Logger: logger, caller: NewCaller(), controls: slices.Clone(seeds), poke: make(chan struct{}, 1)}
+	follower := &Follower{Seeds: seeds, Logger: logger, caller: NewCaller(), controls: slices.Clone(seeds), poke: make(chan struct{}, 1)}
+	follower.proved.Store(&proof{next: make(chan struct{})})
+	return follower
 }
 
 // SetSeeds takes the seeds of a settings file that has changed.
@@ -189,18 +198,22 @@
 	if reply.Routing != nil && reply.Routing.Value.Generation > generation {
 		return
 	}
-	f.provedAt.Store(&asked)
+	previous := f.proved.Swap(&proof{askedAt: asked, next: make(chan struct{})})
+	close(previous.next)
 }
 
+// NextProof returns a channel that is closed once a proof has come after the latest.
+func (f *Follower) NextProof() <-chan struct{} { return f.proved.Load().next }
+
 // ProofAge returns how long ago the table held was surely the newest that was acknowledged;
 // false where that was never so. It goes by the steady clock from before the question, so
 // that neither the way nor a pause of this process makes a proof look younger.
 func (f *Follower) ProofAge() (time.Duration, bool) {
-	proved := f.provedAt.Load()
-	if proved == nil {
+	asked := f.proved.Load().askedAt
+	if asked.IsZero() {
 		return 0, false
 	}
-	return time.Since(*proved), true
+	return time.Since(asked), true
 }
 
 func (f *Follower) endOnPoke(ctx context.Context, cancel context.CancelFunc) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -70,8 +70,11 @@
 	view     atomic.Pointer[view]
 	// proofAge says how old the proof is that the routing table is in force.
 	proofAge func() (time.Duration, bool)
-	draining atomic.Bool
-	inFlight atomic.Int64
+	// nextProof is closed once a proof has come after the latest.
+	nextProof func() <-chan struct{}
+	pauses    pauses
+	draining  atomic.Bool
+	inFlight  atomic.Int64
 	// lastRequest is when a request last came, clock.NowMs.
 	lastRequest atomic.Int64
 }
@@ -92,6 +95,7 @@
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
 	d.proofAge = d.follower.ProofAge
+	d.nextProof = d.follower.NextProof
 	d.follower.OnLoads = d.takeShared
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
 	return d
@@ -199,7 +203,7 @@
 	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
 }
 
-// sweep closes engine connections that have rested too long.
+// sweep closes engine connections that have rested too long, and notices pauses of the process.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
@@ -208,6 +212,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			d.pauses.step(sweepEvery, clock.NowMs())
 			d.pool.Sweep(now)
 		}
 	}
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -36,7 +36,7 @@
 		return nil
 	}
 	if c.tenant == nil {
-		if !d.provedWithin(currentWithin) {
+		if !d.provedSoon(c.request.Context(), currentWithin) {
 			return d.unconfirmed()
 		}
 		return result.New(result.UnknownKey, "no tenant holds the key")
@@ -50,7 +50,7 @@
 // paused, or the call may have waited, since it was asked last.
 func (d *Daemon) stillAllowed(c *call) *result.Error {
 	bound, strict := d.process.Limits.RevokeWithin()
-	if c.tenant == nil || c.route.Anonymous || !strict || d.provedWithin(bound-clockRateMargin) {
+	if c.tenant == nil || c.route.Anonymous || !strict || d.provedSoon(c.request.Context(), bound-clockRateMargin) {
 		return nil
 	}
 	return d.unconfirmed()
