--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,9 @@
 type Policy struct {
 	// Disable lists mechanisms that are turned off, to measure what they are worth.
 	Disable scheduling.Disabled `yaml:"disable,omitempty" validate:"dive,mechanism"`
+	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
+	// way there: more where traffic between zones is dear.
+	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
 }
 
 // Limits are what the machine grants the process.
@@ -211,6 +214,7 @@
 		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
 		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
 		Log:      Log{Level: "info"},
+		Policy:   Policy{CrossZonePenaltyMs: scheduling.DefaultCrossZonePenaltyMs},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -84,9 +84,10 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy.Disable),
+		engines: newEngines(process.Zone, process.Policy),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 	}
+	d.pool.OnDial = d.engines.dialed
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
 	d.ledgers = newLedgers(process.Zone, d.metrics.histories, process.Policy.Disable)
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -4,8 +4,10 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
@@ -22,14 +24,18 @@
 	// admissions decide which programs may begin at each back end.
 	admissions map[string]*scheduling.Admission
 	zone       string
+	// distances are what engines of other zones cost, zones the zones of engines by address.
+	distances scheduling.Distances
+	zones     map[string]string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
 }
 
-func newEngines(zone string, disabled scheduling.Disabled) *engines {
+func newEngines(zone string, policy config.Policy) *engines {
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
-		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: disabled,
+		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: policy.Disable,
+		distances: scheduling.Distances{PenaltyMs: policy.CrossZonePenaltyMs},
 	}
 }
 
@@ -45,8 +51,10 @@
 		}
 	}
 	e.byPool = map[string][]membership.ServingEngine{}
+	e.zones = map[string]string{}
 	for _, engine := range view.Engines {
 		delete(previous, engine.Address)
+		e.zones[engine.Address] = engine.Zone
 		if !engine.Draining {
 			e.byPool[engine.Backend] = append(e.byPool[engine.Backend], engine)
 		}
@@ -63,6 +71,15 @@
 	return gone
 }
 
+// dialed learns the way to an engine's zone from a new connection to it.
+func (e *engines) dialed(address string, took time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if zone, known := e.zones[address]; known {
+		e.distances.Note(zone, took.Seconds()*1000)
+	}
+}
+
 // healthOf returns what this gateway has seen of an engine.
 func (e *engines) healthOf(id string) *scheduling.EngineHealth { return entryOf(e.health, id) }
 
@@ -112,6 +129,7 @@
 		candidates = append(candidates, candidate)
 	}
 	demand.Zone = e.zone
+	demand.Distances = &e.distances
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
 	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
--- a/internal/gateway/fleetsize_test.go
+++ b/internal/gateway/fleetsize_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
@@ -26,7 +27,7 @@
 func BenchmarkFollow(b *testing.B) {
 	for _, engines := range []int{1000, 10_000, 20_000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
-			e := newEngines("z1", nil)
+			e := newEngines("z1", config.Policy{})
 			view := viewOf(engines)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -40,7 +41,7 @@
 func BenchmarkChoose(b *testing.B) {
 	for _, engines := range []int{1000, 10_000, 20_000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
-			e := newEngines("z1", nil)
+			e := newEngines("z1", config.Policy{})
 			e.follow(viewOf(engines))
 			b.ReportAllocs()
 			for b.Loop() {
@@ -55,14 +56,14 @@
 // TestSharedSuspicionOfAGateway holds that a gateway takes others' word for an engine that
 // fails, and says so once.
 func TestSharedSuspicionOfAGateway(t *testing.T) {
-	e := newEngines("z1", nil)
+	e := newEngines("z1", config.Policy{})
 	if told := e.takeShared(nil, []string{"i-1"}, 1000); len(told) != 1 || !e.healthOf("i-1").Suspect(1000) {
 		t.Fatalf("%v told, suspect %v", told, e.healthOf("i-1").Suspect(1000))
 	}
 	if told := e.takeShared(nil, []string{"i-1"}, 1500); len(told) != 0 {
 		t.Fatalf("%v told again", told)
 	}
-	disabled := newEngines("z1", scheduling.Disabled{scheduling.MechanismShared})
+	disabled := newEngines("z1", config.Policy{Disable: scheduling.Disabled{scheduling.MechanismShared}})
 	if disabled.takeShared(nil, []string{"i-1"}, 1000); disabled.healthOf("i-1").Suspect(1000) {
 		t.Fatal("taken although turned off")
 	}
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -32,6 +32,8 @@
 	Key string
 	// Zone is where the request is.
 	Zone string
+	// Distances are what engines of other zones cost; nil takes the usual penalty.
+	Distances *Distances
 	// Draw is drawn at random for each request: it decides which engines are compared.
 	Draw uint64
 	// Avoid lists engines that were tried already.
@@ -47,9 +49,6 @@
 // keyed reports whether an engine should see the requests of a key together.
 func (d Demand) keyed() bool { return !d.Stream && d.Key != "" }
 
-// farMs is what another zone costs, milliseconds, its bytes included.
-const farMs = 25.0
-
 // Choice is the engine for a request and what decided for it.
 type Choice struct {
 	Candidate Candidate
@@ -148,6 +147,14 @@
 	return 0
 }
 
+// distanceMs is what it costs that an engine is in another zone.
+func distanceMs(candidate Candidate, demand Demand) float64 {
+	if far(candidate, demand) == 0 {
+		return 0
+	}
+	return demand.Distances.Ms(demand.Zone, candidate.Zone)
+}
+
 // streamCost is the time that a stream is expected to take at an engine, with what it
 // costs the streams beside it. A token read holds up all that run at the engine, and
 // keeps it from what waits: so it costs as if it met the company that streams meet on the
@@ -181,7 +188,7 @@
 	if !demand.Disabled.Has(MechanismCompany) {
 		cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
 	}
-	return cost + farMs*float64(far(candidate, demand))
+	return cost + distanceMs(candidate, demand)
 }
 
 // sharedCost is how often the cost of company counts: for the stream and for its company.
@@ -199,7 +206,7 @@
 	if candidate.Slots > 0 {
 		taken = min(company/float64(candidate.Slots), 1)
 	}
-	return factor*usual*(1+taken*taken+queueing(candidate, company)) + farMs*float64(far(candidate, demand))
+	return factor*usual*(1+taken*taken+queueing(candidate, company)) + distanceMs(candidate, demand)
 }
 
 // queueing is how many times the length of a request a further one waits for a slot.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -68,6 +68,8 @@
 	// Dialed counts new connections, Reused requests on kept ones.
 	Dialed atomic.Int64
 	Reused atomic.Int64
+	// OnDial is told how long a new connection took; nil where nobody asks.
+	OnDial func(address string, took time.Duration)
 }
 
 // NewPool returns an empty pool.
@@ -103,11 +105,15 @@
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: giveUpOnSilence}
+	began := time.Now()
 	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	p.Dialed.Add(1)
+	if p.OnDial != nil {
+		p.OnDial(address, time.Since(began))
+	}
 	return newConnection(socket), nil
 }
 
