Gateways say how hot they are; callers go elsewhere, to other zones where a zone is hot

A gateway measures which part of its share of a core it uses and says its level with the heartbeat: each of three halves what callers bring. What more than a fifth of a zone's capacity leaves goes to cool gateways of the region's other zones.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -73,6 +73,7 @@
 	// nextProof is closed once a proof has come after the latest.
 	nextProof func() <-chan struct{}
 	pauses    pauses
+	processor processorUse
 	draining  atomic.Bool
 	inFlight  atomic.Int64
 	// lastRequest is when a request last came, clock.NowMs.
@@ -124,7 +125,7 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
-		Capacity: d.process.Limits.CPUShare,
+		Capacity: d.process.Limits.CPUShare, Busy: d.busy(),
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -38,6 +39,9 @@
 		}
 		return -1
 	})
+	monitor.Gauge("gateway_processor_use", "Part of the share of a core that is used.", func() float64 {
+		return math.Float64frombits(d.processor.share.Load())
+	})
 	return &metrics{
 		requests:   monitor.Latencies("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
 		failures:   monitor.Counters("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
--- a/internal/membership/spread.go
+++ b/internal/membership/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -16,6 +17,9 @@
 	leastNamed = 8
 	// fewNear is how many ready gateways of the caller's own zone are enough.
 	fewNear = 2
+	// hotZoneShare is which part of a zone's capacity may be left by hot gateways to cool ones of the
+	// zone. More goes to other zones: the way there costs a caller some milliseconds.
+	hotZoneShare = 0.2
 	// proportionMargin covers rounding where weights are equal.
 	proportionMargin = 1e-9
 )
@@ -66,14 +70,67 @@
 		spread.byRegion[gateway.Region] = append(spread.byRegion[gateway.Region], gateway)
 		spread.all = append(spread.all, gateway)
 	}
-	for _, zone := range spread.zones {
-		weights := weightsOf(zone.gateways)
-		zone.named = namedOf(weights)
-		zone.shares = inclusion(weights, zone.named)
+	names := slices.Sorted(maps.Keys(spread.zones))
+	own := map[string][]float64{}
+	for _, name := range names {
+		own[name] = weightsOf(spread.zones[name].gateways)
 	}
+	answers := map[string]*zoneGateways{}
+	for _, name := range names {
+		answers[name] = spread.answer(name, names, own)
+	}
+	spread.zones = answers
 	return spread
 }
 
+// answer returns what callers of a zone are named: its gateways, and those of the region's other
+// zones for what the zone's own can't take while many of them are hot.
+func (s *Spread) answer(name string, names []string, own map[string][]float64) *zoneGateways {
+	zone := s.zones[name]
+	answer := &zoneGateways{gateways: zone.gateways}
+	weights := own[name]
+	short := shortOf(zone.gateways, weights)
+	if short > 0 {
+		spare, others := 0.0, slices.Clone(zone.gateways)
+		weights = slices.Clone(weights)
+		for _, other := range names {
+			candidates := s.zones[other].gateways
+			if other == name || candidates[0].Region != zone.gateways[0].Region || shortOf(candidates, own[other]) > 0 {
+				continue
+			}
+			for position, gateway := range candidates {
+				if gateway.Busy == 0 {
+					others = append(others, gateway)
+					weights = append(weights, own[other][position])
+					spare += own[other][position]
+				}
+			}
+		}
+		for position := len(zone.gateways); position < len(weights); position++ {
+			weights[position] *= min(short/spare, 1)
+		}
+		answer.gateways = others
+	}
+	answer.named = namedOf(weights)
+	answer.shares = inclusion(weights, answer.named)
+	return answer
+}
+
+// shortOf returns what the gateways of a zone lack where too many of them are hot for the others
+// to take what they leave, 0 elsewhere.
+func shortOf(gateways []Gateway, weights []float64) float64 {
+	short, total := 0.0, 0.0
+	for position, gateway := range gateways {
+		whole := weights[position] / gateway.room()
+		total += whole
+		short += whole - weights[position]
+	}
+	if short < hotZoneShare*total {
+		return 0
+	}
+	return short
+}
+
 // Ready returns how many gateways take requests.
 func (s *Spread) Ready() int { return len(s.all) }
 
--- a/internal/membership/spread_test.go
+++ b/internal/membership/spread_test.go
@@ -70,6 +70,45 @@
 	})
 }
 
+// TestHotZoneOverflows holds that what a zone's gateways can't take goes to other zones of the region,
+// near ones first, and comes back. The load: clients of other zones have moved to this one.
+func TestHotZoneOverflows(t *testing.T) {
+	const callers = 5000
+	far := func(gateways []Gateway) float64 {
+		share := 0.0
+		for address, load := range loadsOf(NewSpread(gateways), "a", callers) {
+			if address[0] != 'a' {
+				share += load
+			}
+		}
+		return share
+	}
+	heated := func(hot int, busy uint8) []Gateway {
+		gateways := slices.Concat(gatewaysOf("a", repeated(0.192, 20)...), gatewaysOf("b", repeated(0.192, 20)...), gatewaysOf("c", repeated(0.192, 20)...))
+		for position := range hot {
+			gateways[position].Busy = busy
+		}
+		return gateways
+	}
+	Convey("nothing is hot, or one gateway of the zone: its callers stay", t, func() {
+		So(far(heated(0, 0)), ShouldEqual, 0)
+		So(far(heated(1, mostBusy)), ShouldEqual, 0)
+	})
+	Convey("all of the zone's gateways are hot: half goes elsewhere", t, func() {
+		So(far(heated(20, 1)), ShouldAlmostEqual, 0.5, 0.03)
+	})
+	Convey("other zones are as hot: nobody is sent there", t, func() {
+		So(far(heated(60, 1)), ShouldEqual, 0)
+	})
+	Convey("a zone of another region takes nothing", t, func() {
+		gateways := heated(20, 1)
+		for position := 20; position < len(gateways); position++ {
+			gateways[position].Region = "elsewhere"
+		}
+		So(far(gateways), ShouldEqual, 0)
+	})
+}
+
 // TestSpreadHolds holds what is true of every answer, whatever the gateways are.
 func TestSpreadHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
