Callers ask the directory again as soon as it can afford to answer

Change: each control process counts its callers (Little's law) and lets answers be held 250 ms to 1 s, so that it answers 200 look-ups a second; ttlS is a fraction of seconds then.

--- a/cmd/ochrebay/platform.go
+++ b/cmd/ochrebay/platform.go
@@ -18,9 +18,6 @@
 // the one place that wires them to the product.
 const interfacePlatform = "platform"
 
-// directorySeconds is how long callers may hold an answer of the directory.
-const directorySeconds = 1
-
 // gatewayHeaders returns the headers by which a gateway speaks.
 func gatewayHeaders(process config.Process) gateway.Headers {
 	if process.Interface == interfacePlatform {
@@ -48,7 +45,7 @@
 	}
 	if process.Listen.Directory != "" {
 		frontends = append(frontends, daemon.Frontend{
-			Address: process.Listen.Directory, Handler: platform.DirectoryHandler(served, directorySeconds),
+			Address: process.Listen.Directory, Handler: platform.DirectoryHandler(served),
 		})
 	}
 	return frontends
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -84,8 +85,11 @@
 	return reply.Done, reply.Error
 }
 
-// Gateways returns the addresses of the gateways that a caller should use. It answers from
-// what this process knows.
-func (d *Daemon) Gateways(caller membership.Caller) []string {
-	return d.status.Load().spread.Named(caller)
+// Gateways returns the addresses of the gateways that a caller should use, and for how long it may
+// hold them. It answers from what this process knows.
+func (d *Daemon) Gateways(caller membership.Caller) ([]string, time.Duration) {
+	d.lookUpsMutex.Lock()
+	heldMs := d.lookUps.Answer(clock.NowMs())
+	d.lookUpsMutex.Unlock()
+	return d.status.Load().spread.Named(caller), time.Duration(heldMs) * time.Millisecond
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -97,6 +98,9 @@
 	refusalLog     rate.Sometimes
 
 	replies daemon.Replies[RequestID, any]
+	// lookUps counts the callers that ask this process where to go.
+	lookUpsMutex sync.Mutex
+	lookUps      membership.LookUps
 }
 
 // NewDaemon opens the data folder; it returns storage.ErrInUse where another
--- /dev/null
+++ b/internal/membership/lookups.go
@@ -0,0 +1,49 @@
+package membership
+
+const (
+	// leastHeldMs and mostHeldMs bound how long callers may hold an answer that names gateways.
+	// What a caller sends to a gateway that has been lost is lost until it asks again; 250 ms is
+	// below the time that it takes to notice the loss (docs/operations/control.md).
+	leastHeldMs = 250
+	mostHeldMs  = 1000
+	// lookUpsPerSecond is how many look-ups a process answers a second where callers may ask again
+	// sooner: at 0.1 ms each 2 % of a core.
+	lookUpsPerSecond = 200
+	// lookUpWindowMs is the span over which look-ups are counted.
+	lookUpWindowMs = 1000
+)
+
+// LookUps decides how long callers may hold an answer of the directory: as short as the process
+// that answers can afford to be asked again. The zero value has seen nobody. Times are in milliseconds.
+type LookUps struct {
+	windowMs int64
+	// heldMs is for how long the answers of this window may be held in sum.
+	heldMs int64
+	// callers is how many hold an answer of this process at a time: by Little's law the answers a
+	// millisecond times how long each is held. Below zero it is not known yet.
+	callers float64
+	known   bool
+}
+
+// Answer notes a look-up and returns how long its answer may be held.
+func (l *LookUps) Answer(nowMs int64) int64 {
+	if l.windowMs == 0 {
+		l.windowMs = nowMs
+	}
+	if span := nowMs - l.windowMs; span >= lookUpWindowMs {
+		l.callers = float64(l.heldMs) / float64(span)
+		l.known = true
+		l.windowMs, l.heldMs = nowMs, 0
+	}
+	held := l.holdMs()
+	l.heldMs += held
+	return held
+}
+
+func (l *LookUps) holdMs() int64 {
+	if !l.known {
+		return mostHeldMs
+	}
+	afforded := int64(l.callers * 1000 / lookUpsPerSecond)
+	return min(max(afforded, leastHeldMs), mostHeldMs)
+}
