A gateway that was told nothing new is missed after 0.25 s, not 0.4

The next heartbeat after an answer without news follows at once: there is no table to index. What it guards against is one lost packet (200 ms) and the way. After an answer with news 0.4 s stand.

--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -32,10 +32,13 @@
 	engineSilentReports = 3
 	// gatewayReturnMs is twice the 200 ms after which a lost packet is sent again. Measured
 	// at 500 and 400 on days with frozen machines only (docs/measurements/large.md).
-	gatewayReturnMs   = 400
-	ledgerSilentMs    = 2_000
-	ledgerForgottenMs = 60_000
-	formationMs       = 1_500
+	gatewayReturnMs = 400
+	// gatewayQuietReturnMs covers one lost packet and the way there and back. A false alarm costs
+	// little: the gateway is listed again with its next heartbeat.
+	gatewayQuietReturnMs = 250
+	ledgerSilentMs       = 2_000
+	ledgerForgottenMs    = 60_000
+	formationMs          = 1_500
 
 	// discoveredElectionTicks is shorter than that of a listed cluster: callers wait
 	// for the leader of a platform's fleet.
@@ -149,7 +152,7 @@
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
 		EngineSilentMs:  max(engineSilentMs, engineSilentReports*process.Cluster.EngineHeartbeatMs),
-		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
--- a/internal/control/fleetnews_test.go
+++ b/internal/control/fleetnews_test.go
@@ -16,7 +16,7 @@
 	Convey("a gateway hears of many changes in one answer, and of a single one soon", t, func() {
 		outlet := &encodingOutlet{test: t}
 		core := leadingCore(t, outlet)
-		h := &heartbeats{core: core, nowMs: core.nowMs, senders: map[RequestID]string{}}
+		h := &heartbeats{core: core, nowMs: core.nowMs, senders: map[RequestID]string{}, holdMs: testHoldMs}
 		answers := 0
 		outlet.onReply = func(id RequestID) {
 			if h.senders[id] != "" {
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -113,7 +113,7 @@
 // answerFleetSync answers a heartbeat; from then on the next one is expected.
 func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
 	if pending.request.Gateway != nil && c.fleetTracker != nil {
-		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.nowMs)
+		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, reply.Fleet == nil && reply.Routing == nil, c.nowMs)
 	}
 	reply.Confirmed = reply.Confirmed || (pending.proved && reply.Error == nil)
 	c.outlet.Reply(pending.id, reply)
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -28,8 +28,12 @@
 }
 
 func (h *heartbeats) reply(id RequestID) {
+	sender, known := h.senders[id]
+	if !known {
+		return
+	}
 	h.replies++
-	h.answered = append(h.answered, h.senders[id])
+	h.answered = append(h.answered, sender)
 }
 
 func (h *heartbeats) send(name string) {
@@ -118,6 +122,19 @@
 		h.run(t, leastHoldMs+gatewayReturnMs+fleetPlanEveryMs+4*h.core.options.TickMs, h.core.options.TickMs)
 		So(h.listed(), ShouldHaveLength, 19)
 	})
+	Convey("one that was told nothing new is missed sooner than one that has news to put in force", t, func() {
+		tickMs := heard(20).core.options.TickMs
+		quiet := heard(20)
+		quiet.frozen["gateway-7"] = true
+		quiet.run(t, leastHoldMs+gatewayQuietReturnMs+fleetPlanEveryMs+4*tickMs, tickMs)
+		So(quiet.listed(), ShouldHaveLength, 19)
+		told := heard(20)
+		told.frozen["gateway-7"] = true
+		const order = 1 << 40
+		told.core.Request(order, &protocol.FleetOrder{Report: &membership.ServingEngine{ID: "i", Backend: "b", Slots: 8}}, told.nowMs)
+		told.run(t, gatewayQuietReturnMs+fleetPlanEveryMs, tickMs)
+		So(told.listed(), ShouldHaveLength, 20)
+	})
 	Convey("many of them", t, func() {
 		h := heard(800)
 		before := h.replies
