--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -72,8 +72,12 @@
 	view     atomic.Pointer[view]
 	// proofAge says how old the proof is that the routing table is in force.
 	proofAge func() (time.Duration, bool)
-	draining atomic.Bool
-	inFlight atomic.Int64
+	// nextProof is closed once a proof has come after the latest.
+	nextProof func() <-chan struct{}
+	pauses    pauses
+	processor processorUse
+	draining  atomic.Bool
+	inFlight  atomic.Int64
 	// lastRequest is when a request last came, clock.NowMs.
 	lastRequest atomic.Int64
 }
@@ -83,10 +87,11 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy.Disable),
+		engines: newEngines(process.Zone, process.Policy),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 		services: newServices(),
 	}
+	d.pool.OnDial = d.engines.dialed
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
 	d.ledgers = newLedgers(process.Zone, d.metrics.histories, process.Policy.Disable)
@@ -95,6 +100,7 @@
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
 	d.proofAge = d.follower.ProofAge
+	d.nextProof = d.follower.NextProof
 	d.follower.OnLoads = d.takeShared
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
 	d.follower.OnUses = func(uses []admission.BackendUse) { d.engines.takeUses(uses, clock.NowMs()) }
@@ -123,6 +129,7 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
+		Capacity: d.process.Limits.CPUShare, Busy: d.busy(),
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
@@ -203,7 +210,7 @@
 	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
 }
 
-// sweep closes engine connections that have rested too long.
+// sweep closes engine connections that have rested too long, and notices pauses of the process.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
@@ -212,6 +219,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			d.pauses.step(sweepEvery, clock.NowMs())
 			d.pool.Sweep(now)
 		}
 	}
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -31,7 +32,7 @@
 		return &call{engine: chosen.engine.ID, chosen: chosen, backend: routing.Backend{Name: "b"}, route: &routing.Route{Name: "r"}}
 	}
 	Convey("what was learnt of the life before is void, and its requests are counted for it alone", t, func() {
-		e := newEngines("z", nil)
+		e := newEngines("z", config.Policy{})
 		e.follow(incarnationsView(first))
 		lost, broken := begin(e), begin(e)
 		e.ended(broken, nowMs, attemptOutcome{kind: attemptBroken})
@@ -47,7 +48,7 @@
 		So(e.healthOf("e").InFlight, ShouldEqual, 0)
 	})
 	Convey("also when the engine was away in between, while requests of its earlier life are still under way", t, func() {
-		e := newEngines("z", nil)
+		e := newEngines("z", config.Policy{})
 		e.follow(incarnationsView(first))
 		begin(e)
 		e.follow(incarnationsView())
@@ -55,7 +56,7 @@
 		So(e.healthOf("e").InFlight, ShouldEqual, 0)
 	})
 	Convey("the first word of when an engine started, and a report without news, change nothing", t, func() {
-		e := newEngines("z", nil)
+		e := newEngines("z", config.Policy{})
 		silent := first
 		silent.Born = 0
 		e.follow(incarnationsView(silent))
