--- /dev/null
+++ b/internal/admission/meter.go
@@ -0,0 +1,89 @@
+package admission
+
+// Meter measures at a gateway how many requests of each tenant are under way at each back end, in
+// the mean since it was read last.
+type Meter struct {
+	byKey  map[meterKey]*metered
+	readMs int64
+}
+
+type meterKey struct{ backend, tenant string }
+
+type metered struct {
+	weight   float64
+	inFlight int
+	// sum is in requests x milliseconds, offered and begun in programs since the last reading.
+	sum            float64
+	offered, begun float64
+	lastMs         int64
+}
+
+// NewMeter returns a meter that has seen nothing.
+func NewMeter(nowMs int64) *Meter { return &Meter{byKey: map[meterKey]*metered{}, readMs: nowMs} }
+
+func (m *metered) bringTo(nowMs int64) {
+	m.sum += float64(m.inFlight) * float64(max(nowMs-m.lastMs, 0))
+	m.lastMs = max(nowMs, m.lastMs)
+}
+
+func (m *Meter) of(backend, tenant string, weight float64, nowMs int64) *metered {
+	key := meterKey{backend, tenant}
+	known := m.byKey[key]
+	if known == nil {
+		known = &metered{lastMs: nowMs}
+		m.byKey[key] = known
+	}
+	known.weight = weight
+	return known
+}
+
+// Change notes that requests of a tenant, "" for none, have begun or ended.
+func (m *Meter) Change(backend, tenant string, weight float64, change int, nowMs int64) {
+	known := m.of(backend, tenant, weight, nowMs)
+	known.bringTo(nowMs)
+	known.inFlight += change
+}
+
+// Offered notes that a program of a tenant was to begin, and whether it did.
+func (m *Meter) Offered(backend, tenant string, weight float64, begun bool, nowMs int64) {
+	known := m.of(backend, tenant, weight, nowMs)
+	known.offered++
+	if begun {
+		known.begun++
+	}
+}
+
+// Read returns the use since the last reading, naming the tenants of back ends that are nearly
+// short, and forgets tenants without any.
+func (m *Meter) Read(nowMs int64, short func(backend string) bool) []BackendUse {
+	elapsed := float64(max(nowMs-m.readMs, 1))
+	m.readMs = nowMs
+	byBackend := map[string]*BackendUse{}
+	for key, known := range m.byKey {
+		known.bringTo(nowMs)
+		read := *known
+		known.sum, known.offered, known.begun = 0, 0, 0
+		if known.inFlight == 0 {
+			delete(m.byKey, key)
+		}
+		if read.sum <= 0 && read.offered == 0 {
+			continue
+		}
+		use := byBackend[key.backend]
+		if use == nil {
+			use = &BackendUse{Backend: key.backend}
+			byBackend[key.backend] = use
+		}
+		mean := float32(read.sum / elapsed)
+		use.Total += mean
+		use.Begun += float32(read.begun)
+		if key.tenant != "" && short(key.backend) {
+			use.Tenants = append(use.Tenants, TenantUse{Tenant: key.tenant, Weight: float32(known.weight), InFlight: mean, Offered: float32(read.offered)})
+		}
+	}
+	var uses []BackendUse
+	for _, use := range byBackend {
+		uses = append(uses, *use)
+	}
+	return uses
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -88,6 +88,7 @@
 	nowMs := clock.NowMs()
 	concurrency, known := e.concurrency(c.backend.Name, nowMs)
 	if !known {
+		e.offered(c, true, nowMs)
 		return decision{admitted: true}
 	}
 	made := decision{concurrency: concurrency}
@@ -98,14 +99,22 @@
 	made.position = e.position(c, made.room, nowMs)
 	if made.position.Above {
 		made.retryAfterMs, made.admitted = made.position.Admit(draw)
-		return made
+	} else {
+		// What others use beyond their shares is theirs to give back.
+		excess := made.position.Excess / float64(max(len(e.byPool[c.backend.Name]), 1))
+		made.retryAfterMs, made.admitted = learnt.Admit(concurrency-excess, position, ranks, draw)
 	}
-	// What others use beyond their shares is theirs to give back.
-	excess := made.position.Excess / float64(max(len(e.byPool[c.backend.Name]), 1))
-	made.retryAfterMs, made.admitted = learnt.Admit(concurrency-excess, position, ranks, draw)
+	e.offered(c, made.admitted, nowMs)
 	return made
 }
 
+// offered tells the meter of a program that was to begin.
+func (e *engines) offered(c *call, begun bool, nowMs int64) {
+	if c.tenant != nil {
+		e.meter.Offered(c.backend.Name, c.tenant.Name, c.weight, begun, nowMs)
+	}
+}
+
 // position returns where the tenant of a call stands at its back end.
 func (e *engines) position(c *call, room float64, nowMs int64) admission.Position {
 	if c.tenant == nil || e.disabled.Has(scheduling.MechanismShares) {
@@ -129,19 +138,20 @@
 	e.slots[c.backend.Name] = c.backend.Slots
 }
 
-// nearlyShort is the part of the room of a back end from which on gateways speak of the use of
-// their tenants.
-const nearlyShort = 0.7
+// nearlyShort is the part of the room of a back end from which on gateways name the tenants that
+// use it: a half, since demand doubles within the time that it takes to hear of it.
+const nearlyShort = 0.5
 
-// usesNews returns what this gateway's tenants have used, since the last call, of back ends that
-// are short or nearly so.
+// usesNews returns what was used here of back ends since the last call, by tenants where they are
+// short or nearly so.
 func (e *engines) usesNews(nowMs int64) []admission.BackendUse {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return e.meter.Read(nowMs, func(backend string) bool {
 		concurrency, known := e.concurrency(backend, nowMs)
 		room := admission.Room(e.slots[backend], entryOf(e.admissions, backend).Room())
-		return known && room > 0 && concurrency >= nearlyShort*room
+		wanted := e.shares.Demand(backend, nowMs) / float64(max(len(e.byPool[backend]), 1))
+		return known && room > 0 && max(concurrency, wanted) >= nearlyShort*room
 	})
 }
 
