--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -173,11 +173,10 @@
 }
 
 // Room returns for how many requests an engine has room while streams still begin at once: its
-// slots less their square root, as in square-root staffing, since requests come at random and
-// engines fill unevenly; and no more than up to which streams began in time, where that was
-// learnt. It is 0 where neither is known.
+// slots but one, so that who comes finds one free; and no more than up to which streams began in
+// time, where that was learnt. It is 0 where neither is known.
 func Room(slots int, limit float64) float64 {
-	room := float64(slots) - math.Sqrt(float64(slots))
+	room := float64(max(slots-1, 0))
 	if limit > 0 && (slots == 0 || limit < room) {
 		return limit
 	}
