--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,6 +83,8 @@
 	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
 	// way there: more where traffic between zones is dear.
 	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
+	// FairShares holds tenants to their shares of a back end that is short of room.
+	FairShares bool `yaml:"fair_shares,omitempty"`
 }
 
 // Limits are what the machine grants the process.
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -117,7 +117,7 @@
 
 // position returns where the tenant of a call stands at its back end.
 func (e *engines) position(c *call, room float64, nowMs int64) admission.Position {
-	if c.tenant == nil || e.disabled.Has(scheduling.MechanismShares) {
+	if c.tenant == nil || !e.fairShares {
 		return admission.Position{}
 	}
 	return e.shares.Of(c.backend.Name, c.tenant.Name, room*float64(len(e.byPool[c.backend.Name])), nowMs)
@@ -145,6 +145,9 @@
 // usesNews returns what was used here of back ends since the last call, by tenants where they are
 // short or nearly so.
 func (e *engines) usesNews(nowMs int64) []admission.BackendUse {
+	if !e.fairShares {
+		return nil
+	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	return e.meter.Read(nowMs, func(backend string) bool {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -37,13 +37,16 @@
 	zones     map[string]string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
+	// fairShares says that tenants are held to their shares of back ends that are short of room.
+	fairShares bool
 }
 
 func newEngines(zone string, policy config.Policy) *engines {
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, born: map[string]int64{},
 		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: policy.Disable,
-		meter: admission.NewMeter(clock.NowMs()), slots: map[string]int{},
+		fairShares: policy.FairShares && !policy.Disable.Has(scheduling.MechanismShares),
+		meter:      admission.NewMeter(clock.NowMs()), slots: map[string]int{},
 		distances: scheduling.Distances{PenaltyMs: policy.CrossZonePenaltyMs},
 	}
 }
