--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -67,6 +68,7 @@
 	ledgers  *ledgers
 	chains   *chainCache
 	denials  *denials
+	services *services
 	view     atomic.Pointer[view]
 	// proofAge says how old the proof is that the routing table is in force.
 	proofAge func() (time.Duration, bool)
@@ -87,6 +89,7 @@
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
 		engines: newEngines(process.Zone, process.Policy),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
+		services: newServices(),
 	}
 	d.pool.OnDial = d.engines.dialed
 	d.monitor = telemetry.NewMonitor(d.Ready)
@@ -100,6 +103,7 @@
 	d.nextProof = d.follower.NextProof
 	d.follower.OnLoads = d.takeShared
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
+	d.follower.OnUses = func(uses []admission.BackendUse) { d.engines.takeUses(uses, clock.NowMs()) }
 	return d
 }
 
@@ -130,6 +134,7 @@
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
 	request.Late = d.engines.lateNews(clock.NowMs())
+	request.Uses = d.engines.usesNews(clock.NowMs())
 }
 
 // takeShared takes what all gateways together have seen of engines.
