--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -34,9 +34,9 @@
 	// gatewayReturnMs is twice the 200 ms after which a lost packet is sent again. Measured
 	// at 500 and 400 on days with frozen machines only (docs/measurements/large.md).
 	gatewayReturnMs = 400
-	// gatewayQuietReturnMs covers one lost packet and the way there and back. A false alarm costs
+	// gatewayLightReturnMs covers one lost packet and the way there and back. A false alarm costs
 	// little: the gateway is listed again with its next heartbeat.
-	gatewayQuietReturnMs = 250
+	gatewayLightReturnMs = 250
 	ledgerSilentMs       = 2_000
 	ledgerForgottenMs    = 60_000
 	formationMs          = 1_500
@@ -162,7 +162,7 @@
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
 		EngineSilentMs:  max(engineSilentMs, engineSilentReports*process.Cluster.EngineHeartbeatMs),
-		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayLightReturnMs: gatewayLightReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -29,6 +29,10 @@
 	// heldEndsPerSecond bounds the heartbeats of gateways that end for want of news, so that what
 	// they cost the leader does not grow with the gateways.
 	heldEndsPerSecond = 300
+	// lightEntries is how many engines, hosts, routes and tenants a gateway puts in force in some
+	// milliseconds, also with a tenth of a core: 48,000 tenants take 16 ms of a whole one
+	// (docs/design/0007-tenants.md).
+	lightEntries = 1000
 )
 
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
@@ -117,12 +121,25 @@
 // answerFleetSync answers a heartbeat; from then on the next one is expected.
 func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
 	if pending.request.Gateway != nil && c.fleetTracker != nil {
-		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, reply.Fleet == nil && reply.Routing == nil, c.nowMs)
+		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.light(reply), c.nowMs)
 	}
 	reply.Confirmed = reply.Confirmed || (pending.proved && reply.Error == nil)
 	c.outlet.Reply(pending.id, reply)
 }
 
+// light reports whether a gateway puts an answer in force in next to no time. A changed table is
+// indexed anew as a whole, so that its size counts, not the difference's.
+func (c *Core) light(reply *protocol.FleetSyncReply) bool {
+	entries := 0
+	if reply.Fleet != nil {
+		entries += len(reply.Fleet.Value.Engines) + len(reply.Fleet.Value.Ledgers) + len(reply.Fleet.Value.Groups)
+	}
+	if table := c.system.tree.Routing(); reply.Routing != nil && table != nil {
+		entries += len(table.Routes) + len(table.Tenants)
+	}
+	return entries <= lightEntries
+}
+
 // noteSender replicates what is new of the sender of a heartbeat.
 func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
 	var update membership.FleetUpdate
--- a/internal/control/liveness_test.go
+++ b/internal/control/liveness_test.go
@@ -122,18 +122,21 @@
 		h.run(t, leastHoldMs+gatewayReturnMs+fleetPlanEveryMs+4*h.core.options.TickMs, h.core.options.TickMs)
 		So(h.listed(), ShouldHaveLength, 19)
 	})
-	Convey("one that was told nothing new is missed sooner than one that has news to put in force", t, func() {
-		tickMs := heard(20).core.options.TickMs
-		quiet := heard(20)
-		quiet.frozen["gateway-7"] = true
-		quiet.run(t, leastHoldMs+gatewayQuietReturnMs+fleetPlanEveryMs+4*tickMs, tickMs)
-		So(quiet.listed(), ShouldHaveLength, 19)
-		told := heard(20)
-		told.frozen["gateway-7"] = true
+	Convey("one that was told little is missed sooner than one that has much to put in force", t, func() {
+		h := heard(20)
+		tickMs := h.core.options.TickMs
+		h.frozen["gateway-7"] = true
 		const order = 1 << 40
-		told.core.Request(order, &protocol.FleetOrder{Report: &membership.ServingEngine{ID: "i", Backend: "b", Slots: 8}}, told.nowMs)
-		told.run(t, gatewayQuietReturnMs+fleetPlanEveryMs, tickMs)
-		So(told.listed(), ShouldHaveLength, 20)
+		report := &membership.ServingEngine{ID: "e", Backend: "b", Address: "e", Slots: 8, Sequence: 1}
+		h.core.Request(order, &protocol.FleetOrder{Report: report}, h.nowMs)
+		h.run(t, fleetNewsEveryMs+gatewayLightReturnMs+fleetPlanEveryMs+4*tickMs, tickMs)
+		So(h.listed(), ShouldHaveLength, 19)
+		news := func(engines int) *protocol.FleetSyncReply {
+			return &protocol.FleetSyncReply{Fleet: protocol.NewShared(membership.FleetNews{Engines: make([]membership.ServingEngine, engines)})}
+		}
+		So(h.core.light(&protocol.FleetSyncReply{}), ShouldBeTrue)
+		So(h.core.light(news(lightEntries)), ShouldBeTrue)
+		So(h.core.light(news(lightEntries+1)), ShouldBeFalse)
 	})
 	Convey("many of them", t, func() {
 		h := heard(800)
--- a/internal/control/proof_test.go
+++ b/internal/control/proof_test.go
@@ -73,7 +73,7 @@
 		options := DefaultOptions(member.name, members, 0)
 		options.Discovered = true
 		options.MinVoters = 3
-		options.Fleet = membership.FleetOptions{EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs, FormationMs: formationMs}
+		options.Fleet = membership.FleetOptions{EngineSilentMs: engineSilentMs, GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayLightReturnMs: gatewayLightReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs, FormationMs: formationMs}
 		core, err := NewCore(options, member.store, member, c.nowMs)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -22,10 +22,10 @@
 	LedgerSilentMs  int64
 	// GatewayReturnMs is how long a gateway may take for its next heartbeat once the last
 	// one was answered. A heartbeat is held for a while and the next follows at once, so
-	// that a gateway that does not come back is frozen or cut off. GatewayQuietReturnMs is the
-	// same after an answer without news: there is nothing to be put in force before the next.
+	// that a gateway that does not come back is frozen or cut off. GatewayLightReturnMs is the
+	// same after an answer that is light: it takes next to nothing to be put in force.
 	GatewayReturnMs      int64
-	GatewayQuietReturnMs int64
+	GatewayLightReturnMs int64
 	// LedgerForgottenMs is how long a ledger host that holds nothing may be silent before
 	// it is forgotten; it is known again once it reports.
 	LedgerForgottenMs int64
@@ -80,8 +80,8 @@
 type gatewayHeartbeat struct {
 	number   uint64
 	answered bool
-	// quiet says that the answer held no news.
-	quiet bool
+	// light says that the answer held no news, or few.
+	light bool
 	// sinceMs is when the heartbeat came, or was answered.
 	sinceMs int64
 }
@@ -101,10 +101,10 @@
 	return number
 }
 
-// AnsweredGateway notes that the heartbeat of a number is answered, quiet where there was no news.
-func (t *FleetTracker) AnsweredGateway(name string, number uint64, quiet bool, nowMs int64) {
+// AnsweredGateway notes that the heartbeat of a number is answered, light where that takes next to nothing to put in force.
+func (t *FleetTracker) AnsweredGateway(name string, number uint64, light bool, nowMs int64) {
 	if latest := t.gateways[name]; latest.number == number && !latest.answered {
-		t.gateways[name] = gatewayHeartbeat{number: number, answered: true, quiet: quiet, sinceMs: nowMs}
+		t.gateways[name] = gatewayHeartbeat{number: number, answered: true, light: light, sinceMs: nowMs}
 	}
 }
 
@@ -125,8 +125,8 @@
 		return nowMs-t.startMs > t.options.GatewaySilentMs
 	}
 	switch {
-	case latest.answered && latest.quiet:
-		return nowMs-latest.sinceMs > t.options.GatewayQuietReturnMs
+	case latest.answered && latest.light:
+		return nowMs-latest.sinceMs > t.options.GatewayLightReturnMs
 	case latest.answered:
 		return nowMs-latest.sinceMs > t.options.GatewayReturnMs
 	}
