--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -108,8 +108,9 @@
 // Gateways returns the addresses of the gateways that a caller should use, and for how long it may
 // hold them. It answers from what this process knows.
 func (d *Daemon) Gateways(caller membership.Caller) ([]string, time.Duration) {
+	current := d.status.Load()
 	d.lookUpsMutex.Lock()
-	heldMs := d.lookUps.Answer(clock.NowMs())
+	heldMs := d.lookUps.Answer(current.memberSilent, clock.NowMs())
 	d.lookUpsMutex.Unlock()
-	return d.status.Load().spread.Named(caller), time.Duration(heldMs) * time.Millisecond
+	return current.spread.Named(caller), time.Duration(heldMs) * time.Millisecond
 }
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -251,3 +251,10 @@
 		_ = group.Node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name}))
 	}
 }
+
+// MemberSilent reports whether another control process has not been heard lately.
+func (c *Core) MemberSilent() bool {
+	return slices.ContainsFunc(c.memberNames(), func(member string) bool {
+		return member != c.options.Name && c.silentMs(member) > suspectAfterMs
+	})
+}
--- a/internal/membership/lookups.go
+++ b/internal/membership/lookups.go
@@ -6,6 +6,9 @@
 	// below the time that it takes to notice the loss (docs/operations/control.md).
 	leastHeldMs = 250
 	mostHeldMs  = 1000
+	// darkHeldMs is how long they may hold it while another process that answers look-ups is silent.
+	// A caller that asks that one first waits a second for nothing, each time that it asks.
+	darkHeldMs = 2000
 	// lookUpsPerSecond is how many look-ups a process answers a second where callers may ask again
 	// sooner: at 0.1 ms each 2 % of a core.
 	lookUpsPerSecond = 200
@@ -25,8 +28,9 @@
 	known   bool
 }
 
-// Answer notes a look-up and returns how long its answer may be held.
-func (l *LookUps) Answer(nowMs int64) int64 {
+// Answer notes a look-up and returns how long its answer may be held; dark says that another
+// process that answers look-ups is silent.
+func (l *LookUps) Answer(dark bool, nowMs int64) int64 {
 	if l.windowMs == 0 {
 		l.windowMs = nowMs
 	}
@@ -36,6 +40,9 @@
 		l.windowMs, l.heldMs = nowMs, 0
 	}
 	held := l.holdMs()
+	if dark {
+		held = max(held, darkHeldMs)
+	}
 	l.heldMs += held
 	return held
 }
--- a/internal/membership/lookups_test.go
+++ b/internal/membership/lookups_test.go
@@ -36,7 +36,7 @@
 		answers, held := 0, int64(0)
 		for number := 0; (*next)[0] < endMs; number++ {
 			nowMs := heap.Pop(next).(int64)
-			held = lookUps.Answer(nowMs)
+			held = lookUps.Answer(false, nowMs)
 			if held < leastHeldMs || held > mostHeldMs {
 				t.Fatalf("held for %d ms", held)
 			}
@@ -58,3 +58,21 @@
 		}
 	})
 }
+
+// TestLookUpsWhileADirectoryIsDark holds that callers come less often while they may ask a process
+// that is silent first, and as often as before once it is back.
+func TestLookUpsWhileADirectoryIsDark(t *testing.T) {
+	var lookUps LookUps
+	answer := func(dark bool, fromMs int64) (held int64) {
+		for nowMs := fromMs; nowMs < fromMs+3*lookUpWindowMs; nowMs += leastHeldMs {
+			held = lookUps.Answer(dark, nowMs)
+		}
+		return held
+	}
+	for position, dark := range []bool{false, true, false} {
+		held := answer(dark, int64(1+position*10*lookUpWindowMs))
+		if want := map[bool]int64{false: leastHeldMs, true: darkHeldMs}[dark]; held != want {
+			t.Fatalf("dark %v: held for %d ms", dark, held)
+		}
+	}
+}
