--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -8,12 +8,16 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 const (
 	// orderTimeout is below the second after which callers turn to another process.
 	orderTimeout = 900 * time.Millisecond
+	// usualHeld is how long callers may hold an answer of the directory where it is not learnt
+	// how often they ask.
+	usualHeld = time.Second
 )
 
 // order has the leader carry out a fleet order.
@@ -109,6 +113,9 @@
 // hold them. It answers from what this process knows.
 func (d *Daemon) Gateways(caller membership.Caller) ([]string, time.Duration) {
 	current := d.status.Load()
+	if d.process.Policy.Disable.Has(scheduling.MechanismLookUps) {
+		return current.spread.Named(caller), usualHeld
+	}
 	d.lookUpsMutex.Lock()
 	heldMs := d.lookUps.Answer(current.memberSilent, clock.NowMs())
 	d.lookUpsMutex.Unlock()
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -81,15 +81,6 @@
 	return gone
 }
 
-// dialed learns the way to an engine's zone from a new connection to it.
-func (e *engines) dialed(address string, took time.Duration) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if zone, known := e.zones[address]; known {
-		e.distances.Note(zone, took.Seconds()*1000)
-	}
-}
-
 // followIncarnations forgets what was learnt of engines that have started again under their
 // ids, and returns their addresses. Invariant: an incarnation begins with nothing said of it;
 // requests that are under way at the one before are counted for that one.
@@ -126,6 +117,15 @@
 	return pool[position].ID
 }
 
+// dialed learns the way to an engine's zone from a new connection to it.
+func (e *engines) dialed(address string, took time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if zone, known := e.zones[address]; known {
+		e.distances.Note(zone, took.Seconds()*1000)
+	}
+}
+
 // healthOf returns what this gateway has seen of an engine.
 func (e *engines) healthOf(id string) *scheduling.EngineHealth { return entryOf(e.health, id) }
 
