--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -117,7 +117,7 @@
 		return current.spread.Named(caller), usualHeld
 	}
 	d.lookUpsMutex.Lock()
-	heldMs := d.lookUps.Answer(current.peril, clock.NowMs())
+	heldMs := d.lookUps.Answer(current.memberSilent, clock.NowMs())
 	d.lookUpsMutex.Unlock()
 	return current.spread.Named(caller), time.Duration(heldMs) * time.Millisecond
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -69,8 +69,8 @@
 	leading  int
 	programs int
 	applied  uint64
-	// peril is what callers that ask where to go should know of.
-	peril membership.Peril
+	// memberSilent says that another control process has not been heard lately.
+	memberSilent bool
 	// spread is the directory for callers, gatewaysVersion the fleet's version at which it
 	// last changed, and fleetLogged what the last line about the fleet told.
 	spread          *membership.Spread
@@ -282,7 +282,7 @@
 	if current.formed {
 		d.publishFleet(current)
 		current.drained = d.core.Drained()
-		current.peril = membership.Peril{GatewaysLost: d.core.Fleet().GatewaysLost(), MemberSilent: d.core.MemberSilent()}
+		current.memberSilent = d.core.MemberSilent()
 		for id := range d.core.host.Groups {
 			if d.core.Leads(storage.GroupID(id)) {
 				current.leading++
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -135,9 +135,6 @@
 	addresses map[string]string
 	// gatewaysChanged is the version at which the gateways last changed.
 	gatewaysChanged uint64
-	// gatewaysLost counts those that fell silent while they took requests, since this process
-	// began to hold the fleet.
-	gatewaysLost uint64
 }
 
 // NewFleet returns an empty fleet.
@@ -154,10 +151,6 @@
 // GatewaysVersion is the version at which the gateways last changed.
 func (f *Fleet) GatewaysVersion() uint64 { return f.gatewaysChanged }
 
-// GatewaysLost counts the gateways that fell silent while they took requests; only its growth means
-// something.
-func (f *Fleet) GatewaysLost() uint64 { return f.gatewaysLost }
-
 // Apply carries out an update.
 func (f *Fleet) Apply(update FleetUpdate) {
 	f.state.Version++
@@ -196,9 +189,6 @@
 		f.gatewaysChanged = f.state.Version
 	}
 	for _, name := range update.RemoveGateways {
-		if f.state.Gateways[name].Value.Ready {
-			f.gatewaysLost++
-		}
 		delete(f.state.Gateways, name)
 		f.gatewaysChanged = f.state.Version
 	}
--- a/internal/membership/lookups_test.go
+++ b/internal/membership/lookups_test.go
@@ -30,14 +30,14 @@
 		var lookUps LookUps
 		next := &askers{}
 		for number := range callers {
-			heap.Push(next, int64(1+number%usualHeldMs))
+			heap.Push(next, int64(1+number%mostHeldMs))
 		}
 		const settledMs, endMs = 8_000, 12_000
 		answers, held := 0, int64(0)
 		for number := 0; (*next)[0] < endMs; number++ {
 			nowMs := heap.Pop(next).(int64)
-			held = lookUps.Answer(Peril{GatewaysLost: uint64(nowMs)}, nowMs)
-			if held < leastHeldMs || held > usualHeldMs {
+			held = lookUps.Answer(false, nowMs)
+			if held < leastHeldMs || held > mostHeldMs {
 				t.Fatalf("held for %d ms", held)
 			}
 			if nowMs >= settledMs {
@@ -50,7 +50,7 @@
 			heap.Push(next, nowMs+again)
 		}
 		rate := float64(answers) * 1000 / (endMs - settledMs)
-		if most := max(1.5*lookUpsPerSecond, 1.3*float64(callers)*1000/usualHeldMs); rate > most {
+		if most := max(1.5*lookUpsPerSecond, 1.3*float64(callers)*1000/mostHeldMs); rate > most {
 			t.Fatalf("%.0f look-ups a second of %d callers", rate, callers)
 		}
 		if callers <= lookUpsPerSecond*leastHeldMs/1000/2 && held != leastHeldMs {
@@ -59,29 +59,20 @@
 	})
 }
 
-// TestLookUpsByPeril holds that callers ask as often as ever on a calm day, more often for some
-// seconds after a gateway was lost, and less often while they may ask a process that is silent.
-func TestLookUpsByPeril(t *testing.T) {
+// TestLookUpsWhileADirectoryIsDark holds that callers come less often while they may ask a process
+// that is silent first, and as often as before once it is back.
+func TestLookUpsWhileADirectoryIsDark(t *testing.T) {
 	var lookUps LookUps
-	nowMs := int64(1)
-	for _, step := range []struct {
-		name  string
-		peril Peril
-		forMs int64
-		want  int64
-	}{
-		{"calm", Peril{GatewaysLost: 7}, 5000, usualHeldMs},
-		{"a gateway is lost", Peril{GatewaysLost: 8}, losingMs - 500, leastHeldMs},
-		{"and another process is silent", Peril{GatewaysLost: 9, MemberSilent: true}, 1000, darkHeldMs},
-		{"no more", Peril{GatewaysLost: 9}, 500, leastHeldMs},
-		{"calm again", Peril{GatewaysLost: 9}, losingMs, usualHeldMs},
-	} {
-		held := int64(0)
-		for end := nowMs + step.forMs; nowMs < end; nowMs += leastHeldMs {
-			held = lookUps.Answer(step.peril, nowMs)
+	answer := func(dark bool, fromMs int64) (held int64) {
+		for nowMs := fromMs; nowMs < fromMs+3*lookUpWindowMs; nowMs += leastHeldMs {
+			held = lookUps.Answer(dark, nowMs)
 		}
-		if held != step.want {
-			t.Fatalf("%s: held for %d ms, not %d", step.name, held, step.want)
+		return held
+	}
+	for position, dark := range []bool{false, true, false} {
+		held := answer(dark, int64(1+position*10*lookUpWindowMs))
+		if want := map[bool]int64{false: leastHeldMs, true: darkHeldMs}[dark]; held != want {
+			t.Fatalf("dark %v: held for %d ms", dark, held)
 		}
 	}
 }
