--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -34,9 +34,9 @@
 	// gatewayReturnMs is twice the 200 ms after which a lost packet is sent again. Measured
 	// at 500 and 400 on days with frozen machines only (docs/measurements/large.md).
 	gatewayReturnMs = 400
-	// gatewayQuietReturnMs covers one lost packet and the way there and back. A false alarm costs
+	// gatewayLightReturnMs covers one lost packet and the way there and back. A false alarm costs
 	// little: the gateway is listed again with its next heartbeat.
-	gatewayQuietReturnMs = 250
+	gatewayLightReturnMs = 250
 	ledgerSilentMs       = 2_000
 	ledgerForgottenMs    = 60_000
 	formationMs          = 1_500
@@ -69,6 +69,8 @@
 	leading  int
 	programs int
 	applied  uint64
+	// memberSilent says that another control process has not been heard lately.
+	memberSilent bool
 	// spread is the directory for callers, gatewaysVersion the fleet's version at which it
 	// last changed, and fleetLogged what the last line about the fleet told.
 	spread          *membership.Spread
@@ -162,7 +164,7 @@
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
 		EngineSilentMs:  max(engineSilentMs, engineSilentReports*process.Cluster.EngineHeartbeatMs),
-		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayLightReturnMs: gatewayLightReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
@@ -280,6 +282,7 @@
 	if current.formed {
 		d.publishFleet(current)
 		current.drained = d.core.Drained()
+		current.memberSilent = d.core.MemberSilent()
 		for id := range d.core.host.Groups {
 			if d.core.Leads(storage.GroupID(id)) {
 				current.leading++
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -129,7 +129,10 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
-		Capacity: d.process.Limits.CPUShare, Busy: d.busy(),
+	}
+	if !d.process.Policy.Disable.Has(scheduling.MechanismCapacity) {
+		request.Gateway.Capacity = d.process.Limits.CPUShare
+		request.Gateway.Busy = d.busy()
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -37,6 +37,12 @@
 	MechanismShares Mechanism = "shares"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
+	// MechanismCapacity names gateways to callers in proportion to what they can take.
+	MechanismCapacity Mechanism = "capacity"
+	// MechanismLookUps has callers ask the directory as often as it can afford to answer.
+	MechanismLookUps Mechanism = "look-ups"
+	// MechanismFirstProof lets requests wait for the first proof after a pause of the gateway.
+	MechanismFirstProof Mechanism = "first-proof"
 )
 
 // Mechanisms lists them all.
@@ -45,7 +51,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission, MechanismShares,
+		MechanismCapacity, MechanismLookUps, MechanismFirstProof, MechanismAdmission, MechanismShares,
 	}
 }
 
