Soak: engines that start again under their ids, reports that others write, two releases side by side

Engines say born; now and then one starts again under the id it had, late reports of the life before follow, and others write reports under its id.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 	bin/ochrebay simulate --seeds 1..$(SEEDS) --deployment vantul
 	bin/ochrebay simulate --seeds 1..$(SEEDS) --deployment court
 
-# soak strikes a fleet of real processes with faults drawn at random, under load.
+# soak strikes a fleet of real processes with faults drawn at random, under load. With BESIDE,
+# the binary of another release, each process runs one of the two at each start.
+BESIDE =
 soak:
-	go test ./cmd/ochrebay -run '^TestSoak$$' -count=1 -v -timeout 0 -args -soak.rounds=$(ROUNDS) -soak.seed=$(SEED)
+	go test ./cmd/ochrebay -run '^TestSoak$$' -count=1 -v -timeout 0 -args -soak.rounds=$(ROUNDS) -soak.seed=$(SEED) -soak.beside=$(BESIDE)
--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -34,6 +34,8 @@
 	operators []string
 	engine    *engineStand
 	limits    string
+	// binary picks what a process runs at its next start, nil for what this folder builds.
+	binary func(name string) string
 }
 
 // given are the addresses that freeAddress has returned. The kernel may name a port again
@@ -64,7 +66,12 @@
 
 // startPlatformFleet starts a fleet; limits are further lines of its processes' limits.
 func startPlatformFleet(t *testing.T, limits ...string) *platformFleet {
-	f := &platformFleet{t: t, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
+	return startMixedFleet(t, nil, limits...)
+}
+
+// startMixedFleet starts a fleet whose processes run what binary says at each start.
+func startMixedFleet(t *testing.T, binary func(name string) string, limits ...string) *platformFleet {
+	f := &platformFleet{t: t, binary: binary, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
 	t.Cleanup(f.stop)
 	var seeds []string
 	for number := range 3 {
@@ -112,7 +119,11 @@
 	}
 	defer log.Close()
 	role, _, _ := strings.Cut(name, "-")
-	command := exec.Command(testBinary, role)
+	binary := testBinary
+	if f.binary != nil {
+		binary = f.binary(name)
+	}
+	command := exec.Command(binary, role)
 	command.Env = append(os.Environ(), "OCHREBAY_CONFIG="+filepath.Join(f.folder, name+".yaml"))
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
--- a/cmd/ochrebay/soak_engine_test.go
+++ b/cmd/ochrebay/soak_engine_test.go
@@ -49,8 +49,11 @@
 	address string
 	runs    *soakRuns
 	mutex   sync.Mutex
-	// instance is the engine's id; a restart gives it a new one.
+	// instance is the engine's id; a restart mostly gives it a new one. born is when it
+	// started, Unix milliseconds, and sequence the number of its last report.
 	instance string
+	born     int64
+	sequence int
 	random   *rand.Rand
 }
 
@@ -60,7 +63,7 @@
 		t.Fatal(err)
 	}
 	engine := &soakEngine{
-		address: listener.Addr().String(), runs: runs, instance: fmt.Sprintf("engine-%d-0", seed), random: rand.New(rand.NewPCG(seed, 7)),
+		address: listener.Addr().String(), runs: runs, instance: fmt.Sprintf("engine-%d-0", seed), born: time.Now().UnixMilli(), random: rand.New(rand.NewPCG(seed, 7)),
 	}
 	server := &http.Server{Handler: engine}
 	go func() { _ = server.Serve(listener) }()
@@ -74,10 +77,29 @@
 	return e.instance
 }
 
-func (e *soakEngine) rename(instance string) {
+// startAgain begins a new life of the engine, under an id that may be the one it had.
+func (e *soakEngine) startAgain(instance string) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.instance = instance
+	e.born = max(time.Now().UnixMilli(), e.born+1)
+	e.sequence = 0
+}
+
+// report returns the engine's id and its next report.
+func (e *soakEngine) report(zone int) (id, body string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.sequence++
+	return e.instance, fmt.Sprintf(`{"backend":"b","address":%q,"zone":"z%d","generation":"v1","slots":9,"state":"ready","seq":%d,"born":%d}`,
+		e.address, zone, e.sequence, e.born)
+}
+
+// leave returns the engine's id and its word that it ends.
+func (e *soakEngine) leave() (id, body string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.instance, fmt.Sprintf(`{"born":%d}`, e.born)
 }
 
 // soakFault is how an engine treats one request.
--- a/cmd/ochrebay/soak_test.go
+++ b/cmd/ochrebay/soak_test.go
@@ -19,6 +19,7 @@
 var (
 	soakRounds = flag.Int("soak.rounds", 7, "rounds of faults of TestSoak")
 	soakSeed   = flag.Uint64("soak.seed", 1, "seed of TestSoak's faults")
+	soakBeside = flag.String("soak.beside", "", "binary of another release, which TestSoak's processes run at every other start or so")
 )
 
 const (
@@ -161,30 +162,62 @@
 }
 
 // heartbeats reports the engines to any control process until the channel ends. Now and
-// then an engine leaves and another one comes at its address.
+// then an engine leaves and another one comes at its address, or it starts again under the id
+// that it had; late reports of the life before follow, and reports that others write.
 func (s *soak) heartbeats(random *rand.Rand, engines []*soakEngine, stop <-chan struct{}) {
-	for sequence := 1; pause(stop, 200*time.Millisecond); sequence++ {
+	for round := 1; pause(stop, 200*time.Millisecond); round++ {
 		for position, engine := range engines {
-			if random.IntN(60) == 0 {
-				s.tell(random, "/ochrebay/Instances.Leave/"+engine.id(), "")
-				engine.rename(fmt.Sprintf("engine-%d-%d", position, sequence))
+			id, late := engine.report(position)
+			switch random.IntN(80) {
+			case 0:
+				_, body := engine.leave()
+				s.tell(random, "/ochrebay/Instances.Leave/"+id, body)
+				engine.startAgain(fmt.Sprintf("engine-%d-%d", position, round))
+			case 1:
+				engine.startAgain(id)
+			case 2:
+				s.tell(random, "/ochrebay/Instances.Heartbeat/"+id, foreignReport(random, late))
+			}
+			current, body := engine.report(position)
+			s.tell(random, "/ochrebay/Instances.Heartbeat/"+current, body)
+			if random.IntN(10) == 0 {
+				s.tell(random, "/ochrebay/Instances.Heartbeat/"+id, late)
 			}
-			body := fmt.Sprintf(`{"backend":"b","address":%q,"zone":"z%d","generation":"v1","slots":9,"state":"ready","seq":%d}`, engine.address, position, sequence)
-			s.tell(random, "/ochrebay/Instances.Heartbeat/"+engine.id(), body)
 		}
 	}
 }
 
+// foreignReport spoils an engine's report as others that write to the registry do. Beside an
+// earlier release, which takes such a report for the engine's, only its bytes are spoilt.
+func foreignReport(random *rand.Rand, report string) string {
+	if *soakBeside != "" {
+		return report[:len(report)/2]
+	}
+	return [...]string{
+		report[:len(report)/2], strings.Replace(report, `"state":"ready"`, `"state":"retired"`, 1), strings.Replace(report, `"backend":"b",`, ``, 1),
+		strings.Replace(report, `"seq":`, `"seq":"x`, 1), strings.Replace(report, `"backend":"b"`, `"backend":["b"]`, 1), "\xff\xfe",
+	}[random.IntN(6)]
+}
+
 func (s *soak) tell(random *rand.Rand, path, body string) {
 	_, _ = send("POST", "http://"+s.control(random)+path, body, nil)
 }
 
+// soakBinary draws at each start of a process which of the two releases it runs, nil where
+// there is one.
+func soakBinary(random *rand.Rand) func(name string) string {
+	if *soakBeside == "" {
+		return nil
+	}
+	return func(string) string { return [...]string{testBinary, *soakBeside}[random.IntN(2)] }
+}
+
 // TestSoak runs a fleet of real processes under load and strikes it with faults drawn at
 // random, one after the other. It judges what callers, engines and the operator have
 // seen; how long anything took is not judged.
 func TestSoak(t *testing.T) {
 	t.Logf("seed %d, %d rounds", *soakSeed, *soakRounds)
-	fleet := startPlatformFleet(t)
+	fleet := startMixedFleet(t, soakBinary(rand.New(rand.NewPCG(*soakSeed, 5))))
 	s := &soak{fleet: fleet, runs: newSoakRuns(), lives: map[string]int{}}
 	random := func(part uint64) *rand.Rand { return rand.New(rand.NewPCG(*soakSeed, part)) }
 	var engines []*soakEngine
