--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -40,6 +40,9 @@
 	if reply.Void != "" {
 		d.noteVoid(engine.Incarnation(), reply.Void)
 	}
+	if reply.Restarted {
+		telemetry.Info(d.logger, "engine started again", "engine", engine.ID, "backend", engine.Backend, "born", engine.Born)
+	}
 	if engine.Draining {
 		telemetry.Info(d.logger, "engine report", "engine", engine.ID, "backend", engine.Backend, "draining", engine.Draining,
 			"born", engine.Born, "sequence", engine.Sequence, "err", reply.Error)
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -47,12 +47,12 @@
 
 // proposeFleet proposes an update and answers an order once it is applied.
 func (c *Core) proposeFleet(id RequestID, group *replication.Group, update *membership.FleetUpdate) {
-	c.proposeOrder(id, group, &systemCommand{Fleet: update})
+	c.proposeOrder(id, group, &systemCommand{Fleet: update}, &protocol.FleetOrderReply{})
 }
 
-func (c *Core) proposeOrder(id RequestID, group *replication.Group, command *systemCommand) {
+// proposeOrder proposes a command and sends the reply once it is applied.
+func (c *Core) proposeOrder(id RequestID, group *replication.Group, command *systemCommand, reply *protocol.FleetOrderReply) {
 	failure := c.host.Propose(group, command, func(outcome any) {
-		reply := &protocol.FleetOrderReply{}
 		switch typed := outcome.(type) {
 		case *result.Error:
 			reply.Error = typed
@@ -101,7 +101,7 @@
 		// Where this one is lost, so is the one after it.
 		_ = c.host.Propose(group, &systemCommand{Fleet: &updates[position]}, func(any) {})
 	}
-	c.proposeFleet(id, group, &updates[last])
+	c.proposeOrder(id, group, &systemCommand{Fleet: &updates[last]}, &protocol.FleetOrderReply{Restarted: last > 0})
 }
 
 // backendKnown reports whether engines of a back end may come: it is named by the table in
@@ -129,7 +129,7 @@
 		c.outlet.Reply(id, &protocol.FleetOrderReply{Error: failure})
 		return
 	}
-	c.proposeOrder(id, group, &systemCommand{Change: &settings.Change{AtMs: c.nowMs, Routing: table}})
+	c.proposeOrder(id, group, &systemCommand{Change: &settings.Change{AtMs: c.nowMs, Routing: table}}, &protocol.FleetOrderReply{})
 }
 
 func (c *Core) readRouting(id RequestID, group *replication.Group) {
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -40,7 +40,7 @@
 		l := leading()
 		So(l.report(first).Error, ShouldBeNil)
 		version := l.core.Fleet().Version()
-		So(l.report(second).Void, ShouldBeEmpty)
+		So(l.report(second), ShouldResemble, &protocol.FleetOrderReply{Restarted: true})
 		known, _ := l.core.Fleet().Engine("e")
 		So(known, ShouldResemble, second)
 		So(l.core.Fleet().Since(version, membership.Scope{Engines: true, Zone: "z"}).Engines, ShouldResemble, []membership.ServingEngine{second})
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -40,6 +40,8 @@
 	Routing *routing.Table `msgpack:"r,omitempty"`
 	// Done answers RetireState.
 	Done bool `msgpack:"d,omitempty"`
+	// Restarted says that a report which was taken is of a new incarnation of a known engine.
+	Restarted bool `msgpack:"n,omitempty"`
 	// Void names why a report or leave that is acknowledged changed nothing (membership.Verdict).
 	Void string `msgpack:"v,omitempty"`
 }
