--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -33,6 +34,7 @@
 	c.permits = reconcile.NewPermits(c.nowMs)
 	c.fleetTracker = membership.NewFleetTracker(c.options.Fleet, c.nowMs)
 	c.loads = scheduling.NewBoard()
+	c.uses = admission.NewUseBoard()
 	c.planning = 0
 	c.fleetPlanning = false
 }
@@ -44,6 +46,7 @@
 	c.permits = nil
 	c.fleetTracker = nil
 	c.loads = nil
+	c.uses = nil
 	c.refuseSyncs()
 	c.refuseFleetSyncs()
 }
