The platform's list of machines holds though others write entries to it

Cause: one entry of another type made the whole list unreadable, and an entry without a name, zone, address or pool became a machine.

Change: each entry is decoded by itself; unusable ones are left out, counted (reason list_entry) and named in one line a second. The line about void reports says sequence, back end and address.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -38,7 +38,7 @@
 func (d *Daemon) ReportEngine(engine membership.ServingEngine) *result.Error {
 	reply := d.order(&protocol.FleetOrder{Report: &engine, Incarnations: true})
 	if reply.Void != "" {
-		d.noteVoid(engine.Incarnation(), reply.Void)
+		d.noteVoid(engine, reply.Void)
 	}
 	if reply.Restarted {
 		telemetry.Info(d.logger, "engine started again", "engine", engine.ID, "backend", engine.Backend, "born", engine.Born)
@@ -60,7 +60,7 @@
 func (d *Daemon) EngineLeaves(life membership.Incarnation) *result.Error {
 	reply := d.order(&protocol.FleetOrder{Leave: life.ID, LeaveBorn: life.Born, Incarnations: true})
 	if reply.Void != "" {
-		d.noteVoid(life, reply.Void)
+		d.noteVoid(membership.ServingEngine{ID: life.ID, Born: life.Born}, reply.Void)
 	}
 	telemetry.Info(d.logger, "engine leaves", "engine", life.ID, "born", life.Born, "err", reply.Error)
 	return reply.Error
@@ -68,15 +68,16 @@
 
 // ReportIgnored notes a report that names no engine to use.
 func (d *Daemon) ReportIgnored(engine, reason string) {
-	d.noteVoid(membership.Incarnation{ID: engine}, reason)
+	d.noteVoid(membership.ServingEngine{ID: engine}, reason)
 }
 
 // noteVoid counts a report that changed nothing, and writes one line a voidLogEvery.
-func (d *Daemon) noteVoid(life membership.Incarnation, reason string) {
+func (d *Daemon) noteVoid(engine membership.ServingEngine, reason string) {
 	d.reportsVoid.WithLabelValues(reason).Inc()
 	d.voidCount.Add(1)
 	d.voidLog.Do(func() {
-		telemetry.Warn(d.logger, "engine reports void", "engine", life.ID, "born", life.Born, "reason", reason, "reports", d.voidCount.Swap(0))
+		telemetry.Warn(d.logger, "engine reports void", "engine", engine.ID, "born", engine.Born, "sequence", engine.Sequence,
+			"backend", engine.Backend, "address", engine.Address, "reason", reason, "reports", d.voidCount.Swap(0))
 	})
 }
 
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -104,6 +104,8 @@
 	reportsVoid *prometheus.CounterVec
 	voidCount   atomic.Int64
 	voidLog     rate.Sometimes
+	// listLog bounds the lines about entries of the platform's list in the same way.
+	listLog rate.Sometimes
 
 	replies daemon.Replies[RequestID, any]
 }
@@ -116,7 +118,7 @@
 		return nil, err
 	}
 	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery},
-		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
+		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}, listLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
 	control.status.Store(&status{})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -275,13 +275,21 @@
 			}
 		}
 		_, body, err := fasthttp.GetTimeout(nil, "http://"+d.process.Platform+"/v1/instances", platformTimeout)
-		var list struct {
-			Instances []membership.Instance `json:"instances"`
+		var instances []membership.Instance
+		unusable := 0
+		if err == nil {
+			instances, unusable, err = parseInstances(body)
 		}
-		if err != nil || json.Unmarshal(body, &list) != nil {
+		if err != nil {
 			telemetry.Warn(d.logger, "platform list not read", "err", err)
 			continue
 		}
-		d.loop.Post(func() { d.core.Listed(list.Instances) })
+		if unusable > 0 {
+			d.reportsVoid.WithLabelValues(listEntry).Add(float64(unusable))
+			d.listLog.Do(func() {
+				telemetry.Warn(d.logger, "platform list has unusable entries", "entries", unusable, "of", unusable+len(instances))
+			})
+		}
+		d.loop.Post(func() { d.core.Listed(instances) })
 	}
 }
