--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,10 +33,13 @@
 	engineSilentReports = 3
 	// gatewayReturnMs is twice the 200 ms after which a lost packet is sent again. Measured
 	// at 500 and 400 on days with frozen machines only (docs/measurements/large.md).
-	gatewayReturnMs   = 400
-	ledgerSilentMs    = 2_000
-	ledgerForgottenMs = 60_000
-	formationMs       = 1_500
+	gatewayReturnMs = 400
+	// gatewayQuietReturnMs covers one lost packet and the way there and back. A false alarm costs
+	// little: the gateway is listed again with its next heartbeat.
+	gatewayQuietReturnMs = 250
+	ledgerSilentMs       = 2_000
+	ledgerForgottenMs    = 60_000
+	formationMs          = 1_500
 
 	// discoveredElectionTicks is shorter than that of a listed cluster: callers wait
 	// for the leader of a platform's fleet.
@@ -65,9 +69,9 @@
 	leading  int
 	programs int
 	applied  uint64
-	// gateways is the directory for callers, gatewaysVersion the fleet's version at which it
+	// spread is the directory for callers, gatewaysVersion the fleet's version at which it
 	// last changed, and fleetLogged what the last line about the fleet told.
-	gateways        []membership.Gateway
+	spread          *membership.Spread
 	gatewaysVersion uint64
 	gatewaysAt      time.Time
 	fleetLogged     loggedFleet
@@ -108,6 +112,9 @@
 	listLog rate.Sometimes
 
 	replies daemon.Replies[RequestID, any]
+	// lookUps counts the callers that ask this process where to go.
+	lookUpsMutex sync.Mutex
+	lookUps      membership.LookUps
 }
 
 // NewDaemon opens the data folder; it returns storage.ErrInUse where another
@@ -119,7 +126,7 @@
 	}
 	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery},
 		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}, listLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
-	control.status.Store(&status{})
+	control.status.Store(&status{spread: membership.NewSpread(nil)})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
 	control.core, err = NewCore(coreOptions(process), store, control, clock.NowMs())
@@ -157,7 +164,7 @@
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
 		EngineSilentMs:  max(engineSilentMs, engineSilentReports*process.Cluster.EngineHeartbeatMs),
-		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
@@ -271,7 +278,7 @@
 }
 
 func (d *Daemon) publish() {
-	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision()}
+	current := &status{formed: d.core.Formed(), syncs: d.core.Syncs(), ready: d.core.Ready(), revision: d.core.Revision(), spread: d.status.Load().spread}
 	if current.formed {
 		d.publishFleet(current)
 		current.drained = d.core.Drained()
@@ -292,17 +299,17 @@
 func (d *Daemon) publishFleet(current *status) {
 	previous := d.status.Load()
 	fleet := d.core.Fleet()
-	current.gateways, current.gatewaysVersion, current.gatewaysAt = previous.gateways, previous.gatewaysVersion, previous.gatewaysAt
+	current.gatewaysVersion, current.gatewaysAt = previous.gatewaysVersion, previous.gatewaysAt
 	current.fleetLogged = previous.fleetLogged
 	if fleet.GatewaysVersion() != previous.gatewaysVersion && time.Since(previous.gatewaysAt) >= directoryEvery {
-		current.gateways, current.gatewaysVersion, current.gatewaysAt = fleet.Gateways(), fleet.GatewaysVersion(), time.Now()
+		current.spread, current.gatewaysVersion, current.gatewaysAt = membership.NewSpread(fleet.Gateways()), fleet.GatewaysVersion(), time.Now()
 	}
 	if fleet.Version() == previous.fleetLogged.version || time.Since(previous.fleetLogged.at) < fleetLogEvery {
 		return
 	}
 	current.fleetLogged = loggedFleet{version: fleet.Version(), at: time.Now()}
 	telemetry.Info(d.logger, "fleet in force", "version", fleet.Version(), "engines", fleet.EngineCount(), "advertised", fleet.Advertised(),
-		"gateways", len(current.gateways), "ledgers", fleet.LedgerCount(), "leads", d.core.Leads(0))
+		"gateways", current.spread.Ready(), "ledgers", fleet.LedgerCount(), "leads", d.core.Leads(0))
 }
 
 // Send is the core's outlet to other control processes.
