A call that is not sent after all is taken off its engine

Cause: a call is counted at the engine that was chosen for it, and the last look at its key and its tenant's limit comes after the choice; where that refused the call, the count stayed for as long as the gateway lived. With tenants each such refusal made the engine look one request fuller, here and, by the loads, everywhere.

TestCallsThatAreNotSent fails without it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -89,6 +89,7 @@
 			continue
 		}
 		if failure := d.maySend(ctx, c, mayHaveRun); failure != nil {
+			d.engines.notSent(chosen, clock.NowMs())
 			return failure
 		}
 		engine := chosen.engine
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -196,6 +196,13 @@
 	}, true
 }
 
+// notSent takes a call off the engine that was chosen for it, where it is not sent after all.
+func (e *engines) notSent(chosen choice, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	chosen.health.Ended(nowMs)
+}
+
 // firstEvent notes how long an engine took for the first event of a stream.
 func (e *engines) firstEvent(c *call, took float64) {
 	e.mutex.Lock()
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -72,3 +73,29 @@
 		So(affineEngine(nil, "e"), ShouldEqual, "e")
 	})
 }
+
+// TestCallsThatAreNotSent answers keys that lose their proof between the choice of an engine
+// and the send.
+func TestCallsThatAreNotSent(t *testing.T) {
+	Convey("a call that is not sent after all is not counted at the engine", t, func() {
+		stand := newTenantStand(t, answerSigned)
+		looks := 0
+		stand.gateway.proofAge = func() (time.Duration, bool) {
+			looks++
+			if looks > 1 {
+				return testBound, true
+			}
+			return 0, true
+		}
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", testKey)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(looks, ShouldBeGreaterThan, 1)
+		So(stand.runs.Load(), ShouldEqual, 0)
+		inFlight := 0
+		for _, health := range stand.gateway.engines.health {
+			inFlight += health.InFlight
+		}
+		So(inFlight, ShouldEqual, 0)
+	})
+}
