A call that excludes an idle engine does not make its pool count as full

Cause: Cell.Decide skips all later calls of a pool once one found no open engine, also where the open ones are only those that this call has excluded. Now a call that excludes engines says nothing for others; test with two engines.

--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -121,7 +121,7 @@
 		}
 		engine, open := c.place(call)
 		if engine == nil {
-			full[call.Pool] = !open
+			full[call.Pool] = !open && len(call.Excluded) == 0
 			still = append(still, call)
 			continue
 		}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -154,3 +154,20 @@
 		}
 	}
 }
+
+// TestExcludedEngineIsNotFull answers a call that waits for one engine while another is idle,
+// because that call has excluded the other: calls behind it that have not must not wait too.
+func TestExcludedEngineIsNotFull(t *testing.T) {
+	cell := &Cell{Policy: DefaultPolicy(), Engines: []*Engine{
+		{Name: "full", Pool: "p", Ready: true, Slots: 1, InFlight: 1},
+		{Name: "idle", Pool: "p", Ready: true, Slots: 1},
+	}}
+	cell.Waiting = []*Call{
+		{ID: 1, Pool: "p", Rank: 0, Excluded: map[string]bool{"idle": true}},
+		{ID: 2, Pool: "p", Rank: 1},
+	}
+	decision := cell.Decide(0)
+	if len(decision.Starts) != 1 || decision.Starts[0].Call.ID != 2 {
+		t.Fatalf("started %+v", decision.Starts)
+	}
+}
