--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -105,6 +105,8 @@
 	if gateway := request.Gateway; gateway != nil {
 		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return c.notInFleet(load.Engine) })
 		c.loads.Report(gateway.Name, loads, c.nowMs)
+		usages := slices.DeleteFunc(request.Usages, func(usage scheduling.Usage) bool { return c.notInFleet(usage.Engine) })
+		c.loads.ReportUsage(usages, c.nowMs)
 		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, c.notInFleet), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
@@ -178,7 +180,7 @@
 	summed := c.loads != nil && c.nowMs-c.leadingSinceMs >= loadsSummedMs
 	if request.WithLoads && summed {
 		summed := c.news.loadsOf(c.loads, fleet, scope, c.nowMs)
-		reply.Loads, reply.Failing = summed.loads, summed.failing
+		reply.Loads, reply.Usages, reply.Failing = summed.loads, summed.usages, summed.failing
 	}
 	if request.Gateway != nil && summed {
 		reply.Late = c.loads.Late(c.nowMs)
--- a/internal/control/news.go
+++ b/internal/control/news.go
@@ -25,6 +25,7 @@
 type summedLoads struct {
 	atMs    int64
 	loads   *protocol.Shared[[]scheduling.Load]
+	usages  *protocol.Shared[[]scheduling.Usage]
 	failing []string
 }
 
@@ -81,7 +82,8 @@
 	}
 	engines := fleet.AdvertisedTo(scope)
 	known = summedLoads{
-		atMs: nowMs, loads: protocol.NewShared(board.Loads(engines, nowMs)), failing: board.Failing(engines, scope.Zone, nowMs),
+		atMs: nowMs, loads: protocol.NewShared(board.Loads(engines, nowMs)),
+		usages: protocol.NewShared(board.Usages(engines, nowMs)), failing: board.Failing(engines, scope.Zone, nowMs),
 	}
 	n.loads[scope] = known
 	return known
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -48,6 +48,8 @@
 	// OnLoads takes what all gateways together have seen of engines, and those at which
 	// requests of several of them fail; nil where nobody asks.
 	OnLoads func(loads []scheduling.Load, failing []string)
+	// OnUsages takes what all gateways together know of the engines' use; nil where nobody asks.
+	OnUsages func(usages []scheduling.Usage)
 	// OnLate takes what all gateways together have seen of streams; nil where nobody asks.
 	OnLate func(shares []scheduling.LateShare)
 	Logger log.Logger
@@ -169,6 +171,9 @@
 	if f.OnLoads != nil && reply.Loads != nil {
 		f.loadsAt = time.Now()
 		f.OnLoads(reply.Loads.Value, reply.Failing)
+		if f.OnUsages != nil && reply.Usages != nil {
+			f.OnUsages(reply.Usages.Value)
+		}
 	}
 	return true
 }
--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -59,10 +60,14 @@
 		"engine", c.engine, "home", c.home, "in_flight", c.chosen.inFlight, "candidates", c.chosen.candidates,
 		"company", int(c.chosen.company), "shared_age_ms", c.chosen.sharedAgeMs, "missing", c.chosen.missing,
 		"cost_ms", int64(c.chosen.cost), "next_cost_ms", int64(c.chosen.nextCost), "home_cost_ms", int64(c.chosen.homeCost),
-		"sent_ms", c.sent.Milliseconds(),
+		"sent_ms", c.sent.Milliseconds(), "slowness", decimals(c.chosen.slowness), "home_slowness", decimals(c.chosen.homeSlowness),
+		"turns_left", decimals(c.chosen.turns),
 	}
 }
 
+// decimals shortens a ratio for the log.
+func decimals(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
+
 // ledgerFields say how long the ledger took for a turn.
 func (c *call) ledgerFields() []any {
 	if !c.isTurn() {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -93,6 +93,7 @@
 	d.follower.OnNews = d.follow
 	d.proofAge = d.follower.ProofAge
 	d.follower.OnLoads = d.takeShared
+	d.follower.OnUsages = func(usages []scheduling.Usage) { d.engines.takeSharedUsages(usages, clock.NowMs()) }
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
 	return d
 }
@@ -121,6 +122,7 @@
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
+	request.Usages = d.engines.takeUsages(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
 	request.Late = d.engines.lateNews(clock.NowMs())
 }
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -48,6 +48,10 @@
 	events     int64
 	firstEvent time.Time
 	lastEvent  time.Time
+	// pauses counts the pauses between events of the present attempt, and shortestPause is
+	// the shortest of them, milliseconds.
+	pauses        int
+	shortestPause float64
 	// output gathers the events' data of a turn that is kept.
 	output []byte
 	status int
@@ -135,6 +139,8 @@
 	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, started: true}
 	flusher, _ := a.writer.(http.Flusher)
 	a.continued = a.started
+	a.pauses = 0
+	defer func() { a.daemon.engines.streamPaced(c, a.pauses, a.shortestPause) }()
 	if !a.started {
 		// A stream that is taken up at another engine keeps the first one's head.
 		a.writeHead(exchange.Response, -1)
@@ -216,7 +222,12 @@
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
-		a.daemon.engines.nextEvent(c, milliseconds(now.Sub(a.lastEvent)))
+		gap := milliseconds(now.Sub(a.lastEvent))
+		a.daemon.engines.nextEvent(c, gap)
+		if a.pauses == 0 || gap < a.shortestPause {
+			a.shortestPause = gap
+		}
+		a.pauses++
 	}
 	a.lastEvent = now
 }
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -97,6 +97,12 @@
 	cost        float64
 	nextCost    float64
 	homeCost    float64
+	// slowness and homeSlowness are how many times longer than usual a token is expected to
+	// take at the engine and at the one that holds what the session has read, 0 for none;
+	// turns is how many turns the session is expected to have yet.
+	slowness     float64
+	homeSlowness float64
+	turns        float64
 }
 
 // choose picks the engine for a call and counts it as under way there.
@@ -114,11 +120,17 @@
 	demand.Zone = e.zone
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
+	if demand.Stream {
+		demand.Turns = e.poolOf(backend).RemainingTurns(demand.Kind, len(demand.Prompt))
+	}
 	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
 	if !found {
 		return choice{}, false
 	}
 	e.activity.note(demand.NowMs)
+	if demand.Stream && len(demand.Avoid) == 0 {
+		e.poolOf(backend).TurnSent(demand.Kind, len(demand.Prompt))
+	}
 	health := chosen.Candidate.Health
 	health.Sent(demand.NowMs)
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
@@ -126,6 +138,7 @@
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
 		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost,
+		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns,
 	}, true
 }
 
@@ -148,6 +161,14 @@
 	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), nowMs, gap)
 }
 
+// streamPaced notes the pauses between the events of a stream that an engine sent: how many
+// there were and the shortest, milliseconds.
+func (e *engines) streamPaced(c *call, pauses int, shortest float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.poolOf(c.backend.Name).StreamPaced(e.healthOf(c.engine), clock.NowMs(), pauses, shortest)
+}
+
 // ended takes a call off its engine and notes how it went.
 func (e *engines) ended(c *call, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
@@ -209,3 +230,28 @@
 	}
 	return suspected
 }
+
+// takeUsages returns what this gateway has seen of the engines' use since the last call.
+func (e *engines) takeUsages(nowMs int64) []scheduling.Usage {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var usages []scheduling.Usage
+	for id, health := range e.health {
+		if usage, said := health.TakeUsage(id, nowMs); said {
+			usages = append(usages, usage)
+		}
+	}
+	return usages
+}
+
+// takeSharedUsages takes what all gateways together know of the engines' use.
+func (e *engines) takeSharedUsages(usages []scheduling.Usage, nowMs int64) {
+	if e.disabled.Has(scheduling.MechanismShared) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, usage := range usages {
+		e.healthOf(usage.Engine).TakeSharedUsage(usage, nowMs)
+	}
+}
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -46,6 +46,8 @@
 	Ledger  *membership.LedgerReport `msgpack:"d,omitempty"`
 	// Loads is what the gateway has seen of engines since its last heartbeat.
 	Loads []scheduling.Load `msgpack:"o,omitempty"`
+	// Usages is what it has seen of their speed; releases that know nothing of it pass it over.
+	Usages []scheduling.Usage `msgpack:"x,omitempty"`
 	// Failing are the engines at which the gateway's requests fail.
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what the gateway has seen of streams since its last heartbeat.
@@ -86,6 +88,8 @@
 	Routing *Shared[routing.Delta] `msgpack:"r,omitempty"`
 	// Loads is what all gateways together have seen of engines, where it was asked for.
 	Loads *Shared[[]scheduling.Load] `msgpack:"o,omitempty"`
+	// Usages is what all gateways together know of their speed; it comes with Loads.
+	Usages *Shared[[]scheduling.Usage] `msgpack:"x,omitempty"`
 	// Failing are the engines at which requests of several gateways fail; it comes with Loads.
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what all gateways together have seen of streams, with every answer to one.
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -11,8 +11,10 @@
 	Zone   string
 	Slots  int
 	Health *EngineHealth
-	// order is the engine's place in the order of one request.
-	order uint64
+	// order is the engine's place in the order of one request, and slowness how many times
+	// longer than usual a token takes there.
+	order    uint64
+	slowness float64
 }
 
 // Demand is what decides where a request goes.
@@ -40,8 +42,14 @@
 	Disabled Disabled
 	NowMs    int64
 
-	// slowFrom is the factor from which an engine counts as slow.
+	// Turns is how many turns the request's session is expected to have yet, this one
+	// included; 0 where that is not known.
+	Turns float64
+
+	// slowFrom is the factor from which an engine counts as slow, and quickest the least
+	// slowness of the engines compared that have room, 0 where none has.
 	slowFrom float64
+	quickest float64
 }
 
 // keyed reports whether an engine should see the requests of a key together.
@@ -61,6 +69,10 @@
 	NextCost float64
 	// HomeCost is what it would cost at the session's home, 0 where there is none.
 	HomeCost float64
+	// Slowness is how many times longer than usual a token is expected to take there, and
+	// HomeSlowness the same at the session's home, 0 where there is none.
+	Slowness     float64
+	HomeSlowness float64
 
 	unsound, slow, full, far int
 }
@@ -75,7 +87,7 @@
 func Choose(pool *Pool, candidates []Candidate, demand Demand) (Choice, bool) {
 	var best, next Choice
 	found, second := false, false
-	homeCost := 0.0
+	homeCost, homeSlowness := 0.0, 0.0
 	demand.slowFrom = slowFrom(candidates, demand.NowMs)
 	if demand.Disabled.Has(MechanismSlow) {
 		demand.slowFrom = math.Inf(1)
@@ -83,10 +95,16 @@
 	if demand.Disabled.Has(MechanismHome) {
 		demand.Home = ""
 	}
-	for _, candidate := range compared(candidates, demand) {
+	if demand.Stream && !demand.Disabled.Has(MechanismSpeed) {
+		pool.learnSpeeds(candidates, demand.NowMs)
+	}
+	chosen := compared(candidates, demand)
+	demand.quickest = quickest(chosen, demand.NowMs)
+	for _, candidate := range chosen {
 		choice := pool.weigh(candidate, demand)
 		if candidate.ID == demand.Home {
 			homeCost = choice.Cost
+			homeSlowness = candidate.slowness
 		}
 		switch {
 		case !found || choice.less(best):
@@ -98,6 +116,8 @@
 	}
 	best.NextCost = next.Cost
 	best.HomeCost = homeCost
+	best.HomeSlowness = homeSlowness
+	best.Slowness = best.Candidate.slowness
 	return best, found
 }
 
@@ -156,20 +176,17 @@
 // where its home is slow or turns it away: in an overload all are full, and reading anew
 // adds to it.
 func (p *Pool) streamCost(candidate Candidate, demand Demand, missing int64) float64 {
-	factor := candidate.Health.Factor(demand.NowMs)
-	if factor < demand.slowFrom {
-		factor = 1
-	}
+	slowness := candidate.slowness
 	events := p.expectedEvents(demand.NowMs, demand.Events)
 	usual := p.streamMs(demand.NowMs, events)
 	company := candidate.Health.Company(demand.NowMs)
 	met, _ := p.company.At(demand.NowMs).own()
-	cost := factor * usual
 	tokenMs := p.tokenMs()
 	if demand.Disabled.Has(MechanismReading) {
 		tokenMs = unknownTokenMs
 	}
-	cost += factor * float64(missing) * tokenMs * (1 + met)
+	readMs := tokenMs * (1 + met)
+	cost := slowness*(usual+float64(missing)*readMs) + demand.later(slowness, usual, readMs)
 	switch demand.Home {
 	case "":
 	case candidate.ID:
@@ -177,13 +194,38 @@
 	default:
 		company = max(company, met)
 	}
-	cost += queueing(candidate, company) * usual
+	cost += slowness * queueing(candidate, company) * usual
 	if !demand.Disabled.Has(MechanismCompany) {
-		cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
+		cost += slowness * sharedCost * company * p.companyMs(events, usual, candidate.Slots)
 	}
 	return cost + farMs*float64(far(candidate, demand))
 }
 
+// later is what the further turns of a session cost more than at the quickest engine with
+// room, where it goes on at one of some slowness. It is bounded by what moving the session at
+// its next turn would cost: one that can move cheaply need not care now.
+func (d Demand) later(slowness, usualMs, readMs float64) float64 {
+	if d.Turns <= 1 || d.quickest <= 0 || slowness <= d.quickest {
+		return 0
+	}
+	tokens := 0.0
+	for _, part := range d.Prompt {
+		tokens += float64(part.Tokens)
+	}
+	return min((d.Turns-1)*(slowness-d.quickest)*usualMs, d.quickest*tokens*readMs)
+}
+
+// quickest returns the least slowness of the engines that have room, 0 where none has.
+func quickest(candidates []Candidate, nowMs int64) float64 {
+	least := 0.0
+	for _, candidate := range candidates {
+		if queueing(candidate, candidate.Health.Company(nowMs)) == 0 && (least == 0 || candidate.slowness < least) {
+			least = candidate.slowness
+		}
+	}
+	return least
+}
+
 // sharedCost is how often the cost of company counts: for the stream and for its company.
 const sharedCost = 2
 
--- a/internal/scheduling/evidence.go
+++ b/internal/scheduling/evidence.go
@@ -17,6 +17,8 @@
 	Weight float64 `msgpack:"w"`
 	// AtMs is when the sums were last brought up to date.
 	AtMs int64 `msgpack:"-"`
+	// HalfLifeMs is when a sample counts half; evidenceHalfLifeMs where it is 0.
+	HalfLifeMs int64 `msgpack:"-"`
 }
 
 // Add takes a sample that counts for a weight.
@@ -37,7 +39,11 @@
 // nothing.
 func (e *Evidence) ageTo(nowMs int64) {
 	if e.Weight > 0 && nowMs > e.AtMs {
-		factor := math.Exp2(-float64(nowMs-e.AtMs) / evidenceHalfLifeMs)
+		halfLifeMs := e.HalfLifeMs
+		if halfLifeMs == 0 {
+			halfLifeMs = evidenceHalfLifeMs
+		}
+		factor := math.Exp2(-float64(nowMs-e.AtMs) / float64(halfLifeMs))
 		e.Sum *= factor
 		e.Weight *= factor
 	}
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -19,6 +19,8 @@
 	own    Evidence
 	news   Evidence
 	shared Evidence
+	// pace is what is known of the engine's speed over a longer time.
+	pace enginePace
 	// pauses gathers the pauses between events for the next sample.
 	pauses pauseWindow
 	// sharedInFlight is how many requests all gateways had under way at sharedMs, and
--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -113,6 +113,8 @@
 	late map[string]*Evidence
 	// failing are the gateways whose requests fail at an engine, with when they last said so.
 	failing map[string]map[string]witness
+	// usages holds what is known of engines over a longer time than their loads.
+	usages  map[string]*usageEntry
 	sweptMs int64
 	// expiredMs is when old counts were last taken out.
 	expiredMs int64
@@ -120,7 +122,7 @@
 
 // NewBoard returns a board that has heard nothing.
 func NewBoard() *Board {
-	return &Board{engines: map[string]*boardEntry{}, late: map[string]*Evidence{}, failing: map[string]map[string]witness{}}
+	return &Board{engines: map[string]*boardEntry{}, late: map[string]*Evidence{}, failing: map[string]map[string]witness{}, usages: map[string]*usageEntry{}}
 }
 
 // maxLateShares bounds the back ends of one report.
@@ -176,6 +178,7 @@
 // sweep forgets engines that nobody speaks of any more and gateways that fell silent.
 func (b *Board) sweep(nowMs int64) {
 	b.sweepFailing(nowMs)
+	b.sweepUsages(nowMs)
 	for engine, entry := range b.engines {
 		if nowMs-entry.heardMs > loadSweepMs {
 			delete(b.engines, engine)
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -17,6 +17,8 @@
 	MechanismShared Mechanism = "shared"
 	// MechanismSlow tells slow engines from others.
 	MechanismSlow Mechanism = "slow"
+	// MechanismSpeed goes by how quick each engine is.
+	MechanismSpeed Mechanism = "speed"
 	// MechanismSuspicion passes engines over that have just failed.
 	MechanismSuspicion Mechanism = "suspicion"
 	// MechanismDrawing compares a few engines drawn at random in place of all.
@@ -40,7 +42,7 @@
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
+		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 		MechanismAdmission,
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -20,9 +20,13 @@
 	events      Evidence
 	// company is how many requests a stream met at its engine.
 	company Evidence
+	// paced is what tells the speeds of engines apart.
+	paced paced
 	// took is the mean time of whole answers by kind of request, and of the shortest of a
 	// few pauses.
 	took map[string]*Evidence
+	// turns are the turns of sessions by kind of request.
+	turns map[string]*turnCounts
 }
 
 const (
@@ -53,6 +57,7 @@
 // FirstEvent learns from the first event of a stream that came took after its send to an
 // engine that had tokens to read.
 func (p *Pool) FirstEvent(health *EngineHealth, nowMs int64, tokens int64, took float64) {
+	took /= health.Slowness()
 	p.reading.Add(nowMs, float64(tokens), took)
 	p.firstEvents.Add(nowMs, took, 1)
 	p.tokens.Add(nowMs, float64(tokens), 1)
@@ -67,8 +72,9 @@
 // few pauses tells a slow engine from a busy one: at a busy one the reading of others
 // makes some of them long, at a slow one none is short.
 func (p *Pool) NextEvent(health *EngineHealth, nowMs int64, gap float64) {
-	p.pace.Add(nowMs, gap, eventWeight)
-	p.pausing.Add(nowMs, max(health.Company(nowMs)-1, 0), gap)
+	even := gap / health.Slowness()
+	p.pace.Add(nowMs, even, eventWeight)
+	p.pausing.Add(nowMs, max(health.Company(nowMs)-1, 0), even)
 	if shortest, enough := health.pauses.add(nowMs, gap); enough {
 		p.Answered(health, nowMs, pauseKind, shortest)
 	}
@@ -82,14 +88,7 @@
 
 // Answered learns from a whole answer of a kind of request.
 func (p *Pool) Answered(health *EngineHealth, nowMs int64, kind string, took float64) {
-	mean, known := p.took[kind]
-	if !known {
-		if p.took == nil || len(p.took) >= maxKinds {
-			p.took = map[string]*Evidence{}
-		}
-		mean = &Evidence{}
-		p.took[kind] = mean
-	}
+	mean := entryOfKind(&p.took, kind)
 	usual, some := mean.At(nowMs).own()
 	if !some {
 		usual = took
