--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -50,6 +50,8 @@
 	// slowness of the engines compared that have room, 0 where none has.
 	slowFrom float64
 	quickest float64
+	// meanInFlight is the mean of the requests under way at an engine.
+	meanInFlight float64
 }
 
 // keyed reports whether an engine should see the requests of a key together.
@@ -98,6 +100,7 @@
 	if demand.Stream && !demand.Disabled.Has(MechanismSpeed) {
 		pool.learnSpeeds(candidates, demand.NowMs)
 	}
+	demand.meanInFlight = meanInFlight(candidates, demand.NowMs)
 	chosen := compared(candidates, demand)
 	demand.quickest = quickest(chosen, demand.NowMs)
 	for _, candidate := range chosen {
@@ -181,12 +184,16 @@
 	usual := p.streamMs(demand.NowMs, events)
 	company := candidate.Health.Company(demand.NowMs)
 	met, _ := p.company.At(demand.NowMs).own()
+	met = min(met, demand.meanInFlight)
 	tokenMs := p.tokenMs()
 	if demand.Disabled.Has(MechanismReading) {
 		tokenMs = unknownTokenMs
 	}
 	readMs := tokenMs * (1 + met)
-	cost := slowness*(usual+float64(missing)*readMs) + demand.later(slowness, usual, readMs)
+	alone := p.aloneMs(events)
+	readAloneMs := min(p.readAloneMs(demand.NowMs), tokenMs)
+	cost := slowness*(alone+float64(missing)*readAloneMs) + float64(missing)*(readMs-readAloneMs)
+	cost += demand.later(slowness, alone, readMs)
 	switch demand.Home {
 	case "":
 	case candidate.ID:
@@ -215,6 +222,15 @@
 	return min((d.Turns-1)*(slowness-d.quickest)*usualMs, d.quickest*tokens*readMs)
 }
 
+// meanInFlight returns the mean of the requests that are expected under way at engines.
+func meanInFlight(candidates []Candidate, nowMs int64) float64 {
+	total := 0.0
+	for _, candidate := range candidates {
+		total += candidate.Health.Company(nowMs)
+	}
+	return total / float64(max(len(candidates), 1))
+}
+
 // quickest returns the least slowness of the engines that have room, 0 where none has.
 func quickest(candidates []Candidate, nowMs int64) float64 {
 	least := 0.0
--- a/internal/scheduling/closedloop_test.go
+++ b/internal/scheduling/closedloop_test.go
@@ -70,6 +70,11 @@
 	missing int64
 	sentMs  int64
 	lastMs  int64
+	// pauses counts the pauses between events, and shortest is the shortest of them.
+	pauses   int
+	shortest float64
+	// slots is how many requests each engine works on at once.
+	slots int
 }
 
 // loop is one run.
@@ -93,12 +98,26 @@
 	begun    int
 	rejected int
 	inTime   int
+	// slots is how many requests an engine works on at once.
+	slots int
+	// speeds are the engines'; nil where they are alike. clocks are what of the virtual time
+	// each has had, microseconds: the time of a slow engine, or of one in a spell, runs slower.
+	speeds []float64
+	spells bool
+	clocks []float64
+	// population is how many programs are under way at all times, 0 where they come as they do.
+	population int
+	// ended counts the turns that ended after learntMs, and busy adds up those under way.
+	ended int
+	busy  int
+	probe func()
 }
 
 func newLoop(seed uint64, hardware engine.Hardware, policy decide) *loop {
 	l := &loop{
 		draw: rand.New(rand.NewPCG(seed, 3)), board: scheduling.NewBoard(), decide: policy,
 		turns: map[string]*loopTurn{}, due: map[int64][]*loopProgram{}, first: map[int64][]float64{},
+		slots: hardware.MaxSequences, clocks: make([]float64, loopEngines),
 	}
 	for range loopEngines {
 		l.models = append(l.models, emulator.NewModel(hardware))
@@ -122,15 +141,16 @@
 		if nowMs >= burstFromMs && (nowMs < burstToMs || l.overload) {
 			rate *= burstFactor
 		}
-		if l.draw.Float64() < rate {
+		if l.population == 0 && l.draw.Float64() < rate {
 			l.begin(nowMs)
 		}
+		l.passTime(nowMs)
 		for _, program := range l.due[nowMs] {
 			l.send(program, nowMs)
 		}
 		delete(l.due, nowMs)
 		for number, model := range l.models {
-			l.take(number, model.Advance(nowMs*1000), nowMs)
+			l.take(number, model.Advance(int64(l.clocks[number])), nowMs)
 		}
 		if nowMs%(loopShareMs/loopGateways) == 0 {
 			l.share(l.gateways[int(nowMs/(loopShareMs/loopGateways))%loopGateways], nowMs)
@@ -140,6 +160,17 @@
 
 // begin starts a program: a short one with long inputs, or now and then a long one.
 func (l *loop) begin(nowMs int64) {
+	program := l.newProgram()
+	if l.admits && !l.admit(program, nowMs) {
+		l.rejected++
+		return
+	}
+	l.begun++
+	l.send(program, nowMs)
+}
+
+// newProgram returns a program that has not begun.
+func (l *loop) newProgram() *loopProgram {
 	l.nextID++
 	program := &loopProgram{id: l.nextID, turns: 4, tokens: 1_030, home: -1}
 	if l.nextID%4 == 0 {
@@ -147,12 +178,7 @@
 	}
 	shared := uint64(1 + l.draw.IntN(sharedParts))
 	program.history = []emulator.Segment{{Chain: shared, Tokens: sharedTokens}}
-	if l.admits && !l.admit(program, nowMs) {
-		l.rejected++
-		return
-	}
-	l.begun++
-	l.send(program, nowMs)
+	return program
 }
 
 // admit has a gateway decide whether a program may begin.
@@ -171,7 +197,7 @@
 	chain := uint64(program.id)<<16 + uint64(program.turns)<<1
 	program.history = append(program.history, emulator.Segment{Chain: chain, Tokens: program.tokens})
 	gateway := l.gateways[l.draw.IntN(loopGateways)]
-	turn := &loopTurn{program: program, gateway: gateway, sentMs: nowMs}
+	turn := &loopTurn{program: program, gateway: gateway, sentMs: nowMs, slots: l.slots}
 	turn.engine = l.decide(gateway, turn, nowMs)
 	l.sent++
 	if program.home >= 0 && program.home != turn.engine {
@@ -182,7 +208,7 @@
 	l.turns[id] = turn
 	l.models[turn.engine].Submit(emulator.Job{
 		ID: id, Program: fmt.Sprint(program.id), Segments: slices.Clone(program.history), OutputTokens: outputTokens, AnswerChain: chain + 1,
-	}, nowMs*1000)
+	}, int64(l.clocks[turn.engine]))
 }
 
 // take hands an engine's progress to the gateways and goes on with the programs.
@@ -204,6 +230,10 @@
 			gap := float64(nowMs - turn.lastMs)
 			turn.gateway.pool.NextEvent(health, nowMs, gap)
 			turn.gateway.pace[number] += 0.015 * (gap - turn.gateway.pace[number])
+			if turn.pauses == 0 || gap < turn.shortest {
+				turn.shortest = gap
+			}
+			turn.pauses++
 			turn.lastMs = nowMs
 		}
 		if step.Done {
@@ -216,6 +246,10 @@
 	delete(l.turns, id)
 	turn.gateway.health[number].Ended(nowMs)
 	turn.gateway.pool.StreamEnded(nowMs, outputTokens/eventTokens)
+	turn.gateway.pool.StreamPaced(turn.gateway.health[number], nowMs, turn.pauses, turn.shortest)
+	if nowMs >= learntMs {
+		l.ended++
+	}
 	turn.gateway.inFlight[number]--
 	program := turn.program
 	last := program.history[len(program.history)-1]
@@ -224,22 +258,35 @@
 	if program.turns--; program.turns > 0 {
 		at := nowMs + thinkMs
 		l.due[at] = append(l.due[at], program)
-	} else if !program.late {
+		return
+	}
+	if !program.late {
 		l.inTime++
 	}
+	if l.population > 0 {
+		l.begin(nowMs)
+	}
 }
 
 // share is a gateway's heartbeat.
 func (l *loop) share(gateway *loopGateway, nowMs int64) {
 	var loads []scheduling.Load
+	var usages []scheduling.Usage
 	var names []string
 	for number, health := range gateway.health {
 		names = append(names, fmt.Sprintf("e%02d", number))
+		if usage, said := health.TakeUsage(names[number], nowMs); said {
+			usages = append(usages, usage)
+		}
 		if load, said := health.TakeLoad(names[number], nowMs); said {
 			loads = append(loads, load)
 		}
 	}
 	l.board.Report(gateway.name, loads, nowMs)
+	l.board.ReportUsage(usages, nowMs)
+	for _, usage := range l.board.Usages(names, nowMs) {
+		gateway.health[slices.Index(names, usage.Engine)].TakeSharedUsage(usage, nowMs)
+	}
 	for _, load := range l.board.Loads(names, nowMs) {
 		var number int
 		if _, err := fmt.Sscanf(load.Engine, "e%02d", &number); err == nil {
@@ -265,9 +312,12 @@
 func zoneName(zone int) string { return fmt.Sprint("z", zone) }
 
 // present is the policy in force.
-func present(draw *rand.Rand) decide {
+func present(draw *rand.Rand) decide { return presentWithout(draw, nil) }
+
+// presentWithout is the policy in force without some mechanisms.
+func presentWithout(draw *rand.Rand, disabled scheduling.Disabled) decide {
 	return func(gateway *loopGateway, turn *loopTurn, nowMs int64) int {
-		demand := scheduling.Demand{Stream: true, Zone: zoneName(gateway.zone), Events: 2 * outputTokens / eventTokens, Draw: draw.Uint64(), NowMs: nowMs}
+		demand := scheduling.Demand{Stream: true, Zone: zoneName(gateway.zone), Events: 2 * outputTokens / eventTokens, Draw: draw.Uint64(), NowMs: nowMs, Disabled: disabled}
 		for number, segment := range turn.program.history {
 			part := scheduling.PromptPart{ID: fmt.Sprint(segment.Chain), Tokens: segment.Tokens}
 			if number == 0 {
@@ -275,12 +325,14 @@
 			}
 			demand.Prompt = append(demand.Prompt, part)
 		}
+		demand.Turns = gateway.pool.RemainingTurns("", len(demand.Prompt))
+		gateway.pool.TurnSent("", len(demand.Prompt))
 		if turn.program.home >= 0 {
 			demand.Home = fmt.Sprintf("e%02d", turn.program.home)
 		}
 		var candidates []scheduling.Candidate
 		for number, health := range gateway.health {
-			candidates = append(candidates, scheduling.Candidate{ID: fmt.Sprintf("e%02d", number), Zone: zoneName(number % loopZones), Slots: loopSlots, Health: health})
+			candidates = append(candidates, scheduling.Candidate{ID: fmt.Sprintf("e%02d", number), Zone: zoneName(number % loopZones), Slots: turn.slots, Health: health})
 		}
 		choice, _ := scheduling.Choose(gateway.pool, candidates, demand)
 		choice.Candidate.Health.Sent(nowMs)
--- a/internal/scheduling/compared.go
+++ b/internal/scheduling/compared.go
@@ -13,10 +13,6 @@
 	// others are compared, besides the one that holds the session's memory.
 	nearCompared = 2
 	farCompared  = 1
-	// samplingPower is the power of an engine's speed by which it is drawn. With 1 slow engines
-	// are drawn as often as their share of the work at the most; with 2 quick ones are found
-	// also where they are few.
-	samplingPower = 2
 )
 
 // compared returns the engines that a request compares: those that were not tried, and
@@ -31,7 +27,7 @@
 		if demand.keyed() {
 			candidate.order = xxhash.Sum64String(candidate.ID + "\x00" + demand.Key)
 		} else {
-			candidate.order = shuffled(candidate.ID, demand.Draw, candidate.slowness)
+			candidate.order = shuffled(candidate.ID, demand.Draw)
 		}
 		left = append(left, candidate)
 	}
@@ -59,22 +55,11 @@
 }
 
 // shuffled returns an engine's place in an order that a draw decides: another draw gives
-// an order that has nothing to do with it. The quicker an engine, the more often it is among
-// the first (weighted random sampling, Efraimidis and Spirakis, 2006): otherwise a request
-// whose sample holds slow engines only would have to go to one.
-func shuffled(engine string, draw uint64, slowness float64) uint64 {
+// an order that has nothing to do with it.
+func shuffled(engine string, draw uint64) uint64 {
 	digest := xxhash.NewWithSeed(draw)
 	_, _ = digest.WriteString(engine)
-	if slowness == 1 {
-		return digest.Sum64()
-	}
-	const (
-		largest      = 1 << 64
-		largestPlace = 1 - 1.0/(1<<53)
-	)
-	uniform := (float64(digest.Sum64()) + 1) / (largest + 2)
-	place := 1 - math.Pow(1-uniform, math.Pow(slowness, samplingPower))
-	return uint64(min(place, largestPlace) * largest)
+	return digest.Sum64()
 }
 
 // firstOf returns the home and the first engines of the request's zone and of others,
--- a/internal/scheduling/evidence.go
+++ b/internal/scheduling/evidence.go
@@ -157,3 +157,13 @@
 
 // significantDeviations is how many standard errors a slope must be above zero.
 const significantDeviations = 1.5
+
+// Intercept returns what the line gives at zero, at least 0, or the mean of the samples where
+// they show no slope; false where there are none.
+func (l *Line) Intercept() (float64, bool) {
+	if l.weight < minimumWeight {
+		return 0, false
+	}
+	slope, _ := l.Slope()
+	return max((l.sumY-slope*l.sumX)/l.weight, 0), true
+}
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -22,6 +22,10 @@
 	company Evidence
 	// paced is what tells the speeds of engines apart.
 	paced paced
+	// reads gathers the times to the first event over the tokens read, and leastRead is the
+	// mean of the shortest of a few.
+	reads     pauseWindow
+	leastRead Evidence
 	// took is the mean time of whole answers by kind of request, and of the shortest of a
 	// few pauses.
 	took map[string]*Evidence
@@ -37,6 +41,9 @@
 	maxKinds = 512
 	// largestFactor bounds how many times longer than usual one sample may count.
 	largestFactor = 10
+	// leastReadTokens is from how many tokens on the time to the first event says something of
+	// reading them.
+	leastReadTokens = 256
 	// eventWeight is what one pause counts for: those of one stream say much the same.
 	eventWeight = 0.2
 )
@@ -59,6 +66,12 @@
 func (p *Pool) FirstEvent(health *EngineHealth, nowMs int64, tokens int64, took float64) {
 	took /= health.Slowness()
 	p.reading.Add(nowMs, float64(tokens), took)
+	if tokens >= leastReadTokens {
+		if shortest, enough := p.reads.add(nowMs, took/float64(tokens)); enough {
+			p.leastRead.HalfLifeMs = usualPaceHalfLifeMs
+			p.leastRead.Add(nowMs, shortest, 1)
+		}
+	}
 	p.firstEvents.Add(nowMs, took, 1)
 	p.tokens.Add(nowMs, float64(tokens), 1)
 	rest := max(took-float64(tokens)*p.tokenMs(), 0)
@@ -117,6 +130,25 @@
 	return wait + events*pace
 }
 
+// aloneMs is how long a stream is expected to take beyond the reading at an engine that is
+// like the others and works on nothing else.
+func (p *Pool) aloneMs(events float64) float64 {
+	wait, _ := p.waiting.Intercept()
+	pace, _ := p.pausing.Intercept()
+	return wait + events*pace
+}
+
+// readAloneMs is what reading a token takes an engine that is like the others and reads
+// nothing else: at most the shortest of a few times to the first event shows. In an overload
+// the slope over the tokens holds what others have read meanwhile; it then says what reading
+// costs all, but not how much sooner a quick engine would have done it.
+func (p *Pool) readAloneMs(nowMs int64) float64 {
+	if least, known := p.leastRead.At(nowMs).own(); known {
+		return min(p.tokenMs(), least)
+	}
+	return p.tokenMs()
+}
+
 // expectedEvents is how many events a stream is expected to have, at most as many as it
 // may.
 func (p *Pool) expectedEvents(nowMs int64, most int64) float64 {
--- a/internal/scheduling/speed.go
+++ b/internal/scheduling/speed.go
@@ -19,7 +19,9 @@
 	independentSamples = 16
 	// speedMargin is how many times more than by chance engines must differ before their
 	// speeds count at all.
-	speedMargin = 2
+	speedMargin = 4
+	// largestCrowding bounds what company may explain of one sample.
+	largestCrowding = 4.0
 	// gaugeSamples draws the mean pace of all engines towards 1, so that ratios that several
 	// gateways learn from each other do not drift together.
 	gaugeSamples = 2
@@ -33,6 +35,9 @@
 	// spread is the mean squared deviation of one sample from its engine's mean, as a share
 	// of the mean.
 	spread Evidence
+	// crowding is a sample over the other requests at its engine: what more company makes of a
+	// pause is no speed of the engine.
+	crowding Line
 }
 
 // StreamPaced learns from the pauses of a stream that ended, broke off or was cancelled: how
@@ -49,7 +54,7 @@
 	if !known {
 		expected = shortest / health.Slowness()
 	}
-	ratio := shortest / expected
+	ratio := p.paced.alone(health, nowMs, shortest/expected)
 	before, weight := health.paceMean(nowMs)
 	if weight > minimumWeight {
 		ratio = min(ratio, clippedPace*before)
@@ -61,6 +66,20 @@
 	health.sawPace(nowMs, ratio)
 }
 
+// alone returns a sample as it would be with as many requests at its engine as at others on
+// the mean.
+func (p *paced) alone(health *EngineHealth, nowMs int64, ratio float64) float64 {
+	others := max(health.Company(nowMs)-1, 0)
+	p.crowding.Add(nowMs, others, ratio/health.Slowness())
+	slope, known := p.crowding.Slope()
+	if !known {
+		return ratio
+	}
+	meanOthers, meanRatio := p.crowding.sumX/p.crowding.weight, p.crowding.sumY/p.crowding.weight
+	crowded := (meanRatio + slope*(others-meanOthers)) / meanRatio
+	return ratio / min(max(crowded, 1/largestCrowding), largestCrowding)
+}
+
 // learnSpeeds brings the slowness of all engines up to nowMs. Each engine's mean is drawn
 // towards that of all by as much as chance explains of their differences (James and Stein,
 // Estimation with Quadratic Loss, 1961): engines that are alike stay alike, and one that is
