Memory: tokens held at engines, shared; one rank for the turns of programs that have begun

So the turns of programs that have begun get one rank, and requests beyond an engine's memory are priced by what they push out. Not yet measured.

--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -106,7 +106,7 @@
 		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return c.notInFleet(load.Engine) })
 		c.loads.Report(gateway.Name, loads, c.nowMs)
 		usages := slices.DeleteFunc(request.Usages, func(usage scheduling.Usage) bool { return c.notInFleet(usage.Engine) })
-		c.loads.ReportUsage(usages, c.nowMs)
+		c.loads.ReportUsage(gateway.Name, usages, c.nowMs)
 		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, c.notInFleet), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 	mayHaveRun := false
 	rounds := 0
 	for {
-		chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
+		chosen, found := d.engines.choose(c.backend, d.demand(c, avoid))
 		if !found {
 			rounds++
 			if mayHaveRun || !d.waitForRoom(ctx, c, rounds) {
@@ -168,6 +168,7 @@
 		demand.Home = c.home
 		demand.Prompt = c.prefix
 		demand.Events = c.most / max(c.backend.EventTokens, 1)
+		demand.HoldTokens = scheduling.PromptTokens(c.prefix) + c.most
 	case c.route.Affinity:
 		demand.Key = c.affinity
 	}
@@ -240,11 +241,17 @@
 }
 
 // priority is the call's rank at the engine, 0 first: a program that can't end in
-// time any more makes way for those that can.
-func (c *call) priority() int {
+// time any more makes way for those that can. The turns of programs that have begun have one
+// rank, the most urgent: an engine that is short preempts the newest of the least urgent
+// requests in the middle of its stream, which reads its whole prompt again, and what a program
+// has cost so far is lost with its time. Invariant: no rank is served after a less urgent one.
+func (c *call) priority(disabled scheduling.Disabled) int {
 	if c.programLate {
 		return lowestPriority
 	}
+	if c.begun && !disabled.Has(scheduling.MechanismProgramRank) {
+		return 0
+	}
 	return min(c.tenant.Rank(c.route), lowestPriority-1)
 }
 
@@ -266,7 +273,7 @@
 		header.Set(d.headers.LastEventID, strconv.FormatInt(c.lastEvent, 10))
 	}
 	if c.route.Kind == routing.KindStream && !d.process.Policy.Disable.Has(scheduling.MechanismRank) {
-		header.Set(d.headers.Priority, strconv.Itoa(c.priority()))
+		header.Set(d.headers.Priority, strconv.Itoa(c.priority(d.process.Policy.Disable)))
 	}
 	request := &upstream.Request{
 		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host, Header: header,
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -7,6 +7,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
@@ -103,17 +104,23 @@
 	slowness     float64
 	homeSlowness float64
 	turns        float64
+	// holds is what the request takes of the engine's memory, heldTokens what others were
+	// expected to take before, and pushed by how much that exceeds it.
+	holds      int64
+	heldTokens int64
+	pushed     int64
 }
 
 // choose picks the engine for a call and counts it as under way there.
-func (e *engines) choose(backend string, slots int, demand scheduling.Demand) (choice, bool) {
+func (e *engines) choose(backend routing.Backend, demand scheduling.Demand) (choice, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	pool := e.byPool[backend]
+	pool := e.byPool[backend.Name]
 	candidates := make([]scheduling.Candidate, 0, len(pool))
 	for _, engine := range pool {
 		candidate := scheduling.Candidate{
-			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, slots), Health: e.healthOf(engine.ID),
+			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, backend.Slots), MemoryTokens: backend.MemoryTokens,
+			Health: e.healthOf(engine.ID),
 		}
 		candidates = append(candidates, candidate)
 	}
@@ -121,23 +128,26 @@
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
 	if demand.Stream {
-		demand.Turns = e.poolOf(backend).RemainingTurns(demand.Kind, len(demand.Prompt))
+		demand.Turns = e.poolOf(backend.Name).RemainingTurns(demand.Kind, len(demand.Prompt))
 	}
-	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
+	chosen, found := scheduling.Choose(e.poolOf(backend.Name), candidates, demand)
 	if !found {
 		return choice{}, false
 	}
 	e.activity.note(demand.NowMs)
 	if demand.Stream && len(demand.Avoid) == 0 {
-		e.poolOf(backend).TurnSent(demand.Kind, len(demand.Prompt))
+		e.poolOf(backend.Name).TurnSent(demand.Kind, len(demand.Prompt))
 	}
 	health := chosen.Candidate.Health
 	health.Sent(demand.NowMs)
+	heldBefore := health.HeldTokens(demand.NowMs)
+	health.Hold(demand.NowMs, demand.HoldTokens)
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
 		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost,
+		holds: demand.HoldTokens, heldTokens: int64(heldBefore), pushed: chosen.Pushed,
 		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns,
 	}, true
 }
@@ -175,6 +185,7 @@
 	defer e.mutex.Unlock()
 	health := e.healthOf(c.engine)
 	health.Ended(nowMs)
+	health.Release(nowMs, c.chosen.holds)
 	switch attempt.kind {
 	case attemptAnswered:
 		health.Succeeded()
--- a/internal/gateway/fleetsize_test.go
+++ b/internal/gateway/fleetsize_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
@@ -44,7 +45,7 @@
 			e.follow(viewOf(engines))
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, found := e.choose("b", 6, scheduling.Demand{Stream: true, NowMs: 1000, Events: 4}); !found {
+				if _, found := e.choose(routing.Backend{Name: "b", Slots: 6}, scheduling.Demand{Stream: true, NowMs: 1000, Events: 4}); !found {
 					b.Fatal("no engine")
 				}
 			}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -71,6 +71,9 @@
 	// Slots is how many requests an engine works on at once; zero where the back
 	// end does not say.
 	Slots int `msgpack:"s,omitempty" json:"slots,omitempty"`
+	// MemoryTokens is how many tokens an engine's memory holds, of running requests and of what
+	// is kept of prompts; zero where the back end does not say.
+	MemoryTokens int64 `msgpack:"m,omitempty" json:"memory_tokens,omitempty"`
 	// EventTokens is how many tokens one event of a stream holds.
 	EventTokens int64 `msgpack:"e,omitempty" json:"event_tokens,omitempty"`
 }
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -7,10 +7,12 @@
 
 // Candidate is an engine to which a request may go.
 type Candidate struct {
-	ID     string
-	Zone   string
-	Slots  int
-	Health *EngineHealth
+	ID    string
+	Zone  string
+	Slots int
+	// MemoryTokens is how many tokens the engine's memory holds, 0 where that is not known.
+	MemoryTokens int64
+	Health       *EngineHealth
 	// order is the engine's place in the order of one request, and slowness how many times
 	// longer than usual a token takes there.
 	order    uint64
@@ -26,6 +28,8 @@
 	Kind string
 	// Home is the engine that most likely holds what the request's session has read.
 	Home string
+	// HoldTokens is what the request takes of an engine's memory while it runs.
+	HoldTokens int64
 	// Prompt are the parts of the prompt, and Events how many events there may be at most.
 	Prompt []PromptPart
 	Events int64
@@ -71,6 +75,8 @@
 	NextCost float64
 	// HomeCost is what it would cost at the session's home, 0 where there is none.
 	HomeCost float64
+	// Pushed is how many tokens of running requests are expected to have to make way there.
+	Pushed int64
 	// Slowness is how many times longer than usual a token is expected to take there, and
 	// HomeSlowness the same at the session's home, 0 where there is none.
 	Slowness     float64
@@ -142,7 +148,10 @@
 	switch {
 	case demand.Stream:
 		choice.Missing = missingTokens(candidate, demand)
-		choice.Cost = p.streamCost(candidate, demand, choice.Missing)
+		if !demand.Disabled.Has(MechanismMemory) {
+			choice.Pushed = pushedTokens(candidate, demand)
+		}
+		choice.Cost = p.streamCost(candidate, demand, choice.Missing, choice.Pushed)
 	case demand.keyed():
 		choice.far = far(candidate, demand)
 		if candidate.Health.Factor(demand.NowMs) >= demand.slowFrom {
@@ -178,7 +187,10 @@
 // home does not leave it because there is less company elsewhere for the moment, but only
 // where its home is slow or turns it away: in an overload all are full, and reading anew
 // adds to it.
-func (p *Pool) streamCost(candidate Candidate, demand Demand, missing int64) float64 {
+//
+// What running requests lose of the engine's memory to this one is read again, with as much
+// company: where all are short of memory, the fewest tokens are pushed out.
+func (p *Pool) streamCost(candidate Candidate, demand Demand, missing, pushed int64) float64 {
 	slowness := candidate.slowness
 	events := p.expectedEvents(demand.NowMs, demand.Events)
 	usual := p.streamMs(demand.NowMs, events)
@@ -194,6 +206,7 @@
 	readAloneMs := min(p.readAloneMs(demand.NowMs), tokenMs)
 	cost := slowness*(alone+float64(missing)*readAloneMs) + float64(missing)*(readMs-readAloneMs)
 	cost += demand.later(slowness, alone, readMs)
+	cost += slowness * float64(pushed) * readMs
 	switch demand.Home {
 	case "":
 	case candidate.ID:
@@ -215,11 +228,7 @@
 	if d.Turns <= 1 || d.quickest <= 0 || slowness <= d.quickest {
 		return 0
 	}
-	tokens := 0.0
-	for _, part := range d.Prompt {
-		tokens += float64(part.Tokens)
-	}
-	return min((d.Turns-1)*(slowness-d.quickest)*usualMs, d.quickest*tokens*readMs)
+	return min((d.Turns-1)*(slowness-d.quickest)*usualMs, d.quickest*float64(PromptTokens(d.Prompt))*readMs)
 }
 
 // meanInFlight returns the mean of the requests that are expected under way at engines.
@@ -268,6 +277,16 @@
 	return max(inFlight+1-float64(candidate.Slots), 0) / float64(candidate.Slots)
 }
 
+// pushedTokens is by how many tokens the requests that run at an engine and this one exceed its
+// memory.
+func pushedTokens(candidate Candidate, demand Demand) int64 {
+	if candidate.MemoryTokens <= 0 {
+		return 0
+	}
+	held := int64(candidate.Health.HeldTokens(demand.NowMs))
+	return max(min(held+demand.HoldTokens-candidate.MemoryTokens, demand.HoldTokens), 0)
+}
+
 // missingTokens is what an engine must read of the prompt: at the session's home only the
 // last part, elsewhere all of it. What others have had an engine read of the shared first
 // parts is not known; it does not tell the engines apart.
@@ -278,9 +297,5 @@
 	if candidate.ID == demand.Home {
 		return demand.Prompt[len(demand.Prompt)-1].Tokens
 	}
-	missing := int64(0)
-	for _, part := range demand.Prompt {
-		missing += part.Tokens
-	}
-	return missing
+	return PromptTokens(demand.Prompt)
 }
--- a/internal/scheduling/choice_test.go
+++ b/internal/scheduling/choice_test.go
@@ -158,3 +158,40 @@
 		So(ParsePrompt(""), ShouldBeEmpty)
 	})
 }
+
+func TestMemoryOfEngines(t *testing.T) {
+	prompt := []PromptPart{{"shared", 500}, {"own", 3000}}
+	demand := Demand{Stream: true, Zone: "near", Events: 10, Prompt: prompt, HoldTokens: 3600, NowMs: 1000}
+	held := func(tokens ...int64) []Candidate {
+		all := candidates(len(tokens))
+		for number := range all {
+			all[number].MemoryTokens = 40_000
+			all[number].Health.Hold(1000, tokens[number])
+		}
+		return all
+	}
+	Convey("a new session goes where it pushes nothing out", t, func() {
+		for number := range 30 {
+			demand := demand
+			demand.Draw = draw(number)
+			So(choose(reader(0.02, 1000), held(39_000, 10_000), demand).ID, ShouldEqual, "e1")
+		}
+	})
+	Convey("where all are short, where it pushes the fewest tokens", t, func() {
+		for number := range 30 {
+			demand := demand
+			demand.Draw = draw(number)
+			So(choose(reader(0.02, 1000), held(39_000, 37_000), demand).ID, ShouldEqual, "e1")
+		}
+	})
+	Convey("and where memory is not known, or the mechanism is off, it does not count", t, func() {
+		chosen := map[string]bool{}
+		for number := range 30 {
+			demand := demand
+			demand.Draw = draw(number)
+			demand.Disabled = Disabled{MechanismMemory}
+			chosen[choose(reader(0.02, 1000), held(39_000, 10_000), demand).ID] = true
+		}
+		So(len(chosen), ShouldEqual, 2)
+	})
+}
--- a/internal/scheduling/closedloop_test.go
+++ b/internal/scheduling/closedloop_test.go
@@ -283,7 +283,7 @@
 		}
 	}
 	l.board.Report(gateway.name, loads, nowMs)
-	l.board.ReportUsage(usages, nowMs)
+	l.board.ReportUsage(gateway.name, usages, nowMs)
 	for _, usage := range l.board.Usages(names, nowMs) {
 		gateway.health[slices.Index(names, usage.Engine)].TakeSharedUsage(usage, nowMs)
 	}
--- a/internal/scheduling/health.go
+++ b/internal/scheduling/health.go
@@ -21,6 +21,8 @@
 	shared Evidence
 	// pace is what is known of the engine's speed over a longer time.
 	pace enginePace
+	// held is what requests under way take of the engine's memory.
+	held heldTokens
 	// pauses gathers the pauses between events for the next sample.
 	pauses pauseWindow
 	// sharedInFlight is how many requests all gateways had under way at sharedMs, and
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -19,6 +19,8 @@
 	MechanismSlow Mechanism = "slow"
 	// MechanismSpeed goes by how quick each engine is.
 	MechanismSpeed Mechanism = "speed"
+	// MechanismMemory keeps requests from engines whose memory they would exceed.
+	MechanismMemory Mechanism = "memory"
 	// MechanismSuspicion passes engines over that have just failed.
 	MechanismSuspicion Mechanism = "suspicion"
 	// MechanismDrawing compares a few engines drawn at random in place of all.
@@ -29,6 +31,8 @@
 	MechanismCompany Mechanism = "company"
 	// MechanismRank tells engines the rank of a request.
 	MechanismRank Mechanism = "rank"
+	// MechanismProgramRank gives the turns of programs that have begun one rank at engines.
+	MechanismProgramRank Mechanism = "program-rank"
 	// MechanismTakeUp takes a broken stream up at another engine.
 	MechanismTakeUp Mechanism = "take-up"
 	// MechanismNearReads reads histories from a replica in the zone.
@@ -42,9 +46,9 @@
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismSuspicion, MechanismDrawing,
+		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismMemory, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
-		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
+		MechanismCompany, MechanismRank, MechanismProgramRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 		MechanismAdmission,
 	}
 }
--- a/internal/scheduling/prompt.go
+++ b/internal/scheduling/prompt.go
@@ -12,6 +12,15 @@
 	Tokens int64
 }
 
+// PromptTokens adds up the parts of a prompt.
+func PromptTokens(parts []PromptPart) int64 {
+	total := int64(0)
+	for _, part := range parts {
+		total += part.Tokens
+	}
+	return total
+}
+
 // maxPromptParts bounds the parts of a prompt that are looked at.
 const maxPromptParts = 512
 
