--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,12 +80,17 @@
 type Policy struct {
 	// Disable lists mechanisms that are turned off, to measure what they are worth.
 	Disable scheduling.Disabled `yaml:"disable,omitempty" validate:"dive,mechanism"`
+	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
+	// way there: more where traffic between zones is dear.
+	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
 }
 
 // Limits are what the machine grants the process.
 type Limits struct {
 	// MemoryMB is the memory above which the process is killed; 0 for no bound.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// CPUShare is the share of a core that the process may use; 0 where it is not known.
+	CPUShare float64 `yaml:"cpu_share" validate:"min=0,max=1024"`
 	// HeaderBytes bounds the header of a caller's request.
 	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
 	// GraceSeconds is how long a stopping process may take before it is killed.
@@ -97,6 +102,11 @@
 	// QuotaWindowSeconds is the span over which tenants' limits are counted: in any such
 	// span a tenant gets at most rate x span + burst.
 	QuotaWindowSeconds float64 `yaml:"quota_window_s" validate:"min=0,max=3600"`
+	// QuotaOverage and QuotaSlack are by how much of a limit, and by how many requests, the
+	// requests of a span may exceed it before it counts as broken. Programs that have begun may
+	// use half of it, new ones never; with 0 and 0 nothing goes beyond a limit.
+	QuotaOverage float64 `yaml:"quota_overage" validate:"min=0,max=1"`
+	QuotaSlack   float64 `yaml:"quota_slack" validate:"min=0,max=1000000"`
 }
 
 // graceMargin is what a stopping process leaves of its grace.
@@ -209,6 +219,7 @@
 		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
 		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
 		Log:      Log{Level: "info"},
+		Policy:   Policy{CrossZonePenaltyMs: scheduling.DefaultCrossZonePenaltyMs},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
 	}
 }
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -1,9 +1,9 @@
 package control
 
 import (
-	"slices"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -14,10 +14,6 @@
 const (
 	// orderTimeout is below the second after which callers turn to another process.
 	orderTimeout = 900 * time.Millisecond
-	// maxDirectoryAddresses bounds one answer to a caller that asks where to go.
-	maxDirectoryAddresses = 64
-	// fewGatewaysNear is how many gateways of the caller's own zone are enough.
-	fewGatewaysNear = 2
 )
 
 // order has the leader carry out a fleet order.
@@ -36,25 +32,45 @@
 // ReportEngine takes an engine's report of itself; it returns once what is new of
 // it is committed.
 func (d *Daemon) ReportEngine(engine membership.ServingEngine) *result.Error {
-	failure := d.order(&protocol.FleetOrder{Report: &engine}).Error
+	reply := d.order(&protocol.FleetOrder{Report: &engine, Incarnations: true})
+	if reply.Void != "" {
+		d.noteVoid(engine.Incarnation(), reply.Void)
+	}
 	if engine.Draining {
 		telemetry.Info(d.logger, "engine report", "engine", engine.ID, "backend", engine.Backend, "draining", engine.Draining,
-			"sequence", engine.Sequence, "err", failure)
-	} else if failure != nil {
+			"born", engine.Born, "sequence", engine.Sequence, "err", reply.Error)
+	} else if reply.Error != nil {
 		d.reportsRefused.Add(1)
 		d.refusalLog.Do(func() {
-			telemetry.Warn(d.logger, "engine reports not taken", "engine", engine.ID, "sequence", engine.Sequence, "err", failure,
+			telemetry.Warn(d.logger, "engine reports not taken", "engine", engine.ID, "sequence", engine.Sequence, "err", reply.Error,
 				"reports", d.reportsRefused.Swap(0))
 		})
 	}
-	return failure
+	return reply.Error
 }
 
 // EngineLeaves takes an engine's word that it ends.
-func (d *Daemon) EngineLeaves(id string) *result.Error {
-	failure := d.order(&protocol.FleetOrder{Leave: id}).Error
-	telemetry.Info(d.logger, "engine leaves", "engine", id, "err", failure)
-	return failure
+func (d *Daemon) EngineLeaves(life membership.Incarnation) *result.Error {
+	reply := d.order(&protocol.FleetOrder{Leave: life.ID, LeaveBorn: life.Born, Incarnations: true})
+	if reply.Void != "" {
+		d.noteVoid(life, reply.Void)
+	}
+	telemetry.Info(d.logger, "engine leaves", "engine", life.ID, "born", life.Born, "err", reply.Error)
+	return reply.Error
+}
+
+// ReportIgnored notes a report that names no engine to use.
+func (d *Daemon) ReportIgnored(engine, reason string) {
+	d.noteVoid(membership.Incarnation{ID: engine}, reason)
+}
+
+// noteVoid counts a report that changed nothing, and writes one line a voidLogEvery.
+func (d *Daemon) noteVoid(life membership.Incarnation, reason string) {
+	d.reportsVoid.WithLabelValues(reason).Inc()
+	d.voidCount.Add(1)
+	d.voidLog.Do(func() {
+		telemetry.Warn(d.logger, "engine reports void", "engine", life.ID, "born", life.Born, "reason", reason, "reports", d.voidCount.Swap(0))
+	})
 }
 
 // ReplaceRouting puts a whole routing table in force where its generation is above
@@ -89,28 +105,11 @@
 	return reply.Done, reply.Error
 }
 
-// Gateways returns the addresses of ready gateways for a caller: those of its zone,
-// and the others after them where the zone has few. It answers from what this
-// process knows.
-func (d *Daemon) Gateways(zone, region string) []string {
-	var near, far, farther []string
-	for _, gateway := range d.status.Load().gateways {
-		switch {
-		case !gateway.Ready:
-		case gateway.Zone == zone:
-			near = append(near, gateway.Address)
-		case gateway.Region == region:
-			far = append(far, gateway.Address)
-		default:
-			farther = append(farther, gateway.Address)
-		}
-	}
-	addresses := near
-	if len(addresses) < fewGatewaysNear {
-		addresses = slices.Concat(near, far)
-	}
-	if len(addresses) < fewGatewaysNear {
-		addresses = slices.Concat(near, far, farther)
-	}
-	return addresses[:min(len(addresses), maxDirectoryAddresses)]
+// Gateways returns the addresses of the gateways that a caller should use, and for how long it may
+// hold them. It answers from what this process knows.
+func (d *Daemon) Gateways(caller membership.Caller) ([]string, time.Duration) {
+	d.lookUpsMutex.Lock()
+	heldMs := d.lookUps.Answer(clock.NowMs())
+	d.lookUpsMutex.Unlock()
+	return d.status.Load().spread.Named(caller), time.Duration(heldMs) * time.Millisecond
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -146,8 +147,10 @@
 	lastBalanceMs  int64
 	heardMs        map[string]int64
 	revisions      map[string]uint64
-	unformed       map[string]consensus.ReplicaID
-	candidates     map[string]*candidate
+	// knowIncarnations are the other processes whose replicas know incarnations of engines.
+	knowIncarnations map[string]bool
+	unformed         map[string]consensus.ReplicaID
+	candidates       map[string]*candidate
 
 	tracker *membership.Tracker
 	permits *reconcile.Permits
@@ -155,7 +158,9 @@
 	// fleetTracker is the leader's soft state of the fleet, nil elsewhere.
 	fleetTracker *membership.FleetTracker
 	// loads is what gateways have said of engines to this leader, nil elsewhere.
-	loads      *scheduling.Board
+	loads *scheduling.Board
+	// uses is what gateways have said of tenants to this leader, nil elsewhere.
+	uses       *admission.UseBoard
 	fleetSyncs []pendingFleetSync
 	// reports are those of engines that the leader is told of in lists.
 	reports engineReports
@@ -178,7 +183,9 @@
 	draining    bool
 	// leaderSeenMs is when the settings group was last known to have a leader.
 	leaderSeenMs int64
-	// leadingSinceMs is when this process began to lead the settings group.
+	// leadingTerm is the term in which this process last led the settings group, and
+	// leadingSinceMs when that began.
+	leadingTerm    uint64
 	leadingSinceMs int64
 }
 
@@ -193,7 +200,7 @@
 func NewCore(options Options, disk Storage, outlet Outlet, nowMs int64) (*Core, error) {
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, startMs: nowMs, lastTickMs: nowMs,
-		heardMs: map[string]int64{}, revisions: map[string]uint64{}, unformed: map[string]consensus.ReplicaID{},
+		heardMs: map[string]int64{}, revisions: map[string]uint64{}, knowIncarnations: map[string]bool{}, unformed: map[string]consensus.ReplicaID{},
 		candidates: map[string]*candidate{}, reports: newEngineReports(),
 	}
 	core.host = replication.NewHost(hostOptions(options), disk, core.sendBatch)
@@ -324,6 +331,7 @@
 	}
 	c.checkPeers()
 	c.noteLeader()
+	c.followTerm()
 	c.tickLeader()
 	c.expireSyncs()
 	c.expireFleetSyncs()
@@ -347,7 +355,7 @@
 		for _, member := range c.memberNames() {
 			if member != c.options.Name {
 				c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
-					From: c.options.Name, Revision: c.Revision(), Engines: c.engineList(member),
+					From: c.options.Name, Revision: c.Revision(), Engines: c.engineList(member), Incarnations: true,
 				})
 			}
 		}
@@ -393,17 +401,19 @@
 	c.setNow(nowMs)
 	c.heardMs[batch.From] = nowMs
 	c.revisions[batch.From] = batch.Revision
+	c.knowIncarnations[batch.From] = batch.Incarnations
 	if !c.formed {
 		return
 	}
 	c.host.Step(batch)
+	c.followTerm()
 	c.takeEngineList(batch.From, batch.Engines)
 }
 
 // sendBatch is the host's way to another control process.
 func (c *Core) sendBatch(member string, messages []protocol.PeerMessage) {
 	c.outlet.Send(member, protocol.KindPeer, protocol.PeerBatch{
-		From: c.options.Name, Revision: c.Revision(), Messages: messages,
+		From: c.options.Name, Revision: c.Revision(), Messages: messages, Incarnations: true,
 	})
 }
 
--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -21,6 +21,16 @@
 // this much later, against the seconds for which it may get work.
 const fleetNewsEveryMs = 100
 
+const (
+	// leastHoldMs is how long a gateway's heartbeat without news is held at the least: a gateway
+	// that stands still is noticed when its next heartbeat is overdue, so that its callers lose
+	// what they send it for half of this time more on the mean.
+	leastHoldMs = 250
+	// heldEndsPerSecond bounds the heartbeats of gateways that end for want of news, so that what
+	// they cost the leader does not grow with the gateways.
+	heldEndsPerSecond = 300
+)
+
 // pendingFleetSync is a heartbeat of a gateway or ledger host that waits for news.
 type pendingFleetSync struct {
 	id      RequestID
@@ -39,7 +49,7 @@
 		c.outlet.Reply(id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 		return
 	}
-	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + request.HoldMs}
+	pending := pendingFleetSync{id: id, request: request, deadlineMs: c.nowMs + c.holdMs(request)}
 	if request.Gateway != nil {
 		pending.number = c.fleetTracker.HeardGateway(request.Gateway.Name, c.nowMs)
 	}
@@ -52,6 +62,16 @@
 	c.proveFleetSyncs()
 }
 
+// holdMs returns how long a heartbeat without news is held: as long as its sender allows, and a
+// gateway's no longer than the leader can afford to hear it again.
+func (c *Core) holdMs(request *protocol.FleetSync) int64 {
+	if request.Gateway == nil {
+		return request.HoldMs
+	}
+	affordedMs := int64(c.system.fleet.GatewayCount()) * 1000 / heldEndsPerSecond
+	return min(request.HoldMs, max(leastHoldMs, affordedMs))
+}
+
 // holdFleetSync answers a heartbeat for which there is news and holds any other.
 func (c *Core) holdFleetSync(pending pendingFleetSync) {
 	if pending.request.HoldMs == 0 || c.hasFleetNews(pending.request) {
@@ -72,8 +92,12 @@
 	batch := c.unproved
 	c.unproved = nil
 	c.proving = true
+	tracker := c.fleetTracker
 	c.host.Read(c.host.Groups[0], func(failure *result.Error) {
 		c.proving = false
+		if failure == nil && c.fleetTracker != tracker {
+			failure = result.New(result.NotLeader, "leadership moved on")
+		}
 		for _, pending := range batch {
 			if failure != nil {
 				c.answerFleetSync(pending, &protocol.FleetSyncReply{Error: failure})
@@ -93,7 +117,7 @@
 // answerFleetSync answers a heartbeat; from then on the next one is expected.
 func (c *Core) answerFleetSync(pending pendingFleetSync, reply *protocol.FleetSyncReply) {
 	if pending.request.Gateway != nil && c.fleetTracker != nil {
-		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, c.nowMs)
+		c.fleetTracker.AnsweredGateway(pending.request.Gateway.Name, pending.number, reply.Fleet == nil && reply.Routing == nil, c.nowMs)
 	}
 	reply.Confirmed = reply.Confirmed || (pending.proved && reply.Error == nil)
 	c.outlet.Reply(pending.id, reply)
@@ -103,12 +127,17 @@
 func (c *Core) noteSender(group *replication.Group, request *protocol.FleetSync) {
 	var update membership.FleetUpdate
 	if gateway := request.Gateway; gateway != nil {
-		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return c.notInFleet(load.Engine) })
+		// What a gateway says that does not know of an engine's restart yet is of the life before.
+		void := func(engine string) bool {
+			return c.notInFleet(engine) || request.Version < c.system.fleet.BegunAt(engine)
+		}
+		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return void(load.Engine) })
 		c.loads.Report(gateway.Name, loads, c.nowMs)
-		usages := slices.DeleteFunc(request.Usages, func(usage scheduling.Usage) bool { return c.notInFleet(usage.Engine) })
+		usages := slices.DeleteFunc(request.Usages, func(usage scheduling.Usage) bool { return void(usage.Engine) })
 		c.loads.ReportUsage(gateway.Name, usages, c.nowMs)
-		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, c.notInFleet), c.nowMs)
+		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, void), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
+		c.uses.Report(gateway.Name, request.Uses, c.nowMs)
 		if known, ok := c.system.fleet.Gateway(gateway.Name); !ok || known != *gateway {
 			update.PutGateways = append(update.PutGateways, *gateway)
 		}
@@ -181,6 +210,9 @@
 	if request.WithLoads && summed {
 		summed := c.news.loadsOf(c.loads, fleet, scope, c.nowMs)
 		reply.Loads, reply.Usages, reply.Failing = summed.loads, summed.usages, summed.failing
+		if table := c.system.tree.Routing(); table != nil && table.Keyed {
+			reply.Uses = c.news.usesOf(c.uses, c.nowMs)
+		}
 	}
 	if request.Gateway != nil && summed {
 		reply.Late = c.loads.Late(c.nowMs)
@@ -208,21 +240,21 @@
 	c.fleetSyncs = waiting
 }
 
-// expireFleetSyncs ends the waiting of heartbeats by the clock, or because this
-// process does not lead any more.
+// expireFleetSyncs ends the waiting of heartbeats by the clock.
 func (c *Core) expireFleetSyncs() {
-	if len(c.fleetSyncs) == 0 {
-		return
-	}
-	if c.fleetTracker != nil {
+	if len(c.fleetSyncs) > 0 && c.fleetTracker != nil {
 		c.answerFleetSyncs()
-		return
 	}
+}
+
+// refuseFleetSyncs ends the waiting of heartbeats because their term is over.
+func (c *Core) refuseFleetSyncs() {
 	leader := c.leaderName(c.host.Groups[0])
-	for _, pending := range c.fleetSyncs {
+	for _, pending := range slices.Concat(c.fleetSyncs, c.unproved) {
 		c.outlet.Reply(pending.id, &protocol.FleetSyncReply{Error: result.New(result.NotLeader, "not the leader"), Leader: leader})
 	}
 	c.fleetSyncs = nil
+	c.unproved = nil
 }
 
 // keepTable remembers the tables that were in force lately, so that followers get
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -4,8 +4,11 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -17,25 +20,38 @@
 	mutex  sync.Mutex
 	byPool map[string][]membership.ServingEngine
 	health map[string]*scheduling.EngineHealth
+	// born are the incarnations of the engines that say when they started.
+	born map[string]int64
 	// learnt is what is known of each back end's engines together.
 	learnt   map[string]*scheduling.Pool
 	activity activity
 	// admissions decide which programs may begin at each back end.
 	admissions map[string]*scheduling.Admission
-	zone       string
+	// meter measures the use of tenants here, shares holds that of all gateways' tenants, and
+	// slots those of back ends' engines.
+	meter  *admission.Meter
+	shares admission.Shares
+	slots  map[string]int
+	zone   string
+	// distances are what engines of other zones cost, zones the zones of engines by address.
+	distances scheduling.Distances
+	zones     map[string]string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
 }
 
-func newEngines(zone string, disabled scheduling.Disabled) *engines {
+func newEngines(zone string, policy config.Policy) *engines {
 	return &engines{
-		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{},
-		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: disabled,
+		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, born: map[string]int64{},
+		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: policy.Disable,
+		meter: admission.NewMeter(clock.NowMs()), slots: map[string]int{},
+		distances: scheduling.Distances{PenaltyMs: policy.CrossZonePenaltyMs},
 	}
 }
 
-// follow takes a new view of the fleet and returns the addresses that are gone.
-// Invariant: an engine that drains or has left gets nothing from here on.
+// follow takes a new view of the fleet and returns the addresses that are gone, or whose
+// engine has started again. Invariant: an engine that drains or has left gets nothing from here
+// on.
 func (e *engines) follow(view *membership.FleetView) []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -46,24 +62,71 @@
 		}
 	}
 	e.byPool = map[string][]membership.ServingEngine{}
+	e.zones = map[string]string{}
 	for _, engine := range view.Engines {
 		delete(previous, engine.Address)
+		e.zones[engine.Address] = engine.Zone
 		if !engine.Draining {
 			e.byPool[engine.Backend] = append(e.byPool[engine.Backend], engine)
 		}
 	}
+	gone := e.followIncarnations(view)
 	for id, health := range e.health {
 		if _, known := view.Engines[id]; !known && health.InFlight == 0 {
 			delete(e.health, id)
 		}
 	}
-	var gone []string
 	for address := range previous {
 		gone = append(gone, address)
 	}
 	return gone
 }
 
+// followIncarnations forgets what was learnt of engines that have started again under their
+// ids, and returns their addresses. Invariant: an incarnation begins with nothing said of it;
+// requests that are under way at the one before are counted for that one.
+func (e *engines) followIncarnations(view *membership.FleetView) []string {
+	var restarted []string
+	for id := range e.born {
+		_, told := view.Engines[id]
+		if _, remembered := e.health[id]; !told && !remembered {
+			delete(e.born, id)
+		}
+	}
+	for id, engine := range view.Engines {
+		known := e.born[id]
+		if engine.Born == known {
+			continue
+		}
+		e.born[id] = engine.Born
+		// The first word of when an engine started tells of no other life.
+		if known != 0 {
+			delete(e.health, id)
+			restarted = append(restarted, engine.Address)
+		}
+	}
+	return restarted
+}
+
+// affineEngine returns the id of the engine that a session's last turn ran at. The key of an
+// incarnation that is over stays what it is and names none: it holds nothing of the session.
+func affineEngine(pool []membership.ServingEngine, key string) string {
+	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.HasKey(key) })
+	if position < 0 {
+		return key
+	}
+	return pool[position].ID
+}
+
+// dialed learns the way to an engine's zone from a new connection to it.
+func (e *engines) dialed(address string, took time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if zone, known := e.zones[address]; known {
+		e.distances.Note(zone, took.Seconds()*1000)
+	}
+}
+
 // healthOf returns what this gateway has seen of an engine.
 func (e *engines) healthOf(id string) *scheduling.EngineHealth { return entryOf(e.health, id) }
 
@@ -109,6 +172,8 @@
 	holds      int64
 	heldTokens int64
 	pushed     int64
+	// health is that of the engine's incarnation, which the next one does not take over.
+	health *scheduling.EngineHealth
 }
 
 // choose picks the engine for a call and counts it as under way there.
@@ -124,7 +189,9 @@
 		}
 		candidates = append(candidates, candidate)
 	}
+	demand.Home = affineEngine(pool, demand.Home)
 	demand.Zone = e.zone
+	demand.Distances = &e.distances
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
 	if demand.Stream {
@@ -146,7 +213,7 @@
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
-		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost,
+		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost, health: health,
 		holds: demand.HoldTokens, heldTokens: int64(heldBefore), pushed: chosen.Pushed,
 		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns,
 	}, true
@@ -158,7 +225,7 @@
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
 	e.activity.note(nowMs)
-	e.poolOf(c.backend.Name).FirstEvent(e.healthOf(c.engine), nowMs, c.chosen.missing, took)
+	e.poolOf(c.backend.Name).FirstEvent(c.chosen.health, nowMs, c.chosen.missing, took)
 	e.noteBeginning(c, nowMs, took)
 }
 
@@ -168,7 +235,7 @@
 	defer e.mutex.Unlock()
 	nowMs := clock.NowMs()
 	e.activity.note(nowMs)
-	e.poolOf(c.backend.Name).NextEvent(e.healthOf(c.engine), nowMs, gap)
+	e.poolOf(c.backend.Name).NextEvent(c.chosen.health, nowMs, gap)
 }
 
 // streamPaced notes the pauses between the events of a stream that an engine sent: how many
@@ -176,14 +243,14 @@
 func (e *engines) streamPaced(c *call, pauses int, shortest float64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.poolOf(c.backend.Name).StreamPaced(e.healthOf(c.engine), clock.NowMs(), pauses, shortest)
+	e.poolOf(c.backend.Name).StreamPaced(c.chosen.health, clock.NowMs(), pauses, shortest)
 }
 
 // ended takes a call off its engine and notes how it went.
 func (e *engines) ended(c *call, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	health := e.healthOf(c.engine)
+	health := c.chosen.health
 	health.Ended(nowMs)
 	health.Release(nowMs, c.chosen.holds)
 	switch attempt.kind {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -29,6 +29,8 @@
 	// rankPosition is how many of the ranks in use at the back end are less urgent.
 	rankPosition int
 	ranks        int
+	// weight is the tenant's part in what is shared while a back end is short of room.
+	weight float64
 	// generation is the routing table by which the call was routed.
 	generation uint64
 	started    time.Time
@@ -70,6 +72,8 @@
 	// how long it took the last time.
 	grants  []*quota.Grant
 	granted time.Duration
+	// queued says that it waited for room in its tenant's limit.
+	queued bool
 	// opened and sent are how long after its start the call was opened by the ledger
 	// and sent to its last engine, and kept how long the ledger took to keep it.
 	opened time.Duration
@@ -107,6 +111,7 @@
 	}
 	c.backend = view.routes.Backend(route.Choose(d.draw()))
 	c.rankPosition, c.ranks = view.routes.Position(c.backend.Name, c.tenant, route)
+	c.weight = view.routes.Weight(c.tenant)
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
 	}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -9,9 +9,11 @@
 	"slices"
 	"sync/atomic"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/replication"
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
@@ -47,6 +49,8 @@
 	Replication replication.Options
 	// QuotaWindowMs is the span over which tenants' limits are counted (config.Limits).
 	QuotaWindowMs int64
+	// QuotaTolerance is what programs under way may use beyond a limit (config.Limits).
+	QuotaTolerance quota.Tolerance
 	// DisableBudget turns the check of budgets off, for runs that show what it is
 	// for.
 	DisableBudget bool
@@ -124,7 +128,9 @@
 	// settles are the charges that wait for the next entry of their group.
 	settles map[storage.GroupID][]waitingSettle
 	// quotas grant the requests of tenants in the groups led here.
-	quotas   map[storage.GroupID]*quotaOwner
+	quotas map[storage.GroupID]*quotaOwner
+	// kinds is what was learnt of the kinds of tenants' programs, in all groups led here.
+	kinds    *admission.Kinds
 	draining bool
 
 	quotasGranted atomic.Int64
@@ -139,7 +145,7 @@
 	core := &Core{
 		options: options, storage: disk, outlet: outlet, nowMs: nowMs, lastTickMs: nowMs,
 		leaderlessMs: map[storage.GroupID]int64{}, settles: map[storage.GroupID][]waitingSettle{}, ledSinceMs: map[storage.GroupID]int64{},
-		quotas: map[storage.GroupID]*quotaOwner{},
+		quotas: map[storage.GroupID]*quotaOwner{}, kinds: admission.NewKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, disk, func(member string, messages []protocol.PeerMessage) {
 		outlet.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
@@ -258,6 +264,7 @@
 	c.setNow(nowMs)
 	if nowMs-c.lastTickMs >= c.options.TickMs {
 		c.lastTickMs = nowMs
+		c.tickQuotas()
 		for _, group := range c.host.Groups {
 			c.proposeSettles(group)
 			group.Node.Tick()
@@ -270,7 +277,6 @@
 	if nowMs-c.lastSweepMs >= sweepEveryMs {
 		c.lastSweepMs = nowMs
 		c.sweep()
-		c.dropQuotas()
 	}
 	c.host.Expire()
 }
@@ -301,7 +307,7 @@
 func (c *Core) Drain() {
 	c.draining = true
 	for _, group := range c.host.Groups {
-		c.handOver(group)
+		c.handOver(group, anyMember)
 	}
 }
 
@@ -310,18 +316,22 @@
 	return !slices.ContainsFunc(c.host.Groups, (*replication.Group).Leads)
 }
 
-// handOver gives leadership to any voter that is heard and has the whole log.
-func (c *Core) handOver(group *replication.Group) {
+// handOver gives leadership to a voter that is heard, has the whole log and is eligible.
+func (c *Core) handOver(group *replication.Group, eligible func(member string) bool) {
 	if !group.Leads() {
 		return
 	}
 	for _, replica := range group.Node.Configuration().Replicas {
-		if replica.ID != group.Node.ID() && group.Node.RecentlyActive(replica.ID) && group.Node.TransferLeadership(replica.ID) {
+		candidate := replica.ID != group.Node.ID() && eligible(replica.Member) && group.Node.RecentlyActive(replica.ID)
+		if candidate && group.Node.TransferLeadership(replica.ID) {
 			return
 		}
 	}
 }
 
+// anyMember makes every voter eligible: a host that stops leaves its groups to whoever can lead.
+func anyMember(string) bool { return true }
+
 // sweep forgets expired turns and idle budgets in the groups led here.
 func (c *Core) sweep() {
 	for _, group := range c.host.Groups {
--- a/internal/scheduling/closedloop_speed_test.go
+++ b/internal/scheduling/closedloop_speed_test.go
@@ -38,9 +38,6 @@
 	}
 	if nowMs >= learntMs {
 		l.busy += len(l.turns)
-		if l.probe != nil {
-			l.probe()
-		}
 	}
 }
 
--- a/internal/scheduling/closedloop_test.go
+++ b/internal/scheduling/closedloop_test.go
@@ -110,7 +110,9 @@
 	// ended counts the turns that ended after learntMs, and busy adds up those under way.
 	ended int
 	busy  int
-	probe func()
+	// began and onEnd, where set, hear of first events and of turns that have ended.
+	began func(turn *loopTurn, tookMs float64)
+	onEnd func(turn *loopTurn, nowMs int64)
 }
 
 func newLoop(seed uint64, hardware engine.Hardware, policy decide) *loop {
@@ -221,6 +223,9 @@
 			took := float64(nowMs - turn.sentMs)
 			second := turn.sentMs / 1000
 			l.first[second] = append(l.first[second], took)
+			if l.began != nil {
+				l.began(turn, took)
+			}
 			turn.gateway.pool.FirstEvent(health, nowMs, turn.missing, took)
 			turn.gateway.admission.Began(nowMs, took > loopTargetMs)
 			turn.program.late = turn.program.late || took > loopTargetMs
@@ -244,6 +249,9 @@
 
 func (l *loop) end(id string, turn *loopTurn, number int, nowMs int64) {
 	delete(l.turns, id)
+	if l.onEnd != nil {
+		l.onEnd(turn, nowMs)
+	}
 	turn.gateway.health[number].Ended(nowMs)
 	turn.gateway.pool.StreamEnded(nowMs, outputTokens/eventTokens)
 	turn.gateway.pool.StreamPaced(turn.gateway.health[number], nowMs, turn.pauses, turn.shortest)
--- a/internal/scheduling/usage.go
+++ b/internal/scheduling/usage.go
@@ -142,13 +142,6 @@
 	return usages
 }
 
-// Forget drops what is known of an engine that began anew under its name.
-func (b *Board) Forget(engine string) {
-	delete(b.engines, engine)
-	delete(b.usages, engine)
-	delete(b.failing, engine)
-}
-
 // sweepUsages forgets engines of which nobody has spoken for long.
 func (b *Board) sweepUsages(nowMs int64) {
 	for engine, entry := range b.usages {
