Memory: only what runs holds it, and no session leaves its engine for it; one rank given up

What waits for a slot holds no memory, and memory is evened out by where new sessions go, as load is.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -241,17 +241,11 @@
 }
 
 // priority is the call's rank at the engine, 0 first: a program that can't end in
-// time any more makes way for those that can. The turns of programs that have begun have one
-// rank, the most urgent: an engine that is short preempts the newest of the least urgent
-// requests in the middle of its stream, which reads its whole prompt again, and what a program
-// has cost so far is lost with its time. Invariant: no rank is served after a less urgent one.
-func (c *call) priority(disabled scheduling.Disabled) int {
+// time any more makes way for those that can.
+func (c *call) priority() int {
 	if c.programLate {
 		return lowestPriority
 	}
-	if c.begun && !disabled.Has(scheduling.MechanismProgramRank) {
-		return 0
-	}
 	return min(c.tenant.Rank(c.route), lowestPriority-1)
 }
 
@@ -273,7 +267,7 @@
 		header.Set(d.headers.LastEventID, strconv.FormatInt(c.lastEvent, 10))
 	}
 	if c.route.Kind == routing.KindStream && !d.process.Policy.Disable.Has(scheduling.MechanismRank) {
-		header.Set(d.headers.Priority, strconv.Itoa(c.priority(d.process.Policy.Disable)))
+		header.Set(d.headers.Priority, strconv.Itoa(c.priority()))
 	}
 	request := &upstream.Request{
 		Method: c.request.Method, URI: c.request.RequestURI, Host: c.request.Host, Header: header,
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -42,8 +42,6 @@
 	turn    string
 	program string
 	session string
-	// begun says that the program had turns before this one.
-	begun bool
 	// programLate says that the program has missed its time already.
 	programLate bool
 	// prefix are the parts of the prompt, in order.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -90,7 +90,6 @@
 		return reply.Error
 	}
 	c.home = reply.Engine
-	c.begun = c.previous != "" || (c.budget > 0 && !reply.First)
 	if !c.foreign && reserve.Previous != "" {
 		c.chain = known.continued(reply)
 	}
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -285,12 +285,14 @@
 }
 
 // pushedTokens is by how many tokens the requests that run at an engine and this one exceed its
-// memory.
+// memory. What waits for a slot holds nothing yet. Memory is evened out as load is, by where
+// new sessions go: a session that leaves its engine is read anew elsewhere, which takes as much
+// memory there.
 func pushedTokens(candidate Candidate, demand Demand) int64 {
-	if candidate.MemoryTokens <= 0 {
+	if candidate.MemoryTokens <= 0 || candidate.ID == demand.Home {
 		return 0
 	}
-	held := int64(candidate.Health.HeldTokens(demand.NowMs))
+	held := int64(candidate.Health.RunningTokens(demand.NowMs, candidate.Slots))
 	return max(min(held+demand.HoldTokens-candidate.MemoryTokens, demand.HoldTokens), 0)
 }
 
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -31,8 +31,6 @@
 	MechanismCompany Mechanism = "company"
 	// MechanismRank tells engines the rank of a request.
 	MechanismRank Mechanism = "rank"
-	// MechanismProgramRank gives the turns of programs that have begun one rank at engines.
-	MechanismProgramRank Mechanism = "program-rank"
 	// MechanismTakeUp takes a broken stream up at another engine.
 	MechanismTakeUp Mechanism = "take-up"
 	// MechanismNearReads reads histories from a replica in the zone.
@@ -50,7 +48,7 @@
 	return []Mechanism{
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismMemory, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
-		MechanismCompany, MechanismRank, MechanismProgramRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
+		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 		MechanismAdmission, MechanismShares,
 	}
 }
--- a/internal/scheduling/usage.go
+++ b/internal/scheduling/usage.go
@@ -82,6 +82,15 @@
 	h.held.sharedMs = nowMs
 }
 
+// RunningTokens is what of HeldTokens those requests take that have one of the slots.
+func (h *EngineHealth) RunningTokens(nowMs int64, slots int) float64 {
+	held, inFlight := h.HeldTokens(nowMs), h.Company(nowMs)
+	if slots <= 0 || inFlight <= float64(slots) {
+		return held
+	}
+	return held * float64(slots) / inFlight
+}
+
 // usageEntry is what a board knows of one engine's use.
 type usageEntry struct {
 	pace    Evidence
