--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -61,7 +61,7 @@
 		"company", int(c.chosen.company), "shared_age_ms", c.chosen.sharedAgeMs, "missing", c.chosen.missing,
 		"cost_ms", int64(c.chosen.cost), "next_cost_ms", int64(c.chosen.nextCost), "home_cost_ms", int64(c.chosen.homeCost),
 		"sent_ms", c.sent.Milliseconds(), "slowness", decimals(c.chosen.slowness), "home_slowness", decimals(c.chosen.homeSlowness),
-		"turns_left", decimals(c.chosen.turns), "holds", c.chosen.holds, "held_tokens", c.chosen.heldTokens, "pushed", c.chosen.pushed,
+		"moved", c.chosen.moved, "turns_left", decimals(c.chosen.turns), "holds", c.chosen.holds, "held_tokens", c.chosen.heldTokens, "pushed", c.chosen.pushed,
 	}
 }
 
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -167,6 +167,8 @@
 	slowness     float64
 	homeSlowness float64
 	turns        float64
+	// moved says why the session left the engine that holds what it has read.
+	moved scheduling.Reason
 	// holds is what the request takes of the engine's memory, heldTokens what others were
 	// expected to take before, and pushed by how much that exceeds it.
 	holds      int64
@@ -215,7 +217,7 @@
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
 		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost, health: health,
 		holds: demand.HoldTokens, heldTokens: int64(heldBefore), pushed: chosen.Pushed,
-		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns,
+		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns, moved: chosen.Moved,
 	}, true
 }
 
@@ -333,3 +335,25 @@
 		e.healthOf(usage.Engine).TakeSharedUsage(usage, nowMs)
 	}
 }
+
+// slownessSpread returns how many times longer than at the quickest engine a token takes at the
+// slowest one, at the back end where that is most.
+func (e *engines) slownessSpread() float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	widest := 1.0
+	for _, pool := range e.byPool {
+		var quickest, slowest float64
+		for position, engine := range pool {
+			slowness := e.healthOf(engine.ID).Slowness()
+			if position == 0 || slowness < quickest {
+				quickest = slowness
+			}
+			slowest = max(slowest, slowness)
+		}
+		if quickest > 0 {
+			widest = max(widest, slowest/quickest)
+		}
+	}
+	return widest
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
@@ -20,6 +21,7 @@
 	firstEvent *prometheus.HistogramVec
 	histories  *prometheus.CounterVec
 	granted    *prometheus.HistogramVec
+	moved      *prometheus.CounterVec
 }
 
 // newMetrics registers the figures of a gateway.
@@ -42,6 +44,7 @@
 	monitor.Gauge("gateway_processor_use", "Part of the share of a core that is used.", func() float64 {
 		return math.Float64frombits(d.processor.share.Load())
 	})
+	monitor.Gauge("gateway_engine_slowness_spread", "Slowest over quickest engine of the back end where they differ most, by what streams have shown; 1 where they are alike.", func() float64 { return d.engines.slownessSpread() })
 	return &metrics{
 		requests:   monitor.Latencies("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
 		failures:   monitor.Counters("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
@@ -50,6 +53,7 @@
 		kept:       monitor.Latencies("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
 		firstEvent: monitor.Latencies("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
 		histories:  monitor.Counters("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
+		moved:      monitor.Counters("gateway_sessions_moved_total", "Turns that went to another engine than the one that holds what their session has read, by why.", "reason"),
 		granted:    monitor.Latencies("gateway_quota_seconds", "Time until the owner of a tenant's limit had answered.", "outcome"),
 	}
 }
@@ -64,6 +68,9 @@
 	if c == nil {
 		return
 	}
+	if c.chosen.moved != scheduling.MovedNot {
+		m.moved.WithLabelValues(string(c.chosen.moved)).Inc()
+	}
 	m.requests.WithLabelValues(string(c.route.Kind), outcome).Observe(time.Since(c.started).Seconds())
 	if c.opened > 0 {
 		m.opened.WithLabelValues().Observe(c.opened.Seconds())
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -80,6 +80,8 @@
 	// HomeSlowness the same at the session's home, 0 where there is none.
 	Slowness     float64
 	HomeSlowness float64
+	// Moved says why the session leaves its home.
+	Moved Reason
 
 	unsound, slow, full, far int
 }
@@ -94,7 +96,7 @@
 func Choose(pool *Pool, candidates []Candidate, demand Demand) (Choice, bool) {
 	var best, next Choice
 	found, second := false, false
-	homeCost, homeSlowness := 0.0, 0.0
+	var home Choice
 	demand.slowFrom = slowFrom(candidates, demand.NowMs)
 	if demand.Disabled.Has(MechanismSlow) {
 		demand.slowFrom = math.Inf(1)
@@ -111,8 +113,7 @@
 	for _, candidate := range chosen {
 		choice := pool.weigh(candidate, demand)
 		if candidate.ID == demand.Home {
-			homeCost = choice.Cost
-			homeSlowness = candidate.slowness
+			home = choice
 		}
 		switch {
 		case !found || choice.less(best):
@@ -123,12 +124,44 @@
 		}
 	}
 	best.NextCost = next.Cost
-	best.HomeCost = homeCost
-	best.HomeSlowness = homeSlowness
+	best.HomeCost = home.Cost
+	best.HomeSlowness = home.Candidate.slowness
 	best.Slowness = best.Candidate.slowness
+	best.Moved = moved(best, home, demand)
 	return best, found
 }
 
+// Reason says why a session leaves the engine that holds what it has read.
+type Reason string
+
+// The reasons.
+const (
+	// MovedNot is that of sessions that stay, or have no such engine.
+	MovedNot Reason = ""
+	// MovedGone says that the engine has left, drains or was tried already.
+	MovedGone Reason = "gone"
+	// MovedSuspect says that requests have just failed there.
+	MovedSuspect Reason = "suspect"
+	// MovedSlow says that the engine is slower than the one chosen.
+	MovedSlow Reason = "slow"
+	// MovedCost says that it is dearer for another cause: more requests than slots, or distance.
+	MovedCost Reason = "cost"
+)
+
+func moved(best, home Choice, demand Demand) Reason {
+	switch {
+	case demand.Home == "" || best.Candidate.ID == demand.Home:
+		return MovedNot
+	case home.Candidate.ID == "":
+		return MovedGone
+	case home.unsound > best.unsound:
+		return MovedSuspect
+	case home.Candidate.slowness > best.Candidate.slowness:
+		return MovedSlow
+	}
+	return MovedCost
+}
+
 // less orders choices; the first that differs decides.
 func (c Choice) less(other Choice) bool {
 	return cmp.Or(
--- a/internal/scheduling/usage_test.go
+++ b/internal/scheduling/usage_test.go
@@ -84,7 +84,10 @@
 		demand.Turns = 1
 		So(choose(pool, all, demand).ID, ShouldEqual, "e2")
 		demand.Turns = 12
-		So(choose(pool, all, demand).ID, ShouldNotEqual, "e2")
+		chosen, _ := Choose(pool, all, demand)
+		So(chosen.Candidate.ID, ShouldNotEqual, "e2")
+		So(chosen.Moved, ShouldEqual, MovedSlow)
+		So(chosen.HomeSlowness, ShouldBeGreaterThan, chosen.Slowness)
 	})
 }
 
