--- a/cmd/ochrebay/status.go
+++ b/cmd/ochrebay/status.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -16,7 +17,7 @@
 	registered[status.FullCommand()] = withoutContext(func() error {
 		return show(statusFlags, "GET", "/v1/status", nil, printStatus)
 	})
-	engines := app.Command("engines", "List engines and the schedulers that own them.\n\nExample: ochrebay engines --data run")
+	engines := app.Command("engines", "List engines: their owners, or how slow each is, what it holds and why gateways avoid it.\n\nExample: ochrebay engines --data run")
 	enginesFlags := registerOperatorFlags(engines)
 	registered[engines.FullCommand()] = withoutContext(func() error {
 		return show(enginesFlags, "GET", "/v1/engines", nil, printEngines)
@@ -55,8 +56,33 @@
 }
 
 func printEngines(table *tabwriter.Writer, view control.EnginesView) {
-	row(table, "NAME", "ZONE", "POOL", "ADDRESS", "OWNER", "EPOCH", "LEAVING")
+	if len(view.Engines) > 0 || len(view.Serving) == 0 {
+		row(table, "NAME", "ZONE", "POOL", "ADDRESS", "OWNER", "EPOCH", "LEAVING")
+	}
 	for _, engine := range view.Engines {
 		row(table, engine.Name, engine.Zone, engine.Pool, engine.Address, engine.Owner, engine.Epoch, engine.Leaving)
 	}
+	if len(view.Serving) > 0 {
+		printServing(table, view.Serving)
+	}
+}
+
+// printServing lists the engines that gateways send to: how slow each is against the others of
+// its back end, what it holds, since when its incarnation lives, and why it is avoided.
+func printServing(table *tabwriter.Writer, engines []control.ServingView) {
+	row(table, "ID", "BACKEND", "ZONE", "ADDRESS", "SLOTS", "IN FLIGHT", "TOKENS HELD", "SLOWNESS", "BORN", "AVOIDED")
+	for _, engine := range engines {
+		slowness, born, avoided := "-", "-", "-"
+		if engine.Slowness > 0 {
+			slowness = fmt.Sprintf("%.2f", engine.Slowness)
+		}
+		if engine.Born > 0 {
+			born = time.UnixMilli(engine.Born).UTC().Format(time.RFC3339)
+		}
+		if engine.Avoided != "" {
+			avoided = engine.Avoided
+		}
+		row(table, engine.ID, engine.Backend, engine.Zone, engine.Address, engine.Slots, fmt.Sprintf("%.1f", engine.InFlight),
+			fmt.Sprintf("%.0f", engine.HeldTokens), slowness, born, avoided)
+	}
 }
--- a/internal/control/reads.go
+++ b/internal/control/reads.go
@@ -65,10 +65,11 @@
 	Groups    []GroupView  `json:"groups"`
 }
 
-// EnginesView lists engines and their owners.
+// EnginesView lists engines and their owners, and those that gateways send to.
 type EnginesView struct {
 	Directory uint64              `json:"directory"`
 	Engines   []membership.Engine `json:"engines"`
+	Serving   []ServingView       `json:"serving,omitempty"`
 }
 
 // ProgramView is one program's ledger entry.
@@ -133,7 +134,7 @@
 	case protocol.ReadStatus:
 		return c.statusView(), nil
 	case protocol.ReadEngines:
-		return EnginesView{Directory: c.system.directory.Version, Engines: c.system.directory.EngineList()}, nil
+		return EnginesView{Directory: c.system.directory.Version, Engines: c.system.directory.EngineList(), Serving: c.servingViews()}, nil
 	}
 	if group.ID == 0 {
 		return nil, result.New(result.NotFound, "no such topic")
--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -38,6 +38,14 @@
 	return weight > 0 && sum >= 0 && !math.IsInf(sum, 0) && !math.IsInf(weight, 0) && !math.IsNaN(sum) && !math.IsNaN(weight)
 }
 
+// Mean returns the mean of the samples, 0 where there are none.
+func (s Samples) Mean() float64 {
+	if !s.sound() {
+		return 0
+	}
+	return float64(s.Sum) / float64(s.Weight)
+}
+
 // evidence returns the samples as they count at nowMs.
 func (s Samples) evidence(nowMs int64) Evidence {
 	if !s.sound() {
