--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -191,7 +191,9 @@
 	TimeScale float64 `yaml:"time_scale" validate:"gt=0,max=100000"`
 	// Hardware names an entry of the emulator's table.
 	Hardware string `yaml:"hardware" validate:"omitempty"`
-	Pool     string `yaml:"pool"`
+	// Slowness is how many times longer than on that hardware things take; 0 is 1.
+	Slowness float64 `yaml:"slowness" validate:"min=0,max=100"`
+	Pool     string  `yaml:"pool"`
 	// Weights is the HTTP address of the weight store.
 	Weights string `yaml:"weights" validate:"omitempty,ipport"`
 	// Instances is the list that the platform serves at first.
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -66,7 +66,7 @@
 func NewEngine(process config.Process, logger log.Logger) *Engine {
 	stand := &Engine{
 		process: process, logger: logger, started: time.Now(),
-		model:   NewModel(HardwareNamed(process.Emulator.Hardware)),
+		model:   NewModel(Slowed(HardwareNamed(process.Emulator.Hardware), process.Emulator.Slowness)),
 		streams: map[string]*stream{}, wake: make(chan struct{}, 1), served: map[string]int{},
 	}
 	stand.monitor = telemetry.NewMonitor(stand.serving)
--- a/internal/emulator/hardware.go
+++ b/internal/emulator/hardware.go
@@ -34,3 +34,16 @@
 	}
 	return hardware
 }
+
+// Slowed returns hardware on which everything takes a number of times longer; 0 is 1.
+func Slowed(hardware engine.Hardware, slowness float64) engine.Hardware {
+	if slowness <= 0 {
+		return hardware
+	}
+	times := func(value int64) int64 { return int64(float64(value) * slowness) }
+	hardware.PrefillTokensPerSecond = max(int64(float64(hardware.PrefillTokensPerSecond)/slowness), 1)
+	hardware.StepMicros = times(hardware.StepMicros)
+	hardware.SequenceMicros = times(hardware.SequenceMicros)
+	hardware.ContextNanosPerToken = times(hardware.ContextNanosPerToken)
+	return hardware
+}
--- a/internal/scheduling/pool_test.go
+++ b/internal/scheduling/pool_test.go
@@ -78,12 +78,16 @@
 				pool.FirstEvent(health, now, rapid.Int64Range(0, 1e9).Draw(t, "tokens"), rapid.Float64Range(0, 1e9).Draw(t, "took"))
 				pool.NextEvent(health, now, rapid.Float64Range(0, 1e9).Draw(t, "gap"))
 				pool.StreamEnded(now, rapid.Int64Range(0, 1e9).Draw(t, "count"))
+				pool.StreamPaced(health, now, rapid.IntRange(-1, 20).Draw(t, "pauses"), rapid.Float64Range(0, 1e9).Draw(t, "shortest"))
+				pool.TurnSent("", rapid.IntRange(-1, 1000).Draw(t, "parts"))
+				health.Hold(now, rapid.Int64Range(-1e9, 1e9).Draw(t, "tokens"))
 			}
 			demand := Demand{
 				Stream: true, Events: rapid.Int64Range(0, 1e9).Draw(t, "events"), NowMs: rapid.Int64Range(-1e12, 1e12).Draw(t, "now"),
-				Prompt: []PromptPart{{"a", rapid.Int64Range(0, 1e9).Draw(t, "part")}},
+				Prompt: []PromptPart{{"a", rapid.Int64Range(0, 1e9).Draw(t, "part")}}, HoldTokens: rapid.Int64Range(0, 1e9).Draw(t, "holds"),
+				Turns: rapid.Float64Range(0, 1e3).Draw(t, "turns"),
 			}
-			choice, found := Choose(pool, []Candidate{{ID: "e", Health: health, Slots: 4}}, demand)
+			choice, found := Choose(pool, []Candidate{{ID: "e", Health: health, Slots: 4, MemoryTokens: rapid.Int64Range(0, 1e9).Draw(t, "memory")}}, demand)
 			if !found || math.IsNaN(choice.Cost) || choice.Cost < 0 {
 				t.Fatalf("found %v, cost %f", found, choice.Cost)
 			}
--- a/internal/workload/deployment.go
+++ b/internal/workload/deployment.go
@@ -45,7 +45,9 @@
 	Zone     string `yaml:"zone"`
 	Pool     string `yaml:"pool"`
 	Hardware string `yaml:"hardware"`
-	Count    int    `yaml:"count"`
+	// Slowness is how many times longer than on that hardware things take; 0 is 1.
+	Slowness float64 `yaml:"slowness"`
+	Count    int     `yaml:"count"`
 	// Instant engines answer at once, for measuring what ochrebay adds.
 	Instant bool `yaml:"instant"`
 }
--- a/internal/workload/plan.go
+++ b/internal/workload/plan.go
@@ -135,6 +135,7 @@
 				return err
 			}
 			process.Emulator.Hardware = group.Hardware
+			process.Emulator.Slowness = group.Slowness
 			process.Emulator.Pool = group.Pool
 			process.Emulator.Weights = b.weights
 			process.Emulator.LagMs = planLag
