--- a/internal/scheduling/speed.go
+++ b/internal/scheduling/speed.go
@@ -22,6 +22,9 @@
 	speedMargin = 4
 	// largestCrowding bounds what company may explain of one sample.
 	largestCrowding = 4.0
+	// learnEveryMs bounds how often the slowness of all engines is worked out, which takes as
+	// many steps as there are engines: their means move with paceHalfLifeMs.
+	learnEveryMs = 50
 	// gaugeSamples draws the mean pace of all engines towards 1, so that ratios that several
 	// gateways learn from each other do not drift together.
 	gaugeSamples = 2
@@ -38,6 +41,9 @@
 	// crowding is a sample over the other requests at its engine: what more company makes of a
 	// pause is no speed of the engine.
 	crowding Line
+	// learntMs is when the slowness of engines was last worked out, and learntOf of how many.
+	learntMs int64
+	learntOf int
 }
 
 // StreamPaced learns from the pauses of a stream that ended, broke off or was cancelled: how
@@ -85,6 +91,10 @@
 // Estimation with Quadratic Loss, 1961): engines that are alike stay alike, and one that is
 // new starts where the others are on the mean.
 func (p *Pool) learnSpeeds(candidates []Candidate, nowMs int64) {
+	if since := nowMs - p.paced.learntMs; since >= 0 && since < learnEveryMs && p.paced.learntOf == len(candidates) {
+		return
+	}
+	p.paced.learntMs, p.paced.learntOf = nowMs, len(candidates)
 	spread, known := p.paced.spread.At(nowMs).own()
 	sum, total := float64(gaugeSamples), float64(gaugeSamples)
 	for position := range candidates {
