--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,7 +79,7 @@
 	mayHaveRun := false
 	rounds := 0
 	for {
-		chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
+		chosen, found := d.engines.choose(c.backend, d.demand(c, avoid))
 		if !found {
 			rounds++
 			if mayHaveRun || !d.waitForRoom(ctx, c, rounds) {
@@ -169,6 +169,7 @@
 		demand.Home = c.home
 		demand.Prompt = c.prefix
 		demand.Events = c.most / max(c.backend.EventTokens, 1)
+		demand.HoldTokens = scheduling.PromptTokens(c.prefix) + c.most
 	case c.route.Affinity:
 		demand.Key = c.affinity
 	}
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -28,7 +28,7 @@
 	second := first
 	second.Born = 200
 	begin := func(e *engines) *call {
-		chosen, found := e.choose("b", 4, scheduling.Demand{NowMs: nowMs, Stream: true, Kind: "r"})
+		chosen, found := e.choose(routing.Backend{Name: "b", Slots: 4}, scheduling.Demand{NowMs: nowMs, Stream: true, Kind: "r"})
 		So(found, ShouldBeTrue)
 		return &call{engine: chosen.engine.ID, chosen: chosen, backend: routing.Backend{Name: "b"}, route: &routing.Route{Name: "r"}}
 	}
--- a/internal/scheduling/load.go
+++ b/internal/scheduling/load.go
@@ -38,6 +38,14 @@
 	return weight > 0 && sum >= 0 && !math.IsInf(sum, 0) && !math.IsInf(weight, 0) && !math.IsNaN(sum) && !math.IsNaN(weight)
 }
 
+// Mean returns the mean of the samples, 0 where there are none.
+func (s Samples) Mean() float64 {
+	if !s.sound() {
+		return 0
+	}
+	return float64(s.Sum) / float64(s.Weight)
+}
+
 // evidence returns the samples as they count at nowMs.
 func (s Samples) evidence(nowMs int64) Evidence {
 	if !s.sound() {
@@ -113,6 +121,8 @@
 	late map[string]*Evidence
 	// failing are the gateways whose requests fail at an engine, with when they last said so.
 	failing map[string]map[string]witness
+	// usages holds what is known of engines over a longer time than their loads.
+	usages  map[string]*usageEntry
 	sweptMs int64
 	// expiredMs is when old counts were last taken out.
 	expiredMs int64
@@ -120,7 +130,7 @@
 
 // NewBoard returns a board that has heard nothing.
 func NewBoard() *Board {
-	return &Board{engines: map[string]*boardEntry{}, late: map[string]*Evidence{}, failing: map[string]map[string]witness{}}
+	return &Board{engines: map[string]*boardEntry{}, late: map[string]*Evidence{}, failing: map[string]map[string]witness{}, usages: map[string]*usageEntry{}}
 }
 
 // maxLateShares bounds the back ends of one report.
@@ -175,6 +185,7 @@
 
 // Forget drops what is known of an engine, which has started again.
 func (b *Board) Forget(engine string) {
+	delete(b.usages, engine)
 	delete(b.engines, engine)
 	delete(b.failing, engine)
 }
@@ -182,6 +193,7 @@
 // sweep forgets engines that nobody speaks of any more and gateways that fell silent.
 func (b *Board) sweep(nowMs int64) {
 	b.sweepFailing(nowMs)
+	b.sweepUsages(nowMs)
 	for engine, entry := range b.engines {
 		if nowMs-entry.heardMs > loadSweepMs {
 			delete(b.engines, engine)
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -17,6 +17,10 @@
 	MechanismShared Mechanism = "shared"
 	// MechanismSlow tells slow engines from others.
 	MechanismSlow Mechanism = "slow"
+	// MechanismSpeed goes by how quick each engine is.
+	MechanismSpeed Mechanism = "speed"
+	// MechanismMemory keeps requests from engines whose memory they would exceed.
+	MechanismMemory Mechanism = "memory"
 	// MechanismSuspicion passes engines over that have just failed.
 	MechanismSuspicion Mechanism = "suspicion"
 	// MechanismDrawing compares a few engines drawn at random in place of all.
@@ -48,7 +52,7 @@
 // Mechanisms lists them all.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
+		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismMemory, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
 		MechanismCapacity, MechanismLookUps, MechanismFirstProof, MechanismAdmission, MechanismShares,
