--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,9 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 
+	"github.com/ochrebay/ochrebay/internal/retry"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
 // The roles of processes.
@@ -80,6 +82,10 @@
 type Policy struct {
 	// Disable lists mechanisms that are turned off, to measure what they are worth.
 	Disable scheduling.Disabled `yaml:"disable,omitempty" validate:"dive,mechanism"`
+	// Waiting says who waits for room at engines and who is rejected at once.
+	Waiting waiting.Settings `yaml:"waiting,omitempty"`
+	// Retry bounds the second tries of requests that an engine failed.
+	Retry retry.Settings `yaml:"retry,omitempty"`
 }
 
 // Limits are what the machine grants the process.
@@ -209,6 +215,7 @@
 		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
 		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
 		Log:      Log{Level: "info"},
+		Policy:   Policy{Waiting: waiting.DefaultSettings(), Retry: retry.DefaultSettings()},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,16 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
-	"syscall"
-	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
-	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/upstream"
@@ -30,13 +25,16 @@
 	attemptRefused
 	// attemptBroken means that the engine may have run the request.
 	attemptBroken
+	// attemptFailed means that the engine ran the request and answered with a failure, which
+	// was not passed on.
+	attemptFailed
 	// attemptCancelled means that the caller left or the call's time was over.
 	attemptCancelled
 )
 
 // String names the kind for logs.
 func (k attemptKind) String() string {
-	return [...]string{"answered", "not_sent", "refused", "broken", "cancelled"}[k]
+	return [...]string{"answered", "not_sent", "refused", "broken", "failed", "cancelled"}[k]
 }
 
 // attemptOutcome is how one send to an engine ended.
@@ -52,112 +50,8 @@
 	err    error
 }
 
-const (
-	// roomPause is the first pause after all engines turned a call away; it grows up
-	// to longestRoomPause. A call is given up when only a roomShare-th of its time is
-	// left.
-	roomPause        = 8 * time.Millisecond
-	longestRoomPause = 60 * time.Millisecond
-	roomShare        = 2
-	// endedTimeout bounds the look whether an engine is gone.
-	endedTimeout = 100 * time.Millisecond
-	// lowestPriority is the last rank at an engine.
-	lowestPriority = 9
-	// shortestSend is the least time that a send to an engine makes sense for.
-	shortestSend = 5 * time.Millisecond
-)
-
-// serveAttempts sends a call to engines until one answers or none may be asked any
-// more; it returns what to tell the caller, nil where the answer was passed on.
-// Invariant: a call that is not repeatable is sent again only where every send
-// before was not run; the error says "not run" only where all sends were not.
-func (d *Daemon) serveAttempts(ctx context.Context, c *call, deliver deliverFunc) *result.Error {
-	var avoid []string
-	// runs counts the engines that may still work on the call; mayHaveRun says that
-	// any may have begun to.
-	runs := 0
-	mayHaveRun := false
-	rounds := 0
-	for {
-		chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
-		if !found {
-			rounds++
-			if mayHaveRun || !d.waitForRoom(ctx, c, rounds) {
-				return d.noEngine(c, mayHaveRun, avoid)
-			}
-			avoid = nil
-			continue
-		}
-		if failure := d.maySend(ctx, c, mayHaveRun); failure != nil {
-			return failure
-		}
-		engine := chosen.engine
-		c.attempts++
-		c.engine = engine.ID
-		c.chosen = chosen
-		c.sent = time.Since(c.started)
-		outcome := d.attempt(ctx, c, engine, deliver)
-		d.engines.ended(c, clock.NowMs(), outcome)
-		d.logAttempt(c, engine, outcome)
-		avoid = append(avoid, engine.ID)
-		switch outcome.kind {
-		case attemptAnswered:
-			return nil
-		case attemptCancelled:
-			return cancelled(c, outcome)
-		case attemptBroken:
-			mayHaveRun = true
-			// An engine that has ended works on nothing any more, so that it does not count
-			// among those that the call may run on.
-			if !c.route.Repeatable() || !d.ended(engine) {
-				runs++
-			}
-			if !d.mayContinue(c, outcome) || runs >= max(c.route.MaxAttempts, 1) {
-				return result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
-			}
-		}
-		if c.timeLeft() < shortestSend {
-			return exhausted(c, mayHaveRun, outcome)
-		}
-	}
-}
-
-// mayContinue reports whether a call that an engine broke off may be sent to another
-// one: it is repeatable, and what has reached the caller can be gone on from.
-func (d *Daemon) mayContinue(c *call, outcome attemptOutcome) bool {
-	if !c.route.Repeatable() || (outcome.started && d.process.Policy.Disable.Has(scheduling.MechanismTakeUp)) {
-		return false
-	}
-	return !outcome.started || (c.route.Resumable && !c.keeps() && c.lastEvent > 0)
-}
-
-// ended reports whether an engine is gone: nobody listens at its address.
-func (d *Daemon) ended(engine membership.ServingEngine) bool {
-	socket, err := net.DialTimeout("tcp", engine.Address, endedTimeout)
-	if err == nil {
-		_ = socket.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// waitForRoom waits before the engines are asked once more that all turned the call
-// away, or before one may have come; false where the call is better refused, so that
-// its caller hears so while it can still come back.
-func (d *Daemon) waitForRoom(ctx context.Context, c *call, rounds int) bool {
-	pause := min(roomPause<<min(rounds-1, 4), longestRoomPause)
-	pause += rand.N(pause)
-	total := c.deadline.Sub(c.started)
-	if c.timeLeft()-pause < total/roomShare {
-		return false
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
+// lowestPriority is the last rank at an engine.
+const lowestPriority = 9
 
 // demand describes the call to the choice of engines.
 func (d *Daemon) demand(c *call, avoid []string) scheduling.Demand {
@@ -174,42 +68,22 @@
 	return demand
 }
 
-func (d *Daemon) noEngine(c *call, mayHaveRun bool, avoid []string) *result.Error {
-	if mayHaveRun {
-		return result.New(result.OutcomeUnknown, "%d sends, one of them broken off", c.attempts)
-	}
-	if len(avoid) > 0 {
-		return result.New(result.EngineRefused, "all %d engines of %s that were asked turned the call away", len(avoid), c.backend.Name).
-			WithRetryAfter(refusalPause)
-	}
-	return result.New(result.NoEngine, "no engine of %s", c.backend.Name).WithRetryAfter(refusalPause)
-}
-
-func exhausted(c *call, mayHaveRun bool, last attemptOutcome) *result.Error {
-	if mayHaveRun {
-		return result.New(result.OutcomeUnknown, "%d sends, the last: %v", c.attempts, last.err)
-	}
-	return result.New(result.EngineRefused, "%d sends, the last: %v", c.attempts, last.err).WithRetryAfter(refusalPause)
-}
-
-// cancelled answers a call whose caller left or whose time is over.
-func cancelled(c *call, outcome attemptOutcome) *result.Error {
-	if c.timeLeft() > 0 {
-		return result.New(result.Cancelled, "the caller left: %v", outcome.err)
-	}
-	return result.New(result.EngineTimeout, "no answer within %s", time.Since(c.started).Round(time.Millisecond))
-}
-
 // deliverFunc passes an engine's answer on.
 type deliverFunc func(exchange *upstream.Exchange, c *call) attemptOutcome
 
 // attempt sends the call to one engine and has the answer delivered.
 func (d *Daemon) attempt(ctx context.Context, c *call, engine membership.ServingEngine, deliver deliverFunc) attemptOutcome {
-	bounded, cancel := context.WithDeadline(ctx, c.deadline)
-	defer cancel()
+	timed, stop := context.WithDeadline(ctx, c.deadline)
+	defer stop()
+	bounded, cancel := context.WithCancelCause(timed)
+	defer cancel(nil)
+	c.watch = d.watch(c, cancel)
+	defer c.watch.heard()
 	exchange, err := d.pool.Do(bounded, engine.Address, d.upstreamRequest(c, engine))
 	switch {
 	case err == nil:
+	case errors.Is(context.Cause(bounded), errSilent):
+		return attemptOutcome{kind: attemptBroken, err: errSilent}
 	case bounded.Err() != nil:
 		return attemptOutcome{kind: attemptCancelled, err: bounded.Err()}
 	case errors.Is(err, upstream.ErrNotSent):
@@ -221,8 +95,13 @@
 	if refusal, refused := d.refused(exchange); refused {
 		return refusal
 	}
+	d.lines.leave(c, true)
 	outcome := deliver(exchange, c)
-	if outcome.kind == attemptBroken && bounded.Err() != nil {
+	switch {
+	case outcome.kind != attemptBroken:
+	case errors.Is(context.Cause(bounded), errSilent):
+		outcome.err = errSilent
+	case bounded.Err() != nil:
 		outcome.kind = attemptCancelled
 	}
 	return outcome
--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -7,6 +7,7 @@
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
+	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
 // logCall writes the one line that says how a call ended. It holds what was decided and
@@ -17,6 +18,9 @@
 	if c != nil {
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.generation, "backend", c.backend.Name,
 			"program", c.program, "attempts", c.attempts)
+		if c.waited > 0 {
+			keyValues = append(keyValues, "waited_ms", c.waited.Milliseconds())
+		}
 		keyValues = append(keyValues, d.tenantFields(c)...)
 		keyValues = append(keyValues, c.choiceFields()...)
 		keyValues = append(keyValues, c.ledgerFields()...)
@@ -93,6 +97,13 @@
 		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.started, "err", outcome.err)
 }
 
+// logRejection writes one line for a call that did not wait, or no longer, for room.
+func (d *Daemon) logRejection(c *call, rejection *waiting.Rejection) {
+	telemetry.Warn(d.logger, "wait rejected", "request", c.id, "backend", c.backend.Name, "rank", c.priority(), "begun", c.begun,
+		"waited_ms", c.waited.Milliseconds(), "ahead", rejection.Ahead, "room_per_s", rejection.PerSecond,
+		"chance", rejection.Chance, "time_left_ms", c.timeLeft().Milliseconds(), "retry_after_ms", rejection.RetryAfterMs)
+}
+
 func (d *Daemon) logFailure(message string, c *call, failure *result.Error) {
 	telemetry.Warn(d.logger, message, "request", c.id, "program", c.program, "code", int(failure.Code), "err", failure.Error())
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -32,9 +32,6 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
 	sweepEvery    = time.Second
-	// refusalPause is when a caller that was refused for want of capacity should come
-	// back.
-	refusalPause = 100 * time.Millisecond
 	// quietBeforeStop is how long no request may have come before a draining gateway
 	// ends, and leastDrain how long it serves in any case.
 	quietBeforeStop = 1500 * time.Millisecond
@@ -64,6 +61,8 @@
 	follower *daemon.Follower
 	pool     *upstream.Pool
 	engines  *engines
+	lines    *lines
+	retries  *retries
 	ledgers  *ledgers
 	chains   *chainCache
 	denials  *denials
@@ -81,7 +80,8 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy.Disable),
+		engines: newEngines(process.Zone, process.Policy.Disable), lines: newLines(process.Policy.Waiting, process.Policy.Disable),
+		retries: newRetries(process.Policy.Retry, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 	}
 	d.monitor = telemetry.NewMonitor(d.Ready)
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/upstream"
@@ -88,7 +89,11 @@
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
+	c.watch.heard()
 	took := milliseconds(time.Since(c.started.Add(c.sent)))
+	if len(held) < heldBytes && isFailure(status) && a.daemon.mayTryAgain(c) {
+		return attemptOutcome{kind: attemptFailed, status: status, err: errFailed}
+	}
 	if len(held) < heldBytes {
 		a.writeHead(exchange.Response, len(held))
 		if _, err := a.writer.Write(held); err != nil {
@@ -213,6 +218,8 @@
 	a.events++
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
+		c.watch.heard()
+		a.daemon.retries.answered(c, clock.NowMs(), milliseconds(now.Sub(c.started.Add(c.sent))))
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
@@ -236,7 +243,7 @@
 		settle.Content = append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...)
 	}
 	began := time.Now()
-	failure := a.daemon.ledgers.settle(settle, keepTimeout)
+	failure := a.daemon.ledgers.settle(settle, a.keepWithin(c))
 	c.kept = time.Since(began)
 	if failure != nil {
 		a.daemon.logFailure("turn not kept", c, failure)
@@ -247,6 +254,16 @@
 	return true
 }
 
+// keepWithin is for how long the ledger is asked to keep a turn whose answer is whole: while
+// its caller still waits for the end.
+func (a *answer) keepWithin(c *call) time.Duration {
+	end := c.deadline
+	if c.route.PatienceMs > 0 && !a.lastEvent.IsZero() {
+		end = earlier(end, a.lastEvent.Add(time.Duration(c.route.PatienceMs)*time.Millisecond))
+	}
+	return max(time.Until(end), ledgerTry)
+}
+
 // used is what the turn has generated, as far as the caller was handed it, tokens.
 func (a *answer) used(c *call) int64 {
 	return min(a.events*max(c.backend.EventTokens, 1), max(c.most, a.events))
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -79,6 +79,55 @@
 	return entry
 }
 
+// count is how many engines of a back end may be sent requests.
+func (e *engines) count(backend string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.byPool[backend])
+}
+
+// factor is how many times longer than at others things take at an engine.
+func (e *engines) factor(engine string, nowMs int64) float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.healthOf(engine).Factor(nowMs)
+}
+
+// silent passes an engine over that does not say anything for too long, although it has not
+// failed yet.
+func (e *engines) silent(engine string, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.healthOf(engine).Failed(nowMs)
+}
+
+// others are the engines of a back end that are not the one named; none where it is no
+// engine of the back end any more.
+func (e *engines) others(backend, engine string) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var others []string
+	found := false
+	for _, known := range e.byPool[backend] {
+		if known.ID == engine {
+			found = true
+			continue
+		}
+		others = append(others, known.ID)
+	}
+	if !found {
+		return nil
+	}
+	return others
+}
+
+// expectedMs is how long a call is expected to occupy an engine, 0 where that is not known.
+func (e *engines) expectedMs(backend string, demand scheduling.Demand) float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.poolOf(backend).ExpectedMs(demand)
+}
+
 // choice is an engine and what decided for it, for the log.
 type choice struct {
 	engine membership.ServingEngine
@@ -156,6 +205,11 @@
 	health.Ended(nowMs)
 	switch attempt.kind {
 	case attemptAnswered:
+		if isFailure(attempt.status) {
+			// It may have failed at once: that is no sign of a quick engine.
+			health.Failed(nowMs)
+			return
+		}
 		health.Succeeded()
 		if attempt.tookMs > 0 {
 			e.poolOf(c.backend.Name).Answered(health, nowMs, c.route.Name, attempt.tookMs)
@@ -163,7 +217,7 @@
 		if attempt.events > 0 {
 			e.poolOf(c.backend.Name).StreamEnded(nowMs, attempt.events)
 		}
-	case attemptNotSent, attemptBroken:
+	case attemptNotSent, attemptBroken, attemptFailed:
 		health.Failed(nowMs)
 	}
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -12,6 +12,7 @@
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
 // call is one caller's request, read whole and checked.
@@ -40,6 +41,21 @@
 	turn    string
 	program string
 	session string
+	// finish is when the program should be over, the zero time where its caller did not say.
+	finish time.Time
+	// begun says that the call's program has had turns or calls served before.
+	begun bool
+	// latest is until when the call is worth starting at an engine.
+	latest time.Time
+	// place is the call's place among those that wait for room, nil where it does not;
+	// linedUp is when it first waited, and waited how long it did in all.
+	place   *waiting.Place
+	linedUp time.Time
+	waited  time.Duration
+	// tries are the sends to engines so far, and watch waits for the first word of the one
+	// under way.
+	tries tries
+	watch *watch
 	// programLate says that the program has missed its time already.
 	programLate bool
 	// prefix are the parts of the prompt, in order.
@@ -164,11 +180,13 @@
 	c.session = header.Get(names.Session)
 	if finish, err := strconv.ParseInt(header.Get(names.FinishMs), 10, 64); err == nil {
 		c.programLate = finish <= 0
+		c.finish = c.started.Add(time.Duration(finish) * time.Millisecond)
 	}
 	c.previous = c.ofTenant(header.Get(names.Previous))
 	c.affinity = header.Get(names.Affinity)
 	var failure *result.Error
 	c.budget = number(header, names.Budget, &failure)
+	c.begun = c.program != "" && !c.isTurn()
 	c.lastEvent = number(header, names.LastEventID, &failure)
 	_, most, _ := strings.Cut(header.Get(names.Usage), ",")
 	if most != "" {
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -21,11 +21,8 @@
 	ledgerTry = 450 * time.Millisecond
 	// probeTry bounds the question whether a host leads a group.
 	probeTry = 150 * time.Millisecond
-	// reserveTimeout bounds the time until a turn is open, keepTimeout until it is
-	// kept, and settleTimeout the background settling of one that is not kept.
-	reserveTimeout = 1200 * time.Millisecond
-	keepTimeout    = 1500 * time.Millisecond
-	settleTimeout  = 6 * time.Second
+	// settleTimeout bounds the background settling of a turn that is not kept.
+	settleTimeout = 6 * time.Second
 	// nearTry bounds a question to the replica in this zone, behind which the leader
 	// stands.
 	nearTry = 100 * time.Millisecond
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,22 @@
 		}
 		return -1
 	})
+	monitor.Gauge("gateway_waiting", "Requests that wait for room at engines.", func() float64 {
+		_, waitingNow := d.lines.mistakes()
+		return float64(waitingNow)
+	})
+	monitor.Gauge("gateway_rejected_wrongly", "Requests rejected for want of room that came in time for them after all, since the start.", func() float64 {
+		mistakes, _ := d.lines.mistakes()
+		return float64(mistakes.Wronged)
+	})
+	monitor.Gauge("gateway_held_in_vain", "Requests that waited for room and got none, since the start.", func() float64 {
+		mistakes, _ := d.lines.mistakes()
+		return float64(mistakes.InVain)
+	})
+	monitor.Gauge("gateway_held_in_vain_seconds", "How long they waited in all.", func() float64 {
+		mistakes, _ := d.lines.mistakes()
+		return (time.Duration(mistakes.InVainMs) * time.Millisecond).Seconds()
+	})
 	return &metrics{
 		requests:   monitor.Latencies("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
 		failures:   monitor.Counters("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// quotaTimeout bounds the question for a tenant's quota, as reserveTimeout does for a
-	// turn.
-	quotaTimeout = reserveTimeout
+	// quotaTimeout bounds the question for a tenant's quota.
+	quotaTimeout = 1200 * time.Millisecond
 	// returnTimeout bounds the giving back of a grant, for which nobody waits. One that is
 	// lost counts until it has left the window.
 	returnTimeout = time.Second
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -44,6 +44,7 @@
 			d.settleLater(c, out)
 		}
 	}()
+	c.latest = d.latestStart(c)
 	failure := d.open(ctx, c)
 	if c.isTurn() {
 		c.opened = time.Since(c.started)
@@ -59,7 +60,9 @@
 
 // openTurn has the ledger reserve the turn and fetches the chain it goes on from.
 func (d *Daemon) openTurn(ctx context.Context, c *call) *result.Error {
-	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, time.Now().Add(reserveTimeout)))
+	// A leader that is lost is replaced within the time that most callers have; no engine is
+	// worth asking after it, so there is nothing else to keep the time for.
+	bounded, cancel := context.WithDeadline(ctx, earlier(c.deadline, later(c.latest, time.Now().Add(ledgerTry))))
 	defer cancel()
 	reserve := &program.Reserve{Program: c.program, Request: c.turn, Budget: c.budget, Most: c.most, Session: c.session}
 	var known cachedChain
@@ -89,7 +92,8 @@
 		c.chain = known.continued(reply)
 	}
 	c.reserved = c.budget > 0
-	if reply.First && c.previous == "" {
+	c.begun = !reply.First || c.previous != ""
+	if !c.begun {
 		return d.admit(c)
 	}
 	return nil
@@ -106,6 +110,13 @@
 		decision.concurrency, decision.limit, c.rankPosition, c.ranks).WithRetryAfter(time.Duration(decision.retryAfterMs) * time.Millisecond)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,71 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := Settings{Share: rapid.Float64Range(0, 1).Draw(t, "share")}
+		budget := NewBudget(settings)
+		successes, taken := 0, 0
+		for _, success := range rapid.SliceOfN(rapid.Bool(), 0, 400).Draw(t, "steps") {
+			if success {
+				budget.Succeeded()
+				successes++
+			} else if budget.Take() {
+				taken++
+			}
+			if bound := settings.Share*float64(successes) + mostSaved; float64(taken) > bound+1e-9 {
+				t.Fatalf("%d second tries of %d successes, at most %.2f", taken, successes, bound)
+			}
+		}
+	})
+}
+
+func TestTimes(t *testing.T) {
+	Convey("times of 30 ms on the mean, as 500 requests a second to 24 engines take", t, func() {
+		times := &Times{}
+		random := rand.New(rand.NewPCG(1, 1))
+		_, known := times.BoundMs(0)
+		So(known, ShouldBeFalse)
+		nowMs := int64(0)
+		for range 2000 {
+			nowMs += 2
+			times.Add(nowMs, 30*random.ExpFloat64())
+		}
+		bound, known := times.BoundMs(nowMs)
+		So(known, ShouldBeTrue)
+		Convey("one in some hundred is longer than the bound", func() {
+			longer := 0
+			for range 100_000 {
+				if 30*random.ExpFloat64() > bound {
+					longer++
+				}
+			}
+			So(longer, ShouldBeLessThan, 200)
+			So(bound, ShouldBeLessThan, 400)
+		})
+		Convey("it rises where all engines take eight times as long, though every try that reaches it is given up", func() {
+			for range 10_000 {
+				nowMs += 2
+				took := 240 * random.ExpFloat64()
+				if bound, known := times.BoundMs(nowMs); known && took > bound {
+					times.TimedOut(nowMs, bound)
+				} else {
+					times.Add(nowMs, took)
+				}
+			}
+			risen, _ := times.BoundMs(nowMs)
+			So(risen, ShouldBeGreaterThan, 3*bound)
+		})
+		Convey("it is forgotten after some minutes", func() {
+			_, known := times.BoundMs(nowMs + 300_000)
+			So(known, ShouldBeFalse)
+		})
+	})
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -44,6 +44,9 @@
 	// TargetGapMs the longest pause between events that keeps it so.
 	TargetLatencyMs int64 `msgpack:"l" json:"target_latency_ms"`
 	TargetGapMs     int64 `msgpack:"g,omitempty" json:"target_gap_ms,omitempty"`
+	// PatienceMs is after how long without an event callers give a stream up, 0 where that
+	// is not known.
+	PatienceMs int64 `msgpack:"c,omitempty" json:"patience_ms,omitempty"`
 	// Priority is the rank among routes, 0 first.
 	Priority int `msgpack:"r" json:"priority"`
 	// MaxAttempts bounds the engines to which one request may be sent.
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -33,6 +33,10 @@
 	MechanismNearReads Mechanism = "near-reads"
 	// MechanismAdmission rejects new programs while engines fall behind.
 	MechanismAdmission Mechanism = "admission"
+	// MechanismWaiting lines up the calls that no engine has room for.
+	MechanismWaiting Mechanism = "waiting"
+	// MechanismRetry bounds a try and makes a second one.
+	MechanismRetry Mechanism = "retry"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
 )
@@ -43,7 +47,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission,
+		MechanismAdmission, MechanismWaiting, MechanismRetry,
 	}
 }
 
