One queue a back end at a gateway in place of polling; tries bounded by what is usual, second ones within a budget

Cause: a call that engines turned away polled with drawn pauses until half of its deadline was over; an engine that answered nobody was no failing one, one that failed at once looked quick; a turn had 1.2 s to be opened and 1.5 s to be kept, whatever time its caller had.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 	defer stop()
 	bounded, cancel := context.WithCancelCause(timed)
 	defer cancel(nil)
-	c.watch = d.watch(c, cancel)
+	c.watch = d.watch(bounded, c, cancel)
 	defer c.watch.heard()
 	exchange, err := d.pool.Do(bounded, engine.Address, d.upstreamRequest(c, engine))
 	switch {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -91,7 +91,7 @@
 	}
 	c.watch.heard()
 	took := milliseconds(time.Since(c.started.Add(c.sent)))
-	if len(held) < heldBytes && isFailure(status) && a.daemon.mayTryAgain(c) {
+	if len(held) < heldBytes && isFailure(status) && a.daemon.mayTryAgain(c) && a.daemon.retries.take(c.backend.Name) {
 		return attemptOutcome{kind: attemptFailed, status: status, err: errFailed}
 	}
 	if len(held) < heldBytes {
@@ -137,6 +137,9 @@
 // deliverStream passes whole events on as they come. Invariant: a part of an event
 // is never passed on, so that a broken stream can be taken up after the last one.
 func (a *answer) deliverStream(exchange *upstream.Exchange, c *call) attemptOutcome {
+	if c.watch.ended() {
+		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, started: a.started, err: errSilent}
+	}
 	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, started: true}
 	flusher, _ := a.writer.(http.Flusher)
 	a.continued = a.started
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -81,8 +81,8 @@
 }
 
 // mayTryAgain reports whether a try that an engine is at work on, or has answered with a
-// failure, may be followed by another one, and takes that one from the budget. Invariant: a
-// call that is not repeatable is never sent again once an engine may have run it.
+// failure, may be followed by another one, the budget aside. Invariant: a call that is not
+// repeatable is never sent again once an engine may have run it.
 func (d *Daemon) mayTryAgain(c *call) bool {
 	if d.process.Policy.Disable.Has(scheduling.MechanismRetry) || !c.route.Repeatable() {
 		return false
@@ -91,47 +91,50 @@
 		// A further run needs a grant of its own, and might be denied it.
 		return false
 	}
-	if c.tries.runs+1 >= max(c.route.MaxAttempts, 1) || !time.Now().Before(c.latest) {
-		return false
-	}
-	if d.engines.count(c.backend.Name) <= len(c.tries.avoid)+1 || !d.retries.take(c.backend.Name) {
-		return false
-	}
-	c.tries.granted = true
-	return true
+	return c.tries.runs+1 < max(c.route.MaxAttempts, 1) && time.Now().Before(c.latest) &&
+		d.engines.count(c.backend.Name) > len(c.tries.avoid)+1
 }
 
 // watch waits for the first word of an engine.
 type watch struct {
 	timer *time.Timer
+	try   context.Context
 }
 
 // watch passes an engine over that is silent for longer than a try usually takes, and ends the
 // try where there may be another one: its connection is closed before the next is made.
-func (d *Daemon) watch(c *call, cancel context.CancelCauseFunc) *watch {
+func (d *Daemon) watch(try context.Context, c *call, cancel context.CancelCauseFunc) *watch {
 	nowMs := clock.NowMs()
 	bound := d.retries.bound(c, nowMs, d.engines.factor(c.engine, nowMs))
 	if bound <= 0 || bound >= c.timeLeft() {
-		return &watch{}
+		return nil
 	}
 	engine := c.engine
-	return &watch{time.AfterFunc(bound, func() {
+	again := d.mayTryAgain(c)
+	timer := time.AfterFunc(bound, func() {
 		nowMs := clock.NowMs()
 		d.engines.silent(engine, nowMs)
 		d.retries.timedOut(c, nowMs, bound)
-		if d.mayTryAgain(c) {
+		if again && time.Now().Before(c.latest) && d.retries.take(c.backend.Name) {
 			cancel(errSilent)
 		}
-	})}
+	})
+	return &watch{timer: timer, try: try}
 }
 
 // heard ends the wait for the first word.
 func (w *watch) heard() {
-	if w != nil && w.timer != nil {
+	if w != nil {
 		w.timer.Stop()
 	}
 }
 
+// ended ends the wait, and reports whether the try was ended for its silence before.
+func (w *watch) ended() bool {
+	w.heard()
+	return w != nil && errors.Is(context.Cause(w.try), errSilent)
+}
+
 // isFailure reports whether a status says that the engine, and not the request, is at fault.
 // Its 504 says only that the time was over.
 func isFailure(status int) bool {
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -35,8 +35,6 @@
 	// have begun to.
 	runs       int
 	mayHaveRun bool
-	// granted says that the next send was taken from the budget already.
-	granted bool
 }
 
 // serveAttempts sends a call to engines until one answers or none may be asked any
@@ -95,7 +93,6 @@
 	case attemptFailed:
 		known.mayHaveRun = true
 		known.runs++
-		known.granted = false
 	case attemptBroken:
 		known.mayHaveRun = true
 		// An engine that has ended works on nothing any more, so that it does not count
@@ -103,7 +100,7 @@
 		if !c.route.Repeatable() || !d.ended(engine) {
 			known.runs++
 		}
-		if !d.mayContinue(c, outcome) || known.runs >= max(c.route.MaxAttempts, 1) || !d.granted(c) {
+		if !d.mayContinue(c, outcome) || known.runs >= max(c.route.MaxAttempts, 1) || !d.granted(c, outcome) {
 			return true, result.New(result.OutcomeUnknown, "engine %s broke off: %v", engine.ID, outcome.err)
 		}
 	}
@@ -114,13 +111,9 @@
 }
 
 // granted reports whether the budget of the back end covers another send of a call that an
-// engine may have run.
-func (d *Daemon) granted(c *call) bool {
-	if c.tries.granted {
-		c.tries.granted = false
-		return true
-	}
-	return d.retries.take(c.backend.Name)
+// engine may have run. For one that was ended for its silence it was asked before.
+func (d *Daemon) granted(c *call, outcome attemptOutcome) bool {
+	return errors.Is(outcome.err, errSilent) || d.retries.take(c.backend.Name)
 }
 
 // lineUp has a call wait that no engine had room for; afterwards the engine that has some is
--- /dev/null
+++ b/internal/gateway/tries_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/retry"
+)
+
+// turnAway is the answer of an engine that did not run the request.
+func turnAway(w http.ResponseWriter) {
+	w.Header().Set("Ochrebay-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestWaitingForRoom(t *testing.T) {
+	Convey("a call that no engine has room for gets it once there is some", t, func() {
+		var refusals atomic.Int64
+		stand := newGatewayStand(t, func(w http.ResponseWriter, r *http.Request) {
+			if refusals.Add(1) <= 3 {
+				turnAway(w)
+				return
+			}
+			answerSigned(w, r)
+		})
+		response, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Deadline-Ms", "20000")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(stand.runs.Load(), ShouldEqual, 4)
+		_, waitingNow := stand.gateway.lines.mistakes()
+		So(waitingNow, ShouldEqual, 0)
+	})
+	Convey("one for which it does not come hears so with the time to come back, having run nowhere, and leaves the queue", t, func() {
+		stand := newGatewayStand(t, func(w http.ResponseWriter, _ *http.Request) { turnAway(w) })
+		response, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Deadline-Ms", "300")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(response.Header.Get("Retry-After"), ShouldNotBeBlank)
+		mistakes, waitingNow := stand.gateway.lines.mistakes()
+		So(waitingNow, ShouldEqual, 0)
+		So(mistakes.InVain, ShouldEqual, 1)
+	})
+	Convey("so does one without any engine", t, func() {
+		stand := newGatewayStand(t, answerSigned)
+		stand.gateway.engines.follow(&membership.FleetView{Version: 2})
+		response, body, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "300")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(body, ShouldContainSubstring, "1204")
+	})
+}
+
+// newStandOfTwo is a gateway before an engine of one behaviour and another that answers well;
+// the first is asked first.
+func newStandOfTwo(t *testing.T, first http.HandlerFunc) (stand *gatewayStand, firstRuns *atomic.Int64) {
+	stand = newGatewayStand(t, answerSigned)
+	other := newGatewayStand(t, first)
+	fleet := *stand.gateway.view.Load().fleet
+	fleet.Engines["first"] = other.gateway.view.Load().fleet.Engines["e"]
+	engine := fleet.Engines["first"]
+	engine.ID = "first"
+	fleet.Engines["first"] = engine
+	stand.gateway.engines.follow(&fleet)
+	stand.gateway.engines.healthOf("e").Failed(clock.NowMs())
+	return stand, &other.runs
+}
+
+// teach lets the gateway know that answers take 20 ms.
+func (g *gatewayStand) teach(routes ...string) {
+	const answers, tookMs = 200, 20
+	for _, route := range routes {
+		for range answers {
+			g.gateway.retries.kinds.Of(route).Add(clock.NowMs(), tookMs)
+		}
+	}
+}
+
+func TestEnginesThatAreSilent(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	silent := func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-hold:
+		}
+	}
+	Convey("a request that may be repeated leaves an engine that is silent for longer than its like", t, func() {
+		stand, runs := newStandOfTwo(t, silent)
+		stand.teach("/safe/")
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "20000")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(runs.Load(), ShouldEqual, 1)
+		So(stand.runs.Load(), ShouldEqual, 1)
+		So(stand.gateway.engines.healthOf("first").Suspect(clock.NowMs()), ShouldBeTrue)
+	})
+	Convey("one that may not waits for it until its time is over, and the engine is passed over meanwhile", t, func() {
+		stand, runs := newStandOfTwo(t, silent)
+		stand.teach("/unsafe/")
+		response, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Deadline-Ms", "400")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 504)
+		So(runs.Load(), ShouldEqual, 1)
+		So(stand.runs.Load(), ShouldEqual, 0)
+		So(stand.gateway.engines.failing(clock.NowMs()), ShouldContain, "first")
+	})
+	Convey("without a budget nothing is sent a second time", t, func() {
+		stand, _ := newStandOfTwo(t, silent)
+		stand.teach("/safe/")
+		stand.gateway.retries.settings = retry.Settings{}
+		for stand.gateway.retries.take("b") {
+		}
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "400")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 504)
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
+}
+
+func TestEnginesThatFail(t *testing.T) {
+	fails := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Ochrebay-Signature", "s")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	Convey("a failure of one engine is not passed on where another may be asked, and the engine counts as failing", t, func() {
+		stand, runs := newStandOfTwo(t, fails)
+		response, _, err := stand.send("/safe/", "r1", "Ochrebay-Deadline-Ms", "20000")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(runs.Load(), ShouldEqual, 1)
+		So(stand.gateway.engines.failing(clock.NowMs()), ShouldContain, "first")
+	})
+	Convey("where none may, it is passed on as it is, and yet is no sign of a quick engine", t, func() {
+		stand, runs := newStandOfTwo(t, fails)
+		response, _, err := stand.send("/unsafe/", "r1", "Ochrebay-Deadline-Ms", "20000")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 500)
+		So(response.Header.Get("Ochrebay-Signature"), ShouldEqual, "s")
+		So(runs.Load(), ShouldEqual, 1)
+		So(stand.runs.Load(), ShouldEqual, 0)
+		So(stand.gateway.engines.failing(clock.NowMs()), ShouldContain, "first")
+	})
+}
+
+func TestLedgersThatAreSlow(t *testing.T) {
+	Convey("a turn whose ledger is without an answer for longer than one question lasts is served and kept all the same", t, func() {
+		stand := newGatewayStand(t, events(3, "", false))
+		var asked atomic.Int64
+		stand.ledger.say(func(*protocol.TurnRequest) *protocol.TurnReply {
+			// The first answers to the opening and to the keeping are lost.
+			if number := asked.Add(1); number%4 != 0 {
+				return nil
+			}
+			return &protocol.TurnReply{}
+		})
+		began := time.Now()
+		response, body, err := stand.send("/kept/", "r1", append([]string{"Ochrebay-Deadline-Ms", "20000"}, budget...)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(body, ShouldContainSubstring, "data: 3")
+		So(time.Since(began), ShouldBeGreaterThan, 6*ledgerTry)
+		So(asked.Load(), ShouldEqual, 8)
+	})
+}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -193,13 +193,9 @@
 // rejected is the answer to a call for which room is unlikely to come in time.
 func (d *Daemon) rejected(c *call, rejection *waiting.Rejection) *result.Error {
 	after := time.Duration(rejection.RetryAfterMs) * time.Millisecond
-	switch {
-	case d.engines.count(c.backend.Name) == 0:
+	if d.engines.count(c.backend.Name) == 0 {
 		return result.New(result.NoEngine, "no engine of %s", c.backend.Name).WithRetryAfter(after)
-	case rejection.PerSecond == 0:
-		return result.New(result.EngineRefused, "no engine of %s had room for %s", c.backend.Name, c.waited.Round(time.Millisecond)).
-			WithRetryAfter(after)
 	}
-	return result.New(result.DeadlineTooClose, "%d calls go before it and room comes at %.1f a second: chance %.3f to start in time",
-		rejection.Ahead, rejection.PerSecond, rejection.Chance).WithRetryAfter(after)
+	return result.New(result.EngineRefused, "no engine of %s had room in %s; %d calls go before it, room comes at %.1f a second: chance %.3f to start in time",
+		c.backend.Name, c.waited.Round(time.Millisecond), rejection.Ahead, rejection.PerSecond, rejection.Chance).WithRetryAfter(after)
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -127,7 +127,7 @@
 	{OutcomeUnknown, "outcome_unknown", Unknown, 502, 0, "The call is not repeatable and its engine was lost: it may have run."},
 	{Internal, "internal", Unknown, 500, time.Second, "A fault inside ochrebay; the log has the details."},
 	{NoScheduler, "no_scheduler", NotRun, 503, time.Second, "No scheduler can be reached from the sidecar."},
-	{EngineRefused, "engine_refused", NotRun, 503, 500 * time.Millisecond, "The engine said that it did not start the call."},
+	{EngineRefused, "engine_refused", NotRun, 503, 500 * time.Millisecond, "The engines said that they did not start the call, and room for it is not expected in time."},
 	{Cancelled, "cancelled", Unknown, 499, 0, "The caller went away before the answer was complete."},
 	{LedgerUnreachable, "ledger_unreachable", NotRun, 503, 500 * time.Millisecond, "The program's ledger group did not answer in time; no engine was sent the call."},
 	{EngineTimeout, "engine_timeout", Unknown, 504, 0, "The engine had not answered when the request's time was over."},
--- a/internal/waiting/closedloop_test.go
+++ b/internal/waiting/closedloop_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
 // The load of these tests: 38 engines of 8 slots and a queue of 24 each, behind 12 gateways;
@@ -90,6 +93,14 @@
 	return float64(r.served[class]) / float64(r.asked[class])
 }
 
+// String lists what decides.
+func (r *loadResult) String() string {
+	return fmt.Sprintf("served %.3f (urgent %.3f, other %.3f), mean %.0f ms, refusals %d, rejected %d (wrongly %d), held in vain %d, longest without service %.0f ms",
+		r.all(), r.share(0), r.share(1), r.meanMs(), r.refusals, r.rejected, r.wronged, r.inVain, r.longestWithoutService)
+}
+
+func (r *loadResult) meanMs() float64 { return r.latency / float64(r.served[0]+r.served[1]) }
+
 func (r *loadResult) all() float64 {
 	return float64(r.served[0]+r.served[1]) / float64(r.asked[0]+r.asked[1])
 }
@@ -331,12 +342,55 @@
 }
 
 func TestBurst(t *testing.T) {
-	for _, least := range []float64{0.05, 0.2, 0.5} {
-		q := playLoad(true, Settings{LeastChance: least}, 1)
-		t.Logf("%.2f: served %.3f (urgent %.3f, other %.3f), mean %.0f ms, refusals %d, rejected %d, longest without %.0f, wronged %d, in vain %d", least, q.all(), q.share(0), q.share(1),
-			q.latency/float64(q.served[0]+q.served[1]), q.refusals, q.rejected, q.longestWithoutService, q.wronged, q.inVain)
-	}
-	q := playLoad(false, Settings{}, 1)
-	t.Logf("polled: served %.3f (urgent %.3f, other %.3f), mean %.0f ms, refusals %d, rejected %d, longest without %.0f, wronged %d, in vain %d", q.all(), q.share(0), q.share(1),
-		q.latency/float64(q.served[0]+q.served[1]), q.refusals, q.rejected, q.longestWithoutService, q.wronged, q.inVain)
+	polled := playLoad(false, Settings{}, 1)
+	queued := playLoad(true, DefaultSettings(), 1)
+	t.Logf("polled: %v", polled)
+	t.Logf("queued: %v", queued)
+	Convey("in a burst of 2.5 times for 5 s at 38 engines", t, func() {
+		Convey("an order of waiting serves as many as polling, more of the urgent, and asks a tenth as often in vain", func() {
+			So(queued.all(), ShouldBeGreaterThan, polled.all())
+			So(queued.share(0), ShouldBeGreaterThan, polled.share(0)+0.05)
+			So(queued.refusals, ShouldBeLessThan, polled.refusals/10)
+		})
+		Convey("it takes callers no longer than a second on the mean, and none of a class is served for at most 0.5 s", func() {
+			So(queued.meanMs(), ShouldBeLessThan, 1000)
+			So(max(queued.longestWithoutService[0], queued.longestWithoutService[1]), ShouldBeLessThan, 500)
+			So(queued.share(1), ShouldBeGreaterThan, queued.share(0)-0.15)
+		})
+	})
+}
+
+func TestReturnsArriveAtTheRateOfRoom(t *testing.T) {
+	Convey("a queue with room for 100 requests a second asks 400 callers back at that rate, first come first", t, func() {
+		queue := NewQueue(DefaultSettings())
+		nowMs := int64(0)
+		for ; nowMs < 5000; nowMs += 10 {
+			queue.Ended(nowMs)
+		}
+		call := Call{Begun: true, DueMs: nowMs + 300, LatestMs: nowMs + 200}
+		last := int64(0)
+		waiting := 0
+		for range 400 {
+			place, rejection := queue.Join(nowMs, call)
+			if place != nil {
+				waiting++
+				continue
+			}
+			So(rejection.RetryAfterMs, ShouldBeGreaterThanOrEqualTo, min(last+9, longestReturnMs))
+			last = rejection.RetryAfterMs
+		}
+		// 20 are expected to start within the 200 ms.
+		So(waiting, ShouldBeBetween, 20, 40)
+		So(last, ShouldBeGreaterThan, 3000)
+		Convey("newcomers are rejected for the sake of those who return before", func() {
+			for queue.Len() > 0 {
+				queue.Leave(nowMs, queue.places[0], true)
+			}
+			later := nowMs + 400
+			_, rejection := queue.Join(later, Call{DueMs: later + 2100, LatestMs: later + 2000})
+			So(rejection, ShouldNotBeNil)
+			place, _ := queue.Join(later, Call{Begun: true, DueMs: later + 2100, LatestMs: later + 2000})
+			So(place, ShouldNotBeNil)
+		})
+	})
 }
