--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -35,6 +35,8 @@
 	MechanismAdmission Mechanism = "admission"
 	// MechanismWaiting lines up the calls that no engine has room for.
 	MechanismWaiting Mechanism = "waiting"
+	// MechanismLine has a session leave its home where the line there is too deep.
+	MechanismLine Mechanism = "line"
 	// MechanismRetry bounds a try and makes a second one.
 	MechanismRetry Mechanism = "retry"
 	// MechanismChains keeps the chains of sessions that were served lately.
@@ -47,7 +49,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission, MechanismWaiting, MechanismRetry,
+		MechanismAdmission, MechanismWaiting, MechanismLine, MechanismRetry,
 	}
 }
 
