--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,12 +86,17 @@
 	Waiting waiting.Settings `yaml:"waiting,omitempty"`
 	// Retry bounds the second tries of requests that an engine failed.
 	Retry retry.Settings `yaml:"retry,omitempty"`
+	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
+	// way there: more where traffic between zones is dear.
+	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
 }
 
 // Limits are what the machine grants the process.
 type Limits struct {
 	// MemoryMB is the memory above which the process is killed; 0 for no bound.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// CPUShare is the share of a core that the process may use; 0 where it is not known.
+	CPUShare float64 `yaml:"cpu_share" validate:"min=0,max=1024"`
 	// HeaderBytes bounds the header of a caller's request.
 	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
 	// GraceSeconds is how long a stopping process may take before it is killed.
@@ -103,6 +108,11 @@
 	// QuotaWindowSeconds is the span over which tenants' limits are counted: in any such
 	// span a tenant gets at most rate x span + burst.
 	QuotaWindowSeconds float64 `yaml:"quota_window_s" validate:"min=0,max=3600"`
+	// QuotaOverage and QuotaSlack are by how much of a limit, and by how many requests, the
+	// requests of a span may exceed it before it counts as broken. Programs that have begun may
+	// use half of it, new ones never; with 0 and 0 nothing goes beyond a limit.
+	QuotaOverage float64 `yaml:"quota_overage" validate:"min=0,max=1"`
+	QuotaSlack   float64 `yaml:"quota_slack" validate:"min=0,max=1000000"`
 }
 
 // graceMargin is what a stopping process leaves of its grace.
@@ -211,11 +221,13 @@
 // Defaults returns a Process with everything set that has a default.
 func Defaults() Process {
 	return Process{
-		Listen:   Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
-		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
-		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
-		Log:      Log{Level: "info"},
-		Policy:   Policy{Waiting: waiting.DefaultSettings(), Retry: retry.DefaultSettings()},
+		Listen:  Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
+		Limits:  Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
+		Cluster: Cluster{LedgerGroups: 8, LeaseMs: 3000},
+		Log:     Log{Level: "info"},
+		Policy: Policy{
+			CrossZonePenaltyMs: scheduling.DefaultCrossZonePenaltyMs, Waiting: waiting.DefaultSettings(), Retry: retry.DefaultSettings(),
+		},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
 	}
 }
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -85,6 +85,7 @@
 	messagesAfter   []Message
 	pendingSnapshot *Snapshot
 	readStates      []ReadState
+	lostReads       []uint64
 	snapshotsWanted []ReplicaID
 	savedHardState  HardState
 }
@@ -170,10 +171,11 @@
 func (n *Node) Quiescent() bool { return n.quiescent }
 
 // CaughtUp reports whether the leader knows that id has all of its log but at
-// most lag entries.
+// most lag entries. Invariant: a replica that has acknowledged nothing is never caught up: in a
+// short log it lacks few entries too.
 func (n *Node) CaughtUp(id ReplicaID, lag uint64) bool {
 	follower, ok := n.progress[id]
-	return n.role == Leader && ok && follower.match+lag >= n.log.lastIndex()
+	return n.role == Leader && ok && follower.match > 0 && follower.match+lag >= n.log.lastIndex()
 }
 
 // TermAt returns the term of the entry at index, zero where it is not held.
@@ -311,7 +313,7 @@
 // HasReady reports whether Ready would return work.
 func (n *Node) HasReady() bool {
 	return len(n.messages) > 0 || len(n.messagesAfter) > 0 || n.pendingSnapshot != nil ||
-		len(n.readStates) > 0 || len(n.snapshotsWanted) > 0 ||
+		len(n.readStates) > 0 || len(n.lostReads) > 0 || len(n.snapshotsWanted) > 0 ||
 		n.hardState() != n.savedHardState || n.log.stable < n.log.lastIndex() ||
 		n.log.applied < n.log.commit
 }
@@ -327,6 +329,7 @@
 		MessagesAfterSync: n.messagesAfter,
 		Snapshot:          n.pendingSnapshot,
 		ReadStates:        n.readStates,
+		LostReads:         n.lostReads,
 		SnapshotsWanted:   n.snapshotsWanted,
 		Entries:           n.log.slice(n.log.stable+1, n.log.lastIndex(), maxInt),
 		Committed:         n.log.slice(n.log.applied+1, n.log.commit, maxInt),
@@ -338,6 +341,7 @@
 	n.messagesAfter = nil
 	n.pendingSnapshot = nil
 	n.readStates = nil
+	n.lostReads = nil
 	n.snapshotsWanted = nil
 	return ready
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
@@ -40,7 +41,7 @@
 // slower than the others, or a pause of this process.
 func (e *engines) noteBeginning(c *call, nowMs int64, took float64) {
 	target := float64(c.route.TargetLatencyMs)
-	slow := e.healthOf(c.engine).Factor(nowMs) > slowFactor
+	slow := c.chosen.health.Factor(nowMs) > slowFactor
 	if target <= 0 || (took > target && (slow || e.activity.paused(nowMs, took))) {
 		return
 	}
@@ -65,18 +66,21 @@
 	return total / float64(max(heard, 1)), heard > 0 && heard*half >= len(pool)
 }
 
-// admission is a decision whether a program may begin, with what it was made from.
-type admission struct {
+// decision is one whether a program may begin, with what it was made from.
+type decision struct {
 	admitted     bool
 	retryAfterMs int64
 	concurrency  float64
 	limit        float64
+	// room is for how many requests an engine has room, position where the tenant stands.
+	room     float64
+	position admission.Position
 }
 
 // admit decides whether a call that begins a program may go on.
-func (e *engines) admit(c *call, position, ranks int) admission {
+func (e *engines) admit(c *call, position, ranks int) decision {
 	if e.disabled.Has(scheduling.MechanismAdmission) {
-		return admission{admitted: true}
+		return decision{admitted: true}
 	}
 	draw := float64(xxhash.Sum64String(c.program)) / (1 << 64)
 	e.mutex.Lock()
@@ -84,14 +88,78 @@
 	nowMs := clock.NowMs()
 	concurrency, known := e.concurrency(c.backend.Name, nowMs)
 	if !known {
-		return admission{admitted: true}
+		e.offered(c, true, nowMs)
+		return decision{admitted: true}
 	}
-	decision := admission{concurrency: concurrency}
+	made := decision{concurrency: concurrency}
 	learnt := entryOf(e.admissions, c.backend.Name)
-	learnt.Learn(nowMs, decision.concurrency, c.backend.Slots)
-	decision.limit = learnt.Limit()
-	decision.retryAfterMs, decision.admitted = learnt.Admit(decision.concurrency, position, ranks, draw)
-	return decision
+	learnt.Learn(nowMs, concurrency, c.backend.Slots)
+	made.limit = learnt.Limit()
+	made.room = admission.Room(c.backend.Slots, learnt.Room())
+	made.position = e.position(c, made.room, nowMs)
+	if made.position.Above {
+		made.retryAfterMs, made.admitted = made.position.Admit(draw)
+	} else {
+		// What others use beyond their shares is theirs to give back.
+		excess := made.position.Excess / float64(max(len(e.byPool[c.backend.Name]), 1))
+		made.retryAfterMs, made.admitted = learnt.Admit(concurrency-excess, position, ranks, draw)
+	}
+	e.offered(c, made.admitted, nowMs)
+	return made
+}
+
+// offered tells the meter of a program that was to begin.
+func (e *engines) offered(c *call, begun bool, nowMs int64) {
+	if c.tenant != nil {
+		e.meter.Offered(c.backend.Name, c.tenant.Name, c.weight, begun, nowMs)
+	}
+}
+
+// position returns where the tenant of a call stands at its back end.
+func (e *engines) position(c *call, room float64, nowMs int64) admission.Position {
+	if c.tenant == nil || e.disabled.Has(scheduling.MechanismShares) {
+		return admission.Position{}
+	}
+	return e.shares.Of(c.backend.Name, c.tenant.Name, room*float64(len(e.byPool[c.backend.Name])), nowMs)
+}
+
+// underWay counts a call at its back end, or takes it off again.
+func (e *engines) underWay(c *call, change int) {
+	if !c.keyed {
+		return
+	}
+	name := ""
+	if c.tenant != nil {
+		name = c.tenant.Name
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.meter.Change(c.backend.Name, name, c.weight, change, clock.NowMs())
+	e.slots[c.backend.Name] = c.backend.Slots
+}
+
+// nearlyShort is the part of the room of a back end from which on gateways name the tenants that
+// use it: a half, since demand doubles within the time that it takes to hear of it.
+const nearlyShort = 0.5
+
+// usesNews returns what was used here of back ends since the last call, by tenants where they are
+// short or nearly so.
+func (e *engines) usesNews(nowMs int64) []admission.BackendUse {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.meter.Read(nowMs, func(backend string) bool {
+		concurrency, known := e.concurrency(backend, nowMs)
+		room := admission.Room(e.slots[backend], entryOf(e.admissions, backend).Room())
+		wanted := e.shares.Demand(backend, nowMs) / float64(max(len(e.byPool[backend]), 1))
+		return known && room > 0 && max(concurrency, wanted) >= nearlyShort*room
+	})
+}
+
+// takeUses takes what all gateways' tenants together use of back ends.
+func (e *engines) takeUses(uses []admission.BackendUse, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.shares.Take(uses, nowMs)
 }
 
 // lateNews returns what this gateway has seen of streams since the last call.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/joomcode/errorx"
 
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -66,11 +67,16 @@
 	ledgers  *ledgers
 	chains   *chainCache
 	denials  *denials
+	services *services
 	view     atomic.Pointer[view]
 	// proofAge says how old the proof is that the routing table is in force.
 	proofAge func() (time.Duration, bool)
-	draining atomic.Bool
-	inFlight atomic.Int64
+	// nextProof is closed once a proof has come after the latest.
+	nextProof func() <-chan struct{}
+	pauses    pauses
+	processor processorUse
+	draining  atomic.Bool
+	inFlight  atomic.Int64
 	// lastRequest is when a request last came, clock.NowMs.
 	lastRequest atomic.Int64
 }
@@ -80,10 +86,12 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy.Disable), lines: newLines(process.Policy.Waiting, process.Policy.Disable),
+		engines: newEngines(process.Zone, process.Policy), lines: newLines(process.Policy.Waiting, process.Policy.Disable),
 		retries: newRetries(process.Policy.Retry, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
+		services: newServices(),
 	}
+	d.pool.OnDial = d.engines.dialed
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
 	d.ledgers = newLedgers(process.Zone, d.metrics.histories, process.Policy.Disable)
@@ -92,8 +100,10 @@
 	d.follower.Report = d.report
 	d.follower.OnNews = d.follow
 	d.proofAge = d.follower.ProofAge
+	d.nextProof = d.follower.NextProof
 	d.follower.OnLoads = d.takeShared
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
+	d.follower.OnUses = func(uses []admission.BackendUse) { d.engines.takeUses(uses, clock.NowMs()) }
 	return d
 }
 
@@ -119,10 +129,12 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
+		Capacity: d.process.Limits.CPUShare, Busy: d.busy(),
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
 	request.Late = d.engines.lateNews(clock.NowMs())
+	request.Uses = d.engines.usesNews(clock.NowMs())
 }
 
 // takeShared takes what all gateways together have seen of engines.
@@ -198,7 +210,7 @@
 	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
 }
 
-// sweep closes engine connections that have rested too long.
+// sweep closes engine connections that have rested too long, and notices pauses of the process.
 func (d *Daemon) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepEvery)
 	defer ticker.Stop()
@@ -207,6 +219,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-ticker.C:
+			d.pauses.step(sweepEvery, clock.NowMs())
 			d.pool.Sweep(now)
 		}
 	}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -38,8 +38,9 @@
 		fleet := NewFleet()
 		tracker := NewFleetTracker(fleetOptions(), 0)
 		report := func(id string) {
-			if tracker.Believes(fleet, id) {
-				fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{{ID: id, Address: "10.0.0.1:1"}}})
+			engine := ServingEngine{ID: id, Address: "10.0.0.1:1"}
+			if tracker.Believes(fleet, engine, 0) {
+				fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{engine}})
 			}
 		}
 		known := func(id string) bool {
@@ -49,7 +50,7 @@
 		report("old")
 		report("new")
 		So(known("old"), ShouldBeFalse)
-		for range supersededReports - 1 {
+		for range doubtfulReports - 1 {
 			report("old")
 		}
 		So(known("old"), ShouldBeFalse)
@@ -100,8 +101,8 @@
 		tracker.HeardGateway("held", 100)
 		given := tracker.HeardGateway("impatient", 100)
 		tracker.HeardGateway("impatient", 150)
-		tracker.AnsweredGateway("frozen", frozen, 300)
-		tracker.AnsweredGateway("impatient", given, 300)
+		tracker.AnsweredGateway("frozen", frozen, false, 300)
+		tracker.AnsweredGateway("impatient", given, false, 300)
 		So(tracker.Plan(fleet, 500).RemoveGateways, ShouldBeEmpty)
 		So(tracker.Plan(fleet, 501).RemoveGateways, ShouldResemble, []string{"frozen"})
 		So(tracker.Plan(fleet, 1000).RemoveGateways, ShouldResemble, []string{"frozen"})
@@ -112,7 +113,7 @@
 		fleet := NewFleet()
 		tracker := NewFleetTracker(fleetOptions(), 0)
 		fleet.Apply(FleetUpdate{PutGateways: []Gateway{{Name: "g"}}})
-		tracker.AnsweredGateway("g", tracker.HeardGateway("g", 100), 100)
+		tracker.AnsweredGateway("g", tracker.HeardGateway("g", 100), false, 100)
 		tracker.Paused(3000)
 		So(tracker.Plan(fleet, 3200).RemoveGateways, ShouldBeEmpty)
 		So(tracker.Plan(fleet, 3301).RemoveGateways, ShouldResemble, []string{"g"})
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -22,8 +22,10 @@
 	LedgerSilentMs  int64
 	// GatewayReturnMs is how long a gateway may take for its next heartbeat once the last
 	// one was answered. A heartbeat is held for a while and the next follows at once, so
-	// that a gateway that does not come back is frozen or cut off.
-	GatewayReturnMs int64
+	// that a gateway that does not come back is frozen or cut off. GatewayQuietReturnMs is the
+	// same after an answer without news: there is nothing to be put in force before the next.
+	GatewayReturnMs      int64
+	GatewayQuietReturnMs int64
 	// LedgerForgottenMs is how long a ledger host that holds nothing may be silent before
 	// it is forgotten; it is known again once it reports.
 	LedgerForgottenMs int64
@@ -61,8 +63,10 @@
 	lastNewLedgerMs int64
 	// enginesCheckedMs is when silent engines were last looked for.
 	enginesCheckedMs int64
-	// lateReports counts the reports of superseded engines.
-	lateReports map[string]int
+	// doubts are the engines whose reports contradict what is known.
+	doubts map[string]doubt
+	// newest are the latest incarnations that were heard of lately.
+	newest newestLives
 	// calmSinceMs is since when the pools that are larger than they need be are so.
 	calmSinceMs map[poolKey]int64
 }
@@ -76,6 +80,8 @@
 type gatewayHeartbeat struct {
 	number   uint64
 	answered bool
+	// quiet says that the answer held no news.
+	quiet bool
 	// sinceMs is when the heartbeat came, or was answered.
 	sinceMs int64
 }
@@ -84,7 +90,7 @@
 func NewFleetTracker(options FleetOptions, nowMs int64) *FleetTracker {
 	return &FleetTracker{
 		options: options, startMs: nowMs, heard: map[string]int64{}, gateways: map[string]gatewayHeartbeat{},
-		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, lateReports: map[string]int{}, calmSinceMs: map[poolKey]int64{},
+		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, doubts: map[string]doubt{}, newest: newestLives{}, calmSinceMs: map[poolKey]int64{},
 	}
 }
 
@@ -95,10 +101,10 @@
 	return number
 }
 
-// AnsweredGateway notes that the heartbeat of a number is answered.
-func (t *FleetTracker) AnsweredGateway(name string, number uint64, nowMs int64) {
+// AnsweredGateway notes that the heartbeat of a number is answered, quiet where there was no news.
+func (t *FleetTracker) AnsweredGateway(name string, number uint64, quiet bool, nowMs int64) {
 	if latest := t.gateways[name]; latest.number == number && !latest.answered {
-		t.gateways[name] = gatewayHeartbeat{number: number, answered: true, sinceMs: nowMs}
+		t.gateways[name] = gatewayHeartbeat{number: number, answered: true, quiet: quiet, sinceMs: nowMs}
 	}
 }
 
@@ -118,7 +124,10 @@
 	if !known {
 		return nowMs-t.startMs > t.options.GatewaySilentMs
 	}
-	if latest.answered {
+	switch {
+	case latest.answered && latest.quiet:
+		return nowMs-latest.sinceMs > t.options.GatewayQuietReturnMs
+	case latest.answered:
 		return nowMs-latest.sinceMs > t.options.GatewayReturnMs
 	}
 	return nowMs-latest.sinceMs > t.options.GatewaySilentMs
@@ -181,11 +190,13 @@
 	if len(t.heard) <= 2*len(fleet.state.Engines)+len(fleet.state.Ledgers) {
 		return
 	}
-	maps.DeleteFunc(t.heard, func(key string, _ int64) bool {
+	gone := func(key string) bool {
 		_, engine := fleet.state.Engines[key]
 		_, host := fleet.state.Ledgers[key]
 		return !engine && !host
-	})
+	}
+	maps.DeleteFunc(t.heard, func(key string, _ int64) bool { return gone(key) })
+	maps.DeleteFunc(t.newest, func(key string, _ int64) bool { return gone(key) })
 }
 
 // lostGateways returns the gateways that fell silent, in ascending order.
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"github.com/ochrebay/ochrebay/internal/admission"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,8 +19,11 @@
 type FleetOrder struct {
 	// Report is an engine's report of itself.
 	Report *membership.ServingEngine `msgpack:"e,omitempty"`
-	// Leave names an engine that ends.
-	Leave string `msgpack:"l,omitempty"`
+	// Leave names an engine that ends, LeaveBorn its incarnation where it says so.
+	Leave     string `msgpack:"l,omitempty"`
+	LeaveBorn int64  `msgpack:"b,omitempty"`
+	// Incarnations says that the sender reads from reports which incarnation they are of.
+	Incarnations bool `msgpack:"i,omitempty"`
 	// Routing is a whole routing table to put in force.
 	Routing *routing.Table `msgpack:"r,omitempty"`
 	// ReadRouting asks for the table in force, confirmed by a quorum.
@@ -37,6 +41,8 @@
 	Routing *routing.Table `msgpack:"r,omitempty"`
 	// Done answers RetireState.
 	Done bool `msgpack:"d,omitempty"`
+	// Void names why a report or leave that is acknowledged changed nothing (membership.Verdict).
+	Void string `msgpack:"v,omitempty"`
 }
 
 // FleetSync is the heartbeat of a gateway or ledger host; the reply is held until
@@ -50,6 +56,8 @@
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what the gateway has seen of streams since its last heartbeat.
 	Late []scheduling.LateShare `msgpack:"t,omitempty"`
+	// Uses is what the gateway's tenants use of back ends that are short of room.
+	Uses []admission.BackendUse `msgpack:"uses,omitempty"`
 	// Version and Generation are the fleet and the routing table in force at the
 	// sender; WithRouting says that it wants the table at all.
 	Version     uint64 `msgpack:"v"`
@@ -90,6 +98,9 @@
 	Failing []string `msgpack:"k,omitempty"`
 	// Late is what all gateways together have seen of streams, with every answer to one.
 	Late []scheduling.LateShare `msgpack:"t,omitempty"`
+	// Uses is what all gateways' tenants together use of back ends that are short of room; it
+	// comes with Loads, where the routing table has tenants.
+	Uses *Shared[[]admission.BackendUse] `msgpack:"uses,omitempty"`
 	// Controls are the inner addresses of the control processes, where the sender knows others.
 	Controls []string `msgpack:"c,omitempty"`
 	// Confirmed says that a quorum confirmed the reply after the request had come.
@@ -136,6 +147,7 @@
 	Engine string `msgpack:"g,omitempty"`
 	// First says, of a reserved turn with a budget, that nothing of its program has run yet.
 	First bool `msgpack:"f,omitempty"`
-	// Grant answers Quota.
-	Grant *quota.Grant `msgpack:"q,omitempty"`
+	// Grant answers Quota; Queued does where the request waits and is to be asked for again.
+	Grant  *quota.Grant `msgpack:"q,omitempty"`
+	Queued *quota.Place `msgpack:"u,omitempty"`
 }
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -39,6 +39,8 @@
 	MechanismLine Mechanism = "line"
 	// MechanismRetry bounds a try and makes a second one.
 	MechanismRetry Mechanism = "retry"
+	// MechanismShares holds tenants to their shares of a back end that is short of room.
+	MechanismShares Mechanism = "shares"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
 )
@@ -49,7 +51,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission, MechanismWaiting, MechanismLine, MechanismRetry,
+		MechanismAdmission, MechanismShares, MechanismWaiting, MechanismLine, MechanismRetry,
 	}
 }
 
