--- a/internal/scheduling/scheduling.go
+++ b/internal/scheduling/scheduling.go
@@ -121,7 +121,8 @@
 		}
 		engine, open := c.place(call)
 		if engine == nil {
-			full[call.Pool] = !open
+			// A call that has excluded the engines with room says nothing of the others.
+			full[call.Pool] = !open && len(call.Excluded) == 0
 			still = append(still, call)
 			continue
 		}
--- a/internal/scheduling/scheduling_test.go
+++ b/internal/scheduling/scheduling_test.go
@@ -154,3 +154,20 @@
 		}
 	}
 }
+
+func TestExcludedEnginesAreIdleForOthers(t *testing.T) {
+	Convey("a call that has excluded the one engine with room does not keep the next one from it", t, func() {
+		cell := &Cell{Policy: DefaultPolicy()}
+		for _, name := range []string{"busy", "idle"} {
+			cell.Engines = append(cell.Engines, &Engine{Name: name, Pool: "p", Ready: true, Slots: 1, PrefillPerSecond: 10_000, StepMicros: 5000, SequenceMicros: 50})
+		}
+		cell.Engines[0].InFlight = 1
+		first := &Call{ID: 1, Program: "a", Pool: "p", PromptTokens: 1000, OutputTokens: 100, Excluded: map[string]bool{"idle": true}}
+		second := &Call{ID: 2, Program: "b", Pool: "p", PromptTokens: 1000, OutputTokens: 100}
+		cell.Waiting = []*Call{first, second}
+		decision := cell.Decide(0)
+		So(decision.Starts, ShouldHaveLength, 1)
+		So(decision.Starts[0].Call, ShouldEqual, second)
+		So(cell.Waiting, ShouldResemble, []*Call{first})
+	})
+}
