--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -149,13 +149,6 @@
 	return len(e.byPool[backend])
 }
 
-// notSent takes a call off an engine that was chosen for it and did not get it.
-func (e *engines) notSent(engine string) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.healthOf(engine).Ended(clock.NowMs())
-}
-
 // factor is how many times longer than at others things take at an engine.
 func (e *engines) factor(engine string, nowMs int64) float64 {
 	e.mutex.Lock()
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -53,7 +53,7 @@
 	for {
 		chosen, found := choice{}, false
 		if known.left != 0 {
-			chosen, found = d.chooseEngine(c, known.avoid)
+			chosen, found = d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, known.avoid))
 		}
 		if !found {
 			if failure := d.lineUp(ctx, c, known); failure != nil {
@@ -83,35 +83,6 @@
 	}
 }
 
-// deepestLine is how many runs a session waits at the engine that holds what it has read, in
-// that engine's own queue, before it goes on at one that has room: behind two full batches its
-// turn is late for certain, and what there is to read anew takes an engine less than one run.
-// Sooner, sessions would wander in every burst and have their prompts read again everywhere.
-const deepestLine = 2
-
-// chooseEngine picks the engine for a call: of those that the choice compares, one with room
-// where the line at the session's home is too deep.
-func (d *Daemon) chooseEngine(c *call, avoid []string) (choice, bool) {
-	chosen, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, avoid))
-	if !found || c.home == "" || chosen.engine.ID != c.home || d.process.Policy.Disable.Has(scheduling.MechanismLine) {
-		return chosen, found
-	}
-	slots := float64(max(chosen.engine.Slots, c.backend.Slots))
-	if slots == 0 || chosen.company <= (1+deepestLine)*slots {
-		return chosen, true
-	}
-	other, found := d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, append([]string{c.home}, avoid...)))
-	switch {
-	case !found:
-	case other.company > float64(max(other.engine.Slots, c.backend.Slots)):
-		d.engines.notSent(other.engine.ID)
-	default:
-		d.engines.notSent(chosen.engine.ID)
-		return other, true
-	}
-	return chosen, true
-}
-
 // judge reports whether a call is over after a send, and what to tell its caller then.
 func (d *Daemon) judge(c *call, known *tries, engine membership.ServingEngine, outcome attemptOutcome) (done bool, failure *result.Error) {
 	switch outcome.kind {
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -35,8 +35,6 @@
 	MechanismAdmission Mechanism = "admission"
 	// MechanismWaiting lines up the calls that no engine has room for.
 	MechanismWaiting Mechanism = "waiting"
-	// MechanismLine has a session leave its home where the line there is too deep.
-	MechanismLine Mechanism = "line"
 	// MechanismRetry bounds a try and makes a second one.
 	MechanismRetry Mechanism = "retry"
 	// MechanismShares holds tenants to their shares of a back end that is short of room.
@@ -51,7 +49,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission, MechanismShares, MechanismWaiting, MechanismLine, MechanismRetry,
+		MechanismAdmission, MechanismShares, MechanismWaiting, MechanismRetry,
 	}
 }
 
