--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -37,6 +37,10 @@
 	MechanismNearReads Mechanism = "near-reads"
 	// MechanismAdmission rejects new programs while engines fall behind.
 	MechanismAdmission Mechanism = "admission"
+	// MechanismWaiting lines up the calls that no engine has room for.
+	MechanismWaiting Mechanism = "waiting"
+	// MechanismRetry bounds a try and makes a second one.
+	MechanismRetry Mechanism = "retry"
 	// MechanismShares holds tenants to their shares of a back end that is short of room.
 	MechanismShares Mechanism = "shares"
 	// MechanismChains keeps the chains of sessions that were served lately.
@@ -55,7 +59,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismMemory, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismCapacity, MechanismLookUps, MechanismFirstProof, MechanismAdmission, MechanismShares,
+		MechanismCapacity, MechanismLookUps, MechanismFirstProof, MechanismAdmission, MechanismShares, MechanismWaiting, MechanismRetry,
 	}
 }
 
