--- a/cmd/ochrebay/main.go
+++ b/cmd/ochrebay/main.go
@@ -43,6 +43,7 @@
 	registerEmulate(app, registered)
 	registerSettings(app, registered)
 	registerStatus(app, registered)
+	registerTenants(app, registered)
 	registerProgram(app, registered)
 	registerConfig(app, registered)
 	registerPlan(app, registered)
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -45,10 +45,10 @@
 	Tenants []TenantUse `msgpack:"t,omitempty"`
 }
 
-// demand is what a tenant would use if all its programs began: as Little's law has it, what it
+// DemandOf is what a tenant would use if all its programs began: as Little's law has it, what it
 // begins in a second times what each brings. What is under way lags behind that by the life of
 // programs. No tenant's demand is less than what it has under way.
-func (u BackendUse) demand(tenant TenantUse) float64 {
+func (u BackendUse) DemandOf(tenant TenantUse) float64 {
 	return math.Max(float64(tenant.InFlight), float64(tenant.Offered)*float64(u.Busy))
 }
 
@@ -80,7 +80,7 @@
 	// for.
 	left, weight := capacity-total, 0.0
 	for position, tenant := range u.Tenants {
-		left += u.demand(tenant)
+		left += u.DemandOf(tenant)
 		weight += tenant.weight()
 		level := max(left, 0) / weight
 		if position+1 == len(u.Tenants) || level >= u.perWeight(u.Tenants[position+1]) {
@@ -90,7 +90,7 @@
 	return math.Inf(1)
 }
 
-func (u BackendUse) perWeight(tenant TenantUse) float64 { return u.demand(tenant) / tenant.weight() }
+func (u BackendUse) perWeight(tenant TenantUse) float64 { return u.DemandOf(tenant) / tenant.weight() }
 
 // Position is where a tenant stands at a back end.
 type Position struct {
@@ -156,7 +156,7 @@
 		share := level * each.weight()
 		position.Excess += max(float64(each.InFlight)-share, 0)
 		if each.Tenant == tenant {
-			position.Use, position.Demand, position.Share = float64(each.InFlight), use.demand(each), share
+			position.Use, position.Demand, position.Share = float64(each.InFlight), use.DemandOf(each), share
 			position.Above = position.Demand > share
 		}
 	}
--- a/internal/admission/useboard.go
+++ b/internal/admission/useboard.go
@@ -212,7 +212,7 @@
 	sum, named := *u, 0.0
 	for _, tenant := range tenants {
 		sum.Tenants = append(sum.Tenants, tenant)
-		sum.Demand += float32(sum.demand(tenant))
+		sum.Demand += float32(sum.DemandOf(tenant))
 		named += float64(tenant.InFlight)
 	}
 	sum.Demand += float32(max(float64(sum.Total)-named, 0))
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -182,6 +182,7 @@
 }
 
 func (d *Daemon) registerMetrics() {
+	d.monitor.JSON("/v1/shares", d.shares)
 	d.monitor.Gauge("settings_revision", "Settings revision in force.", func() float64 { return float64(d.status.Load().revision) })
 	d.monitor.Gauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().leading) })
 	d.monitor.Gauge("programs", "Program headers held.", func() float64 { return float64(d.status.Load().programs) })
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -35,6 +35,8 @@
 	voting  int
 	applied uint64
 	synced  uint64
+	// waiting are the requests that wait for room in their tenant's limit.
+	waiting int
 	// leaders are the members that lead the groups hosted here, as far as known.
 	leaders map[uint32]string
 }
@@ -102,9 +104,24 @@
 	d.monitor.Gauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().applied) })
 	d.monitor.Gauge("ledger_quota_granted", "Requests of tenants granted since the start.", func() float64 { return float64(d.core.QuotasGranted()) })
 	d.monitor.Gauge("ledger_quota_denied", "Requests of tenants denied since the start: their limit was used up.", func() float64 { return float64(d.core.QuotasDenied()) })
+	d.monitor.Gauge("ledger_quota_waiting", "Requests of programs under way that wait for room in their tenant's limit.", func() float64 { return float64(d.status.Load().waiting) })
+	d.monitor.JSON("/v1/tenants", d.tenants)
 	d.monitor.Gauge("store_syncs", "Synced writes to the data folder.", func() float64 { return float64(d.status.Load().synced) })
 }
 
+// tenants tells an operator of the tenants whose limits are owned here.
+func (d *Daemon) tenants() any {
+	views := make(chan []quota.TenantView, 1)
+	d.loop.Post(func() { views <- d.core.Tenants() })
+	return TenantsView{Process: d.process.Name, Tenants: <-views}
+}
+
+// TenantsView is a ledger host's answer to an operator.
+type TenantsView struct {
+	Process string             `json:"process"`
+	Tenants []quota.TenantView `json:"tenants"`
+}
+
 // Follower returns the daemon's link to control, for changed settings.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
@@ -155,6 +172,7 @@
 func (d *Daemon) publish() {
 	current := &status{
 		leaders: map[uint32]string{}, report: d.core.Report(), drained: d.core.Drained(), hosted: len(d.core.host.Groups), synced: d.core.host.Synced,
+		waiting: d.core.QuotasWaiting(),
 	}
 	for _, group := range d.core.host.Groups {
 		current.leaders[uint32(group.ID)] = group.LeaderMember()
--- a/internal/ledger/quotas.go
+++ b/internal/ledger/quotas.go
@@ -262,3 +262,21 @@
 
 // QuotasDenied counts the requests that were denied since the start; any goroutine may ask.
 func (c *Core) QuotasDenied() int64 { return c.quotasDenied.Load() }
+
+// Tenants tells of the tenants whose limits are owned here.
+func (c *Core) Tenants() []quota.TenantView {
+	var views []quota.TenantView
+	for _, owner := range c.quotas {
+		views = append(views, owner.owner.Overview(c.nowMs)...)
+	}
+	return views
+}
+
+// QuotasWaiting is how many requests wait for room in their tenant's limit.
+func (c *Core) QuotasWaiting() int {
+	waiting := 0
+	for _, owner := range c.quotas {
+		waiting += len(owner.held)
+	}
+	return waiting
+}
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -98,7 +98,8 @@
 	// queue are the requests of programs under way that wait for room, first asked first.
 	queue []*waiter
 	// issued are the grants to tickets lately.
-	issued map[string]*issue
+	issued   map[string]*issue
+	pressure pressure
 	// unfetched are the tickets that were granted while their gateways were to ask again.
 	unfetched []string
 	// startShare is the part of the limit that new programs may fill, and mayRaiseMs when it
@@ -165,6 +166,14 @@
 		tenant.limit = ask.Limit
 	}
 	tenant.expire(nowMs)
+	newProgram := ask.Program != "" && !ask.Continues && !tenant.begun.UnderWay(ask.Program)
+	decision := o.decide(tenant, ask, nowMs)
+	tenant.pressure.note(decision, newProgram, nowMs)
+	return decision
+}
+
+// decide is Ask for a tenant that is up to date.
+func (o *Owner) decide(tenant *owned, ask Ask, nowMs int64) Decision {
 	if ask.Ticket != "" {
 		return o.askWithTicket(tenant, ask, nowMs)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -3,6 +3,7 @@
 package telemetry
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -46,6 +47,8 @@
 	Registry *prometheus.Registry
 	ready    func() bool
 	metrics  fasthttp.RequestHandler
+	// views answer operators in JSON, by path.
+	views map[string]func() any
 }
 
 // NewMonitor returns a monitor with the process's own metrics; ready tells
@@ -66,13 +69,23 @@
 	counter("log_lines_dropped_total", "Log lines that found the queue full.", func() int64 { dropped, _ := LogLosses(); return dropped })
 	counter("log_lines_thinned_total", "Log lines of calm requests left out under load.", func() int64 { _, thinned := LogLosses(); return thinned })
 	handler := promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
-	return &Monitor{Registry: registry, ready: ready, metrics: fasthttpadaptor.NewFastHTTPHandler(handler)}
+	return &Monitor{Registry: registry, ready: ready, metrics: fasthttpadaptor.NewFastHTTPHandler(handler), views: map[string]func() any{}}
 }
 
+// JSON has a path answer operators with what view returns; it is called before the first request
+// is served.
+func (m *Monitor) JSON(path string, view func() any) { m.views[path] = view }
+
 // Handler serves the monitor's paths for processes that use net/http.
 func (m *Monitor) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{}))
+	for path, view := range m.views {
+		mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(view())
+		})
+	}
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if !m.ready() {
@@ -123,7 +136,12 @@
 		}
 		ctx.SetBodyString("ready\n")
 	default:
-		return false
+		view, known := m.views[string(ctx.Path())]
+		if !known {
+			return false
+		}
+		ctx.SetContentType("application/json")
+		_ = json.NewEncoder(ctx).Encode(view())
 	}
 	return true
 }
