--- a/internal/admission/meter.go
+++ b/internal/admission/meter.go
@@ -12,10 +12,10 @@
 type metered struct {
 	weight   float64
 	inFlight int
-	// sum is in requests x milliseconds, offered and begun in programs since the last reading.
-	sum            float64
-	offered, begun float64
-	lastMs         int64
+	// sum is in requests x milliseconds, begun in programs since the last reading.
+	sum    float64
+	begun  float64
+	lastMs int64
 }
 
 // NewMeter returns a meter that has seen nothing.
@@ -44,13 +44,9 @@
 	known.inFlight += change
 }
 
-// Offered notes that a program of a tenant was to begin, and whether it did.
-func (m *Meter) Offered(backend, tenant string, weight float64, begun bool, nowMs int64) {
-	known := m.of(backend, tenant, weight, nowMs)
-	known.offered++
-	if begun {
-		known.begun++
-	}
+// Begun notes that a program of a tenant has begun.
+func (m *Meter) Begun(backend, tenant string, weight float64, nowMs int64) {
+	m.of(backend, tenant, weight, nowMs).begun++
 }
 
 // Read returns the use since the last reading, naming the tenants of back ends that are nearly
@@ -62,11 +58,11 @@
 	for key, known := range m.byKey {
 		known.bringTo(nowMs)
 		read := *known
-		known.sum, known.offered, known.begun = 0, 0, 0
+		known.sum, known.begun = 0, 0
 		if known.inFlight == 0 {
 			delete(m.byKey, key)
 		}
-		if read.sum <= 0 && read.offered == 0 {
+		if read.sum <= 0 && read.begun == 0 {
 			continue
 		}
 		use := byBackend[key.backend]
@@ -78,7 +74,7 @@
 		use.Total += mean
 		use.Begun += float32(read.begun)
 		if key.tenant != "" && short(key.backend) {
-			use.Tenants = append(use.Tenants, TenantUse{Tenant: key.tenant, Weight: float32(known.weight), InFlight: mean, Offered: float32(read.offered)})
+			use.Tenants = append(use.Tenants, TenantUse{Tenant: key.tenant, Weight: float32(known.weight), InFlight: mean, Begun: float32(read.begun)})
 		}
 	}
 	var uses []BackendUse
--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -15,6 +15,10 @@
 	// begins; up to there a growing part is rejected, so that its use does not swing with the
 	// age of what is known of it.
 	overShare = 0.25
+	// slackDeviations is how many standard deviations of chance, the root of its share, a tenant
+	// may be above its share: a small tenant with a program or two more than usual is not the one
+	// that the others wait for.
+	slackDeviations = 2
 	// returnWithinMs spreads those who are rejected together.
 	returnWithinMs = 1000
 )
@@ -26,9 +30,10 @@
 	Weight float32 `msgpack:"w"`
 	// InFlight is how many requests are under way, in the mean since the last report.
 	InFlight float32 `msgpack:"f,omitempty"`
-	// Offered is how many programs the tenant wanted to begin: of a gateway's report since its
-	// last one, of control's sums in a second.
-	Offered float32 `msgpack:"o,omitempty"`
+	// Begun is how many of the tenant's programs have begun: of a gateway's report since its last
+	// one, of control's sums in a second. What was rejected does not count: it comes again, and
+	// would count again.
+	Begun float32 `msgpack:"g,omitempty"`
 }
 
 // BackendUse is the use of one back end: by tenants, and by all requests together.
@@ -45,11 +50,11 @@
 	Tenants []TenantUse `msgpack:"t,omitempty"`
 }
 
-// DemandOf is what a tenant would use if all its programs began: as Little's law has it, what it
-// begins in a second times what each brings. What is under way lags behind that by the life of
-// programs. No tenant's demand is less than what it has under way.
+// DemandOf is what a tenant will use: as Little's law has it, what it begins in a second times what
+// each program brings. What is under way lags behind that by the life of programs. No tenant's
+// demand is less than what it has under way.
 func (u BackendUse) DemandOf(tenant TenantUse) float64 {
-	return math.Max(float64(tenant.InFlight), float64(tenant.Offered)*float64(u.Busy))
+	return math.Max(float64(tenant.InFlight), float64(tenant.Begun)*float64(u.Busy))
 }
 
 func sound(values ...float32) bool {
@@ -104,6 +109,9 @@
 	Use, Demand, Share, Excess float64
 }
 
+// slack is up to what demand a tenant counts as within its share.
+func (p Position) slack() float64 { return p.Share + slackDeviations*math.Sqrt(p.Share) }
+
 // Rejected is the part of the tenant's new programs that is rejected: none within its share, and
 // else so many that the others bring its share; all where it uses overShare more than that
 // already.
@@ -111,8 +119,8 @@
 	if !p.Above {
 		return 0
 	}
-	thinned := 1 - p.Share/p.Demand
-	return min(max(thinned, (p.Use-p.Share)/max(p.Share*overShare, 1)), 1)
+	thinned := 1 - p.slack()/p.Demand
+	return min(max(thinned, (p.Use-p.slack())/max(p.slack()*overShare, 1)), 1)
 }
 
 // Admit reports whether a new program of the tenant may begin, and else when it is to come back,
@@ -157,7 +165,7 @@
 		position.Excess += max(float64(each.InFlight)-share, 0)
 		if each.Tenant == tenant {
 			position.Use, position.Demand, position.Share = float64(each.InFlight), use.DemandOf(each), share
-			position.Above = position.Demand > share
+			position.Above = position.Demand > position.slack()
 		}
 	}
 	return position
--- a/internal/admission/useboard.go
+++ b/internal/admission/useboard.go
@@ -10,10 +10,9 @@
 	// sumEveryMs is how old the sums may be: to add them up takes as many steps as there are
 	// tenants in the reports of all gateways.
 	sumEveryMs = 200
-	// offeredHalfLifeMs is when a program that was to begin counts half: long enough that one
-	// program of a small tenant does not look like a crowd. (A second count over 0.4 s, less
-	// twice its deviation, finds a crowd no sooner than what is under way does.)
-	offeredHalfLifeMs = 2_000
+	// begunHalfLifeMs is when a program that has begun counts half: long enough that one program
+	// of a small tenant does not look like a crowd.
+	begunHalfLifeMs = 2_000
 	// busyHalfLifeMs is that of what a program brings, longer than programs live; fewer than
 	// leastBegun programs say nothing of it.
 	busyHalfLifeMs = 10_000
@@ -61,7 +60,7 @@
 type boardBackend struct {
 	// busy is in seconds of requests, begun in programs.
 	busy, begun decaying
-	offered     map[string]*decaying
+	byTenant    map[string]*decaying
 }
 
 // NewUseBoard returns a board that has heard nothing.
@@ -89,7 +88,7 @@
 		}
 		known := b.backends[use.Backend]
 		if known == nil {
-			known = &boardBackend{offered: map[string]*decaying{}}
+			known = &boardBackend{byTenant: map[string]*decaying{}}
 			b.backends[use.Backend] = known
 		}
 		known.busy.add(float64(use.Total)*elapsed, nowMs, busyHalfLifeMs)
@@ -100,13 +99,13 @@
 
 func (b *boardBackend) take(tenants []TenantUse, nowMs int64) {
 	for _, tenant := range tenants {
-		if !sound(tenant.Offered) || tenant.Offered == 0 {
+		if !sound(tenant.Begun) || tenant.Begun == 0 {
 			continue
 		}
-		if b.offered[tenant.Tenant] == nil {
-			b.offered[tenant.Tenant] = &decaying{}
+		if b.byTenant[tenant.Tenant] == nil {
+			b.byTenant[tenant.Tenant] = &decaying{}
 		}
-		b.offered[tenant.Tenant].add(float64(tenant.Offered), nowMs, offeredHalfLifeMs)
+		b.byTenant[tenant.Tenant].add(float64(tenant.Begun), nowMs, begunHalfLifeMs)
 	}
 }
 
@@ -119,14 +118,14 @@
 	return float32(b.busy.at(nowMs, busyHalfLifeMs) / begun)
 }
 
-// offeredPerSecond is how many programs a tenant wants to begin in a second.
-func (b *boardBackend) offeredPerSecond(tenant string, nowMs int64) float32 {
-	known := b.offered[tenant]
+// begunPerSecond is how many programs a tenant begins in a second.
+func (b *boardBackend) begunPerSecond(tenant string, nowMs int64) float32 {
+	known := b.byTenant[tenant]
 	if known == nil {
 		return 0
 	}
 	const perSecond = math.Ln2 * 1000
-	return float32(known.at(nowMs, offeredHalfLifeMs) * perSecond / offeredHalfLifeMs)
+	return float32(known.at(nowMs, begunHalfLifeMs) * perSecond / begunHalfLifeMs)
 }
 
 // Sums returns the use of each back end over all gateways, with at most mostShares tenants each.
@@ -149,9 +148,9 @@
 		}
 	}
 	for name, known := range b.backends {
-		for tenant, wanted := range known.offered {
-			if wanted.at(nowMs, offeredHalfLifeMs) < forgottenCount {
-				delete(known.offered, tenant)
+		for tenant, count := range known.byTenant {
+			if count.at(nowMs, begunHalfLifeMs) < forgottenCount {
+				delete(known.byTenant, tenant)
 			}
 		}
 		if known.busy.at(nowMs, busyHalfLifeMs) < forgottenCount && known.begun.at(nowMs, busyHalfLifeMs) < forgottenCount {
@@ -179,7 +178,7 @@
 	for backend, sum := range sums {
 		if known := b.backends[backend]; known != nil {
 			sum.Busy = known.perProgram(nowMs)
-			known.addOffered(tenants[backend], nowMs)
+			known.addBegun(tenants[backend], nowMs)
 		}
 		all = append(all, sum.withTenants(tenants[backend]))
 	}
@@ -199,10 +198,10 @@
 	}
 }
 
-// addOffered fills in how many programs each tenant that is named wants to begin.
-func (b *boardBackend) addOffered(tenants map[string]TenantUse, nowMs int64) {
+// addBegun fills in how many programs each tenant that is named begins in a second.
+func (b *boardBackend) addBegun(tenants map[string]TenantUse, nowMs int64) {
 	for name, tenant := range tenants {
-		tenant.Offered = b.offeredPerSecond(name, nowMs)
+		tenant.Begun = b.begunPerSecond(name, nowMs)
 		tenants[name] = tenant
 	}
 }
--- a/internal/control/shares.go
+++ b/internal/control/shares.go
@@ -10,7 +10,7 @@
 	Tenant   string  `json:"tenant"`
 	Weight   float64 `json:"weight"`
 	InFlight float64 `json:"in_flight"`
-	// Demand is what would be under way if all programs that the tenant wants to begin did, Share
+	// Demand is what will be under way of what the tenant begins, Share
 	// what it is held to while the back end is short, 0 while it is not.
 	Demand float64 `json:"demand"`
 	Share  float64 `json:"share"`
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -88,7 +88,7 @@
 	nowMs := clock.NowMs()
 	concurrency, known := e.concurrency(c.backend.Name, nowMs)
 	if !known {
-		e.offered(c, true, nowMs)
+		e.begun(c, nowMs)
 		return decision{admitted: true}
 	}
 	made := decision{concurrency: concurrency}
@@ -104,14 +104,16 @@
 		excess := made.position.Excess / float64(max(len(e.byPool[c.backend.Name]), 1))
 		made.retryAfterMs, made.admitted = learnt.Admit(concurrency-excess, position, ranks, draw)
 	}
-	e.offered(c, made.admitted, nowMs)
+	if made.admitted {
+		e.begun(c, nowMs)
+	}
 	return made
 }
 
-// offered tells the meter of a program that was to begin.
-func (e *engines) offered(c *call, begun bool, nowMs int64) {
+// begun tells the meter of a program that has begun.
+func (e *engines) begun(c *call, nowMs int64) {
 	if c.tenant != nil {
-		e.meter.Offered(c.backend.Name, c.tenant.Name, c.weight, begun, nowMs)
+		e.meter.Begun(c.backend.Name, c.tenant.Name, c.weight, nowMs)
 	}
 }
 
