--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -119,8 +119,8 @@
 	if !p.Above {
 		return 0
 	}
-	thinned := 1 - p.slack()/p.Demand
-	return min(max(thinned, (p.Use-p.slack())/max(p.slack()*overShare, 1)), 1)
+	thinned := 1 - p.Share/p.Demand
+	return min(max(thinned, (p.Use-p.Share)/max(p.Share*overShare, 1)), 1)
 }
 
 // Admit reports whether a new program of the tenant may begin, and else when it is to come back,
