--- /dev/null
+++ b/internal/gateway/shares_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/admission"
+	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/quota"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
+)
+
+// newSharedStand is a gateway whose one engine is short, of which a tenant uses more than its
+// share and another one less.
+func newSharedStand(t *testing.T, above, below string) *tenantStand {
+	stand := newTenantStand(t, events(1, "", false))
+	stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+		if request.Quota != nil {
+			return &protocol.TurnReply{Grant: &quota.Grant{}}
+		}
+		return &protocol.TurnReply{First: request.Reserve != nil}
+	})
+	view := *stand.gateway.view.Load()
+	table := *view.routes.Table
+	table.Generation++
+	for position := range table.Backends {
+		table.Backends[position].Slots = 8
+	}
+	stand.gateway.follow(view.fleet, &table)
+	engines := stand.gateway.engines
+	engines.healthOf("e").TakeShared(scheduling.Load{Engine: "e", InFlight: 60}, clock.NowMs())
+	engines.takeUses([]admission.BackendUse{{Backend: "b", Total: 60, Demand: 60, Tenants: []admission.TenantUse{
+		{Tenant: above, Weight: 2, InFlight: 59}, {Tenant: below, Weight: 2, InFlight: 1},
+	}}}, clock.NowMs())
+	return stand
+}
+
+func TestSharesOfAGateway(t *testing.T) {
+	Convey("a new program of a tenant above its share is rejected, runs nowhere and is told when to come back", t, func() {
+		stand := newSharedStand(t, "beta", "alpha")
+		response, body, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 429)
+		So(response.Header.Get("Retry-After"), ShouldNotBeBlank)
+		So(body, ShouldContainSubstring, "share_used")
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
+	Convey("one of a tenant within its share begins, and so does a turn of a program that has begun", t, func() {
+		stand := newSharedStand(t, "alpha", "beta")
+		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		stand = newSharedStand(t, "beta", "alpha")
+		response, _, err = stand.send("/kept/", "r2", append(budget, "Ochrebay-Key", otherKey, "Ochrebay-Previous-Turn", "t1")...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+	})
+	Convey("turned off it rejects nobody", t, func() {
+		stand := newSharedStand(t, "beta", "alpha")
+		stand.gateway.engines.disabled = scheduling.Disabled{scheduling.MechanismShares}
+		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+	})
+	Convey("a gateway says who uses a back end that is nearly short, and names nobody while there is room", t, func() {
+		stand := newSharedStand(t, "beta", "alpha")
+		_, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", otherKey)
+		So(err, ShouldBeNil)
+		uses := stand.gateway.engines.usesNews(clock.NowMs())
+		So(uses, ShouldHaveLength, 1)
+		So(uses[0].Tenants, ShouldHaveLength, 1)
+		So(uses[0].Tenants[0].Tenant, ShouldEqual, "beta")
+		So(uses[0].Tenants[0].Weight, ShouldEqual, 2)
+		stand = newTenantStand(t, answerSigned)
+		_, _, err = stand.send("/safe/", "r1", "Ochrebay-Key", testKey)
+		So(err, ShouldBeNil)
+		for _, use := range stand.gateway.engines.usesNews(clock.NowMs()) {
+			So(use.Tenants, ShouldBeEmpty)
+		}
+	})
+}
