Late programs keep their rank at engines; a rate of room that nothing shows is none; tests of shares

Engines serve ranks in strict order: at i-5a0f3a4c7e turns that came from 8.17 to 8.9 s waited until their callers left after 2 s, while those that came from 9.0 to 9.9 s began within 0.15 s; 150 programs under way ended by the deadline.

Test: TestRateOfNothingIsNoRate.

TestTenants reports its engine for as long as it runs: requests at a limit wait now, so that the engine was silent for the 10 s after which it leaves the fleet; nothing it holds is eased. TestSharesOfAGateway turns the setting on and its engine takes 5 ms.

--- a/cmd/ochrebay/tenants_test.go
+++ b/cmd/ochrebay/tenants_test.go
@@ -52,6 +52,13 @@
 		answer, _ := f.withKey(gateway, path, key)
 		return answer.status
 	}
+	sequence := 1
+	// alive has the engine report again, as it does for as long as it runs: one that is silent for
+	// 10 s is taken out of the fleet, and requests that wait for room in a limit take their time.
+	alive := func() {
+		sequence++
+		f.heartbeat("engine-1", "ready", sequence)
+	}
 	Convey("tenants", t, func() {
 		Convey("a key leads to its tenant, at every gateway, and goes no further", func() {
 			shared := strings.Replace(tenantConfiguration(1, firstKey), limitedKey, firstKey, 1)
@@ -99,7 +106,10 @@
 				So(answer.status, ShouldBeIn, 401, 503)
 				So(f.engine.ran(id), ShouldEqual, 0)
 			}
-			f.until("the other key's answer", func() bool { return status("gateway-1", "/safe/", firstKey) == 200 })
+			f.until("the other key's answer", func() bool {
+				alive()
+				return status("gateway-1", "/safe/", firstKey) == 200
+			})
 		})
 		Convey("gateways that are cut off serve no key beyond the bound, and what needs none still", func() {
 			f.signal(syscall.SIGSTOP, controls...)
@@ -107,7 +117,10 @@
 			So(status("gateway-0", "/unsafe/", ""), ShouldEqual, 200)
 			So(status("gateway-0", "/safe/", "nobody"), ShouldEqual, 503)
 			f.signal(syscall.SIGCONT, controls...)
-			f.until("an answer again", func() bool { return status("gateway-0", "/safe/", firstKey) == 200 })
+			f.until("an answer again", func() bool {
+				alive()
+				return status("gateway-0", "/safe/", firstKey) == 200
+			})
 		})
 		Convey("no log holds a key, whole or in part", func() {
 			logs, err := filepath.Glob(filepath.Join(f.folder, "*.log"))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,14 +119,11 @@
 	return attemptOutcome{kind: attemptRefused, status: response.StatusCode, err: err}, true
 }
 
-// priority is the call's rank at the engine, 0 first: a program that can't end in
-// time any more makes way for those that can.
-func (c *call) priority() int {
-	if c.programLate {
-		return lowestPriority
-	}
-	return min(c.tenant.Rank(c.route), lowestPriority-1)
-}
+// priority is the call's rank at the engine, 0 first. Invariant: a program that has missed its
+// time keeps its rank. Engines serve ranks in strict order, so that in an overload the last rank
+// waits until its callers give up: a late program would be lost with all that it has cost, and
+// its callers would come back to wait again.
+func (c *call) priority() int { return min(c.tenant.Rank(c.route), lowestPriority) }
 
 // upstreamRequest is the call as the engine is to get it.
 func (d *Daemon) upstreamRequest(c *call, engine membership.ServingEngine) *upstream.Request {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -58,8 +58,6 @@
 	// under way.
 	tries tries
 	watch *watch
-	// programLate says that the program has missed its time already.
-	programLate bool
 	// prefix are the parts of the prompt, in order.
 	prefix []scheduling.PromptPart
 	// home is the engine that most likely holds what the session has read.
@@ -184,7 +182,6 @@
 	c.program = c.ofTenant(header.Get(names.Program))
 	c.session = header.Get(names.Session)
 	if finish, err := strconv.ParseInt(header.Get(names.FinishMs), 10, 64); err == nil {
-		c.programLate = finish <= 0
 		c.finish = c.started.Add(time.Duration(finish) * time.Millisecond)
 	}
 	c.previous = c.ofTenant(header.Get(names.Previous))
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -15,7 +17,11 @@
 // newSharedStand is a gateway whose one engine is short, of which a tenant uses more than its
 // share and another one less.
 func newSharedStand(t *testing.T, above, below string) *tenantStand {
-	stand := newTenantStand(t, events(1, "", false))
+	stand := newTenantStand(t, func(w http.ResponseWriter, r *http.Request) {
+		// Use is counted in milliseconds: a request that takes less may count for nothing.
+		time.Sleep(5 * time.Millisecond)
+		events(1, "", false)(w, r)
+	})
 	stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
 		if request.Quota != nil {
 			return &protocol.TurnReply{Grant: &quota.Grant{}}
@@ -30,6 +36,7 @@
 	}
 	stand.gateway.follow(view.fleet, &table)
 	engines := stand.gateway.engines
+	engines.fairShares = true
 	engines.healthOf("e").TakeShared(scheduling.Load{Engine: "e", InFlight: 60}, clock.NowMs())
 	engines.takeUses([]admission.BackendUse{{Backend: "b", Total: 60, Demand: 60, Tenants: []admission.TenantUse{
 		{Tenant: above, Weight: 2, InFlight: 59}, {Tenant: below, Weight: 2, InFlight: 1},
@@ -59,7 +66,7 @@
 	})
 	Convey("turned off it rejects nobody", t, func() {
 		stand := newSharedStand(t, "beta", "alpha")
-		stand.gateway.engines.disabled = scheduling.Disabled{scheduling.MechanismShares}
+		stand.gateway.engines.fairShares = false
 		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 200)
--- a/internal/scheduling/fairshare_test.go
+++ b/internal/scheduling/fairshare_test.go
@@ -165,12 +165,13 @@
 				f.begin(tenant, nowMs)
 			}
 		}
+		f.passTime(nowMs)
 		for _, program := range f.due[nowMs] {
 			f.send(program, nowMs)
 		}
 		delete(f.due, nowMs)
 		for number, model := range f.models {
-			f.take(number, model.Advance(nowMs*1000), nowMs)
+			f.take(number, model.Advance(int64(f.clocks[number])), nowMs)
 		}
 		if nowMs%(loopShareMs/loopGateways) == 0 {
 			f.heartbeat(int(nowMs/(loopShareMs/loopGateways))%loopGateways, nowMs)
--- a/internal/waiting/drain.go
+++ b/internal/waiting/drain.go
@@ -38,12 +38,18 @@
 	}
 }
 
-// perMs returns the rate, requests a millisecond; false where too few have ended to tell.
+// perMs returns the rate, requests a millisecond; false where too few have ended lately to tell.
+// Invariant: a rate is known only by requests that end. Where none does there may be nothing to
+// end, as while the back end had no engine, and a call that is not sent for a rate of nothing
+// would keep the rate at nothing.
 func (d *drain) perMs(nowMs int64) (float64, bool) {
 	if d.ended < leastDrained || nowMs <= d.sinceMs {
 		return 0, false
 	}
 	d.ageTo(nowMs)
+	if d.count < leastDrained {
+		return 0, false
+	}
 	// The average covers the time since the first, not more: without that the rate would be
 	// taken for too low at the beginning.
 	covered := drainSpanMs * (1 - math.Exp(-float64(nowMs-d.sinceMs)/drainSpanMs))
--- a/internal/waiting/waiting_test.go
+++ b/internal/waiting/waiting_test.go
@@ -77,3 +77,21 @@
 		}
 	})
 }
+
+// TestRateOfNothingIsNoRate answers a back end that had no engine for a minute: the requests that
+// ended before say nothing of now, and a call that comes then is not rejected for them.
+func TestRateOfNothingIsNoRate(t *testing.T) {
+	queue := NewQueue(DefaultSettings())
+	nowMs := int64(0)
+	for range 20 {
+		nowMs += 50
+		queue.Ended(nowMs)
+	}
+	nowMs += 60_000
+	if _, rejection := queue.Join(nowMs, Call{Begun: true, DueMs: nowMs + 20_000, LatestMs: nowMs + 20_000}); rejection != nil {
+		t.Fatalf("rejected: %+v", *rejection)
+	}
+	if _, rejection := queue.Join(nowMs, Call{DueMs: nowMs, LatestMs: nowMs}); rejection == nil || rejection.RetryAfterMs <= 0 {
+		t.Fatalf("a call whose time is over: %+v", rejection)
+	}
+}
