--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -123,6 +123,15 @@
 	return e.shares.Of(c.backend.Name, c.tenant.Name, room*float64(len(e.byPool[c.backend.Name])), nowMs)
 }
 
+// aboveShare reports whether the tenant of a call uses more than its share of a back end that
+// is short of room.
+func (e *engines) aboveShare(c *call) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	learnt := entryOf(e.admissions, c.backend.Name)
+	return e.position(c, admission.Room(c.backend.Slots, learnt.Room()), clock.NowMs()).Above
+}
+
 // underWay counts a call at its back end, or takes it off again.
 func (e *engines) underWay(c *call, change int) {
 	if !c.keyed {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -54,6 +54,8 @@
 	place   *waiting.Place
 	linedUp time.Time
 	waited  time.Duration
+	// aboveShare says that its tenant used more than its share when it first waited.
+	aboveShare bool
 	// tries are the sends to engines so far, and watch waits for the first word of the one
 	// under way.
 	tries tries
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -139,7 +139,7 @@
 	if c.finish.After(c.started) && c.finish.Before(due) {
 		due = c.finish
 	}
-	return waiting.Call{Rank: c.priority(), Begun: c.begun, DueMs: due.UnixMilli(), LatestMs: c.latest.UnixMilli()}
+	return waiting.Call{Rank: c.priority(), Begun: c.begun, AboveShare: c.aboveShare, DueMs: due.UnixMilli(), LatestMs: c.latest.UnixMilli()}
 }
 
 // waitForRoom waits until an engine of the call's back end may have room; it returns that
@@ -147,6 +147,7 @@
 func (d *Daemon) waitForRoom(ctx context.Context, c *call) (engine string, failure *result.Error) {
 	if c.linedUp.IsZero() {
 		c.linedUp = time.Now()
+		c.aboveShare = d.engines.aboveShare(c)
 	}
 	defer func() { c.waited = time.Since(c.linedUp) }()
 	if d.process.Policy.Disable.Has(scheduling.MechanismWaiting) {
