--- a/internal/waiting/closedloop_test.go
+++ b/internal/waiting/closedloop_test.go
@@ -67,7 +67,6 @@
 	asked  int
 	// avoid has a bit for each engine that is not asked again.
 	avoid   uint64
-	answer  float64
 	gateway int
 }
 
