--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,6 +89,8 @@
 	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
 	// way there: more where traffic between zones is dear.
 	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
+	// FairShares holds tenants to their shares of a back end that is short of room.
+	FairShares bool `yaml:"fair_shares,omitempty"`
 }
 
 // Limits are what the machine grants the process.
@@ -197,7 +199,9 @@
 	TimeScale float64 `yaml:"time_scale" validate:"gt=0,max=100000"`
 	// Hardware names an entry of the emulator's table.
 	Hardware string `yaml:"hardware" validate:"omitempty"`
-	Pool     string `yaml:"pool"`
+	// Slowness is how many times longer than on that hardware things take; 0 is 1.
+	Slowness float64 `yaml:"slowness" validate:"min=0,max=100"`
+	Pool     string  `yaml:"pool"`
 	// Weights is the HTTP address of the weight store.
 	Weights string `yaml:"weights" validate:"omitempty,ipport"`
 	// Instances is the list that the platform serves at first.
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -8,12 +8,16 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 )
 
 const (
 	// orderTimeout is below the second after which callers turn to another process.
 	orderTimeout = 900 * time.Millisecond
+	// usualHeld is how long callers may hold an answer of the directory where it is not learnt
+	// how often they ask.
+	usualHeld = time.Second
 )
 
 // order has the leader carry out a fleet order.
@@ -34,7 +38,10 @@
 func (d *Daemon) ReportEngine(engine membership.ServingEngine) *result.Error {
 	reply := d.order(&protocol.FleetOrder{Report: &engine, Incarnations: true})
 	if reply.Void != "" {
-		d.noteVoid(engine.Incarnation(), reply.Void)
+		d.noteVoid(engine, reply.Void)
+	}
+	if reply.Restarted {
+		telemetry.Info(d.logger, "engine started again", "engine", engine.ID, "backend", engine.Backend, "born", engine.Born)
 	}
 	if engine.Draining {
 		telemetry.Info(d.logger, "engine report", "engine", engine.ID, "backend", engine.Backend, "draining", engine.Draining,
@@ -53,7 +60,7 @@
 func (d *Daemon) EngineLeaves(life membership.Incarnation) *result.Error {
 	reply := d.order(&protocol.FleetOrder{Leave: life.ID, LeaveBorn: life.Born, Incarnations: true})
 	if reply.Void != "" {
-		d.noteVoid(life, reply.Void)
+		d.noteVoid(membership.ServingEngine{ID: life.ID, Born: life.Born}, reply.Void)
 	}
 	telemetry.Info(d.logger, "engine leaves", "engine", life.ID, "born", life.Born, "err", reply.Error)
 	return reply.Error
@@ -61,15 +68,16 @@
 
 // ReportIgnored notes a report that names no engine to use.
 func (d *Daemon) ReportIgnored(engine, reason string) {
-	d.noteVoid(membership.Incarnation{ID: engine}, reason)
+	d.noteVoid(membership.ServingEngine{ID: engine}, reason)
 }
 
 // noteVoid counts a report that changed nothing, and writes one line a voidLogEvery.
-func (d *Daemon) noteVoid(life membership.Incarnation, reason string) {
+func (d *Daemon) noteVoid(engine membership.ServingEngine, reason string) {
 	d.reportsVoid.WithLabelValues(reason).Inc()
 	d.voidCount.Add(1)
 	d.voidLog.Do(func() {
-		telemetry.Warn(d.logger, "engine reports void", "engine", life.ID, "born", life.Born, "reason", reason, "reports", d.voidCount.Swap(0))
+		telemetry.Warn(d.logger, "engine reports void", "engine", engine.ID, "born", engine.Born, "sequence", engine.Sequence,
+			"backend", engine.Backend, "address", engine.Address, "reason", reason, "reports", d.voidCount.Swap(0))
 	})
 }
 
@@ -108,8 +116,12 @@
 // Gateways returns the addresses of the gateways that a caller should use, and for how long it may
 // hold them. It answers from what this process knows.
 func (d *Daemon) Gateways(caller membership.Caller) ([]string, time.Duration) {
+	current := d.status.Load()
+	if d.process.Policy.Disable.Has(scheduling.MechanismLookUps) {
+		return current.spread.Named(caller), usualHeld
+	}
 	d.lookUpsMutex.Lock()
-	heldMs := d.lookUps.Answer(clock.NowMs())
+	heldMs := d.lookUps.Answer(current.memberSilent, clock.NowMs())
 	d.lookUpsMutex.Unlock()
-	return d.status.Load().spread.Named(caller), time.Duration(heldMs) * time.Millisecond
+	return current.spread.Named(caller), time.Duration(heldMs) * time.Millisecond
 }
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -34,9 +34,9 @@
 	// gatewayReturnMs is twice the 200 ms after which a lost packet is sent again. Measured
 	// at 500 and 400 on days with frozen machines only (docs/measurements/large.md).
 	gatewayReturnMs = 400
-	// gatewayQuietReturnMs covers one lost packet and the way there and back. A false alarm costs
+	// gatewayLightReturnMs covers one lost packet and the way there and back. A false alarm costs
 	// little: the gateway is listed again with its next heartbeat.
-	gatewayQuietReturnMs = 250
+	gatewayLightReturnMs = 250
 	ledgerSilentMs       = 2_000
 	ledgerForgottenMs    = 60_000
 	formationMs          = 1_500
@@ -69,6 +69,8 @@
 	leading  int
 	programs int
 	applied  uint64
+	// memberSilent says that another control process has not been heard lately.
+	memberSilent bool
 	// spread is the directory for callers, gatewaysVersion the fleet's version at which it
 	// last changed, and fleetLogged what the last line about the fleet told.
 	spread          *membership.Spread
@@ -108,6 +110,8 @@
 	reportsVoid *prometheus.CounterVec
 	voidCount   atomic.Int64
 	voidLog     rate.Sometimes
+	// listLog bounds the lines about entries of the platform's list in the same way.
+	listLog rate.Sometimes
 
 	replies daemon.Replies[RequestID, any]
 	// lookUps counts the callers that ask this process where to go.
@@ -123,7 +127,7 @@
 		return nil, err
 	}
 	control := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogEvery},
-		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
+		voidLog: rate.Sometimes{First: 1, Interval: voidLogEvery}, listLog: rate.Sometimes{First: 1, Interval: voidLogEvery}}
 	control.status.Store(&status{spread: membership.NewSpread(nil)})
 	control.links = daemon.NewLinks(control.addressOf, control.delayOf)
 	control.caller = daemon.NewCaller()
@@ -162,7 +166,7 @@
 	options.Fleet = membership.FleetOptions{
 		Groups: process.Cluster.LedgerGroups, Replicas: options.MinVoters,
 		EngineSilentMs:  max(engineSilentMs, engineSilentReports*process.Cluster.EngineHeartbeatMs),
-		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayQuietReturnMs: gatewayQuietReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
+		GatewaySilentMs: gatewaySilentMs, GatewayReturnMs: gatewayReturnMs, GatewayLightReturnMs: gatewayLightReturnMs, LedgerSilentMs: ledgerSilentMs, LedgerForgottenMs: ledgerForgottenMs,
 		FormationMs: formationMs,
 	}
 	return options
@@ -199,6 +203,7 @@
 }
 
 func (d *Daemon) registerMetrics() {
+	d.monitor.JSON("/v1/shares", d.shares)
 	d.reportsVoid = d.monitor.Counters("control_engine_reports_void_total", "Reports of engines that changed nothing, by reason.", "reason")
 	d.monitor.Gauge("settings_revision", "Settings revision in force.", func() float64 { return float64(d.status.Load().revision) })
 	d.monitor.Gauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().leading) })
@@ -280,6 +285,7 @@
 	if current.formed {
 		d.publishFleet(current)
 		current.drained = d.core.Drained()
+		current.memberSilent = d.core.MemberSilent()
 		for id := range d.core.host.Groups {
 			if d.core.Leads(storage.GroupID(id)) {
 				current.leading++
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,6 +62,7 @@
 		demand.Home = c.home
 		demand.Prompt = c.prefix
 		demand.Events = c.most / max(c.backend.EventTokens, 1)
+		demand.HoldTokens = scheduling.PromptTokens(c.prefix) + c.most
 	case c.route.Affinity:
 		demand.Key = c.affinity
 	}
--- a/internal/gateway/pause.go
+++ b/internal/gateway/pause.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 const (
@@ -58,7 +59,7 @@
 	nowMs := clock.NowMs()
 	ended := d.pauses.pausedUntil(sweepEvery, nowMs)
 	left := time.Duration(ended-nowMs)*time.Millisecond + proofWait
-	if ended == 0 || left <= 0 {
+	if ended == 0 || left <= 0 || d.process.Policy.Disable.Has(scheduling.MechanismFirstProof) {
 		return false
 	}
 	timer := time.NewTimer(left)
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -53,7 +53,7 @@
 	for {
 		chosen, found := choice{}, false
 		if known.left != 0 {
-			chosen, found = d.engines.choose(c.backend.Name, c.backend.Slots, d.demand(c, known.avoid))
+			chosen, found = d.engines.choose(c.backend, d.demand(c, known.avoid))
 		}
 		if !found {
 			if failure := d.lineUp(ctx, c, known); failure != nil {
@@ -62,6 +62,7 @@
 			continue
 		}
 		if failure := d.maySend(ctx, c, known.mayHaveRun); failure != nil {
+			d.engines.notSent(chosen, clock.NowMs())
 			return failure
 		}
 		engine := chosen.engine
--- a/internal/scheduling/choice.go
+++ b/internal/scheduling/choice.go
@@ -7,12 +7,16 @@
 
 // Candidate is an engine to which a request may go.
 type Candidate struct {
-	ID     string
-	Zone   string
-	Slots  int
-	Health *EngineHealth
-	// order is the engine's place in the order of one request.
-	order uint64
+	ID    string
+	Zone  string
+	Slots int
+	// MemoryTokens is how many tokens the engine's memory holds, 0 where that is not known.
+	MemoryTokens int64
+	Health       *EngineHealth
+	// order is the engine's place in the order of one request, and slowness how many times
+	// longer than usual a token takes there.
+	order    uint64
+	slowness float64
 }
 
 // Demand is what decides where a request goes.
@@ -24,6 +28,8 @@
 	Kind string
 	// Home is the engine that most likely holds what the request's session has read.
 	Home string
+	// HoldTokens is what the request takes of an engine's memory while it runs.
+	HoldTokens int64
 	// Prompt are the parts of the prompt, and Events how many events there may be at most.
 	Prompt []PromptPart
 	Events int64
@@ -42,8 +48,16 @@
 	Disabled Disabled
 	NowMs    int64
 
-	// slowFrom is the factor from which an engine counts as slow.
+	// Turns is how many turns the request's session is expected to have yet, this one
+	// included; 0 where that is not known.
+	Turns float64
+
+	// slowFrom is the factor from which an engine counts as slow, and quickest the least
+	// slowness of the engines compared that have room, 0 where none has.
 	slowFrom float64
+	quickest float64
+	// meanInFlight is the mean of the requests under way at an engine.
+	meanInFlight float64
 }
 
 // keyed reports whether an engine should see the requests of a key together.
@@ -60,6 +74,14 @@
 	NextCost float64
 	// HomeCost is what it would cost at the session's home, 0 where there is none.
 	HomeCost float64
+	// Pushed is how many tokens of running requests are expected to have to make way there.
+	Pushed int64
+	// Slowness is how many times longer than usual a token is expected to take there, and
+	// HomeSlowness the same at the session's home, 0 where there is none.
+	Slowness     float64
+	HomeSlowness float64
+	// Moved says why the session leaves its home.
+	Moved Reason
 
 	unsound, slow, full, far int
 }
@@ -74,7 +96,7 @@
 func Choose(pool *Pool, candidates []Candidate, demand Demand) (Choice, bool) {
 	var best, next Choice
 	found, second := false, false
-	homeCost := 0.0
+	var home Choice
 	demand.slowFrom = slowFrom(candidates, demand.NowMs)
 	if demand.Disabled.Has(MechanismSlow) {
 		demand.slowFrom = math.Inf(1)
@@ -82,10 +104,16 @@
 	if demand.Disabled.Has(MechanismHome) {
 		demand.Home = ""
 	}
-	for _, candidate := range compared(candidates, demand) {
+	if demand.Stream && !demand.Disabled.Has(MechanismSpeed) {
+		pool.learnSpeeds(candidates, demand.NowMs)
+	}
+	demand.meanInFlight = meanInFlight(candidates, demand.NowMs)
+	chosen := compared(candidates, demand)
+	demand.quickest = quickest(chosen, demand.NowMs)
+	for _, candidate := range chosen {
 		choice := pool.weigh(candidate, demand)
 		if candidate.ID == demand.Home {
-			homeCost = choice.Cost
+			home = choice
 		}
 		switch {
 		case !found || choice.less(best):
@@ -96,10 +124,44 @@
 		}
 	}
 	best.NextCost = next.Cost
-	best.HomeCost = homeCost
+	best.HomeCost = home.Cost
+	best.HomeSlowness = home.Candidate.slowness
+	best.Slowness = best.Candidate.slowness
+	best.Moved = moved(best, home, demand)
 	return best, found
 }
 
+// Reason says why a session leaves the engine that holds what it has read.
+type Reason string
+
+// The reasons.
+const (
+	// MovedNot is that of sessions that stay, or have no such engine.
+	MovedNot Reason = ""
+	// MovedGone says that the engine has left, drains or was tried already.
+	MovedGone Reason = "gone"
+	// MovedSuspect says that requests have just failed there.
+	MovedSuspect Reason = "suspect"
+	// MovedSlow says that the engine is slower than the one chosen.
+	MovedSlow Reason = "slow"
+	// MovedCost says that it is dearer for another cause: more requests than slots, or distance.
+	MovedCost Reason = "cost"
+)
+
+func moved(best, home Choice, demand Demand) Reason {
+	switch {
+	case demand.Home == "" || best.Candidate.ID == demand.Home:
+		return MovedNot
+	case home.Candidate.ID == "":
+		return MovedGone
+	case home.unsound > best.unsound:
+		return MovedSuspect
+	case home.Candidate.slowness > best.Candidate.slowness:
+		return MovedSlow
+	}
+	return MovedCost
+}
+
 // less orders choices; the first that differs decides.
 func (c Choice) less(other Choice) bool {
 	return cmp.Or(
@@ -118,7 +180,10 @@
 	switch {
 	case demand.Stream:
 		choice.Missing = missingTokens(candidate, demand)
-		choice.Cost = p.streamCost(candidate, demand, choice.Missing)
+		if !demand.Disabled.Has(MechanismMemory) {
+			choice.Pushed = pushedTokens(candidate, demand)
+		}
+		choice.Cost = p.streamCost(candidate, demand, choice.Missing, choice.Pushed)
 	case demand.keyed():
 		choice.far = far(candidate, demand)
 		if candidate.Health.Factor(demand.NowMs) >= demand.slowFrom {
@@ -162,21 +227,26 @@
 // home does not leave it because there is less company elsewhere for the moment, but only
 // where its home is slow or turns it away: in an overload all are full, and reading anew
 // adds to it.
-func (p *Pool) streamCost(candidate Candidate, demand Demand, missing int64) float64 {
-	factor := candidate.Health.Factor(demand.NowMs)
-	if factor < demand.slowFrom {
-		factor = 1
-	}
+//
+// What running requests lose of the engine's memory to this one is read again, with as much
+// company: where all are short of memory, the fewest tokens are pushed out.
+func (p *Pool) streamCost(candidate Candidate, demand Demand, missing, pushed int64) float64 {
+	slowness := candidate.slowness
 	events := p.expectedEvents(demand.NowMs, demand.Events)
 	usual := p.streamMs(demand.NowMs, events)
 	company := candidate.Health.Company(demand.NowMs)
 	met, _ := p.company.At(demand.NowMs).own()
-	cost := factor * usual
+	met = min(met, demand.meanInFlight)
 	tokenMs := p.tokenMs()
 	if demand.Disabled.Has(MechanismReading) {
 		tokenMs = unknownTokenMs
 	}
-	cost += factor * float64(missing) * tokenMs * (1 + met)
+	readMs := tokenMs * (1 + met)
+	alone := p.aloneMs(events)
+	readAloneMs := min(p.readAloneMs(demand.NowMs), tokenMs)
+	cost := slowness*(alone+float64(missing)*readAloneMs) + float64(missing)*(readMs-readAloneMs)
+	cost += demand.later(slowness, alone, readMs)
+	cost += slowness * float64(pushed) * readMs
 	switch demand.Home {
 	case "":
 	case candidate.ID:
@@ -184,13 +254,43 @@
 	default:
 		company = max(company, met)
 	}
-	cost += queueing(candidate, company) * usual
+	cost += slowness * queueing(candidate, company) * usual
 	if !demand.Disabled.Has(MechanismCompany) {
-		cost += sharedCost * company * p.companyMs(events, usual, candidate.Slots)
+		cost += slowness * sharedCost * company * p.companyMs(events, usual, candidate.Slots)
 	}
 	return cost + distanceMs(candidate, demand)
 }
 
+// later is what the further turns of a session cost more than at the quickest engine with
+// room, where it goes on at one of some slowness. It is bounded by what moving the session at
+// its next turn would cost: one that can move cheaply need not care now.
+func (d Demand) later(slowness, usualMs, readMs float64) float64 {
+	if d.Turns <= 1 || d.quickest <= 0 || slowness <= d.quickest {
+		return 0
+	}
+	return min((d.Turns-1)*(slowness-d.quickest)*usualMs, d.quickest*float64(PromptTokens(d.Prompt))*readMs)
+}
+
+// meanInFlight returns the mean of the requests that are expected under way at engines.
+func meanInFlight(candidates []Candidate, nowMs int64) float64 {
+	total := 0.0
+	for _, candidate := range candidates {
+		total += candidate.Health.Company(nowMs)
+	}
+	return total / float64(max(len(candidates), 1))
+}
+
+// quickest returns the least slowness of the engines that have room, 0 where none has.
+func quickest(candidates []Candidate, nowMs int64) float64 {
+	least := 0.0
+	for _, candidate := range candidates {
+		if queueing(candidate, candidate.Health.Company(nowMs)) == 0 && (least == 0 || candidate.slowness < least) {
+			least = candidate.slowness
+		}
+	}
+	return least
+}
+
 // sharedCost is how often the cost of company counts: for the stream and for its company.
 const sharedCost = 2
 
@@ -217,6 +317,18 @@
 	return max(inFlight+1-float64(candidate.Slots), 0) / float64(candidate.Slots)
 }
 
+// pushedTokens is by how many tokens the requests that run at an engine and this one exceed its
+// memory. What waits for a slot holds nothing yet. Memory is evened out as load is, by where
+// new sessions go: a session that leaves its engine is read anew elsewhere, which takes as much
+// memory there.
+func pushedTokens(candidate Candidate, demand Demand) int64 {
+	if candidate.MemoryTokens <= 0 || candidate.ID == demand.Home {
+		return 0
+	}
+	held := int64(candidate.Health.RunningTokens(demand.NowMs, candidate.Slots))
+	return max(min(held+demand.HoldTokens-candidate.MemoryTokens, demand.HoldTokens), 0)
+}
+
 // missingTokens is what an engine must read of the prompt: at the session's home only the
 // last part, elsewhere all of it. What others have had an engine read of the shared first
 // parts is not known; it does not tell the engines apart.
@@ -227,9 +339,5 @@
 	if candidate.ID == demand.Home {
 		return demand.Prompt[len(demand.Prompt)-1].Tokens
 	}
-	missing := int64(0)
-	for _, part := range demand.Prompt {
-		missing += part.Tokens
-	}
-	return missing
+	return PromptTokens(demand.Prompt)
 }
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -20,9 +20,17 @@
 	events      Evidence
 	// company is how many requests a stream met at its engine.
 	company Evidence
+	// paced is what tells the speeds of engines apart.
+	paced paced
+	// reads gathers the times to the first event over the tokens read, and leastRead is the
+	// mean of the shortest of a few.
+	reads     pauseWindow
+	leastRead Evidence
 	// took is the mean time of whole answers by kind of request, and of the shortest of a
 	// few pauses.
 	took map[string]*Evidence
+	// turns are the turns of sessions by kind of request.
+	turns map[string]*turnCounts
 }
 
 const (
@@ -33,6 +41,9 @@
 	maxKinds = 512
 	// largestFactor bounds how many times longer than usual one sample may count.
 	largestFactor = 10
+	// leastReadTokens is from how many tokens on the time to the first event says something of
+	// reading them.
+	leastReadTokens = 256
 	// eventWeight is what one pause counts for: those of one stream say much the same.
 	eventWeight = 0.2
 )
@@ -53,7 +64,14 @@
 // FirstEvent learns from the first event of a stream that came took after its send to an
 // engine that had tokens to read.
 func (p *Pool) FirstEvent(health *EngineHealth, nowMs int64, tokens int64, took float64) {
+	took /= health.Slowness()
 	p.reading.Add(nowMs, float64(tokens), took)
+	if tokens >= leastReadTokens {
+		if shortest, enough := p.reads.add(nowMs, took/float64(tokens)); enough {
+			p.leastRead.HalfLifeMs = usualPaceHalfLifeMs
+			p.leastRead.Add(nowMs, shortest, 1)
+		}
+	}
 	p.firstEvents.Add(nowMs, took, 1)
 	p.tokens.Add(nowMs, float64(tokens), 1)
 	rest := max(took-float64(tokens)*p.tokenMs(), 0)
@@ -67,8 +85,9 @@
 // few pauses tells a slow engine from a busy one: at a busy one the reading of others
 // makes some of them long, at a slow one none is short.
 func (p *Pool) NextEvent(health *EngineHealth, nowMs int64, gap float64) {
-	p.pace.Add(nowMs, gap, eventWeight)
-	p.pausing.Add(nowMs, max(health.Company(nowMs)-1, 0), gap)
+	even := gap / health.Slowness()
+	p.pace.Add(nowMs, even, eventWeight)
+	p.pausing.Add(nowMs, max(health.Company(nowMs)-1, 0), even)
 	if shortest, enough := health.pauses.add(nowMs, gap); enough {
 		p.Answered(health, nowMs, pauseKind, shortest)
 	}
@@ -82,14 +101,7 @@
 
 // Answered learns from a whole answer of a kind of request.
 func (p *Pool) Answered(health *EngineHealth, nowMs int64, kind string, took float64) {
-	mean, known := p.took[kind]
-	if !known {
-		if p.took == nil || len(p.took) >= maxKinds {
-			p.took = map[string]*Evidence{}
-		}
-		mean = &Evidence{}
-		p.took[kind] = mean
-	}
+	mean := entryOfKind(&p.took, kind)
 	usual, some := mean.At(nowMs).own()
 	if !some {
 		usual = took
@@ -118,6 +130,25 @@
 	return wait + events*pace
 }
 
+// aloneMs is how long a stream is expected to take beyond the reading at an engine that is
+// like the others and works on nothing else.
+func (p *Pool) aloneMs(events float64) float64 {
+	wait, _ := p.waiting.Intercept()
+	pace, _ := p.pausing.Intercept()
+	return wait + events*pace
+}
+
+// readAloneMs is what reading a token takes an engine that is like the others and reads
+// nothing else: at most the shortest of a few times to the first event shows. In an overload
+// the slope over the tokens holds what others have read meanwhile; it then says what reading
+// costs all, but not how much sooner a quick engine would have done it.
+func (p *Pool) readAloneMs(nowMs int64) float64 {
+	if least, known := p.leastRead.At(nowMs).own(); known {
+		return min(p.tokenMs(), least)
+	}
+	return p.tokenMs()
+}
+
 // expectedEvents is how many events a stream is expected to have, at most as many as it
 // may.
 func (p *Pool) expectedEvents(nowMs int64, most int64) float64 {
