--- a/internal/control/heartbeats.go
+++ b/internal/control/heartbeats.go
@@ -150,6 +150,8 @@
 		}
 		loads := slices.DeleteFunc(request.Loads, func(load scheduling.Load) bool { return void(load.Engine) })
 		c.loads.Report(gateway.Name, loads, c.nowMs)
+		usages := slices.DeleteFunc(request.Usages, func(usage scheduling.Usage) bool { return void(usage.Engine) })
+		c.loads.ReportUsage(gateway.Name, usages, c.nowMs)
 		c.loads.ReportFailing(gateway.Name, gateway.Zone, slices.DeleteFunc(request.Failing, void), c.nowMs)
 		c.loads.ReportLate(request.Late, c.nowMs)
 		c.uses.Report(gateway.Name, request.Uses, c.nowMs)
@@ -224,7 +226,7 @@
 	summed := c.loads != nil && c.nowMs-c.leadingSinceMs >= loadsSummedMs
 	if request.WithLoads && summed {
 		summed := c.news.loadsOf(c.loads, fleet, scope, c.nowMs)
-		reply.Loads, reply.Failing = summed.loads, summed.failing
+		reply.Loads, reply.Usages, reply.Failing = summed.loads, summed.usages, summed.failing
 		if table := c.system.tree.Routing(); table != nil && table.Keyed {
 			reply.Uses = c.news.usesOf(c.uses, c.nowMs)
 		}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -102,6 +102,7 @@
 	d.proofAge = d.follower.ProofAge
 	d.nextProof = d.follower.NextProof
 	d.follower.OnLoads = d.takeShared
+	d.follower.OnUsages = func(usages []scheduling.Usage) { d.engines.takeSharedUsages(usages, clock.NowMs()) }
 	d.follower.OnLate = func(shares []scheduling.LateShare) { d.engines.takeLate(shares, clock.NowMs()) }
 	d.follower.OnUses = func(uses []admission.BackendUse) { d.engines.takeUses(uses, clock.NowMs()) }
 	return d
@@ -135,6 +136,7 @@
 		request.Gateway.Busy = d.busy()
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
+	request.Usages = d.engines.takeUsages(clock.NowMs())
 	request.Failing = d.engines.failing(clock.NowMs())
 	request.Late = d.engines.lateNews(clock.NowMs())
 	request.Uses = d.engines.usesNews(clock.NowMs())
--- a/internal/scheduling/compared.go
+++ b/internal/scheduling/compared.go
@@ -23,6 +23,7 @@
 		if slices.Contains(demand.Avoid, candidate.ID) {
 			continue
 		}
+		candidate.slowness = demand.slownessOf(candidate.Health)
 		if demand.keyed() {
 			candidate.order = xxhash.Sum64String(candidate.ID + "\x00" + demand.Key)
 		} else {
@@ -36,6 +37,23 @@
 	return firstOf(left, demand)
 }
 
+// slownessOf returns how many times longer than usual a token of a stream is expected to take
+// at an engine: by what its streams have shown over some time, or where it is slow beyond what its
+// own speed explains, by the last of them.
+func (d Demand) slownessOf(health *EngineHealth) float64 {
+	if !d.Stream {
+		return 1
+	}
+	slowness := 1.0
+	if !d.Disabled.Has(MechanismSpeed) {
+		slowness = health.Slowness()
+	}
+	if factor := health.Factor(d.NowMs); factor >= d.slowFrom {
+		slowness = max(slowness, factor)
+	}
+	return slowness
+}
+
 // shuffled returns an engine's place in an order that a draw decides: another draw gives
 // an order that has nothing to do with it.
 func shuffled(engine string, draw uint64) uint64 {
--- a/internal/scheduling/evidence.go
+++ b/internal/scheduling/evidence.go
@@ -17,6 +17,8 @@
 	Weight float64 `msgpack:"w"`
 	// AtMs is when the sums were last brought up to date.
 	AtMs int64 `msgpack:"-"`
+	// HalfLifeMs is when a sample counts half; evidenceHalfLifeMs where it is 0.
+	HalfLifeMs int64 `msgpack:"-"`
 }
 
 // Add takes a sample that counts for a weight.
@@ -37,7 +39,11 @@
 // nothing.
 func (e *Evidence) ageTo(nowMs int64) {
 	if e.Weight > 0 && nowMs > e.AtMs {
-		factor := math.Exp2(-float64(nowMs-e.AtMs) / evidenceHalfLifeMs)
+		halfLifeMs := e.HalfLifeMs
+		if halfLifeMs == 0 {
+			halfLifeMs = evidenceHalfLifeMs
+		}
+		factor := math.Exp2(-float64(nowMs-e.AtMs) / float64(halfLifeMs))
 		e.Sum *= factor
 		e.Weight *= factor
 	}
@@ -151,3 +157,13 @@
 
 // significantDeviations is how many standard errors a slope must be above zero.
 const significantDeviations = 1.5
+
+// Intercept returns what the line gives at zero, at least 0, or the mean of the samples where
+// they show no slope; false where there are none.
+func (l *Line) Intercept() (float64, bool) {
+	if l.weight < minimumWeight {
+		return 0, false
+	}
+	slope, _ := l.Slope()
+	return max((l.sumY-slope*l.sumX)/l.weight, 0), true
+}
