--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -203,6 +203,7 @@
 }
 
 func (d *Daemon) registerMetrics() {
+	d.monitor.JSON("/v1/shares", d.shares)
 	d.reportsVoid = d.monitor.Counters("control_engine_reports_void_total", "Reports of engines that changed nothing, by reason.", "reason")
 	d.monitor.Gauge("settings_revision", "Settings revision in force.", func() float64 { return float64(d.status.Load().revision) })
 	d.monitor.Gauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().leading) })
