--- /dev/null
+++ b/cmd/ochrebay/status_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"text/tabwriter"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/control"
+	"github.com/ochrebay/ochrebay/internal/membership"
+)
+
+func TestPrintEngines(t *testing.T) {
+	Convey("engines that gateways send to are listed with what is known of them", t, func() {
+		var out strings.Builder
+		table := tabwriter.NewWriter(&out, 0, 0, 1, ' ', 0)
+		printEngines(table, control.EnginesView{Serving: []control.ServingView{
+			{ServingEngine: membership.ServingEngine{ID: "i-1", Backend: "b", Zone: "z", Slots: 8, Born: 1_800_000_000_000}, InFlight: 3.25, HeldTokens: 9100, Slowness: 1.7},
+			{ServingEngine: membership.ServingEngine{ID: "i-2", Backend: "b", Zone: "z", Draining: true}, Avoided: "draining"},
+		}})
+		So(table.Flush(), ShouldBeNil)
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		So(lines, ShouldHaveLength, 3)
+		So(lines[1], ShouldContainSubstring, "9100")
+		So(lines[1], ShouldContainSubstring, "1.70")
+		So(lines[1], ShouldContainSubstring, "2027-01-15T08:00:00Z")
+		So(lines[2], ShouldContainSubstring, "draining")
+	})
+}
