--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,9 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 
+	"github.com/ochrebay/ochrebay/internal/retry"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
 // The roles of processes.
@@ -80,9 +82,15 @@
 type Policy struct {
 	// Disable lists mechanisms that are turned off, to measure what they are worth.
 	Disable scheduling.Disabled `yaml:"disable,omitempty" validate:"dive,mechanism"`
+	// Waiting says who waits for room at engines and who is rejected at once.
+	Waiting waiting.Settings `yaml:"waiting,omitempty"`
+	// Retry bounds the second tries of requests that an engine failed.
+	Retry retry.Settings `yaml:"retry,omitempty"`
 	// CrossZonePenaltyMs is the latency handicap of an engine in another zone beside the measured
 	// way there: more where traffic between zones is dear.
 	CrossZonePenaltyMs float64 `yaml:"cross_zone_penalty_ms,omitempty" validate:"min=0,max=60000"`
+	// FairShares holds tenants to their shares of a back end that is short of room.
+	FairShares bool `yaml:"fair_shares,omitempty"`
 }
 
 // Limits are what the machine grants the process.
@@ -217,11 +225,13 @@
 // Defaults returns a Process with everything set that has a default.
 func Defaults() Process {
 	return Process{
-		Listen:   Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
-		Limits:   Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
-		Cluster:  Cluster{LedgerGroups: 8, LeaseMs: 3000},
-		Log:      Log{Level: "info"},
-		Policy:   Policy{CrossZonePenaltyMs: scheduling.DefaultCrossZonePenaltyMs},
+		Listen:  Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
+		Limits:  Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
+		Cluster: Cluster{LedgerGroups: 8, LeaseMs: 3000},
+		Log:     Log{Level: "info"},
+		Policy: Policy{
+			CrossZonePenaltyMs: scheduling.DefaultCrossZonePenaltyMs, Waiting: waiting.DefaultSettings(), Retry: retry.DefaultSettings(),
+		},
 		Emulator: Emulator{TimeScale: 1, LagMs: 200, BytesPerSecond: 2 << 30},
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -33,9 +33,6 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 30 * time.Second
 	sweepEvery    = time.Second
-	// refusalPause is when a caller that was refused for want of capacity should come
-	// back.
-	refusalPause = 100 * time.Millisecond
 	// quietBeforeStop is how long no request may have come before a draining gateway
 	// ends, and leastDrain how long it serves in any case.
 	quietBeforeStop = 1500 * time.Millisecond
@@ -65,6 +62,8 @@
 	follower *daemon.Follower
 	pool     *upstream.Pool
 	engines  *engines
+	lines    *lines
+	retries  *retries
 	ledgers  *ledgers
 	chains   *chainCache
 	denials  *denials
@@ -87,7 +86,8 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy),
+		engines: newEngines(process.Zone, process.Policy), lines: newLines(process.Policy.Waiting, process.Policy.Disable),
+		retries: newRetries(process.Policy.Retry, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 		services: newServices(),
 	}
@@ -130,7 +130,10 @@
 func (d *Daemon) report(request *protocol.FleetSync) {
 	request.Gateway = &membership.Gateway{
 		Name: d.process.Name, Zone: d.process.Zone, Region: d.process.Region, Address: d.process.Listen.Callers, Ready: d.Ready(),
-		Capacity: d.process.Limits.CPUShare, Busy: d.busy(),
+	}
+	if !d.process.Policy.Disable.Has(scheduling.MechanismCapacity) {
+		request.Gateway.Capacity = d.process.Limits.CPUShare
+		request.Gateway.Busy = d.busy()
 	}
 	request.Loads = d.engines.takeLoads(clock.NowMs())
 	request.Usages = d.engines.takeUsages(clock.NowMs())
--- a/internal/scheduling/mechanism.go
+++ b/internal/scheduling/mechanism.go
@@ -37,10 +37,20 @@
 	MechanismNearReads Mechanism = "near-reads"
 	// MechanismAdmission rejects new programs while engines fall behind.
 	MechanismAdmission Mechanism = "admission"
+	// MechanismWaiting lines up the calls that no engine has room for.
+	MechanismWaiting Mechanism = "waiting"
+	// MechanismRetry bounds a try and makes a second one.
+	MechanismRetry Mechanism = "retry"
 	// MechanismShares holds tenants to their shares of a back end that is short of room.
 	MechanismShares Mechanism = "shares"
 	// MechanismChains keeps the chains of sessions that were served lately.
 	MechanismChains Mechanism = "chains"
+	// MechanismCapacity names gateways to callers in proportion to what they can take.
+	MechanismCapacity Mechanism = "capacity"
+	// MechanismLookUps has callers ask the directory as often as it can afford to answer.
+	MechanismLookUps Mechanism = "look-ups"
+	// MechanismFirstProof lets requests wait for the first proof after a pause of the gateway.
+	MechanismFirstProof Mechanism = "first-proof"
 )
 
 // Mechanisms lists them all.
@@ -49,7 +59,7 @@
 		MechanismHome, MechanismReading, MechanismShared, MechanismSlow, MechanismSpeed, MechanismMemory, MechanismSuspicion, MechanismDrawing,
 		MechanismZone,
 		MechanismCompany, MechanismRank, MechanismTakeUp, MechanismNearReads, MechanismChains,
-		MechanismAdmission, MechanismShares,
+		MechanismCapacity, MechanismLookUps, MechanismFirstProof, MechanismAdmission, MechanismShares, MechanismWaiting, MechanismRetry,
 	}
 }
 
