--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/upstream"
@@ -48,6 +49,10 @@
 	events     int64
 	firstEvent time.Time
 	lastEvent  time.Time
+	// pauses counts the pauses between events of the present attempt, and shortestPause is
+	// the shortest of them, milliseconds.
+	pauses        int
+	shortestPause float64
 	// output gathers the events' data of a turn that is kept.
 	output []byte
 	status int
@@ -88,7 +93,11 @@
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
+	c.watch.heard()
 	took := milliseconds(time.Since(c.started.Add(c.sent)))
+	if len(held) < heldBytes && isFailure(status) && a.daemon.mayTryAgain(c) && a.daemon.retries.take(c.backend.Name) {
+		return attemptOutcome{kind: attemptFailed, status: status, err: errFailed}
+	}
 	if len(held) < heldBytes {
 		a.writeHead(exchange.Response, len(held))
 		if _, err := a.writer.Write(held); err != nil {
@@ -132,9 +141,14 @@
 // deliverStream passes whole events on as they come. Invariant: a part of an event
 // is never passed on, so that a broken stream can be taken up after the last one.
 func (a *answer) deliverStream(exchange *upstream.Exchange, c *call) attemptOutcome {
+	if c.watch.ended() {
+		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, started: a.started, err: errSilent}
+	}
 	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, started: true}
 	flusher, _ := a.writer.(http.Flusher)
 	a.continued = a.started
+	a.pauses = 0
+	defer func() { a.daemon.engines.streamPaced(c, a.pauses, a.shortestPause) }()
 	if !a.started {
 		// A stream that is taken up at another engine keeps the first one's head.
 		a.writeHead(exchange.Response, -1)
@@ -213,10 +227,17 @@
 	a.events++
 	if a.firstEvent.IsZero() {
 		a.firstEvent = now
+		c.watch.heard()
+		a.daemon.retries.answered(c, clock.NowMs(), milliseconds(now.Sub(c.started.Add(c.sent))))
 		a.daemon.metrics.firstEvent.WithLabelValues().Observe(now.Sub(c.started.Add(c.sent)).Seconds())
 		a.daemon.engines.firstEvent(c, milliseconds(now.Sub(c.started.Add(c.sent))))
 	} else {
-		a.daemon.engines.nextEvent(c, milliseconds(now.Sub(a.lastEvent)))
+		gap := milliseconds(now.Sub(a.lastEvent))
+		a.daemon.engines.nextEvent(c, gap)
+		if a.pauses == 0 || gap < a.shortestPause {
+			a.shortestPause = gap
+		}
+		a.pauses++
 	}
 	a.lastEvent = now
 }
@@ -236,7 +257,7 @@
 		settle.Content = append(append(make([]byte, 0, len(c.chain)+len(content)), c.chain...), content...)
 	}
 	began := time.Now()
-	failure := a.daemon.ledgers.settle(settle, keepTimeout)
+	failure := a.daemon.ledgers.settle(settle, a.keepWithin(c))
 	c.kept = time.Since(began)
 	if failure != nil {
 		a.daemon.logFailure("turn not kept", c, failure)
@@ -247,6 +268,16 @@
 	return true
 }
 
+// keepWithin is for how long the ledger is asked to keep a turn whose answer is whole: while
+// its caller still waits for the end.
+func (a *answer) keepWithin(c *call) time.Duration {
+	end := c.deadline
+	if c.route.PatienceMs > 0 && !a.lastEvent.IsZero() {
+		end = earlier(end, a.lastEvent.Add(time.Duration(c.route.PatienceMs)*time.Millisecond))
+	}
+	return max(time.Until(end), ledgerTry)
+}
+
 // used is what the turn has generated, as far as the caller was handed it, tokens.
 func (a *answer) used(c *call) int64 {
 	return min(a.events*max(c.backend.EventTokens, 1), max(c.most, a.events))
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -10,6 +10,7 @@
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
@@ -37,13 +38,16 @@
 	zones     map[string]string
 	// disabled are the mechanisms that are turned off.
 	disabled scheduling.Disabled
+	// fairShares says that tenants are held to their shares of back ends that are short of room.
+	fairShares bool
 }
 
 func newEngines(zone string, policy config.Policy) *engines {
 	return &engines{
 		byPool: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, born: map[string]int64{},
 		learnt: map[string]*scheduling.Pool{}, admissions: map[string]*scheduling.Admission{}, zone: zone, disabled: policy.Disable,
-		meter: admission.NewMeter(clock.NowMs()), slots: map[string]int{},
+		fairShares: policy.FairShares && !policy.Disable.Has(scheduling.MechanismShares),
+		meter:      admission.NewMeter(clock.NowMs()), slots: map[string]int{},
 		distances: scheduling.Distances{PenaltyMs: policy.CrossZonePenaltyMs},
 	}
 }
@@ -142,6 +146,55 @@
 	return entry
 }
 
+// count is how many engines of a back end may be sent requests.
+func (e *engines) count(backend string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.byPool[backend])
+}
+
+// factor is how many times longer than at others things take at an engine.
+func (e *engines) factor(engine string, nowMs int64) float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.healthOf(engine).Factor(nowMs)
+}
+
+// silent passes an engine over that does not say anything for too long, although it has not
+// failed yet.
+func (e *engines) silent(engine string, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.healthOf(engine).Failed(nowMs)
+}
+
+// others are the engines of a back end that are not the one named; none where it is no
+// engine of the back end any more.
+func (e *engines) others(backend, engine string) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var others []string
+	found := false
+	for _, known := range e.byPool[backend] {
+		if known.ID == engine {
+			found = true
+			continue
+		}
+		others = append(others, known.ID)
+	}
+	if !found {
+		return nil
+	}
+	return others
+}
+
+// expectedMs is how long a call is expected to occupy an engine, 0 where that is not known.
+func (e *engines) expectedMs(backend string, demand scheduling.Demand) float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.poolOf(backend).ExpectedMs(demand)
+}
+
 // choice is an engine and what decided for it, for the log.
 type choice struct {
 	engine membership.ServingEngine
@@ -160,19 +213,33 @@
 	cost        float64
 	nextCost    float64
 	homeCost    float64
+	// slowness and homeSlowness are how many times longer than usual a token is expected to
+	// take at the engine and at the one that holds what the session has read, 0 for none;
+	// turns is how many turns the session is expected to have yet.
+	slowness     float64
+	homeSlowness float64
+	turns        float64
+	// moved says why the session left the engine that holds what it has read.
+	moved scheduling.Reason
+	// holds is what the request takes of the engine's memory, heldTokens what others were
+	// expected to take before, and pushed by how much that exceeds it.
+	holds      int64
+	heldTokens int64
+	pushed     int64
 	// health is that of the engine's incarnation, which the next one does not take over.
 	health *scheduling.EngineHealth
 }
 
 // choose picks the engine for a call and counts it as under way there.
-func (e *engines) choose(backend string, slots int, demand scheduling.Demand) (choice, bool) {
+func (e *engines) choose(backend routing.Backend, demand scheduling.Demand) (choice, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	pool := e.byPool[backend]
+	pool := e.byPool[backend.Name]
 	candidates := make([]scheduling.Candidate, 0, len(pool))
 	for _, engine := range pool {
 		candidate := scheduling.Candidate{
-			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, slots), Health: e.healthOf(engine.ID),
+			ID: engine.ID, Zone: engine.Zone, Slots: max(engine.Slots, backend.Slots), MemoryTokens: backend.MemoryTokens,
+			Health: e.healthOf(engine.ID),
 		}
 		candidates = append(candidates, candidate)
 	}
@@ -181,21 +248,38 @@
 	demand.Distances = &e.distances
 	demand.Draw = rand.Uint64()
 	demand.Disabled = e.disabled
-	chosen, found := scheduling.Choose(e.poolOf(backend), candidates, demand)
+	if demand.Stream {
+		demand.Turns = e.poolOf(backend.Name).RemainingTurns(demand.Kind, len(demand.Prompt))
+	}
+	chosen, found := scheduling.Choose(e.poolOf(backend.Name), candidates, demand)
 	if !found {
 		return choice{}, false
 	}
 	e.activity.note(demand.NowMs)
+	if demand.Stream && len(demand.Avoid) == 0 {
+		e.poolOf(backend.Name).TurnSent(demand.Kind, len(demand.Prompt))
+	}
 	health := chosen.Candidate.Health
 	health.Sent(demand.NowMs)
+	heldBefore := health.HeldTokens(demand.NowMs)
+	health.Hold(demand.NowMs, demand.HoldTokens)
 	position := slices.IndexFunc(pool, func(engine membership.ServingEngine) bool { return engine.ID == chosen.Candidate.ID })
 	return choice{
 		engine: pool[position], inFlight: health.InFlight, candidates: len(pool),
 		company: health.Company(demand.NowMs), sharedAgeMs: health.SharedAgeMs(demand.NowMs),
 		missing: chosen.Missing, cost: chosen.Cost, nextCost: chosen.NextCost, homeCost: chosen.HomeCost, health: health,
+		holds: demand.HoldTokens, heldTokens: int64(heldBefore), pushed: chosen.Pushed,
+		slowness: chosen.Slowness, homeSlowness: chosen.HomeSlowness, turns: demand.Turns, moved: chosen.Moved,
 	}, true
 }
 
+// notSent takes a call off the engine that was chosen for it, where it is not sent after all.
+func (e *engines) notSent(chosen choice, nowMs int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	chosen.health.Ended(nowMs)
+}
+
 // firstEvent notes how long an engine took for the first event of a stream.
 func (e *engines) firstEvent(c *call, took float64) {
 	e.mutex.Lock()
@@ -215,14 +299,28 @@
 	e.poolOf(c.backend.Name).NextEvent(c.chosen.health, nowMs, gap)
 }
 
+// streamPaced notes the pauses between the events of a stream that an engine sent: how many
+// there were and the shortest, milliseconds.
+func (e *engines) streamPaced(c *call, pauses int, shortest float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.poolOf(c.backend.Name).StreamPaced(c.chosen.health, clock.NowMs(), pauses, shortest)
+}
+
 // ended takes a call off its engine and notes how it went.
 func (e *engines) ended(c *call, nowMs int64, attempt attemptOutcome) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	health := c.chosen.health
 	health.Ended(nowMs)
+	health.Release(nowMs, c.chosen.holds)
 	switch attempt.kind {
 	case attemptAnswered:
+		if isFailure(attempt.status) {
+			// It may have failed at once: that is no sign of a quick engine.
+			health.Failed(nowMs)
+			return
+		}
 		health.Succeeded()
 		if attempt.tookMs > 0 {
 			e.poolOf(c.backend.Name).Answered(health, nowMs, c.route.Name, attempt.tookMs)
@@ -230,7 +328,7 @@
 		if attempt.events > 0 {
 			e.poolOf(c.backend.Name).StreamEnded(nowMs, attempt.events)
 		}
-	case attemptNotSent, attemptBroken:
+	case attemptNotSent, attemptBroken, attemptFailed:
 		health.Failed(nowMs)
 	}
 }
@@ -276,3 +374,50 @@
 	}
 	return suspected
 }
+
+// takeUsages returns what this gateway has seen of the engines' use since the last call.
+func (e *engines) takeUsages(nowMs int64) []scheduling.Usage {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var usages []scheduling.Usage
+	for id, health := range e.health {
+		if usage, said := health.TakeUsage(id, nowMs); said {
+			usages = append(usages, usage)
+		}
+	}
+	return usages
+}
+
+// takeSharedUsages takes what all gateways together know of the engines' use.
+func (e *engines) takeSharedUsages(usages []scheduling.Usage, nowMs int64) {
+	if e.disabled.Has(scheduling.MechanismShared) {
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, usage := range usages {
+		e.healthOf(usage.Engine).TakeSharedUsage(usage, nowMs)
+	}
+}
+
+// slownessSpread returns how many times longer than at the quickest engine a token takes at the
+// slowest one, at the back end where that is most.
+func (e *engines) slownessSpread() float64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	widest := 1.0
+	for _, pool := range e.byPool {
+		var quickest, slowest float64
+		for position, engine := range pool {
+			slowness := e.healthOf(engine.ID).Slowness()
+			if position == 0 || slowness < quickest {
+				quickest = slowness
+			}
+			slowest = max(slowest, slowness)
+		}
+		if quickest > 0 {
+			widest = max(widest, slowest/quickest)
+		}
+	}
+	return widest
+}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -30,6 +30,7 @@
 	}
 	stand.gateway.follow(view.fleet, &table)
 	engines := stand.gateway.engines
+	engines.fairShares = true
 	engines.healthOf("e").TakeShared(scheduling.Load{Engine: "e", InFlight: 60}, clock.NowMs())
 	engines.takeUses([]admission.BackendUse{{Backend: "b", Total: 60, Demand: 60, Tenants: []admission.TenantUse{
 		{Tenant: above, Weight: 2, InFlight: 59}, {Tenant: below, Weight: 2, InFlight: 1},
@@ -59,7 +60,7 @@
 	})
 	Convey("turned off it rejects nobody", t, func() {
 		stand := newSharedStand(t, "beta", "alpha")
-		stand.gateway.engines.disabled = scheduling.Disabled{scheduling.MechanismShares}
+		stand.gateway.engines.fairShares = false
 		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", otherKey)...)
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 200)
@@ -74,6 +75,7 @@
 		So(uses[0].Tenants[0].Tenant, ShouldEqual, "beta")
 		So(uses[0].Tenants[0].Weight, ShouldEqual, 2)
 		stand = newTenantStand(t, answerSigned)
+		stand.gateway.engines.fairShares = true
 		_, _, err = stand.send("/safe/", "r1", "Ochrebay-Key", testKey)
 		So(err, ShouldBeNil)
 		for _, use := range stand.gateway.engines.usesNews(clock.NowMs()) {
--- a/internal/scheduling/fairshare_test.go
+++ b/internal/scheduling/fairshare_test.go
@@ -53,7 +53,7 @@
 
 func newFairLoop(seed uint64, hot, shares bool) *fairLoop {
 	f := &fairLoop{
-		loop: newLoop(seed, fairHardware, presentWith(rand.New(rand.NewPCG(seed, 4)), fairSlots)), hot: hot, shares: shares,
+		loop: newLoop(seed, fairHardware, present(rand.New(rand.NewPCG(seed, 4)))), hot: hot, shares: shares,
 		uses: admission.NewUseBoard(), tenantOf: map[int]int{}, rejectedOf: map[int]int{}, begun: map[int]int{},
 	}
 	for range f.gateways {
@@ -69,7 +69,7 @@
 			f.settled = append(f.settled, tookMs)
 		}
 	}
-	f.ended = func(turn *loopTurn, nowMs int64) { f.change(turn, -1, nowMs) }
+	f.onEnd = func(turn *loopTurn, nowMs int64) { f.change(turn, -1, nowMs) }
 	return f
 }
 
