A proof does not vouch for a key by an older table; TestTenants' limit asked by callers who can't wait

Found by TestTenants (06:21, machine at load 45): a gateway that thawed ran a request with a key that had been withdrawn 2 s before. The call was routed by the old table, then heartbeat, new table and proof came, then the proof was found fresh. What was sent is checked against the table that the proof is for. The new test of the gateway fails without the change (the stand's proof is fresh throughout). TestTenants: its callers gave 20 s a request and belong to one program, which now waits for room: 45 requests took three windows and the stand's engine, which must report, was lost meanwhile. They now give 400 ms, so that all that is beyond the limit is denied as before, with the same checks; one who can wait is served when there is room (new).

--- a/cmd/ochrebay/tenants_test.go
+++ b/cmd/ochrebay/tenants_test.go
@@ -44,6 +44,11 @@
 	return f.turn(gateway, path, "", map[string]string{"Api-Key": key, "Tenant": "somebody", "Hold": "h"})
 }
 
+// hurried is withKey for a caller who can't wait for room in its tenant's limit.
+func (f *platformFleet) hurried(gateway, path, key string) (response, string) {
+	return f.turn(gateway, path, "", map[string]string{"Api-Key": key, "Deadline-Ms": "400"})
+}
+
 // TestTenants drives keys, their revocation and limits over real processes.
 func TestTenants(t *testing.T) {
 	f := startPlatformFleet(t, fmt.Sprintf("  revoke_within_ms: %d\n  quota_window_s: 5\n", testRevokeWithin))
@@ -75,7 +80,7 @@
 			f.until("a grant", func() bool { return status("gateway-0", "/safe/", limitedKey) == 200 })
 			granted, denied := 1, 0
 			for number := range 3 * limitedWindow {
-				answer, id := f.withKey(fmt.Sprintf("gateway-%d", number%2), "/safe/", limitedKey)
+				answer, id := f.hurried(fmt.Sprintf("gateway-%d", number%2), "/safe/", limitedKey)
 				switch answer.status {
 				case 200:
 					granted++
@@ -88,6 +93,8 @@
 			windows := 1 + int(time.Since(began)/(5*time.Second))
 			So(granted, ShouldBeLessThanOrEqualTo, limitedWindow*windows)
 			So(denied, ShouldBeGreaterThanOrEqualTo, 3*limitedWindow-limitedWindow*windows)
+			// Who can wait is served when there is room again.
+			So(status("gateway-0", "/safe/", limitedKey), ShouldEqual, 200)
 		})
 		Convey("a withdrawn key is refused by a gateway that was frozen over the revocation", func() {
 			f.signal(syscall.SIGSTOP, "gateway-1")
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -50,10 +50,23 @@
 // paused, or the call may have waited, since it was asked last.
 func (d *Daemon) stillAllowed(c *call) *result.Error {
 	bound, strict := d.process.Limits.RevokeWithin()
-	if c.tenant == nil || c.route.Anonymous || !strict || d.provedSoon(c.request.Context(), bound-clockRateMargin) {
+	if c.tenant == nil || c.route.Anonymous || !strict {
 		return nil
 	}
-	return d.unconfirmed()
+	if !d.provedWithin(bound - clockRateMargin) {
+		return d.unconfirmed()
+	}
+	// The proof may be younger than the table by which the call was routed, as when the process
+	// was paused between the two. The table that it proves is in force by now.
+	current := d.view.Load().routes
+	if current.Table.Generation == c.generation {
+		return nil
+	}
+	holder := current.Holder(c.request.Header.Get(d.headers.APIKey))
+	if holder == nil || holder.Name != c.tenant.Name {
+		return result.New(result.UnknownKey, "the key was withdrawn while the request was under way")
+	}
+	return nil
 }
 
 func (d *Daemon) provedWithin(bound time.Duration) bool {
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -128,6 +128,23 @@
 		So(response.StatusCode, ShouldEqual, 503)
 		So(stand.runs.Load(), ShouldEqual, 0)
 	})
+	Convey("a proof that is younger than the call's table does not vouch for a key withdrawn between the two", t, func() {
+		stand := newTenantStand(t, events(1, "", false))
+		stand.ledger.say(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Reserve != nil {
+				view := stand.gateway.view.Load()
+				table := *view.routes.Table
+				table.Generation++
+				table.Tenants = []routing.Tenant{{Name: "alpha"}, {Name: "beta", Keys: []routing.KeyDigest{routing.DigestKey(otherKey)}}}
+				stand.gateway.follow(view.fleet, &table)
+			}
+			return &protocol.TurnReply{}
+		})
+		response, _, err := stand.send("/stream/", "r1", append(budget, "Ochrebay-Key", testKey)...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 401)
+		So(stand.runs.Load(), ShouldEqual, 0)
+	})
 	Convey("programs and turns are their tenant's: another tenant's names are other ones", t, func() {
 		stand := newTenantStand(t, events(1, "", false))
 		var reserves []turnNames
