--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -53,7 +53,7 @@
 	if c.tenant == nil || c.route.Anonymous || !strict {
 		return nil
 	}
-	if !d.provedWithin(bound - clockRateMargin) {
+	if !d.provedSoon(c.request.Context(), bound-clockRateMargin) {
 		return d.unconfirmed()
 	}
 	// The proof may be younger than the table by which the call was routed, as when the process
