--- a/internal/gateway/pause_test.go
+++ b/internal/gateway/pause_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/routing"
 )
 
 // pausedFor has a gateway's last regular step be that long ago.
@@ -51,6 +52,31 @@
 			So(asked, ShouldEqual, 1)
 		})
 	})
+	Convey("the proof that ends the wait may come with a newer table: what it lacks is not run, what it added is not unknown", t, func() {
+		for _, key := range []string{testKey, "added"} {
+			stand := newTenantStand(t, answerSigned)
+			stand.age.Store(int64(testBound))
+			asked := 0
+			stand.gateway.nextProof = func() <-chan struct{} {
+				if asked++; asked == 2 {
+					view := stand.gateway.view.Load()
+					table := *view.routes.Table
+					table.Generation++
+					table.Tenants = []routing.Tenant{{Name: "alpha", Keys: []routing.KeyDigest{routing.DigestKey("added")}}}
+					stand.gateway.follow(view.fleet, &table)
+					stand.age.Store(0)
+				}
+				come := make(chan struct{})
+				close(come)
+				return come
+			}
+			stand.pausedFor(2 * testBound)
+			response, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", key)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, map[string]int{testKey: 401, "added": 503}[key])
+			So(stand.runs.Load(), ShouldEqual, 0)
+		}
+	})
 	Convey("a gateway that stood still and gets no proof serves nobody", t, func() {
 		stand := newTenantStand(t, answerSigned)
 		stand.age.Store(int64(testBound))
--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -36,7 +36,8 @@
 		return nil
 	}
 	if c.tenant == nil {
-		if !d.provedSoon(c.request.Context(), currentWithin) {
+		// A proof that came meanwhile may be of a newer table, which may hold the key.
+		if !d.provedSoon(c.request.Context(), currentWithin) || d.view.Load().routes.Table.Generation != c.generation {
 			return d.unconfirmed()
 		}
 		return result.New(result.UnknownKey, "no tenant holds the key")
@@ -53,7 +54,7 @@
 	if c.tenant == nil || c.route.Anonymous || !strict {
 		return nil
 	}
-	if !d.provedWithin(bound - clockRateMargin) {
+	if !d.provedSoon(c.request.Context(), bound-clockRateMargin) {
 		return d.unconfirmed()
 	}
 	// The proof may be younger than the table by which the call was routed, as when the process
