--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -70,6 +70,7 @@
 		_, _, err := stand.send("/safe/", "r1", "Ochrebay-Key", otherKey)
 		So(err, ShouldBeNil)
 		// One that is under way for some time, which the request before need not have been.
+		stand.gateway.engines.meter = admission.NewMeter(clock.NowMs() - 100)
 		stand.gateway.engines.meter.Change("b", "beta", 2, 1, clock.NowMs()-100)
 		uses := stand.gateway.engines.usesNews(clock.NowMs())
 		So(uses, ShouldHaveLength, 1)
