--- a/internal/gateway/tenants.go
+++ b/internal/gateway/tenants.go
@@ -53,11 +53,11 @@
 	if c.tenant == nil || c.route.Anonymous || !strict {
 		return nil
 	}
-	if !d.provedWithin(bound - clockRateMargin) {
+	if !d.provedSoon(c.request.Context(), bound-clockRateMargin) {
 		return d.unconfirmed()
 	}
-	// The proof may be younger than the table by which the call was routed, as when the process
-	// was paused between the two. The table that it proves is in force by now.
+	// The proof may be younger than the table by which the call was routed, as when the call has
+	// waited for it after a pause. The table that it proves is in force by now.
 	current := d.view.Load().routes
 	if current.Table.Generation == c.generation {
 		return nil
