Gateways' wait queues by the field's names

Reading the diff as a newcomer: line, lines, lineUp and told named queues, joining them and the channels that wake who waits. Behaviour as it was; tests of gateway and waiting pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,7 +96,7 @@
 	if refusal, refused := d.refused(exchange); refused {
 		return refusal
 	}
-	d.lines.leave(c, true)
+	d.queues.leave(c, true)
 	outcome := deliver(exchange, c)
 	switch {
 	case outcome.kind != attemptBroken:
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -62,7 +62,7 @@
 	follower *daemon.Follower
 	pool     *upstream.Pool
 	engines  *engines
-	lines    *lines
+	queues   *waitQueues
 	retries  *retries
 	ledgers  *ledgers
 	chains   *chainCache
@@ -86,7 +86,7 @@
 func NewDaemon(process config.Process, names Headers, logger log.Logger) *Daemon {
 	d := &Daemon{
 		process: process, headers: names, logger: logger, pool: upstream.NewPool(),
-		engines: newEngines(process.Zone, process.Policy), lines: newLines(process.Policy.Waiting, process.Policy.Disable),
+		engines: newEngines(process.Zone, process.Policy), queues: newWaitQueues(process.Policy.Waiting, process.Policy.Disable),
 		retries: newRetries(process.Policy.Retry, process.Policy.Disable),
 		chains:  newChainCache(chainBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 		services: newServices(),
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -50,10 +50,10 @@
 	// latest is until when the call is worth starting at an engine.
 	latest time.Time
 	// place is the call's place among those that wait for room, nil where it does not;
-	// linedUp is when it first waited, and waited how long it did in all.
-	place   *waiting.Place
-	linedUp time.Time
-	waited  time.Duration
+	// queuedAt is when it first waited, and waited how long it did in all.
+	place    *waiting.Place
+	queuedAt time.Time
+	waited   time.Duration
 	// aboveShare says that its tenant used more than its share when it first waited.
 	aboveShare bool
 	// tries are the sends to engines so far, and watch waits for the first word of the one
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,19 +42,19 @@
 		return -1
 	})
 	monitor.Gauge("gateway_waiting", "Requests that wait for room at engines.", func() float64 {
-		_, waitingNow := d.lines.mistakes()
+		_, waitingNow := d.queues.mistakes()
 		return float64(waitingNow)
 	})
 	monitor.Gauge("gateway_rejected_wrongly", "Requests rejected for want of room that came in time for them after all, since the start.", func() float64 {
-		mistakes, _ := d.lines.mistakes()
+		mistakes, _ := d.queues.mistakes()
 		return float64(mistakes.Wronged)
 	})
 	monitor.Gauge("gateway_held_in_vain", "Requests that waited for room and got none, since the start.", func() float64 {
-		mistakes, _ := d.lines.mistakes()
+		mistakes, _ := d.queues.mistakes()
 		return float64(mistakes.InVain)
 	})
 	monitor.Gauge("gateway_held_in_vain_seconds", "How long they waited in all.", func() float64 {
-		mistakes, _ := d.lines.mistakes()
+		mistakes, _ := d.queues.mistakes()
 		return (time.Duration(mistakes.InVainMs) * time.Millisecond).Seconds()
 	})
 	monitor.Gauge("gateway_processor_use", "Part of the share of a core that is used.", func() float64 {
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -42,11 +42,11 @@
 // Invariant: a call that is not repeatable is sent again only where every send
 // before was not run; the error says "not run" only where all sends were not.
 func (d *Daemon) serveAttempts(ctx context.Context, c *call, deliver deliverFunc) *result.Error {
-	defer d.lines.leave(c, false)
+	defer d.queues.leave(c, false)
 	known := &c.tries
 	known.left = everyEngine
-	if d.lines.mustWait(c) {
-		if failure := d.lineUp(ctx, c, known); failure != nil {
+	if d.queues.mustWait(c) {
+		if failure := d.waitInQueue(ctx, c, known); failure != nil {
 			return failure
 		}
 	}
@@ -56,7 +56,7 @@
 			chosen, found = d.engines.choose(c.backend, d.demand(c, known.avoid))
 		}
 		if !found {
-			if failure := d.lineUp(ctx, c, known); failure != nil {
+			if failure := d.waitInQueue(ctx, c, known); failure != nil {
 				return failure
 			}
 			continue
@@ -117,9 +117,9 @@
 	return errors.Is(outcome.err, errSilent) || d.retries.take(c.backend.Name)
 }
 
-// lineUp has a call wait that no engine had room for; afterwards the engine that has some is
+// waitInQueue has a call wait that no engine had room for; afterwards the engine that has some is
 // asked, or all of them where it is not known which.
-func (d *Daemon) lineUp(ctx context.Context, c *call, known *tries) *result.Error {
+func (d *Daemon) waitInQueue(ctx context.Context, c *call, known *tries) *result.Error {
 	if known.mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d sends, one of them broken off", c.attempts)
 	}
@@ -139,7 +139,7 @@
 	}
 	switch outcome.kind {
 	case attemptAnswered, attemptCancelled, attemptBroken, attemptFailed:
-		d.lines.ended(c.backend.Name, c.engine, clock.NowMs())
+		d.queues.ended(c.backend.Name, c.engine, clock.NowMs())
 	}
 }
 
--- a/internal/gateway/tries_test.go
+++ b/internal/gateway/tries_test.go
@@ -34,7 +34,7 @@
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 200)
 		So(stand.runs.Load(), ShouldEqual, 4)
-		_, waitingNow := stand.gateway.lines.mistakes()
+		_, waitingNow := stand.gateway.queues.mistakes()
 		So(waitingNow, ShouldEqual, 0)
 	})
 	Convey("one for which it does not come hears so with the time to come back, having run nowhere, and leaves the queue", t, func() {
@@ -43,7 +43,7 @@
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 503)
 		So(response.Header.Get("Retry-After"), ShouldNotBeBlank)
-		mistakes, waitingNow := stand.gateway.lines.mistakes()
+		mistakes, waitingNow := stand.gateway.queues.mistakes()
 		So(waitingNow, ShouldEqual, 0)
 		So(mistakes.InVain, ShouldEqual, 1)
 	})
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -11,130 +11,130 @@
 	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
-// line is the queue of one back end with the calls that are to be told of room.
-type line struct {
+// backendQueue is the queue of one back end with the calls that are to be told of room.
+type backendQueue struct {
 	queue *waiting.Queue
-	// told are where the calls that wait hear of the engine that has room.
-	told map[*waiting.Place]chan string
+	// wakeups are where the calls that wait hear of the engine that has room.
+	wakeups map[*waiting.Place]chan string
 }
 
-// lines are the queues of all back ends.
-type lines struct {
+// waitQueues are the queues of all back ends.
+type waitQueues struct {
 	mutex     sync.Mutex
 	settings  waiting.Settings
-	byBackend map[string]*line
+	byBackend map[string]*backendQueue
 	disabled  scheduling.Disabled
 }
 
-func newLines(settings waiting.Settings, disabled scheduling.Disabled) *lines {
-	return &lines{settings: settings, byBackend: map[string]*line{}, disabled: disabled}
+func newWaitQueues(settings waiting.Settings, disabled scheduling.Disabled) *waitQueues {
+	return &waitQueues{settings: settings, byBackend: map[string]*backendQueue{}, disabled: disabled}
 }
 
 // of returns a back end's queue; the caller holds the mutex.
-func (l *lines) of(backend string) *line {
-	found, known := l.byBackend[backend]
+func (q *waitQueues) of(backend string) *backendQueue {
+	found, known := q.byBackend[backend]
 	if !known {
-		found = &line{queue: waiting.NewQueue(l.settings), told: map[*waiting.Place]chan string{}}
-		l.byBackend[backend] = found
+		found = &backendQueue{queue: waiting.NewQueue(q.settings), wakeups: map[*waiting.Place]chan string{}}
+		q.byBackend[backend] = found
 	}
 	return found
 }
 
 // ended notes that a request ended at an engine, and tells the first that waits of it.
-func (l *lines) ended(backend, engine string, nowMs int64) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	line := l.of(backend)
-	line.tell(line.queue.Ended(nowMs), engine)
+func (q *waitQueues) ended(backend, engine string, nowMs int64) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	waiters := q.of(backend)
+	waiters.tell(waiters.queue.Ended(nowMs), engine)
 }
 
 // tell passes the word of room on; engine is "" where it is not known which has some.
-func (l *line) tell(place *waiting.Place, engine string) {
+func (b *backendQueue) tell(place *waiting.Place, engine string) {
 	if place == nil {
 		return
 	}
 	select {
-	case l.told[place] <- engine:
+	case b.wakeups[place] <- engine:
 	default:
 		// It was told already.
 	}
 }
 
-// mustWait reports whether a call has to line up before it asks any engine.
-func (l *lines) mustWait(c *call) bool {
-	if l.disabled.Has(scheduling.MechanismWaiting) {
+// mustWait reports whether a call has to wait in the queue before it asks any engine.
+func (q *waitQueues) mustWait(c *call) bool {
+	if q.disabled.Has(scheduling.MechanismWaiting) {
 		return false
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return c.place == nil && l.of(c.backend.Name).queue.MustWait(c.inLine())
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return c.place == nil && q.of(c.backend.Name).queue.MustWait(c.queueEntry())
 }
 
-// lineUp gives a call its place, the one it had where it has waited before.
-func (l *lines) lineUp(c *call, nowMs int64) (chan string, *waiting.Rejection) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	line := l.of(c.backend.Name)
+// join gives a call its place, the one it had where it has waited before.
+func (q *waitQueues) join(c *call, nowMs int64) (chan string, *waiting.Rejection) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	waiters := q.of(c.backend.Name)
 	if c.place != nil {
-		rejection := line.queue.Again(nowMs, c.place)
+		rejection := waiters.queue.Again(nowMs, c.place)
 		if rejection != nil {
-			delete(line.told, c.place)
+			delete(waiters.wakeups, c.place)
 			c.place = nil
 		}
-		return line.told[c.place], rejection
+		return waiters.wakeups[c.place], rejection
 	}
-	place, rejection := line.queue.Join(nowMs, c.inLine())
+	place, rejection := waiters.queue.Join(nowMs, c.queueEntry())
 	if rejection != nil {
 		return nil, rejection
 	}
 	c.place = place
-	line.told[place] = make(chan string, 1)
-	return line.told[place], nil
+	waiters.wakeups[place] = make(chan string, 1)
+	return waiters.wakeups[place], nil
 }
 
 // leave takes a call out of its queue, because an engine took it or because it ended.
-func (l *lines) leave(c *call, served bool) {
+func (q *waitQueues) leave(c *call, served bool) {
 	if c.place == nil {
 		return
 	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	line := l.of(c.backend.Name)
-	line.tell(line.queue.Leave(clock.NowMs(), c.place, served), "")
-	delete(line.told, c.place)
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	waiters := q.of(c.backend.Name)
+	waiters.tell(waiters.queue.Leave(clock.NowMs(), c.place, served), "")
+	delete(waiters.wakeups, c.place)
 	c.place = nil
 }
 
 // look reports whether a call that nobody told of room may look for some, and lookAfter when
 // it may.
-func (l *lines) look(c *call) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.of(c.backend.Name).queue.Look(c.place)
+func (q *waitQueues) look(c *call) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.of(c.backend.Name).queue.Look(c.place)
 }
 
-func (l *lines) lookAfter(c *call) time.Duration {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return time.Duration(l.of(c.backend.Name).queue.LookAfterMs(clock.NowMs(), c.place)) * time.Millisecond
+func (q *waitQueues) lookAfter(c *call) time.Duration {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return time.Duration(q.of(c.backend.Name).queue.LookAfterMs(clock.NowMs(), c.place)) * time.Millisecond
 }
 
 // mistakes adds up what has turned out wrong at all back ends.
-func (l *lines) mistakes() (sum waiting.Mistakes, waitingNow int) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, line := range l.byBackend {
-		mistakes := line.queue.Mistakes()
+func (q *waitQueues) mistakes() (sum waiting.Mistakes, waitingNow int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, waiters := range q.byBackend {
+		mistakes := waiters.queue.Mistakes()
 		sum.Wronged += mistakes.Wronged
 		sum.InVain += mistakes.InVain
 		sum.InVainMs += mistakes.InVainMs
-		waitingNow += line.queue.Len()
+		waitingNow += waiters.queue.Len()
 	}
 	return sum, waitingNow
 }
 
-// inLine is what the call's place in a queue depends on.
-func (c *call) inLine() waiting.Call {
+// queueEntry is what the call's place in a queue depends on.
+func (c *call) queueEntry() waiting.Call {
 	due := c.deadline
 	if c.finish.After(c.started) && c.finish.Before(due) {
 		due = c.finish
@@ -145,21 +145,21 @@
 // waitForRoom waits until an engine of the call's back end may have room; it returns that
 // engine, "" where it is not known which, or why the call does not wait any longer.
 func (d *Daemon) waitForRoom(ctx context.Context, c *call) (engine string, failure *result.Error) {
-	if c.linedUp.IsZero() {
-		c.linedUp = time.Now()
+	if c.queuedAt.IsZero() {
+		c.queuedAt = time.Now()
 		c.aboveShare = d.engines.aboveShare(c)
 	}
-	defer func() { c.waited = time.Since(c.linedUp) }()
+	defer func() { c.waited = time.Since(c.queuedAt) }()
 	if d.process.Policy.Disable.Has(scheduling.MechanismWaiting) {
 		return "", d.pause(ctx, c)
 	}
-	told, rejection := d.lines.lineUp(c, clock.NowMs())
+	told, rejection := d.queues.join(c, clock.NowMs())
 	for rejection == nil {
-		timer := time.NewTimer(min(d.lines.lookAfter(c), max(time.Until(c.latest), 0)))
+		timer := time.NewTimer(min(d.queues.lookAfter(c), max(time.Until(c.latest), 0)))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			d.lines.leave(c, false)
+			d.queues.leave(c, false)
 			return "", result.New(result.Cancelled, "the caller left while its call waited: %v", ctx.Err())
 		case engine = <-told:
 			timer.Stop()
@@ -167,12 +167,12 @@
 		case <-timer.C:
 		}
 		if !time.Now().Before(c.latest) {
-			told, rejection = d.lines.lineUp(c, clock.NowMs())
-		} else if d.lines.look(c) {
+			told, rejection = d.queues.join(c, clock.NowMs())
+		} else if d.queues.look(c) {
 			return "", nil
 		}
 	}
-	c.waited = time.Since(c.linedUp)
+	c.waited = time.Since(c.queuedAt)
 	d.logRejection(c, rejection)
 	return "", d.rejected(c, rejection)
 }
--- a/internal/waiting/waiting.go
+++ b/internal/waiting/waiting.go
@@ -35,7 +35,7 @@
 	// longestReturnMs bounds how far ahead a return is arranged for: what is known of the
 	// rate of room says nothing of later.
 	longestReturnMs = 5_000
-	// firstLookMs and longestLookMs bound the time after which the first in line looks for
+	// firstLookMs and longestLookMs bound the time after which the first in the queue looks for
 	// room that others have made, which nobody tells it of.
 	firstLookMs   = 10
 	longestLookMs = 200
@@ -140,13 +140,13 @@
 // Mistakes returns what has turned out wrong since the start.
 func (q *Queue) Mistakes() Mistakes { return q.mistakes }
 
-// MustWait reports whether a call that has not asked any engine yet has to line up behind
+// MustWait reports whether a call that has not asked any engine yet has to queue behind
 // those that wait for room.
 func (q *Queue) MustWait(call Call) bool {
 	return len(q.places) > 0 && q.places[0].call.before(call) <= 0
 }
 
-// Join lines a call up, unless it is unlikely to get room in time.
+// Join queues a call, unless it is unlikely to get room in time.
 func (q *Queue) Join(nowMs int64, call Call) (*Place, *Rejection) {
 	q.turns++
 	place := &Place{call: call, joinedMs: nowMs, turn: q.turns}
@@ -256,7 +256,7 @@
 }
 
 // LookAfterMs is after how long a call that nobody told of room is to look for some itself: only
-// the first in line does, at the pace at which room comes.
+// the first in the queue does, at the pace at which room comes.
 func (q *Queue) LookAfterMs(nowMs int64, place *Place) int64 {
 	if len(q.places) == 0 || q.places[0] != place {
 		return longestLookMs
@@ -277,7 +277,7 @@
 	return true
 }
 
-// Again lines a call up again, in its old place, after it found no room; it is rejected where
+// Again queues a call once more, in its old place, after it found no room; it is rejected where
 // it has become unlikely that it gets some in time.
 func (q *Queue) Again(nowMs int64, place *Place) *Rejection {
 	place.trying = false
