--- a/cmd/ochrebay/tenants.go
+++ b/cmd/ochrebay/tenants.go
@@ -29,13 +29,13 @@
 
 func registerTenants(app *kingpin.Application, registered commands) {
 	tenants := app.Command("tenants", "Show which tenants are at their limit or above their share, who waits and who is refused.\n\n"+
-		"Example: ochrebay tenants --ledger 10.0.1.1:9464 --ledger 10.0.1.2:9464 --control 10.0.2.1:9464")
-	ledgers := tenants.Flag("ledger", "HTTP IP:port of a ledger host; name all of them.").Strings()
-	controls := tenants.Flag("control", "HTTP IP:port of a control process; name all of them.").Strings()
+		"Example: ochrebay tenants --ledger.address 10.0.1.1:9464 --ledger.address 10.0.1.2:9464 --control.address 10.0.2.1:9464")
+	ledgers := tenants.Flag("ledger.address", "HTTP IP:port of a ledger host; name all of them.").Strings()
+	controls := tenants.Flag("control.address", "HTTP IP:port of a control process; name all of them.").Strings()
 	output := tenants.Flag("output", "table or json.").Default("table").Enum("table", "json")
 	registered[tenants.FullCommand()] = withoutContext(func() error {
 		if len(*ledgers)+len(*controls) == 0 {
-			return settingsError{errors.New("ochrebay: --ledger and --control say whom to ask")}
+			return settingsError{errors.New("ochrebay: --ledger.address and --control.address say whom to ask")}
 		}
 		answer := askTenants(*ledgers, *controls)
 		if *output == "json" {
