--- a/internal/admission/programs.go
+++ b/internal/admission/programs.go
@@ -35,9 +35,6 @@
 	lastMs int64
 	// ended says that it has been silent for so long that it counts as ended.
 	ended bool
-	// adoptedMs is when an owner first heard of a program that had begun under another, 0 for one
-	// that began here.
-	adoptedMs int64
 }
 
 // NewPrograms returns the programs of a tenant whose limit counts over a window.
@@ -55,14 +52,9 @@
 func (p *Programs) Len() int { return len(p.byName) }
 
 // Granted notes a request of a program that was asked for and granted at times; kind is that
-// of the program where the request is a turn. Continues says that the program has made requests
-// before.
-func (p *Programs) Granted(name, kind string, continues bool, askedMs, nowMs int64) {
+// of the program where the request is a turn.
+func (p *Programs) Granted(name, kind string, askedMs, nowMs int64) {
 	known := p.byName[name]
-	if known == nil && continues {
-		p.byName[name] = &program{kind: p.kinds.Of(kind), made: 1, lastMs: nowMs, adoptedMs: nowMs}
-		return
-	}
 	if known == nil {
 		known = &program{kind: p.kinds.Of(kind), made: 1, lastMs: nowMs}
 		p.byName[name] = known
@@ -72,13 +64,9 @@
 	}
 	if known.ended {
 		known.ended = false
-		if known.adoptedMs == 0 {
-			known.kind.Resumed(known.made)
-		}
-	}
-	if known.adoptedMs == 0 {
-		known.kind.Continued(known.made, askedMs-known.lastMs)
+		known.kind.Resumed(known.made)
 	}
+	known.kind.Continued(known.made, askedMs-known.lastMs)
 	known.made++
 	known.lastMs = nowMs
 }
@@ -123,11 +111,7 @@
 		case known.ended:
 		case float64(silentMs) >= known.kind.EndedAfterMs():
 			known.ended = true
-			if known.adoptedMs == 0 {
-				known.kind.Ended(known.made)
-			}
-		case known.adoptedMs > 0 && nowMs-known.adoptedMs < p.windowMs:
-			// The demand of those that an owner took over counts by what its predecessors granted.
+			known.kind.Ended(known.made)
 		default:
 			p.add(known, nowMs)
 		}
@@ -155,9 +139,7 @@
 // queue: to keep a standard deviation free besides refuses a fifth more programs, and what waits
 // then waits 0.1 s in place of 0.3 at the 99th percentile (docs/design/0011-limits-by-program.md). Counted returns what of the requests granted so
 // far still counts at a time. Expecting is a demand within the window that is known of
-// otherwise, as of programs that began under another owner. Invariant: those teach nothing of how
-// long programs last, since nobody here has seen them begin: taken for new ones they would make all
-// programs look longer than they are, and keep others out of a limit that is hardly used.
+// otherwise, as of programs of which a new owner has not heard yet.
 //
 // A tenant without a program under way may always begin one, however small its limit: it
 // then uses what there is.
@@ -170,7 +152,7 @@
 	for position, coming := range own.within[0] {
 		horizon := horizonMs(p.windowMs, position)
 		ownDemand := 1 + goesOn*coming
-		expected := p.demand[position] + expecting*float64(horizon)/float64(p.windowMs)
+		expected := math.Max(p.demand[position], expecting*float64(horizon)/float64(p.windowMs))
 		past := counted(nowMs + horizon)
 		room := float64(allowed) - float64(past) - expected - ownDemand
 		if room < least {
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -196,7 +196,7 @@
 	}
 	tenant.grant(ask.Program, nowMs)
 	if ask.Program != "" {
-		tenant.begun.Granted(ask.Program, ask.Kind, ask.Continues, nowMs, nowMs)
+		tenant.begun.Granted(ask.Program, ask.Kind, nowMs, nowMs)
 	}
 	decision.GrantedMs = nowMs
 	return decision
--- a/internal/quota/queue.go
+++ b/internal/quota/queue.go
@@ -135,7 +135,7 @@
 	issued := &issue{program: ask.Program, atMs: nowMs}
 	tenant.issued[ask.Ticket] = issued
 	if ask.Program != "" {
-		tenant.begun.Granted(ask.Program, ask.Kind, ask.Continues, waiting.askedMs, nowMs)
+		tenant.begun.Granted(ask.Program, ask.Kind, waiting.askedMs, nowMs)
 	}
 	return issued
 }
