Schedulers that come back to a directory are told which engines are their own

A leader of control that had frozen dropped all four schedulers at 5.86 s; nobody was left to take their engines over, so that these stayed with them, and at 6.11 s all came back: no engine's owner changed, and the directory had forgotten at which version each one's engines had. Schedulers that were killed and started again at 9.6 s asked with version 0, were told that nothing had changed since, and owned no engine for the rest of the run.

Change: who comes into the directory counts as one whose engines have changed.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -75,6 +75,10 @@
 	d.Version++
 	d.roster.version = d.Version
 	for _, scheduler := range update.Schedulers {
+		if _, known := d.Schedulers[scheduler.Name]; !known {
+			// One that comes back may own engines still, where nobody was left to take them over.
+			d.ownerChanged[scheduler.Name] = d.Version
+		}
 		d.Schedulers[scheduler.Name] = scheduler
 		d.roster.put(scheduler, d.Version)
 	}
