Incarnations by their name

Reading the diff as a newcomer: a life was an incarnation, and newestLives a map of them. Behaviour as it was; tests of membership, control and platform pass.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -57,12 +57,12 @@
 }
 
 // EngineLeaves takes an engine's word that it ends.
-func (d *Daemon) EngineLeaves(life membership.Incarnation) *result.Error {
-	reply := d.order(&protocol.FleetOrder{Leave: life.ID, LeaveBorn: life.Born, Incarnations: true})
+func (d *Daemon) EngineLeaves(incarnation membership.Incarnation) *result.Error {
+	reply := d.order(&protocol.FleetOrder{Leave: incarnation.ID, LeaveBorn: incarnation.Born, Incarnations: true})
 	if reply.Void != "" {
-		d.noteVoid(membership.ServingEngine{ID: life.ID, Born: life.Born}, reply.Void)
+		d.noteVoid(membership.ServingEngine{ID: incarnation.ID, Born: incarnation.Born}, reply.Void)
 	}
-	telemetry.Info(d.logger, "engine leaves", "engine", life.ID, "born", life.Born, "err", reply.Error)
+	telemetry.Info(d.logger, "engine leaves", "engine", incarnation.ID, "born", incarnation.Born, "err", reply.Error)
 	return reply.Error
 }
 
--- a/internal/membership/fleet_tracker.go
+++ b/internal/membership/fleet_tracker.go
@@ -66,7 +66,7 @@
 	// doubts are the engines whose reports contradict what is known.
 	doubts map[string]doubt
 	// newest are the latest incarnations that were heard of lately.
-	newest newestLives
+	newest latestIncarnations
 	// calmSinceMs is since when the pools that are larger than they need be are so.
 	calmSinceMs map[poolKey]int64
 }
@@ -90,7 +90,7 @@
 func NewFleetTracker(options FleetOptions, nowMs int64) *FleetTracker {
 	return &FleetTracker{
 		options: options, startMs: nowMs, heard: map[string]int64{}, gateways: map[string]gatewayHeartbeat{},
-		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, doubts: map[string]doubt{}, newest: newestLives{}, calmSinceMs: map[poolKey]int64{},
+		led: map[uint32]LedGroup{}, lastNewLedgerMs: nowMs, enginesCheckedMs: nowMs, doubts: map[string]doubt{}, newest: latestIncarnations{}, calmSinceMs: map[poolKey]int64{},
 	}
 }
 
--- a/internal/membership/incarnation.go
+++ b/internal/membership/incarnation.go
@@ -49,19 +49,19 @@
 }
 
 // isOver reports whether an incarnation is known to be over.
-func (f *Fleet) isOver(life Incarnation) bool {
-	born, lived := f.ended[life.ID]
-	if life.Born == 0 {
-		return lived || f.left[life.ID]
+func (f *Fleet) isOver(incarnation Incarnation) bool {
+	born, lived := f.ended[incarnation.ID]
+	if incarnation.Born == 0 {
+		return lived || f.left[incarnation.ID]
 	}
-	return lived && life.Born <= born
+	return lived && incarnation.Born <= born
 }
 
 // HasLeft reports whether an incarnation said that it ends; of one that does not say when it
 // started the id decides.
-func (f *Fleet) HasLeft(life Incarnation) bool {
-	_, there := f.state.Engines[life.ID]
-	return f.isOver(life) && !(there && life.Born == 0)
+func (f *Fleet) HasLeft(incarnation Incarnation) bool {
+	_, there := f.state.Engines[incarnation.ID]
+	return f.isOver(incarnation) && !(there && incarnation.Born == 0)
 }
 
 // BegunAt returns the version at which another incarnation last took up an id, 0 where that
--- a/internal/membership/reports.go
+++ b/internal/membership/reports.go
@@ -75,20 +75,20 @@
 
 // TakeLeave returns the updates that an engine's word that it ends calls for. Where the word
 // does not say which incarnation it is of, it is taken to be of the one that is known.
-func (t *FleetTracker) TakeLeave(fleet *Fleet, life Incarnation) ([]FleetUpdate, Verdict) {
-	known, there := fleet.Engine(life.ID)
-	if life.Born == 0 {
-		life.Born = known.Born
+func (t *FleetTracker) TakeLeave(fleet *Fleet, incarnation Incarnation) ([]FleetUpdate, Verdict) {
+	known, there := fleet.Engine(incarnation.ID)
+	if incarnation.Born == 0 {
+		incarnation.Born = known.Born
 	}
 	switch {
-	case fleet.HasLeft(life):
+	case fleet.HasLeft(incarnation):
 		return nil, ReportUnchanged
-	case there && life.Born < known.Born, life.Born > 0 && life.Born < t.newest[life.ID]:
+	case there && incarnation.Born < known.Born, incarnation.Born > 0 && incarnation.Born < t.newest[incarnation.ID]:
 		return nil, ReportOutdated
 	}
-	update := FleetUpdate{LeftEngines: []string{life.ID}}
-	if life.Born > 0 {
-		update.Ended = []Incarnation{life}
+	update := FleetUpdate{LeftEngines: []string{incarnation.ID}}
+	if incarnation.Born > 0 {
+		update.Ended = []Incarnation{incarnation}
 	}
 	return []FleetUpdate{update}, ReportTaken
 }
@@ -99,12 +99,12 @@
 	return ok && engine.Sequence >= known.Sequence && known.withoutSequence() == engine.withoutSequence()
 }
 
-// newestLives are the latest incarnations that were heard of, by id, those whose reports are
+// latestIncarnations are the latest incarnations that were heard of, by id, those whose reports are
 // not applied yet included.
-type newestLives map[string]int64
+type latestIncarnations map[string]int64
 
 // take reports whether no later incarnation than the engine's was heard of, and notes it.
-func (n newestLives) take(engine ServingEngine) bool {
+func (n latestIncarnations) take(engine ServingEngine) bool {
 	if engine.Born < n[engine.ID] {
 		return false
 	}
