Log the software version of engines and the streams that callers take up

Change: served, failed and attempt failed lines have software; attempt failed has last_event; requests that take a stream up have takes_up and after_event. ServingEngine.Generation is named SoftwareVersion (its key stays), because generations number routing tables elsewhere. No choice changes. Result: TestStreamsInTheCallLog; the tests of gateway, platform and membership pass.

--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -24,6 +24,7 @@
 			keyValues = append(keyValues, "waited_ms", c.waitTime.Milliseconds())
 		}
 		keyValues = append(keyValues, d.tenantFields(c)...)
+		keyValues = append(keyValues, c.takeUpFields()...)
 		keyValues = append(keyValues, c.selectionFields()...)
 		keyValues = append(keyValues, c.ledgerFields()...)
 	}
@@ -63,7 +64,7 @@
 		return nil
 	}
 	return []any{
-		"engine", c.engineID, "home", c.affineEngine, "in_flight", c.selection.inFlight, "candidates", c.selection.candidateCount,
+		"engine", c.engineID, "software", c.selection.engine.SoftwareVersion, "home", c.affineEngine, "in_flight", c.selection.inFlight, "candidates", c.selection.candidateCount,
 		"company", int(c.selection.estimatedInFlight), "shared_age_ms", c.selection.sharedLoadAgeMs, "missing", c.selection.prefillTokens,
 		"cost_ms", int64(c.selection.costMs), "next_cost_ms", int64(c.selection.nextBestCostMs), "home_cost_ms", int64(c.selection.affineEngineCostMs),
 		"sent_ms", c.sentAfter.Milliseconds(), "slowness", formatRatio(c.selection.slowdown), "home_slowness", formatRatio(c.selection.affineEngineSlowdown),
@@ -71,6 +72,15 @@
 	}
 }
 
+// takeUpFields returns the stream that the caller takes up and the last event that it has, nothing
+// if its stream begins with this request.
+func (c *call) takeUpFields() []any {
+	if c.takenUpAfter == 0 && c.takesUp == "" {
+		return nil
+	}
+	return []any{"takes_up", c.takesUp, "after_event", c.takenUpAfter}
+}
+
 // formatRatio formats a ratio with two decimals.
 func formatRatio(value float64) string { return strconv.FormatFloat(value, 'f', 2, 64) }
 
@@ -100,8 +110,8 @@
 	if outcome.kind == attemptAnswered {
 		return
 	}
-	telemetry.Warn(d.logger, "attempt failed", "request", c.id, "engine", engine.ID, "address", engine.Address, "attempt", c.attemptCount,
-		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "err", outcome.err)
+	telemetry.Warn(d.logger, "attempt failed", "request", c.id, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
+		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID, "err", outcome.err)
 }
 
 // logRejection logs a call that the wait queue rejected, on arrival or after it had waited.
--- a/internal/gateway/calllog_test.go
+++ b/internal/gateway/calllog_test.go
@@ -43,3 +43,29 @@
 		})
 	})
 }
+
+// TestStreamsInTheCallLog guards against log lines that do not show which software version of a
+// back end served a stream, and which stream a request takes up.
+func TestStreamsInTheCallLog(t *testing.T) {
+	Convey("the lines of a stream that is taken up", t, func() {
+		var lines bytes.Buffer
+		fixture := newGatewayFixture(t, streamingEngine(2, "", true))
+		fixture.gateway.logger = log.NewLogfmtLogger(&lines)
+		fleet := *fixture.gateway.view.Load().fleet
+		engine := fleet.Engines["e"]
+		engine.SoftwareVersion = "v7"
+		fleet.Engines["e"] = engine
+		fixture.gateway.engines.applyFleet(&fleet)
+		Convey("show the software version and how far the caller is", func() {
+			_, _, _ = fixture.send("/stream/", "r1")
+			So(lines.String(), ShouldContainSubstring, `msg="attempt failed" request=r1 engine=e software=v7`)
+			So(lines.String(), ShouldContainSubstring, "started=true last_event=2")
+			So(lines.String(), ShouldContainSubstring, "engine=e software=v7 home=")
+			So(lines.String(), ShouldNotContainSubstring, "takes_up")
+		})
+		Convey("name the stream that the caller takes up", func() {
+			_, _, _ = fixture.send("/resumable/", "r2", "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "2")
+			So(lines.String(), ShouldContainSubstring, "takes_up=r1 after_event=2")
+		})
+	})
+}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -26,8 +26,12 @@
 	// the second, the maximum that the turn may generate.
 	TokenUsage   string
 	PreviousTurn string
-	LastEventID  string
-	AffinityKey  string
+	// LastEventID names the header with the last event that the caller has received of the stream
+	// that it takes up, and TakesUp the header with the id of the request that brought the stream's
+	// first event.
+	LastEventID string
+	TakesUp     string
+	AffinityKey string
 	// APIKey names the header with the key of the caller's tenant, which is never sent to engines.
 	APIKey string
 	// The following headers are sent to the engine; only gateways set them.
@@ -47,7 +51,7 @@
 		RequestID: "Ochrebay-Request", DeadlineMs: "Ochrebay-Deadline-Ms", Program: "Ochrebay-Program",
 		Session: "Ochrebay-Thread", FinishMs: "Ochrebay-Finish-Ms", PromptPrefix: "Ochrebay-Prefix",
 		TokenBudget: "Ochrebay-Token-Budget", TokenUsage: "Ochrebay-Tokens", PreviousTurn: "Ochrebay-Previous-Turn",
-		LastEventID: "Last-Event-Id", AffinityKey: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
+		LastEventID: "Last-Event-Id", TakesUp: "Ochrebay-Takes-Up", AffinityKey: "Ochrebay-Affinity", ExpectEngine: "Ochrebay-Expect-Engine",
 		Priority: "Ochrebay-Priority", APIKey: "Ochrebay-Key", Tenant: "Ochrebay-Tenant", NotExecuted: "Ochrebay-Not-Run", Signature: "Ochrebay-Signature",
 	}
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -72,6 +72,11 @@
 	affinityKey  string
 	// lastEventID is the last event that the caller has received, 0 for none.
 	lastEventID int64
+	// takesUp is the request that brought the first event of the stream that the caller takes up,
+	// scoped to its tenant, and takenUpAfter the last event that the caller had then; empty and 0
+	// for a stream that begins.
+	takesUp      string
+	takenUpAfter int64
 
 	// history is the content of the turns that this one continues from.
 	history []byte
@@ -196,6 +201,8 @@
 	c.tokenBudget = parseCountHeader(header, headerNames.TokenBudget, &failure)
 	c.programInProgress = c.programID != "" && !c.isTurn()
 	c.lastEventID = parseCountHeader(header, headerNames.LastEventID, &failure)
+	c.takenUpAfter = c.lastEventID
+	c.takesUp = c.tenantScopedID(header.Get(headerNames.TakesUp))
 	_, maxTokens, _ := strings.Cut(header.Get(headerNames.TokenUsage), ",")
 	if maxTokens != "" {
 		parsed, err := strconv.ParseInt(strings.TrimSpace(maxTokens), 10, 64)
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -16,12 +16,14 @@
 // ServingEngine is one incarnation of an engine that registered itself.
 type ServingEngine struct {
 	// ID usually changes at every start of the engine.
-	ID         string `msgpack:"i" json:"id"`
-	Backend    string `msgpack:"b" json:"backend"`
-	Address    string `msgpack:"a" json:"address"`
-	Zone       string `msgpack:"z" json:"zone"`
-	Generation string `msgpack:"g,omitempty" json:"generation,omitempty"`
-	Slots      int    `msgpack:"s" json:"slots"`
+	ID      string `msgpack:"i" json:"id"`
+	Backend string `msgpack:"b" json:"backend"`
+	Address string `msgpack:"a" json:"address"`
+	Zone    string `msgpack:"z" json:"zone"`
+	// SoftwareVersion is the build that the engine runs, not the version of its weights; empty if
+	// the engine does not report it.
+	SoftwareVersion string `msgpack:"g,omitempty" json:"generation,omitempty"`
+	Slots           int    `msgpack:"s" json:"slots"`
 	// Draining engines receive no new work.
 	Draining bool `msgpack:"d,omitempty" json:"draining,omitempty"`
 	// Sequence orders the reports of one incarnation.
