--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,7 @@
 }
 
 // deliverFunc forwards an engine's response to the caller.
-type deliverFunc func(exchange *upstream.Exchange, c *call) attemptOutcome
+type deliverFunc func(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome
 
 // attempt sends the call to one engine and delivers the response.
 func (d *Daemon) attempt(ctx context.Context, c *call, engine membership.ServingEngine, deliver deliverFunc) attemptOutcome {
@@ -99,7 +99,7 @@
 		return refusal
 	}
 	d.waitQueues.leave(c, true)
-	outcome := deliver(exchange, c)
+	outcome := deliver(attemptContext, exchange, c)
 	switch {
 	case outcome.kind != attemptBroken:
 	case errors.Is(context.Cause(attemptContext), errResponseTimeout):
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -54,13 +55,15 @@
 	// of the previous attempt.
 	eventGaps     int
 	shortestGapMs float64
+	// isComplete is true if the whole stream was forwarded.
+	isComplete bool
 	// outputData collects the event data of a turn that is to be retained.
 	outputData []byte
 	status     int
 }
 
 // deliver forwards an engine's response: streams event by event, other responses buffered.
-func (r *callerResponse) deliver(exchange *upstream.Exchange, c *call) attemptOutcome {
+func (r *callerResponse) deliver(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
 	response := exchange.Response
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if success && response.Header.Get(r.daemon.headerNames.Signature) == "" {
@@ -73,7 +76,7 @@
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: fmt.Errorf("engine responded with status %d but did not state that the call was not run", response.StatusCode)}
 	}
 	if success && c.route.Kind == routing.KindStream && isEventStream(response.Header) {
-		return r.deliverStream(exchange, c)
+		return r.deliverStream(ctx, exchange, c)
 	}
 	if r.headerWritten {
 		// A response that has started as an event stream can only continue with events.
@@ -142,10 +145,13 @@
 
 // deliverStream forwards complete events as they arrive. Invariant: a part of an event is never
 // forwarded from a broken stream, so that it can be resumed after the last event.
-func (r *callerResponse) deliverStream(exchange *upstream.Exchange, c *call) attemptOutcome {
+func (r *callerResponse) deliverStream(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
 	if c.responseTimer.stopAndCheck() {
 		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten, err: errResponseTimeout}
 	}
+	if !c.awaitOrigin(ctx) {
+		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten, err: errOriginNotRecorded}
+	}
 	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, responseStarted: true}
 	flusher, _ := r.writer.(http.Flusher)
 	r.resumed = r.headerWritten
@@ -193,6 +199,7 @@
 		outcome.err = errTurnNotRetained
 	}
 	outcome.streamEvents = r.events
+	r.isComplete = outcome.kind == attemptAnswered
 	return outcome
 }
 
@@ -213,6 +220,7 @@
 		c.lastEventID = id
 	}
 	if isEvent {
+		c.requireVersion(c.selection.engine)
 		r.recordEvent(c)
 		if c.retainsTurn() {
 			r.outputData = append(append(r.outputData, data...), '\n')
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -19,7 +21,9 @@
 type engineRegistry struct {
 	mutex     sync.Mutex
 	byBackend map[string][]membership.ServingEngine
-	health    map[string]*scheduling.EngineHealth
+	// mainVersions holds the software version that most engines of each backend run.
+	mainVersions map[string]string
+	health       map[string]*scheduling.EngineHealth
 	// incarnations holds the start time of each engine by id, 0 if the engine did not report one.
 	incarnations map[string]int64
 	// latencyModels holds the latency model of each backend, learned from all its engines.
@@ -73,6 +77,7 @@
 			e.byBackend[engine.Backend] = append(e.byBackend[engine.Backend], engine)
 		}
 	}
+	e.updateMainVersions()
 	closedAddresses := e.resetRestartedEngines(view)
 	for id, health := range e.health {
 		if _, isRegistered := view.Engines[id]; !isRegistered && health.OwnInFlight == 0 {
@@ -154,11 +159,46 @@
 	return entry
 }
 
-// engineCount returns how many engines of a backend are eligible for requests.
-func (e *engineRegistry) engineCount(backend string) int {
+// engineCount returns how many engines of a backend are eligible for a call with a requirement.
+func (e *engineRegistry) engineCount(backend string, requirement versionRequirement) int {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return len(e.byBackend[backend])
+	return len(e.eligibleEngines(backend, requirement))
+}
+
+// eligibleEngines returns the engines of a backend that a call with a requirement may be sent to.
+// The caller must hold the mutex and must not change the result.
+func (e *engineRegistry) eligibleEngines(backend string, requirement versionRequirement) []membership.ServingEngine {
+	if !requirement.isRequired {
+		return e.byBackend[backend]
+	}
+	var eligible []membership.ServingEngine
+	for _, engine := range e.byBackend[backend] {
+		if requirement.allows(engine) {
+			eligible = append(eligible, engine)
+		}
+	}
+	return eligible
+}
+
+// mainVersion returns the software version that most engines of a backend run, the lowest of them if
+// there are several.
+func (e *engineRegistry) mainVersion(backend string) string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.mainVersions[backend]
+}
+
+// updateMainVersions determines the main version of every backend.
+func (e *engineRegistry) updateMainVersions() {
+	e.mainVersions = map[string]string{}
+	for backend, backendEngines := range e.byBackend {
+		counts := map[string]int{}
+		for _, engine := range backendEngines {
+			counts[engine.SoftwareVersion]++
+		}
+		e.mainVersions[backend] = slices.MaxFunc(slices.Sorted(maps.Keys(counts)), func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
+	}
 }
 
 // latencyRatio returns the ratio of an engine's latency to that of the other engines.
@@ -241,11 +281,12 @@
 	health *scheduling.EngineHealth
 }
 
-// selectEngine selects the engine for a call and counts the call as in flight there.
-func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput) (selection, bool) {
+// selectEngine selects the engine for a call with a requirement and counts the call as in flight
+// there.
+func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput, requirement versionRequirement) (selection, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	backendEngines := e.byBackend[backend.Name]
+	backendEngines := e.eligibleEngines(backend.Name, requirement)
 	candidates := make([]scheduling.Candidate, 0, len(backendEngines))
 	for _, engine := range backendEngines {
 		candidate := scheduling.Candidate{
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
@@ -23,6 +24,8 @@
 	hasBody bool
 	route   *routing.Route
 	backend routing.Backend
+	// routes is the routing table that routed the call.
+	routes *routing.Index
 	// requiresKey is true if the routing table has tenants. tenant is the tenant of the caller's
 	// key; it is nil if the table has no tenants or the caller is anonymous, which only some routes
 	// allow.
@@ -37,8 +40,10 @@
 	// tableGeneration is the generation of the routing table that routed the call.
 	tableGeneration uint64
 	startedAt       time.Time
-	// deadline is the earlier of the caller's deadline and the route's timeout.
-	deadline time.Time
+	// deadline is the earlier of the caller's deadline and the route's timeout, and callerTimeout
+	// the time until the former, the route's timeout if the caller states none.
+	deadline      time.Time
+	callerTimeout time.Duration
 
 	// turnID, programID, sessionID, tokenBudget, maxTokens and previousTurn describe a turn. The
 	// ids of turns and programs are scoped to their tenant.
@@ -77,6 +82,13 @@
 	// for a stream that begins.
 	takesUp      string
 	takenUpAfter int64
+	// requirement restricts the engines of a stream whose caller has received an event.
+	requirement versionRequirement
+	// recordsOrigin is true if the ledger records the origin of the stream. recordedOrigin is the
+	// origin on record, nil while that is not known, and originRecording the request that changes it.
+	recordsOrigin   bool
+	recordedOrigin  *program.StreamOrigin
+	originRecording *originRecording
 
 	// history is the content of the turns that this one continues from.
 	history []byte
@@ -126,13 +138,12 @@
 	if route == nil {
 		return nil, result.New(result.NoRoute, "no route for host %s and this path", request.Host)
 	}
-	c := &call{id: requestID, request: request, route: route, tableGeneration: view.routes.Table.Generation, startedAt: startedAt}
+	c := &call{id: requestID, request: request, route: route, routes: view.routes, tableGeneration: view.routes.Table.Generation, startedAt: startedAt}
 	if failure := d.identifyTenant(c, view.routes); failure != nil {
 		discardBody(request.Body)
 		return c, failure
 	}
-	c.backend = view.routes.Backend(route.SelectBackend(d.randomFraction()))
-	c.priorityPosition, c.priorityCount = view.routes.PriorityPosition(c.backend.Name, c.tenant, route)
+	c.setBackend(route.SelectBackend(d.randomFraction()))
 	c.tenantWeight = view.routes.TenantWeight(c.tenant)
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
@@ -140,6 +151,12 @@
 	return c, c.readHeaders(d.headerNames)
 }
 
+// setBackend sets the backend whose engines may run the call.
+func (c *call) setBackend(name string) {
+	c.backend = c.routes.Backend(name)
+	c.priorityPosition, c.priorityCount = c.routes.PriorityPosition(name, c.tenant, c.route)
+}
+
 // readBody reads the whole body, so that the request can be sent again and an engine never waits
 // for a slow caller. limit is in bytes; 0 means defaultMaxBodyBytes.
 func (c *call) readBody(writer http.ResponseWriter, limit int64) *result.Error {
@@ -181,12 +198,14 @@
 func (c *call) readHeaders(headerNames HeaderNames) *result.Error {
 	header := c.request.Header
 	timeout := time.Duration(c.route.TimeoutMs) * time.Millisecond
+	c.callerTimeout = timeout
 	if text := header.Get(headerNames.DeadlineMs); text != "" {
 		timeLeftMs, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || timeLeftMs < 0 {
 			return result.New(result.InvalidHeader, "%s: %q is not a non-negative number of milliseconds", headerNames.DeadlineMs, text)
 		}
-		timeout = min(timeout, time.Duration(timeLeftMs)*time.Millisecond)
+		c.callerTimeout = time.Duration(timeLeftMs) * time.Millisecond
+		timeout = min(timeout, c.callerTimeout)
 	}
 	c.deadline = c.startedAt.Add(timeout)
 	c.turnID = c.tenantScopedID(c.id)
@@ -212,7 +231,10 @@
 		c.maxTokens = parsed
 	}
 	c.promptParts = scheduling.ParsePrompt(header.Get(headerNames.PromptPrefix))
-	return failure
+	if failure != nil {
+		return failure
+	}
+	return c.checkTakeUp()
 }
 
 // parseCountHeader parses a header with a non-negative integer. It returns 0 if the header is
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -151,6 +151,15 @@
 	return reply
 }
 
+// openStream records or finds the origin of a stream in its program's group.
+func (l *ledgerClient) openStream(ctx context.Context, open *program.OpenStream) *protocol.TurnReply {
+	group, isPlaced := l.groupOf(open.Program)
+	if !isPlaced {
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
+	}
+	return l.callLeader(ctx, &protocol.TurnRequest{Group: group, Stream: open})
+}
+
 // prependOlderTurns prepends the content of older turns to the history in the leader's reply. It
 // reads them from a replica in this zone, which avoids traffic between zones, or else from the
 // leader.
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -56,7 +56,10 @@
 // concurrently unless the tenant was denied recently.
 func (d *Daemon) openCall(ctx context.Context, c *call) *result.Error {
 	if !c.isTurn() {
-		return d.acquireQuota(ctx, c)
+		if failure := d.acquireQuota(ctx, c); failure != nil {
+			return failure
+		}
+		return d.openStream(ctx, c)
 	}
 	if c.tenant == nil || !c.tenant.HasRateLimit() {
 		return d.openTurn(ctx, c)
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	return c.attemptState.runs+1 < max(c.route.MaxAttempts, 1) && time.Now().Before(c.latestStart) &&
-		d.engines.engineCount(c.backend.Name) > len(c.attemptState.excludedEngines)+1
+		d.engines.engineCount(c.backend.Name, c.requirement) > len(c.attemptState.excludedEngines)+1
 }
 
 // responseTimer bounds the wait for the response of an engine, up to the header of a stream or the
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -51,6 +51,9 @@
 	if c.isTurn() {
 		c.openedAfter = time.Since(c.startedAt)
 	}
+	if c.isTakeUp() {
+		d.logContinuation(c, continuedByCaller, failure)
+	}
 	if failure == nil {
 		d.engines.adjustInFlight(c, 1)
 		failure = d.runAttempts(ctx, c, response.deliver)
@@ -68,11 +71,11 @@
 // openTurn reserves the turn at the ledger, fetches the history that it continues from, and applies
 // admission control if it starts its program.
 func (d *Daemon) openTurn(ctx context.Context, c *call) *result.Error {
-	// The ledger may use all the time until latestStart: a lost leader is replaced within the time
-	// that most callers allow, and after latestStart no attempt at an engine is worthwhile.
-	ledgerContext, cancel := context.WithDeadline(ctx, earlier(c.deadline, later(c.latestStart, time.Now().Add(ledgerCallTimeout))))
+	ledgerContext, cancel := context.WithDeadline(ctx, c.latestOpening())
 	defer cancel()
-	reserve := &program.Reserve{Program: c.programID, Request: c.turnID, BudgetTokens: c.tokenBudget, MaxTokens: c.maxTokens, Session: c.sessionID}
+	reserve := &program.Reserve{
+		Program: c.programID, Request: c.turnID, BudgetTokens: c.tokenBudget, MaxTokens: c.maxTokens, Session: c.sessionID, Stream: d.streamOpening(c),
+	}
 	var cached cachedHistory
 	if c.route.RetainTurns && c.previousTurn != "" {
 		reserve.PreviousRequest = c.previousTurn
@@ -101,6 +104,9 @@
 	}
 	c.turnReserved = c.tokenBudget > 0
 	c.programInProgress = !reply.IsFirstTurn || c.previousTurn != ""
+	if failure := d.applyStreamOrigin(c, reply.Stream); failure != nil {
+		return failure
+	}
 	if !c.programInProgress {
 		return d.admitProgram(c)
 	}
@@ -123,6 +129,13 @@
 	return failure.WithRetryAfter(time.Duration(decision.retryAfterMs) * time.Millisecond)
 }
 
+// latestOpening returns how long the ledger may take to open the call. It may use all the time until
+// latestStart: a lost leader is replaced within the time that most callers allow, and after
+// latestStart no attempt at an engine is worthwhile.
+func (c *call) latestOpening() time.Time {
+	return earlier(c.deadline, later(c.latestStart, time.Now().Add(ledgerCallTimeout)))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -141,6 +154,9 @@
 // wait for it.
 func (d *Daemon) settleAsync(c *call, response *callerResponse) {
 	settle := &program.Settle{Program: c.programID, Request: c.turnID, UsedTokens: response.usedTokens(c), Session: c.sessionID, Engine: c.selection.engine.IncarnationKey()}
+	if c.recordsOrigin && response.isComplete {
+		settle.EndedStream = c.beginningRequest()
+	}
 	go func() {
 		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
 			d.logFailure("turn not settled", c, failure)
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -8,11 +8,15 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
 )
 
 // streamingFleet is a set of fake engines of one backend, each with a software version. The events
@@ -23,6 +27,8 @@
 	mutex   sync.Mutex
 	// runs lists the engines that ran a request, in order.
 	runs []string
+	// refusing holds the engines that refuse all requests.
+	refusing map[string]bool
 	// beforeBreak, if set, is called before an engine breaks a stream off.
 	beforeBreak func()
 }
@@ -32,7 +38,7 @@
 
 // newStreamingFleet returns a gateway whose only engines are those added with addEngine.
 func newStreamingFleet(t *testing.T) *streamingFleet {
-	fleet := &streamingFleet{t: t, fixture: newGatewayFixture(t, func(w http.ResponseWriter, _ *http.Request) { respondNotRun(w) })}
+	fleet := &streamingFleet{t: t, refusing: map[string]bool{}, fixture: newGatewayFixture(t, func(w http.ResponseWriter, _ *http.Request) { respondNotRun(w) })}
 	fleet.update(func(engines map[string]membership.ServingEngine) { delete(engines, "e") })
 	return fleet
 }
@@ -50,8 +56,15 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		f.mutex.Lock()
-		f.runs = append(f.runs, id)
+		refuses := f.refusing[id]
+		if !refuses {
+			f.runs = append(f.runs, id)
+		}
 		f.mutex.Unlock()
+		if refuses {
+			respondNotRun(w)
+			return
+		}
 		w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
 		w.Header().Set("Ochrebay-Signature", id)
 		w.Header().Set("Content-Type", "text/event-stream")
@@ -145,3 +158,196 @@
 		So(strings.Count(body, "data: v2/"), ShouldEqual, versionedStreamEvents)
 	})
 }
+
+// recordStreams makes the fake ledger record streams and budgets like a ledger host. intercept may
+// answer a request in its place, if it returns a reply.
+func (l *fakeLedger) recordStreams(intercept func(request *protocol.TurnRequest) *protocol.TurnReply) {
+	var mutex sync.Mutex
+	turns := program.NewTurnLedger()
+	l.setResponse(func(request *protocol.TurnRequest) *protocol.TurnReply {
+		if reply := intercept(request); reply != nil {
+			return reply
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		applied, _ := turns.Apply(program.TurnCommand{NowMs: clock.NowMs(), Reserve: request.Reserve, Settle: request.Settle, Stream: request.Stream})
+		return &protocol.TurnReply{Error: applied.Error, Stream: applied.Stream, IsFirstTurn: applied.IsFirstTurn}
+	})
+}
+
+// answerAll lets the ledger answer every request.
+func answerAll(*protocol.TurnRequest) *protocol.TurnReply { return nil }
+
+// TestStreamOriginIsRecordedFirst guards against events that reach the caller before the ledger has
+// on record which software version sent them: the caller could then take the stream up at another.
+func TestStreamOriginIsRecordedFirst(t *testing.T) {
+	// Most engines run v1, so that v1 is expected, but v2 is selected.
+	newFleet := func(intercept func(request *protocol.TurnRequest) *protocol.TurnReply) *streamingFleet {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("a", "v1", 0)
+		fleet.addEngine("b", "v1", 0)
+		fleet.addEngine("c", "v2", 0)
+		fleet.avoid("a", "b")
+		fleet.fixture.ledger.recordStreams(intercept)
+		return fleet
+	}
+	Convey("no event is forwarded until the ledger has recorded the version that sends it", t, func() {
+		release, recording := make(chan struct{}), make(chan struct{})
+		fleet := newFleet(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Stream != nil && request.Stream.Opening.Origin != nil {
+				close(recording)
+				<-release
+			}
+			return nil
+		})
+		var body string
+		var err error
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, body, err = fleet.fixture.send("/resumable/", "r1", budgetHeaders...)
+		}()
+		<-recording
+		select {
+		case <-done:
+			So("the stream ended before its version was on record", ShouldBeEmpty)
+		case <-time.After(300 * time.Millisecond):
+		}
+		close(release)
+		<-done
+		So(err, ShouldBeNil)
+		So(strings.Count(body, "data: v2/"), ShouldEqual, versionedStreamEvents)
+		_, body, err = fleet.fixture.send("/resumable/", "r2", append(budgetHeaders, "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "4")...)
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "id: 5\ndata: v2/5\n\nid: 6\ndata: v2/6\n\n")
+	})
+	Convey("no event is forwarded if the ledger refuses to record it", t, func() {
+		fleet := newFleet(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Stream != nil {
+				return &protocol.TurnReply{Error: result.New(result.Internal, "refused")}
+			}
+			return nil
+		})
+		response, body, err := fleet.fixture.send("/resumable/", "r1", append(budgetHeaders, "Ochrebay-Deadline-Ms", "3000")...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 502)
+		So(body, ShouldNotContainSubstring, "data:")
+	})
+	Convey("a stream without a budget is recorded too", t, func() {
+		fleet := newFleet(answerAll)
+		_, body, err := fleet.fixture.send("/resumable/", "r1")
+		So(err, ShouldBeNil)
+		So(strings.Count(body, "data: v2/"), ShouldEqual, versionedStreamEvents)
+		_, body, err = fleet.fixture.send("/resumable/", "r2", "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5")
+		So(err, ShouldBeNil)
+		So(body, ShouldEqual, "id: 6\ndata: v2/6\n\n")
+	})
+	Convey("a ledger of a release without streams serves streams, and take-ups are rejected", t, func() {
+		fleet := newFleet(answerAll)
+		fleet.fixture.ledger.setResponse(func(request *protocol.TurnRequest) *protocol.TurnReply {
+			if request.Stream != nil {
+				return &protocol.TurnReply{Error: result.New(result.MalformedRequest, "empty request")}
+			}
+			return &protocol.TurnReply{}
+		})
+		for _, headers := range [][]string{budgetHeaders, nil} {
+			_, body, err := fleet.fixture.send("/resumable/", "r1", headers...)
+			So(err, ShouldBeNil)
+			So(strings.Count(body, "data: v2/"), ShouldEqual, versionedStreamEvents)
+			response, body, err := fleet.fixture.send("/resumable/", "r2", append([]string{"Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5"}, headers...)...)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 503)
+			So(body, ShouldNotContainSubstring, "data:")
+		}
+	})
+}
+
+// TestTakeUpsWaitForTheirSoftwareVersion guards against a stream that is taken up and starves, or
+// keeps other calls from their engines, while the engines of its software version are full.
+func TestTakeUpsWaitForTheirSoftwareVersion(t *testing.T) {
+	Convey("a stream waits for the engines of its version while others have capacity, and holds up no other call", t, func() {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("a", "v1", 0)
+		fleet.addEngine("other-version", "v2", 0)
+		fleet.fixture.ledger.recordStreams(answerAll)
+		fleet.avoid("other-version")
+		_, body, err := fleet.fixture.send("/resumable/", "r1", budgetHeaders...)
+		So(err, ShouldBeNil)
+		So(strings.Count(body, "data: v1/"), ShouldEqual, versionedStreamEvents)
+		fleet.refuse("a", true)
+		done := make(chan string)
+		go func() {
+			_, rest, _ := fleet.fixture.send("/resumable/", "r2", append(budgetHeaders, "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5", "Ochrebay-Deadline-Ms", "20000")...)
+			done <- rest
+		}()
+		waitUntil(func() bool {
+			_, waitingNow := fleet.fixture.gateway.waitQueues.misjudgments()
+			return waitingNow == 1
+		})
+		for number := range 5 {
+			_, body, err := fleet.fixture.send("/resumable/", fmt.Sprint("x", number), append(budgetHeaders, "Ochrebay-Program", fmt.Sprint("q", number))...)
+			So(err, ShouldBeNil)
+			So(strings.Count(body, "data: v2/"), ShouldEqual, versionedStreamEvents)
+		}
+		fleet.refuse("a", false)
+		So(<-done, ShouldEqual, "id: 6\ndata: v1/6\n\n")
+		So(len(fleet.fixture.gateway.waitQueues.byKey), ShouldEqual, 1)
+	})
+	Convey("a stream that waits is rejected once the last engine of its version has left", t, func() {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("a", "v1", 0)
+		fleet.addEngine("other-version", "v2", 0)
+		fleet.fixture.ledger.recordStreams(answerAll)
+		fleet.avoid("other-version")
+		_, _, err := fleet.fixture.send("/resumable/", "r1", budgetHeaders...)
+		So(err, ShouldBeNil)
+		fleet.refuse("a", true)
+		done := make(chan string)
+		go func() {
+			response, body, _ := fleet.fixture.send("/resumable/", "r2", append(budgetHeaders, "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5", "Ochrebay-Deadline-Ms", "20000")...)
+			done <- fmt.Sprint(response.StatusCode, body)
+		}()
+		waitUntil(func() bool {
+			_, waitingNow := fleet.fixture.gateway.waitQueues.misjudgments()
+			return waitingNow == 1
+		})
+		fleet.update(func(engines map[string]membership.ServingEngine) { delete(engines, "a") })
+		answer := <-done
+		So(answer, ShouldStartWith, "503")
+		So(answer, ShouldContainSubstring, "stream_version_unavailable")
+	})
+}
+
+// TestStreamsThatCannotBeTakenUp guards against a stream that goes on in part on a route whose
+// streams can't, or whose turns would be retained without their first events.
+func TestStreamsThatCannotBeTakenUp(t *testing.T) {
+	Convey("a take-up is rejected on a route that is not resumable and on one that retains turns", t, func() {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("a", "v1", 0)
+		fleet.fixture.ledger.recordStreams(answerAll)
+		for _, path := range []string{"/stream/", "/kept/"} {
+			response, body, err := fleet.fixture.send(path, "r2", append(budgetHeaders, "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5")...)
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 400)
+			So(body, ShouldContainSubstring, "invalid_header")
+		}
+		So(fleet.engineRuns(), ShouldBeEmpty)
+	})
+}
+
+// refuse makes an engine refuse all requests because it is full, or accept them again.
+func (f *streamingFleet) refuse(id string, refuses bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.refusing[id] = refuses
+}
+
+// waitUntil polls until the condition holds, for testTimeout at most.
+func waitUntil(condition func() bool) {
+	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	So("the condition never held", ShouldBeEmpty)
+}
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -56,7 +56,7 @@
 	for {
 		selected, found := selection{}, false
 		if state.remainingEngines != 0 {
-			selected, found = d.engines.selectEngine(c.backend, d.selectionInput(c, state.excludedEngines))
+			selected, found = d.engines.selectEngine(c.backend, d.selectionInput(c, state.excludedEngines), c.requirement)
 		}
 		if !found {
 			if failure := d.waitInQueue(ctx, c, state); failure != nil {
@@ -73,6 +73,7 @@
 		c.engineID = engine.ID
 		c.selection = selected
 		c.sentAfter = time.Since(c.startedAt)
+		d.startOriginRecording(ctx, c)
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
 		d.recordCompletion(c, outcome)
@@ -107,6 +108,13 @@
 		if !d.canFailOver(c, outcome) || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
 		}
+		if c.requirement.isRequired {
+			failure := d.checkRequirement(c)
+			d.logContinuation(c, continuedByGateway, failure)
+			if failure != nil {
+				return true, failure.WithOutcome(result.Unknown)
+			}
+		}
 	}
 	if c.timeLeft() < minSendTime {
 		return true, attemptsExhaustedError(c, state.mayHaveRun, outcome)
@@ -125,6 +133,9 @@
 // wait, only the engine that has capacity is tried, or up to maxProbedEngines engines if it is
 // unknown which one has.
 func (d *Daemon) waitInQueue(ctx context.Context, c *call, state *attemptState) *result.Error {
+	if failure := d.checkRequirement(c); failure != nil && !state.mayHaveRun {
+		return failure
+	}
 	if state.mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d attempts, at least one of which an engine may have run", c.attemptCount)
 	}
@@ -145,7 +156,7 @@
 	}
 	switch outcome.kind {
 	case attemptAnswered, attemptCancelled, attemptBroken, attemptFailed:
-		d.waitQueues.recordCompletion(c.backend.Name, c.engineID, clock.NowMs())
+		d.waitQueues.recordCompletion(c.backend.Name, c.selection.engine, clock.NowMs())
 	}
 }
 
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
 	"github.com/ochrebay/ochrebay/internal/waiting"
@@ -19,34 +20,56 @@
 	wakeups map[*waiting.Entry]chan string
 }
 
+// queueKey identifies a wait queue. Streams that have begun wait apart from the other calls of their
+// backend, by software version, because capacity at an engine of another version is of no use to
+// them.
+type queueKey struct {
+	backend     string
+	requirement versionRequirement
+}
+
 // waitQueues holds the wait queues of all backends.
 type waitQueues struct {
-	mutex     sync.Mutex
-	settings  waiting.Settings
-	byBackend map[string]*backendQueue
-	disabled  scheduling.DisabledMechanisms
+	mutex    sync.Mutex
+	settings waiting.Settings
+	byKey    map[queueKey]*backendQueue
+	disabled scheduling.DisabledMechanisms
 }
 
 func newWaitQueues(settings waiting.Settings, disabled scheduling.DisabledMechanisms) *waitQueues {
-	return &waitQueues{settings: settings, byBackend: map[string]*backendQueue{}, disabled: disabled}
+	return &waitQueues{settings: settings, byKey: map[queueKey]*backendQueue{}, disabled: disabled}
 }
 
-// queueFor returns the wait queue of a backend. The caller must hold the mutex.
-func (q *waitQueues) queueFor(backend string) *backendQueue {
-	found, exists := q.byBackend[backend]
+// waitQueueKey identifies the wait queue of the call.
+func (c *call) waitQueueKey() queueKey { return queueKey{c.backend.Name, c.requirement} }
+
+// queueFor returns a wait queue. The caller must hold the mutex.
+func (q *waitQueues) queueFor(key queueKey) *backendQueue {
+	found, exists := q.byKey[key]
 	if !exists {
 		found = &backendQueue{queue: waiting.NewQueue(q.settings), wakeups: map[*waiting.Entry]chan string{}}
-		q.byBackend[backend] = found
+		q.byKey[key] = found
 	}
 	return found
 }
 
-// recordCompletion records that a request ended at an engine, and wakes the next waiting call.
-func (q *waitQueues) recordCompletion(backend, engine string, nowMs int64) {
+// deleteIfUnused deletes the empty wait queue of a software version. The caller must hold the mutex.
+func (q *waitQueues) deleteIfUnused(key queueKey) {
+	if key.requirement.isRequired && q.byKey[key].queue.Len() == 0 {
+		delete(q.byKey, key)
+	}
+}
+
+// recordCompletion records that a request ended at an engine, and wakes the next waiting call of the
+// backend and the next one of the engine's software version.
+func (q *waitQueues) recordCompletion(backend string, engine membership.ServingEngine, nowMs int64) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	waiters := q.queueFor(backend)
-	waiters.wake(waiters.queue.RecordCompletion(nowMs), engine)
+	waiters := q.queueFor(queueKey{backend: backend})
+	waiters.wake(waiters.queue.RecordCompletion(nowMs), engine.ID)
+	if begun, exists := q.byKey[queueKey{backend, versionRequirement{true, engine.SoftwareVersion}}]; exists {
+		begun.wake(begun.queue.RecordCompletion(nowMs), engine.ID)
+	}
 }
 
 // wake notifies a waiting call of capacity. engine is "" if it is unknown which engine has it, and
@@ -69,7 +92,8 @@
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return c.queueEntry == nil && q.queueFor(c.backend.Name).queue.MustWait(c.waitingCall())
+	waiters, exists := q.byKey[c.waitQueueKey()]
+	return exists && c.queueEntry == nil && waiters.queue.MustWait(c.waitingCall())
 }
 
 // join adds a call to the wait queue, or requeues it at its old position if it has waited before. It
@@ -77,7 +101,8 @@
 func (q *waitQueues) join(c *call, nowMs int64) (chan string, *waiting.Rejection) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	waiters := q.queueFor(c.backend.Name)
+	waiters := q.queueFor(c.waitQueueKey())
+	defer q.deleteIfUnused(c.waitQueueKey())
 	if c.queueEntry != nil {
 		rejection := waiters.queue.Requeue(nowMs, c.queueEntry)
 		if rejection != nil {
@@ -103,7 +128,8 @@
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	waiters := q.queueFor(c.backend.Name)
+	waiters := q.queueFor(c.waitQueueKey())
+	defer q.deleteIfUnused(c.waitQueueKey())
 	waiters.wake(waiters.queue.Leave(clock.NowMs(), c.queueEntry, served), "")
 	delete(waiters.wakeups, c.queueEntry)
 	c.queueEntry = nil
@@ -113,14 +139,14 @@
 func (q *waitQueues) startProbe(c *call) bool {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.queueFor(c.backend.Name).queue.StartProbe(c.queueEntry)
+	return q.queueFor(c.waitQueueKey()).queue.StartProbe(c.queueEntry)
 }
 
 // probeDelay returns how long a call has to wait to be woken before it may probe engines itself.
 func (q *waitQueues) probeDelay(c *call) time.Duration {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return time.Duration(q.queueFor(c.backend.Name).queue.ProbeDelayMs(clock.NowMs(), c.queueEntry)) * time.Millisecond
+	return time.Duration(q.queueFor(c.waitQueueKey()).queue.ProbeDelayMs(clock.NowMs(), c.queueEntry)) * time.Millisecond
 }
 
 // misjudgments returns the misjudgments of the wait queues of all backends, and the total number of
@@ -128,7 +154,7 @@
 func (q *waitQueues) misjudgments() (total waiting.Misjudgments, waitingCount int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for _, waiters := range q.byBackend {
+	for _, waiters := range q.byKey {
 		misjudgments := waiters.queue.Misjudgments()
 		total.FalseRejections += misjudgments.FalseRejections
 		total.FutileWaits += misjudgments.FutileWaits
@@ -201,7 +227,7 @@
 // time.
 func (d *Daemon) rejectionError(c *call, rejection *waiting.Rejection) *result.Error {
 	retryAfter := time.Duration(rejection.RetryAfterMs) * time.Millisecond
-	if d.engines.engineCount(c.backend.Name) == 0 {
+	if d.engines.engineCount(c.backend.Name, c.requirement) == 0 {
 		return result.New(result.NoEngine, "backend %s has no engine", c.backend.Name).WithRetryAfter(retryAfter)
 	}
 	return result.New(result.EngineRefused, "no engine of backend %s had capacity within %s; %d calls ahead, %.1f completions per second, probability %.3f of starting in time",
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/quota"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -30,7 +31,9 @@
 	report        membership.LedgerReport
 	isDrained     bool
 	retainedTurns int
-	hostedGroups  int
+	// recordedStreams is the number of streams whose origin is on record.
+	recordedStreams int
+	hostedGroups    int
 	// votingGroups counts the hosted groups in which the local replica is a voter.
 	votingGroups   int
 	appliedEntries uint64
@@ -102,6 +105,7 @@
 	d.monitor.RegisterGauge("ledger_groups_voting", "Ledger groups whose quorum counts the replica here.", func() float64 { return float64(d.status.Load().votingGroups) })
 	d.monitor.RegisterGauge("ledger_requests_expired", "Requests dropped since the start: they waited longer than their senders.", func() float64 { return float64(d.expiredRequests.Load()) })
 	d.monitor.RegisterGauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().retainedTurns) })
+	d.monitor.RegisterGauge("ledger_streams_recorded", "Streams whose software version is on record in the groups hosted here.", func() float64 { return float64(d.status.Load().recordedStreams) })
 	d.monitor.RegisterGauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().appliedEntries) })
 	d.monitor.RegisterGauge("ledger_quota_granted", "Requests of tenants granted since the start.", func() float64 { return float64(d.core.GrantedRequestCount()) })
 	d.monitor.RegisterGauge("ledger_quota_denied", "Requests of tenants denied since the start: their limit was used up.", func() float64 { return float64(d.core.DeniedRequestCount()) })
@@ -179,6 +183,7 @@
 	for _, group := range d.core.host.Groups {
 		current.leaders[uint32(group.ID)] = group.LeaderMember()
 		current.retainedTurns += group.StateMachine.(*stateMachine).turns.TurnCount()
+		current.recordedStreams += group.StateMachine.(*stateMachine).turns.StreamCount()
 		current.appliedEntries += group.Node.AppliedIndex()
 		if group.Node.Configuration().IsVoter(group.Node.ID()) {
 			current.votingGroups++
@@ -281,10 +286,16 @@
 		id, message = request.Reserve.Request, "turn opened"
 		keyValues = append(keyValues, "program", request.Reserve.Program, "budget", request.Reserve.BudgetTokens, "most", request.Reserve.MaxTokens,
 			"previous", request.Reserve.PreviousRequest, "home", reply.AffineEngine)
+		keyValues = append(keyValues, streamFields(request.Reserve.Stream, reply)...)
 	case request.Settle != nil:
 		id, message = request.Settle.Request, "turn settled"
 		keyValues = append(keyValues, "program", request.Settle.Program, "used", request.Settle.UsedTokens, "keep", request.Settle.Retain)
 	}
+	if request.Stream != nil {
+		id, message = request.Stream.Request, "stream opened"
+		keyValues = append(keyValues, "program", request.Stream.Program, "attempt", request.Stream.Opening.Attempt)
+		keyValues = append(keyValues, streamFields(&request.Stream.Opening, reply)...)
+	}
 	if request.Quota != nil {
 		message = "quota requested"
 		keyValues = append(keyValues, "tenant", request.Quota.Tenant)
@@ -301,3 +312,19 @@
 	keyValues = append(keyValues, "leader", reply.Leader, "code", int(reply.Error.Code), "err", reply.Error.Error())
 	telemetry.Warn(d.logger, "turn request refused", keyValues...)
 }
+
+// streamFields returns the fields of a log line on the stream that a request opened, nothing if it
+// opened none.
+func streamFields(opening *program.StreamOpening, reply *protocol.TurnReply) []any {
+	if opening == nil {
+		return nil
+	}
+	var fields []any
+	if opening.Origin == nil {
+		fields = append(fields, "takes_up", opening.TakesUp)
+	}
+	if reply.Stream != nil {
+		fields = append(fields, "software", reply.Stream.SoftwareVersion)
+	}
+	return fields
+}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -42,6 +42,8 @@
 		c.handleQuotaRequest(id, group, request)
 	case request.Reserve != nil:
 		c.openTurn(id, group, request)
+	case request.Stream != nil:
+		c.proposeAfterSettles(id, group, program.TurnCommand{Stream: request.Stream}, nil)
 	case request.Settle != nil && !request.Settle.Retain:
 		c.deferredSettles[group.ID] = append(c.deferredSettles[group.ID], deferredSettle{id, request.Settle})
 	case request.Settle != nil:
@@ -53,8 +55,8 @@
 	}
 }
 
-// openTurn opens a turn. A turn without a budget changes no state, so a linearizable read is
-// sufficient.
+// openTurn opens a turn. A turn without a budget whose stream is not recorded changes no state, so a
+// linearizable read is sufficient.
 func (c *Core) openTurn(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
 	previous := request.Reserve.PreviousRequest
 	makeHistoryReply := func() *protocol.TurnReply {
@@ -63,7 +65,7 @@
 		}
 		return c.turnHistory(group, previous, request.CachedTurn, request.Zone)
 	}
-	if request.Reserve.BudgetTokens <= 0 {
+	if request.Reserve.BudgetTokens <= 0 && request.Reserve.Stream == nil {
 		c.host.LinearizableRead(group, func(failure *result.Error) {
 			if failure == nil && previous != "" && !c.hasTurn(group, previous) {
 				failure = result.New(result.UnknownTurn, "no turn %s", previous)
@@ -111,13 +113,14 @@
 			response.Error = typed.Error
 			response.AffineEngine = typed.Engine
 			response.IsFirstTurn = typed.IsFirstTurn
+			response.Stream = typed.Stream
 		case *result.Error:
 			response.Error = typed
 		}
 		if response.Error == nil && makeReply != nil {
-			affineEngine, isFirstTurn := response.AffineEngine, response.IsFirstTurn
+			opened := response
 			response = makeReply()
-			response.AffineEngine, response.IsFirstTurn = affineEngine, isFirstTurn
+			response.AffineEngine, response.IsFirstTurn, response.Stream = opened.AffineEngine, opened.IsFirstTurn, opened.Stream
 		}
 		c.transport.Reply(id, response)
 	})
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -36,6 +36,8 @@
 	PreviousRequest string `msgpack:"v,omitempty"`
 	// Session is the chain of turns to which the turn belongs.
 	Session string `msgpack:"s,omitempty"`
+	// Stream opens the turn's stream together with the turn; nil if callers can't take it up.
+	Stream *StreamOpening `msgpack:"o,omitempty"`
 }
 
 // Settle closes a turn: it charges the generated tokens and stores the turn if requested.
@@ -53,6 +55,8 @@
 	PreviousRequest string `msgpack:"v,omitempty"`
 	Content         []byte `msgpack:"c,omitempty"`
 	RetentionMs     int64  `msgpack:"t,omitempty"`
+	// EndedStream is the request that began the turn's stream, if its last event was sent.
+	EndedStream string `msgpack:"d,omitempty"`
 }
 
 // TurnCommand is one entry of a ledger group's log. Exactly one field besides NowMs is set.
@@ -62,6 +66,8 @@
 	Reserve *Reserve `msgpack:"r,omitempty"`
 	Settle  *Settle  `msgpack:"s,omitempty"`
 	Sweep   bool     `msgpack:"w,omitempty"`
+	// Stream records or finds the origin of a stream.
+	Stream *OpenStream `msgpack:"o,omitempty"`
 	// Quota reserves a part of a tenant's limit. TurnLedger does not handle it: the state
 	// machine that contains the TurnLedger applies it.
 	Quota *quota.Reservation `msgpack:"q,omitempty"`
@@ -151,6 +157,7 @@
 type TurnLedger struct {
 	budgets map[string]*budget
 	turns   map[string]*retainedTurn
+	streams streamLedger
 
 	// DisableBudget accepts turns beyond the budgets of their programs, for runs that show the
 	// effect of the check.
@@ -159,12 +166,15 @@
 
 // NewTurnLedger returns an empty ledger.
 func NewTurnLedger() *TurnLedger {
-	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}}
+	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}, streams: newStreamLedger(nil)}
 }
 
 // TurnCount returns the number of retained turns.
 func (t *TurnLedger) TurnCount() int { return len(t.turns) }
 
+// StreamCount returns the number of streams whose origin is on record.
+func (t *TurnLedger) StreamCount() int { return t.streams.count }
+
 // BudgetCount returns the number of budgets.
 func (t *TurnLedger) BudgetCount() int { return len(t.budgets) }
 
@@ -208,14 +218,16 @@
 	// IsFirstTurn reports that no turn of the program has run yet and no other turn is open. It
 	// is false for a program without a budget, because the ledger has no record of its turns.
 	IsFirstTurn bool
+	// Stream is the origin of the stream that the command opened, nil if it opened none.
+	Stream *StreamOrigin
 }
 
 // Apply applies one command.
 func (t *TurnLedger) Apply(command TurnCommand) (TurnReply, TurnEffects) {
 	switch {
 	case command.Reserve != nil:
-		failure := t.reserve(command.NowMs, command.Reserve)
-		reply := TurnReply{Error: failure, Engine: t.AffineEngine(command.Reserve.Program, command.Reserve.Session)}
+		stream, failure := t.reserve(command.NowMs, command.Reserve)
+		reply := TurnReply{Error: failure, Stream: stream, Engine: t.AffineEngine(command.Reserve.Program, command.Reserve.Session)}
 		if account, ok := t.budgets[command.Reserve.Program]; ok {
 			reply.IsFirstTurn = account.isFirstTurn()
 		}
@@ -224,6 +236,12 @@
 		return TurnReply{}, t.settle(command.NowMs, command.Settle)
 	case command.Sweep:
 		return TurnReply{}, t.sweep(command.NowMs)
+	case command.Stream != nil:
+		origin, failure := t.streams.open(command.NowMs, *command.Stream)
+		if failure != nil {
+			return TurnReply{Error: failure}, TurnEffects{}
+		}
+		return TurnReply{Stream: &origin}, TurnEffects{}
 	}
 	return TurnReply{Error: result.New(result.Internal, "empty command")}, TurnEffects{}
 }
@@ -238,10 +256,32 @@
 	return account.affineEngine(session)
 }
 
-// reserve grants a turn. Invariant: as long as the budget is retained, the tokens that a program
+// reserve grants a turn and opens its stream. It returns the origin of the stream, nil if the turn
+// opens none. A stream that begins is recorded only if the turn is granted, and the turn of a
+// stream that is taken up is granted only if its origin is known.
+func (t *TurnLedger) reserve(nowMs int64, reserve *Reserve) (*StreamOrigin, *result.Error) {
+	if reserve.Stream == nil {
+		return nil, t.reserveTokens(nowMs, reserve)
+	}
+	open := OpenStream{Program: reserve.Program, Request: reserve.Request, Session: reserve.Session, Opening: *reserve.Stream}
+	if open.Opening.Origin == nil {
+		origin, failure := t.streams.find(nowMs, open)
+		if failure != nil {
+			return nil, failure
+		}
+		return &origin, t.reserveTokens(nowMs, reserve)
+	}
+	if failure := t.reserveTokens(nowMs, reserve); failure != nil {
+		return nil, failure
+	}
+	origin := t.streams.record(nowMs, open)
+	return &origin, nil
+}
+
+// reserveTokens grants a turn. Invariant: as long as the budget is retained, the tokens that a program
 // has generated and those that its open turns may still generate stay within it, regardless of
 // the gateways that run the turns. A turn whose end was not reported counts with its maximum.
-func (t *TurnLedger) reserve(nowMs int64, reserve *Reserve) *result.Error {
+func (t *TurnLedger) reserveTokens(nowMs int64, reserve *Reserve) *result.Error {
 	if reserve.PreviousRequest != "" && !t.HasTurn(reserve.PreviousRequest) {
 		return result.New(result.UnknownTurn, "turn %s does not exist", reserve.PreviousRequest)
 	}
@@ -277,6 +317,9 @@
 		account.recordEngine(settle.Session, settle.Engine)
 		account.LastActiveMs = max(account.LastActiveMs, nowMs)
 	}
+	if settle.EndedStream != "" {
+		t.streams.end(nowMs, settle.Program, settle.EndedStream)
+	}
 	if !settle.Retain || t.HasTurn(settle.Request) {
 		return TurnEffects{}
 	}
@@ -302,7 +345,7 @@
 			return true
 		}
 	}
-	return false
+	return t.streams.isSweepDue(nowMs)
 }
 
 func (t *TurnLedger) sweep(nowMs int64) TurnEffects {
@@ -319,6 +362,7 @@
 			delete(t.budgets, id)
 		}
 	}
+	t.streams.sweep(nowMs)
 	return effects
 }
 
@@ -326,6 +370,8 @@
 type turnLedgerSnapshot struct {
 	Budgets []*budget       `msgpack:"b"`
 	Turns   []*retainedTurn `msgpack:"t"`
+	// Streams is absent in snapshots of releases that record no streams.
+	Streams []*programStreams `msgpack:"s,omitempty"`
 }
 
 // Snapshot encodes the ledger without the content of the turns.
@@ -339,6 +385,7 @@
 	}
 	slices.SortFunc(encoded.Budgets, func(a, b *budget) int { return cmp.Compare(a.Program, b.Program) })
 	slices.SortFunc(encoded.Turns, func(a, b *retainedTurn) int { return cmp.Compare(a.Request, b.Request) })
+	encoded.Streams = t.streams.sorted()
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.SetSortMapKeys(true)
@@ -362,5 +409,6 @@
 	for _, retained := range encoded.Turns {
 		t.turns[retained.Request] = retained
 	}
+	t.streams = newStreamLedger(encoded.Streams)
 	return nil
 }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -126,7 +126,7 @@
 }
 
 // TurnRequest is a request to the leader of a ledger group; exactly one of Reserve, Settle,
-// HistoryOf, ContentsOf, Quota and ProbeLeader is set. Any replica that stores the contents may
+// Stream, HistoryOf, ContentsOf, Quota and ProbeLeader is set. Any replica that stores the contents may
 // reply to ContentsOf.
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
@@ -135,6 +135,8 @@
 	// continues; the reply has only the turns after it.
 	CachedTurn string          `msgpack:"h,omitempty"`
 	Settle     *program.Settle `msgpack:"s,omitempty"`
+	// Stream records or finds the origin of a stream.
+	Stream *program.OpenStream `msgpack:"o,omitempty"`
 	// Zone is the sender's zone. If another replica is in that zone, the reply to Reserve lists
 	// the older turns of the history by id, to be requested from that replica.
 	Zone string `msgpack:"z,omitempty"`
@@ -166,6 +168,9 @@
 	AffineEngine string `msgpack:"g,omitempty"`
 	// IsFirstTurn means, for a reserved turn with a budget, that no turn of its program has run.
 	IsFirstTurn bool `msgpack:"f,omitempty"`
+	// Stream is the origin that is on record for the stream that the request opened. It is nil if
+	// the request opened none, and from releases that record no streams.
+	Stream *program.StreamOrigin `msgpack:"s,omitempty"`
 	// Grant is the reply to Quota. If the request is queued instead, QueuePosition is set and the
 	// requester has to repeat the request.
 	Grant         *quota.Grant         `msgpack:"q,omitempty"`
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,8 @@
 	NotConfigured     Code = 1206
 	KeysUnconfirmed   Code = 1207
 	ShareUsed         Code = 1208
+	StreamUnknown     Code = 1209
+	StreamUnavailable Code = 1210
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -122,6 +124,8 @@
 	{NotConfigured, "not_configured", NotRun, 503, 700 * time.Millisecond, "The process has not yet received the current routing table."},
 	{KeysUnconfirmed, "keys_unconfirmed", NotRun, 503, 500 * time.Millisecond, "The gateway has not reached the control processes for too long to know which keys are still valid."},
 	{ShareUsed, "share_used", NotRun, 429, time.Second, "The backend is oversubscribed and the tenant uses more than its fair share of it."},
+	{StreamUnknown, "stream_unknown", NotRun, 503, 0, "It is not on record which software version began the stream that the request takes up. The stream has to begin anew."},
+	{StreamUnavailable, "stream_version_unavailable", NotRun, 503, 0, "No engine of the software version that began the stream is left for the request that takes it up. The stream has to begin anew."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica that received the request is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm the request in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; all allowed attempts were used."},
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -113,9 +113,9 @@
 	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "ochrebay", Name: name, Help: help}, value))
 }
 
-// RegisterCounter registers a counter with one label.
-func (m *Monitor) RegisterCounter(name, help, label string) *prometheus.CounterVec {
-	counters := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ochrebay", Name: name, Help: help}, []string{label})
+// RegisterCounter registers a counter with labels.
+func (m *Monitor) RegisterCounter(name, help string, labels ...string) *prometheus.CounterVec {
+	counters := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "ochrebay", Name: name, Help: help}, labels)
 	m.Registry.MustRegister(counters)
 	return counters
 }
