Report a take-up that an engine may have run as unknown, and log only what is sent on

Callers of a stream that was taken up and broken off before its first event, with no other engine of its version left, got 503, which promises that the request was not run. Cause: the error of a missing version was passed on with its own status whatever had been sent before. The engine that had just broken off counted as one that may continue the stream, so that 'stream continued' was logged for streams that ended. Evidence: found by reading the diff; 'a take-up that an engine may have run is not reported as not run' and the log check in TestStreamsResumeAtTheirSoftwareVersion. Change: such a request ends with outcome_unknown (502); engines already tried do not count. A take-up counts as a program in progress in its tenant's limit.

--- a/internal/gateway/calllog_test.go
+++ b/internal/gateway/calllog_test.go
@@ -48,9 +48,9 @@
 // back end served a stream, and which stream a request takes up.
 func TestStreamsInTheCallLog(t *testing.T) {
 	Convey("the lines of a stream that is taken up", t, func() {
-		var lines bytes.Buffer
+		lines := &lineBuffer{}
 		fixture := newGatewayFixture(t, streamingEngine(2, "", true))
-		fixture.gateway.logger = log.NewLogfmtLogger(&lines)
+		fixture.gateway.logger = log.NewLogfmtLogger(lines)
 		fleet := *fixture.gateway.view.Load().fleet
 		engine := fleet.Engines["e"]
 		engine.SoftwareVersion = "v7"
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -166,6 +166,16 @@
 	return len(e.eligibleEngines(backend, requirement))
 }
 
+// hasEligibleEngine reports whether a backend has an engine for a call with a requirement besides the
+// excluded ones.
+func (e *engineRegistry) hasEligibleEngine(backend string, requirement versionRequirement, excluded []string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return slices.ContainsFunc(e.byBackend[backend], func(engine membership.ServingEngine) bool {
+		return requirement.allows(engine) && !slices.Contains(excluded, engine.ID)
+	})
+}
+
 // eligibleEngines returns the engines of a backend that a call with a requirement may be sent to.
 // The caller must hold the mutex and must not change the result.
 func (e *engineRegistry) eligibleEngines(backend string, requirement versionRequirement) []membership.ServingEngine {
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -116,7 +116,7 @@
 	if c.route.Kind == routing.KindStream {
 		request.Kind = c.route.Name
 	}
-	request.ContinuesProgram = c.programID != "" && (c.route.Kind != routing.KindStream || c.previousTurn != "")
+	request.ContinuesProgram = c.programID != "" && (c.route.Kind != routing.KindStream || c.previousTurn != "" || c.isTakeUp())
 	return request
 }
 
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -124,16 +124,16 @@
 		c.setBackend(origin.Backend)
 	}
 	c.requirement = versionRequirement{isRequired: true, version: origin.SoftwareVersion}
-	return d.checkRequirement(c)
+	return d.checkRequirement(c, nil)
 }
 
 // checkRequirement returns an error if the call's stream can only continue at a software version
-// that no engine of its backend runs.
-func (d *Daemon) checkRequirement(c *call) *result.Error {
-	if !c.requirement.isRequired || d.engines.engineCount(c.backend.Name, c.requirement) > 0 {
+// that no engine of its backend runs, except for the excluded ones.
+func (d *Daemon) checkRequirement(c *call, excluded []string) *result.Error {
+	if !c.requirement.isRequired || d.engines.hasEligibleEngine(c.backend.Name, c.requirement, excluded) {
 		return nil
 	}
-	return result.New(result.StreamUnavailable, "backend %s has no engine of software version %q, which sent the stream's first event", c.backend.Name, c.requirement.version)
+	return result.New(result.StreamUnavailable, "backend %s has no other engine of software version %q, which sent the stream's first event", c.backend.Name, c.requirement.version)
 }
 
 // originRecording is the recording of a stream's origin, which runs while the engine prefills the
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
@@ -118,6 +120,33 @@
 	return append([]string(nil), f.runs...)
 }
 
+// lineBuffer collects log lines that several goroutines write.
+type lineBuffer struct {
+	mutex sync.Mutex
+	lines bytes.Buffer
+}
+
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lines.Write(line)
+}
+
+// String returns the lines written so far.
+func (b *lineBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lines.String()
+}
+
+// crashingEngine returns the address of an engine that closes every connection once it has received
+// a request.
+func crashingEngine(t *testing.T) string {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
 // TestStreamsResumeAtTheirSoftwareVersion guards against a broken stream that is resumed, within one
 // response, at an engine of another software version than the one that sent its first event.
 func TestStreamsResumeAtTheirSoftwareVersion(t *testing.T) {
@@ -136,14 +165,34 @@
 			So(fleet.engineRuns(), ShouldResemble, []string{"first", "same-version"})
 		})
 		Convey("ends with an error at once if no other engine runs its version", func() {
+			logged := &lineBuffer{}
+			fleet.fixture.gateway.logger = log.NewLogfmtLogger(logged)
 			fleet.avoid("other-version")
 			_, body, err := fleet.fixture.send("/resumable/", "r1", budgetHeaders...)
 			So(err, ShouldNotBeNil)
 			So(body, ShouldNotContainSubstring, "v2")
 			So(fleet.engineRuns(), ShouldResemble, []string{"first"})
+			So(logged.String(), ShouldContainSubstring, `msg="stream not continued" request=r1`)
+			So(logged.String(), ShouldNotContainSubstring, `msg="stream continued"`)
 			So(fleet.fixture.ledger.awaitSettle("r1").Settle.UsedTokens, ShouldEqual, 20)
 		})
 	})
+	Convey("a take-up that an engine may have run is not reported as not run", t, func() {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("other-version", "v2", 0)
+		fleet.update(func(engines map[string]membership.ServingEngine) {
+			engines["crashing"] = membership.ServingEngine{ID: "crashing", Backend: "b", Zone: "near", Slots: 4, Address: crashingEngine(t), SoftwareVersion: "v1"}
+		})
+		fleet.fixture.ledger.recordStreams(answerAll)
+		So(fleet.fixture.gateway.ledgers.openStream(t.Context(), &program.OpenStream{
+			Program: "p", Request: "r1", Opening: program.StreamOpening{Origin: &program.StreamOrigin{Backend: "b", SoftwareVersion: "v1"}, RetentionMs: testRouteTimeoutMs},
+		}).Error, ShouldBeNil)
+		response, _, err := fleet.fixture.send("/resumable/", "r2", append(budgetHeaders, "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "2")...)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 502)
+		So(response.Header.Get("Retry-After"), ShouldBeBlank)
+		So(fleet.engineRuns(), ShouldBeEmpty)
+	})
 	Convey("a stream that breaks off before its first event may begin at any version", t, func() {
 		fleet := newStreamingFleet(t)
 		fleet.addEngine("other-version", "v2", 0)
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -109,10 +109,10 @@
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
 		}
 		if c.requirement.isRequired {
-			failure := d.checkRequirement(c)
+			failure := d.checkRequirement(c, state.excludedEngines)
 			d.logContinuation(c, continuedByGateway, failure)
 			if failure != nil {
-				return true, failure.WithOutcome(result.Unknown)
+				return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %s", engine.ID, failure.Message)
 			}
 		}
 	}
@@ -133,7 +133,7 @@
 // wait, only the engine that has capacity is tried, or up to maxProbedEngines engines if it is
 // unknown which one has.
 func (d *Daemon) waitInQueue(ctx context.Context, c *call, state *attemptState) *result.Error {
-	if failure := d.checkRequirement(c); failure != nil && !state.mayHaveRun {
+	if failure := d.checkRequirement(c, nil); failure != nil && !state.mayHaveRun {
 		return failure
 	}
 	if state.mayHaveRun {
