Soak test of streams that callers take up at a fleet under overlapping faults

Cause: no test had callers that take streams up, engines of two software versions, or signals that overlap; TestSoak strikes one process at a time and opens a connection for each request. Change: TestStreamSoak. Callers keep their connections, give answers up, and take streams up at random gateways, a tenth without naming them; engines break off, refuse, crash and leave; every process is reloaded, frozen, stopped and killed in series that overlap. It checks that events follow each other, have one version, and that a stream whose first event arrived is on record. Fleets of tests have a size.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ROUNDS = 60
 SEED = 1
 
-.PHONY: build run test check soak
+.PHONY: build run test check soak soak-streams
 
 build:
 	go build -o bin/ochrebay ./cmd/ochrebay
@@ -31,3 +31,11 @@
 BESIDE =
 soak:
 	go test ./cmd/ochrebay -run '^TestSoak$$' -count=1 -v -timeout 0 -args -soak.rounds=$(ROUNDS) -soak.seed=$(SEED) -soak.beside=$(BESIDE)
+
+# soak-streams has callers take streams up at a fleet of real processes that are struck in
+# overlapping series, with engines of two software versions, once for each of STREAM_SEEDS seeds from SEED
+# on. SIZE holds further flags (-soak.gateways, -soak.ledgers, -soak.callers, -soak.streams, -soak.logs).
+STREAM_SEEDS = 10
+SIZE =
+soak-streams:
+	go test ./cmd/ochrebay -run '^TestStreamSoak$$' -count=1 -v -timeout 0 -args -soak.seed=$(SEED) -soak.stream_seeds=$(STREAM_SEEDS) $(SIZE)
--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,8 +28,10 @@
 // platformFleet runs real control, ledger and gateway processes with the platform's interface
 // and a fake engine.
 type platformFleet struct {
-	t         *testing.T
-	folder    string
+	t      *testing.T
+	folder string
+	// mutex guards processes, which a test may start and stop concurrently.
+	mutex     sync.Mutex
 	processes map[string]*exec.Cmd
 	addresses map[string]string
 	operators []string
@@ -71,33 +74,60 @@
 	return startFleetWithBinaries(t, nil, limits...)
 }
 
+// fleetSize is the number of processes of each role.
+type fleetSize struct{ controls, ledgers, gateways int }
+
+// names returns the names of all processes.
+func (s fleetSize) names() []string {
+	return slices.Concat(numberedNames("control", s.controls), numberedNames("ledger", s.ledgers), numberedNames("gateway", s.gateways))
+}
+
+// numberedNames returns the names of the processes of a role.
+func numberedNames(role string, count int) []string {
+	var names []string
+	for number := range count {
+		names = append(names, fmt.Sprintf("%s-%d", role, number))
+	}
+	return names
+}
+
+// testFleetSize is the size of the fleets of most tests.
+var testFleetSize = fleetSize{controls: 3, ledgers: 3, gateways: 2}
+
 // startFleetWithBinaries starts a fleet in which binary returns the binary for each start of a
 // process.
 func startFleetWithBinaries(t *testing.T, binary func(name string) string, limits ...string) *platformFleet {
+	return startSizedFleet(t, testFleetSize, binary, limits...)
+}
+
+// startSizedFleet starts a fleet of the given size.
+func startSizedFleet(t *testing.T, size fleetSize, binary func(name string) string, limits ...string) *platformFleet {
 	f := &platformFleet{t: t, binary: binary, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
 	t.Cleanup(f.killAll)
 	var seeds []string
-	for number := range 3 {
+	for number := range size.controls {
 		inner := freeAddress(t)
 		seeds = append(seeds, inner)
 		f.addresses[fmt.Sprintf("control-%d", number)] = inner
 	}
-	for number := range 3 {
+	for number := range size.controls {
 		name := fmt.Sprintf("control-%d", number)
 		operators := freeAddress(t)
 		f.operators = append(f.operators, operators)
 		f.addresses["directory-"+fmt.Sprint(number)] = freeAddress(t)
 		f.writeSettings(name, "control", number, f.addresses[name], seeds, fmt.Sprintf("  operators: %s\n  directory: %s\n", operators, f.addresses["directory-"+fmt.Sprint(number)]))
-		name = fmt.Sprintf("ledger-%d", number)
+	}
+	for number := range size.ledgers {
+		name := fmt.Sprintf("ledger-%d", number)
 		f.writeSettings(name, "ledger", number, freeAddress(t), seeds, "")
 	}
-	for number := range 2 {
+	for number := range size.gateways {
 		name := fmt.Sprintf("gateway-%d", number)
 		f.addresses[name] = freeAddress(t)
 		f.addresses["ready-"+name] = freeAddress(t)
 		f.writeSettings(name, "gateway", number, freeAddress(t), seeds, fmt.Sprintf("  callers: %s\n  readiness: %s\n", f.addresses[name], f.addresses["ready-"+name]))
 	}
-	for _, name := range []string{"control-0", "control-1", "control-2", "ledger-0", "ledger-1", "ledger-2", "gateway-0", "gateway-1"} {
+	for _, name := range size.names() {
 		f.start(name)
 	}
 	f.engine = newFakeEngine(t, "engine-1")
@@ -132,13 +162,25 @@
 	if err := command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	f.processes[name] = command
 }
 
+// process returns a running process.
+func (f *platformFleet) process(name string) *exec.Cmd {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.processes[name]
+}
+
 // kill kills a process and waits until it has exited.
 func (f *platformFleet) kill(name string) {
-	_ = f.processes[name].Process.Kill()
-	_ = f.processes[name].Wait()
+	process := f.process(name)
+	_ = process.Process.Kill()
+	_ = process.Wait()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	delete(f.processes, name)
 }
 
