Advertise engines of every software version to gateways

Callers whose streams broke off were rejected (1210) at gateways of other zones while engines of their software version served. Cause: a gateway is told of a subset of a zone's engines, four to twelve, chosen by the hash of their ids alone; a version that few engines run may not be among them. The gateways in zone, where the stream had begun, knew others. TestAdvertisedVersions fails on the code before (it lacks the update). Change: beside the subset, the first four engines of each version are advertised in the zone and two elsewhere. A zone of one version advertises what it did. Control processes of both releases must advertise alike, so the leader proposes it once all announce that they can. TestFollowProperty over versions (3,000 cases), TestAdvertisedVersions, TestVersionSubsetsAwaitUpgrade; the tests of membership, control, protocol and simulation pass.

--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -161,8 +161,11 @@
 	// supportsIncarnations holds, by member name, whether the replicas of another process
 	// support engine incarnations.
 	supportsIncarnations map[string]bool
-	unformedReplicas     map[string]consensus.ReplicaID
-	candidates           map[string]*candidate
+	// supportsVersionSubsets holds, by member name, whether they advertise engines of every software
+	// version.
+	supportsVersionSubsets map[string]bool
+	unformedReplicas       map[string]consensus.ReplicaID
+	candidates             map[string]*candidate
 
 	schedulerTracker *membership.Tracker
 	permits          *reconcile.Permits
@@ -219,7 +222,7 @@
 func NewCore(options Options, disk Storage, transport Transport, nowMs int64) (*Core, error) {
 	core := &Core{
 		options: options, storage: disk, transport: transport, nowMs: nowMs, startMs: nowMs, lastTickMs: nowMs,
-		lastReceivedMs: map[string]int64{}, memberRevisions: map[string]uint64{}, supportsIncarnations: map[string]bool{}, unformedReplicas: map[string]consensus.ReplicaID{},
+		lastReceivedMs: map[string]int64{}, memberRevisions: map[string]uint64{}, supportsIncarnations: map[string]bool{}, supportsVersionSubsets: map[string]bool{}, unformedReplicas: map[string]consensus.ReplicaID{},
 		candidates: map[string]*candidate{}, engineReports: newEngineReports(),
 	}
 	core.host = replication.NewHost(hostOptions(options), disk, core.sendBatch)
@@ -378,7 +381,7 @@
 		for _, member := range c.memberNames() {
 			if member != c.options.Name {
 				c.transport.Send(member, protocol.KindPeer, protocol.PeerBatch{
-					From: c.options.Name, Revision: c.SettingsRevision(), EngineLiveness: c.engineLiveness(member), SupportsIncarnations: true,
+					From: c.options.Name, Revision: c.SettingsRevision(), EngineLiveness: c.engineLiveness(member), SupportsIncarnations: true, SupportsVersionSubsets: true,
 				})
 			}
 		}
@@ -427,6 +430,7 @@
 	c.lastReceivedMs[batch.From] = nowMs
 	c.memberRevisions[batch.From] = batch.Revision
 	c.supportsIncarnations[batch.From] = batch.SupportsIncarnations
+	c.supportsVersionSubsets[batch.From] = batch.SupportsVersionSubsets
 	if !c.formed {
 		return
 	}
@@ -438,7 +442,7 @@
 // sendBatch sends the replication host's messages to another control process.
 func (c *Core) sendBatch(member string, messages []protocol.PeerMessage) {
 	c.transport.Send(member, protocol.KindPeer, protocol.PeerBatch{
-		From: c.options.Name, Revision: c.SettingsRevision(), Messages: messages, SupportsIncarnations: true,
+		From: c.options.Name, Revision: c.SettingsRevision(), Messages: messages, SupportsIncarnations: true, SupportsVersionSubsets: true,
 	})
 }
 
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -116,9 +116,12 @@
 // allSupportIncarnations reports whether all processes that hold the settings group have
 // announced support for engine incarnations. Invariant: no update is proposed that a replica of an
 // earlier release in the group would apply with a different result.
-func (c *Core) allSupportIncarnations() bool {
+func (c *Core) allSupportIncarnations() bool { return c.allMembers(c.supportsIncarnations) }
+
+// allMembers reports whether all other processes that hold the settings group support a feature.
+func (c *Core) allMembers(supports map[string]bool) bool {
 	for _, member := range c.memberNames() {
-		if member != c.options.Name && !c.supportsIncarnations[member] {
+		if member != c.options.Name && !supports[member] {
 			return false
 		}
 	}
@@ -191,6 +194,7 @@
 	c.lastFleetPlanMs = c.nowMs
 	update := c.fleetTracker.Plan(c.system.fleet, c.nowMs)
 	update.PutSubsetSizes = c.planSubsetSizes()
+	update.CoverVersions = !c.system.fleet.CoversVersions() && c.allMembers(c.supportsVersionSubsets)
 	if update.IsEmpty() {
 		return
 	}
--- a/internal/control/incarnations_test.go
+++ b/internal/control/incarnations_test.go
@@ -110,3 +110,27 @@
 		So(s.core.Fleet().EngineCount(), ShouldEqual, 1)
 	})
 }
+
+// TestVersionSubsetsAwaitUpgrade guards against control processes of two releases that advertise
+// different engines to the gateways: a gateway that changes between them would keep engines that
+// have left.
+func TestVersionSubsetsAwaitUpgrade(t *testing.T) {
+	Convey("engines of every software version are advertised only once all processes support it", t, func() {
+		s := newScriptedControl(t)
+		s.becomeLeader()
+		// plan lets the leader plan several times, each time after an announcement of both peers.
+		plan := func(supportOfPeerC bool) {
+			for range 3 * fleetPlanIntervalMs / s.core.options.TickMs {
+				for member, supports := range map[string]bool{"b:1": true, "c:1": supportOfPeerC} {
+					s.core.HandlePeerBatch(protocol.PeerBatch{From: member, SupportsIncarnations: true, SupportsVersionSubsets: supports}, s.nowMs)
+				}
+				s.tick()
+				s.confirm()
+			}
+		}
+		plan(false)
+		So(s.core.Fleet().CoversVersions(), ShouldBeFalse)
+		plan(true)
+		So(s.core.Fleet().CoversVersions(), ShouldBeTrue)
+	})
+}
--- a/internal/membership/advertised.go
+++ b/internal/membership/advertised.go
@@ -19,6 +19,12 @@
 	// advertised to the gateways of other zones. A request takes a third of its candidates from
 	// other zones. With two to six other zones, these are 8 to 24 engines.
 	minRemoteSubset = 4
+	// minLocalVersionSubset and minRemoteVersionSubset are the minimum numbers of engines of each
+	// software version of a pool that are advertised, so that a gateway which continues a stream at
+	// the version that began it finds an engine even if few engines run that version. They are at
+	// most the minimum subset sizes, so that a pool of one version advertises no more engines.
+	minLocalVersionSubset  = 4
+	minRemoteVersionSubset = 2
 	// maxWithdrawals bounds the withdrawals that a fleet retains for its followers. A follower
 	// that lags further behind receives the full state.
 	maxWithdrawals = 4096
@@ -48,8 +54,13 @@
 
 // rankedEngine is an engine with its rank, by which its pool is sorted.
 type rankedEngine struct {
-	rank uint64
-	id   string
+	rank            uint64
+	id              string
+	softwareVersion string
+}
+
+func newRankedEngine(engine ServingEngine) rankedEngine {
+	return rankedEngine{rank: xxhash.Sum64String(engine.ID), id: engine.ID, softwareVersion: engine.SoftwareVersion}
 }
 
 func (a rankedEngine) compare(b rankedEngine) int {
@@ -70,13 +81,66 @@
 // audiences lists every audience.
 var audiences = [audienceCount]audience{localAudience, remoteAudience}
 
+// minVersionSubsets holds the minimum number of advertised engines of a software version.
+var minVersionSubsets = [audienceCount]int{localAudience: minLocalVersionSubset, remoteAudience: minRemoteVersionSubset}
+
 // zonePool holds the engines of one backend in one zone that accept work, sorted by the hash
-// of their ids. The first ones are advertised. The subset therefore depends only on the set of
-// engines and not on the order of past changes, so that all control processes select the same
-// subset, also after a restore from a snapshot.
+// of their ids. The first ones are advertised, and the first ones of each software version. The
+// subset therefore depends only on the set of engines and not on the order of past changes, so that
+// all control processes select the same subset, also after a restore from a snapshot.
 type zonePool struct {
 	ranked []rankedEngine
-	sizes  [audienceCount]int
+	// byVersion holds the engines of each software version, sorted like ranked.
+	byVersion map[string][]rankedEngine
+	sizes     [audienceCount]int
+}
+
+// insert adds an engine, or returns false if the pool has it already.
+func (p *zonePool) insert(entry rankedEngine) bool {
+	position, found := slices.BinarySearchFunc(p.ranked, entry, rankedEngine.compare)
+	if found {
+		return false
+	}
+	p.ranked = slices.Insert(p.ranked, position, entry)
+	ofVersion := p.byVersion[entry.softwareVersion]
+	versionPosition, _ := slices.BinarySearchFunc(ofVersion, entry, rankedEngine.compare)
+	p.byVersion[entry.softwareVersion] = slices.Insert(ofVersion, versionPosition, entry)
+	return true
+}
+
+// delete removes an engine, or returns false if the pool does not have it.
+func (p *zonePool) delete(entry rankedEngine) bool {
+	position, found := slices.BinarySearchFunc(p.ranked, entry, rankedEngine.compare)
+	if !found {
+		return false
+	}
+	p.ranked = slices.Delete(p.ranked, position, position+1)
+	ofVersion := p.byVersion[entry.softwareVersion]
+	versionPosition, _ := slices.BinarySearchFunc(ofVersion, entry, rankedEngine.compare)
+	p.byVersion[entry.softwareVersion] = slices.Delete(ofVersion, versionPosition, versionPosition+1)
+	if len(ofVersion) == 1 {
+		delete(p.byVersion, entry.softwareVersion)
+	}
+	return true
+}
+
+// isInSubset reports whether an engine is among those advertised to an audience. Without
+// coversVersions, software versions are not considered.
+func (p *zonePool) isInSubset(entry rankedEngine, to audience, coversVersions bool) bool {
+	position, found := slices.BinarySearchFunc(p.ranked, entry, rankedEngine.compare)
+	if !found || position < p.sizes[to] {
+		return found
+	}
+	versionPosition, _ := slices.BinarySearchFunc(p.byVersion[entry.softwareVersion], entry, rankedEngine.compare)
+	return coversVersions && versionPosition < minVersionSubsets[to]
+}
+
+// lastOf returns the element before a limit, as a slice that is empty if there is none.
+func lastOf(engines []rankedEngine, limit int) []rankedEngine {
+	if limit < 1 || limit > len(engines) {
+		return nil
+	}
+	return engines[limit-1 : limit]
 }
 
 // advertisedVersions holds, for each audience, the fleet version at which the engine's
@@ -124,6 +188,8 @@
 	placementVersion uint64
 	remoteVersion    uint64
 	localVersions    map[string]uint64
+	// coversVersions is true if engines of every software version are advertised.
+	coversVersions bool
 }
 
 func newAdvertisements() advertisements {
@@ -134,7 +200,7 @@
 func (a *advertisements) pool(key poolKey) *zonePool {
 	pool := a.pools[key]
 	if pool == nil {
-		pool = &zonePool{sizes: [audienceCount]int{localAudience: minLocalSubset, remoteAudience: minRemoteSubset}}
+		pool = &zonePool{byVersion: map[string][]rankedEngine{}, sizes: [audienceCount]int{localAudience: minLocalSubset, remoteAudience: minRemoteSubset}}
 		a.pools[key] = pool
 	}
 	return pool
@@ -142,22 +208,16 @@
 
 // add inserts an engine that accepts work.
 func (a *advertisements) add(version uint64, engine ServingEngine) {
-	key := poolKey{engine.Backend, engine.Zone}
-	pool := a.pool(key)
-	entry := rankedEngine{xxhash.Sum64String(engine.ID), engine.ID}
-	position, found := slices.BinarySearchFunc(pool.ranked, entry, rankedEngine.compare)
-	if found {
+	pool := a.pool(poolKey{engine.Backend, engine.Zone})
+	entry := newRankedEngine(engine)
+	if !pool.insert(entry) {
 		return
 	}
-	pool.ranked = slices.Insert(pool.ranked, position, entry)
 	for _, to := range audiences {
-		size := pool.sizes[to]
-		if position >= size {
-			continue
-		}
-		a.advertise(version, key.zone, entry.id, to)
-		if len(pool.ranked) > size {
-			a.withdraw(version, key.zone, pool.ranked[size].id, to)
+		a.update(version, engine.Zone, pool, entry, to)
+		// The engines that follow the enlarged subset may have left it.
+		for _, displaced := range pool.atLimits(entry.softwareVersion, to, 1) {
+			a.update(version, engine.Zone, pool, displaced, to)
 		}
 	}
 }
@@ -166,26 +226,55 @@
 func (a *advertisements) remove(version uint64, engine ServingEngine) {
 	key := poolKey{engine.Backend, engine.Zone}
 	pool := a.pool(key)
-	entry := rankedEngine{xxhash.Sum64String(engine.ID), engine.ID}
-	position, found := slices.BinarySearchFunc(pool.ranked, entry, rankedEngine.compare)
-	if !found {
+	entry := newRankedEngine(engine)
+	if !pool.delete(entry) {
 		a.deleteIfEmpty(key)
 		return
 	}
-	pool.ranked = slices.Delete(pool.ranked, position, position+1)
 	for _, to := range audiences {
-		size := pool.sizes[to]
-		if position >= size {
-			continue
-		}
-		a.withdraw(version, key.zone, entry.id, to)
-		if len(pool.ranked) >= size {
-			a.advertise(version, key.zone, pool.ranked[size-1].id, to)
+		a.update(version, key.zone, pool, entry, to)
+		// The last engines of the subset may have entered it.
+		for _, successor := range pool.atLimits(entry.softwareVersion, to, 0) {
+			a.update(version, key.zone, pool, successor, to)
 		}
 	}
 	a.deleteIfEmpty(key)
 }
 
+// atLimits returns the engines at the end of the pool's subset and of the subset of a software
+// version: the last ones in them if beyond is 0, and the first ones after them if it is 1.
+func (p *zonePool) atLimits(softwareVersion string, to audience, beyond int) []rankedEngine {
+	return slices.Concat(lastOf(p.ranked, p.sizes[to]+beyond), lastOf(p.byVersion[softwareVersion], minVersionSubsets[to]+beyond))
+}
+
+// update advertises or withdraws an engine if it has entered or left the subset of an audience.
+func (a *advertisements) update(version uint64, zone string, pool *zonePool, entry rankedEngine, to audience) {
+	isAdvertised := a.engines[entry.id][to] != 0
+	switch isInSubset := pool.isInSubset(entry, to, a.coversVersions); {
+	case isInSubset && !isAdvertised:
+		a.advertise(version, zone, entry.id, to)
+	case !isInSubset && isAdvertised:
+		a.withdraw(version, zone, entry.id, to)
+	}
+}
+
+// coverVersions advertises engines of every software version from now on.
+func (a *advertisements) coverVersions(version uint64) {
+	if a.coversVersions {
+		return
+	}
+	a.coversVersions = true
+	for key, pool := range a.pools {
+		for _, ofVersion := range pool.byVersion {
+			for _, to := range audiences {
+				for _, entry := range ofVersion[:min(minVersionSubsets[to], len(ofVersion))] {
+					a.update(version, key.zone, pool, entry, to)
+				}
+			}
+		}
+	}
+}
+
 // deleteIfEmpty deletes a pool that has no engines and only the minimum subset sizes.
 func (a *advertisements) deleteIfEmpty(key poolKey) {
 	pool := a.pools[key]
@@ -200,17 +289,14 @@
 	pool := a.pool(key)
 	wanted := [audienceCount]int{localAudience: max(size.Local, minLocalSubset), remoteAudience: max(size.Remote, minRemoteSubset)}
 	wanted[remoteAudience] = min(wanted[remoteAudience], wanted[localAudience])
-	count := len(pool.ranked)
+	before := pool.sizes
+	pool.sizes = wanted
 	for _, to := range audiences {
-		before, after := min(pool.sizes[to], count), min(wanted[to], count)
-		for _, entry := range pool.ranked[before:max(before, after)] {
-			a.advertise(version, key.zone, entry.id, to)
-		}
-		for _, entry := range pool.ranked[after:max(before, after)] {
-			a.withdraw(version, key.zone, entry.id, to)
+		first, last := min(before[to], wanted[to], len(pool.ranked)), min(max(before[to], wanted[to]), len(pool.ranked))
+		for _, entry := range pool.ranked[first:last] {
+			a.update(version, key.zone, pool, entry, to)
 		}
 	}
-	pool.sizes = wanted
 	a.deleteIfEmpty(key)
 }
 
--- a/internal/membership/advertised_test.go
+++ b/internal/membership/advertised_test.go
@@ -14,7 +14,7 @@
 )
 
 // expectedAdvertised computes from all engines which of them a follower should receive.
-func expectedAdvertised(fleet *Fleet, scope Scope, sizes map[poolKey]SubsetSize) map[string]ServingEngine {
+func expectedAdvertised(fleet *Fleet, scope Scope, sizes map[poolKey]SubsetSize, coversVersions bool) map[string]ServingEngine {
 	pools := map[poolKey][]ServingEngine{}
 	for _, engine := range fleet.Engines() {
 		if key := (poolKey{engine.Backend, engine.Zone}); !engine.Draining {
@@ -26,12 +26,15 @@
 		slices.SortFunc(engines, func(a, b ServingEngine) int {
 			return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
 		})
-		size := max(sizes[key].Local, minLocalSubset)
+		size, versionSize := max(sizes[key].Local, minLocalSubset), minLocalVersionSubset
 		if key.zone != scope.Zone {
-			size = min(max(sizes[key].Remote, minRemoteSubset), size)
+			size, versionSize = min(max(sizes[key].Remote, minRemoteSubset), size), minRemoteVersionSubset
 		}
-		for _, engine := range engines[:min(size, len(engines))] {
-			expected[engine.ID] = engine
+		counts := map[string]int{}
+		for position, engine := range engines {
+			if counts[engine.SoftwareVersion]++; position < size || (coversVersions && counts[engine.SoftwareVersion] <= versionSize) {
+				expected[engine.ID] = engine
+			}
 		}
 	}
 	if !scope.IncludesEngines {
@@ -46,6 +49,8 @@
 func TestFollowProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		zones := []string{"a", "b", "c"}
+		versions := []string{"v1", "v2", "v3"}
+		coversVersions := false
 		sizes := map[poolKey]SubsetSize{}
 		replicas := []*Fleet{NewFleet(), NewFleet()}
 		scopes := []Scope{{}, {IncludesEngines: true, Zone: "a"}, {IncludesEngines: true, Zone: "b"}, {IncludesEngines: true, Zone: "elsewhere"}}
@@ -72,10 +77,13 @@
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			id := fmt.Sprint("e", rapid.IntRange(0, 40).Draw(t, "id"))
 			zone := rapid.SampledFrom(zones).Draw(t, "zone")
-			switch rapid.IntRange(0, 9).Draw(t, "kind") {
+			switch rapid.IntRange(0, 10).Draw(t, "kind") {
+			case 10:
+				coversVersions = true
+				apply(FleetUpdate{CoverVersions: true})
 			case 0, 1, 2, 3, 4:
 				apply(FleetUpdate{PutEngines: []ServingEngine{{
-					ID: id, Zone: zone, Backend: "b", Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+					ID: id, Zone: zone, Backend: "b", SoftwareVersion: rapid.SampledFrom(versions).Draw(t, "version"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
 					Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence"),
 				}}})
 			case 5:
@@ -106,7 +114,7 @@
 			if views[position] != nil {
 				known = views[position].Engines
 			}
-			want := expectedAdvertised(replicas[1], scope, sizes)
+			want := expectedAdvertised(replicas[1], scope, sizes, coversVersions)
 			if !slices.Equal(replicas[1].AdvertisedEngineIDs(scope), slices.Sorted(maps.Keys(want))) {
 				t.Fatalf("scope %+v: advertised engines are %v, want %v", scope, replicas[1].AdvertisedEngineIDs(scope), slices.Sorted(maps.Keys(want)))
 			}
@@ -138,6 +146,47 @@
 	}
 }
 
+// TestAdvertisedVersions guards against gateways that know no engine of a software version that few
+// engines of a zone run, and against more advertised engines while all run the same version.
+func TestAdvertisedVersions(t *testing.T) {
+	const engines = 200
+	advertisedOf := func(fleet *Fleet, zone, version string) int {
+		count := 0
+		for _, id := range fleet.AdvertisedEngineIDs(Scope{IncludesEngines: true, Zone: zone}) {
+			if engine, _ := fleet.Engine(id); engine.SoftwareVersion == version {
+				count++
+			}
+		}
+		return count
+	}
+	Convey("two engines of a software version are known in every zone", t, func() {
+		fleet := newFleetWithEngines(engines)
+		before := fleet.AdvertisedEngineIDs(Scope{IncludesEngines: true, Zone: "zone-1"})
+		fleet.Apply(FleetUpdate{CoverVersions: true})
+		So(fleet.AdvertisedEngineIDs(Scope{IncludesEngines: true, Zone: "zone-1"}), ShouldResemble, before)
+		// The engines with the highest ranks are the last to be advertised.
+		last := fleet.advertisements.pools[poolKey{"b", "zone-0"}].ranked[engines/5-2:]
+		for _, entry := range last {
+			engine, _ := fleet.Engine(entry.id)
+			engine.SoftwareVersion, engine.Sequence = "canary", engine.Sequence+1
+			fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{engine}})
+		}
+		for _, zone := range []string{"zone-0", "zone-1", "elsewhere"} {
+			So(advertisedOf(fleet, zone, "canary"), ShouldEqual, 2)
+		}
+		So(len(fleet.AdvertisedEngineIDs(Scope{IncludesEngines: true, Zone: "zone-1"})), ShouldEqual, len(before)+2)
+	})
+	Convey("a fleet with replicas of an earlier release advertises as they do", t, func() {
+		fleet := newFleetWithEngines(engines)
+		engine := testEngine(engines)
+		engine.SoftwareVersion = "canary"
+		fleet.Apply(FleetUpdate{PutEngines: []ServingEngine{engine}})
+		for _, zone := range []string{"zone-0", "zone-1"} {
+			So(len(fleet.AdvertisedEngineIDs(Scope{IncludesEngines: true, Zone: zone})), ShouldEqual, minLocalSubset+4*minRemoteSubset)
+		}
+	})
+}
+
 // TestAdvertised checks the deltas that changes cause for followers, and that their cost does not
 // grow with the fleet.
 func TestAdvertised(t *testing.T) {
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -98,13 +98,16 @@
 	PutGroups      []Placement  `msgpack:"p,omitempty"`
 	// PutSubsetSizes changes the number of engines that are advertised.
 	PutSubsetSizes []SubsetSize `msgpack:"z,omitempty"`
+	// CoverVersions advertises engines of every software version of a pool from now on. Replicas of
+	// releases without it would advertise other engines.
+	CoverVersions bool `msgpack:"y,omitempty"`
 }
 
 // IsEmpty reports whether the update contains no changes. EndedIncarnations alone do not count:
 // they accompany LeftEngines or LostEngines.
 func (u *FleetUpdate) IsEmpty() bool {
 	return len(u.PutEngines)+len(u.LeftEngines)+len(u.LostEngines)+len(u.PutGateways)+len(u.RemoveGateways)+
-		len(u.PutLedgers)+len(u.RemoveLedgers)+len(u.PutGroups)+len(u.PutSubsetSizes) == 0
+		len(u.PutLedgers)+len(u.RemoveLedgers)+len(u.PutGroups)+len(u.PutSubsetSizes) == 0 && !u.CoverVersions
 }
 
 // versioned is an entry with the fleet version of its last change.
@@ -131,6 +134,8 @@
 	// SubsetSizes holds the sizes of the pools with a local or remote subset larger than the
 	// minimum.
 	SubsetSizes []SubsetSize `msgpack:"z,omitempty"`
+	// CoversVersions is true if engines of every software version are advertised.
+	CoversVersions bool `msgpack:"y,omitempty"`
 }
 
 // Fleet is the replicated list of engines that registered themselves, of gateways and of
@@ -174,8 +179,15 @@
 	for _, size := range update.PutSubsetSizes {
 		f.putSubsetSize(size)
 	}
+	if update.CoverVersions {
+		f.state.CoversVersions = true
+		f.advertisements.coverVersions(f.state.Version)
+	}
 }
 
+// CoversVersions reports whether engines of every software version are advertised.
+func (f *Fleet) CoversVersions() bool { return f.state.CoversVersions }
+
 func (f *Fleet) applyEngines(update FleetUpdate) {
 	for _, ended := range update.EndedIncarnations {
 		f.recordEnded(ended)
@@ -365,6 +377,7 @@
 	for _, ended := range restored.state.EndedIncarnations {
 		restored.ended[ended.ID] = ended.StartedMs
 	}
+	restored.advertisements.coversVersions = restored.state.CoversVersions
 	for id, entry := range restored.state.Engines {
 		restored.engineByAddress[entry.Value.Address] = id
 		if !entry.Value.Draining {
@@ -431,10 +444,21 @@
 	}
 	var ids []string
 	for key, pool := range f.advertisements.pools {
-		size := pool.sizes[scope.audienceOf(key.zone)]
-		for _, entry := range pool.ranked[:min(size, len(pool.ranked))] {
+		to := scope.audienceOf(key.zone)
+		size := min(pool.sizes[to], len(pool.ranked))
+		for _, entry := range pool.ranked[:size] {
 			ids = append(ids, entry.id)
 		}
+		if size == len(pool.ranked) {
+			continue
+		}
+		for _, ofVersion := range pool.byVersion {
+			for _, entry := range ofVersion[:min(minVersionSubsets[to], len(ofVersion))] {
+				if f.advertisements.engines[entry.id][to] != 0 && !slices.Contains(ids, entry.id) {
+					ids = append(ids, entry.id)
+				}
+			}
+		}
 	}
 	slices.Sort(ids)
 	return ids
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -75,6 +75,9 @@
 	EngineLiveness *EngineLiveness `msgpack:"e,omitempty"`
 	// SupportsIncarnations means that the sender's replicas distinguish incarnations of engines.
 	SupportsIncarnations bool `msgpack:"i,omitempty"`
+	// SupportsVersionSubsets means that the sender's replicas can advertise engines of every software
+	// version.
+	SupportsVersionSubsets bool `msgpack:"v,omitempty"`
 }
 
 // EngineLiveness is a batch of engines that have reported to the sender, for the leader of the
