--- a/internal/program/streams_test.go
+++ b/internal/program/streams_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"runtime"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -195,14 +197,38 @@
 	})
 }
 
-// BenchmarkStreamOrigins shows the memory of one record with the ids of the platform.
+// BenchmarkStreamOrigins shows what the record of one stream costs, with ids and versions of the
+// platform's length: heap of a replica, bytes of a snapshot, and bytes that it adds to the log entry of
+// a turn.
 func BenchmarkStreamOrigins(b *testing.B) {
-	b.ReportAllocs()
-	turns := NewTurnLedger()
+	reserve := func(number int) *Reserve {
+		return &Reserve{
+			Program: fmt.Sprintf("%014x", number), Request: fmt.Sprintf("%016x", number), Session: fmt.Sprintf("%06x", number), BudgetTokens: 4600, MaxTokens: 575,
+			Stream: &StreamOpening{Origin: &StreamOrigin{Backend: "cuba4a", SoftwareVersion: "v1.2"}, RetentionMs: testStreamRetentionMs},
+		}
+	}
+	encodedBytes := func(value any) float64 {
+		encoded, err := msgpack.Marshal(value)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(encoded))
+	}
+	heapBytes := func() float64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc)
+	}
+	streams := newStreamLedger(nil)
+	before := heapBytes()
 	for number := range b.N {
-		turns.Apply(TurnCommand{NowMs: 1000, Stream: &OpenStream{
-			Program: fmt.Sprintf("%014x", number), Request: fmt.Sprintf("%016x", number), Session: fmt.Sprintf("%06x", number),
-			Opening: StreamOpening{Origin: &StreamOrigin{Backend: "cuba4a", SoftwareVersion: "v1.2"}, RetentionMs: testStreamRetentionMs},
-		}})
+		command := reserve(number)
+		streams.record(1000, OpenStream{Program: command.Program, Request: command.Request, Session: command.Session, Opening: *command.Stream})
 	}
+	b.ReportMetric((heapBytes()-before)/float64(b.N), "heap-B/stream")
+	b.ReportMetric(encodedBytes(streams.sorted())/float64(b.N), "snapshot-B/stream")
+	without := reserve(1)
+	without.Stream = nil
+	b.ReportMetric(encodedBytes(reserve(1))-encodedBytes(without), "entry-B/stream")
 }
