Serve resumable streams in a fleet without ledger hosts

Callers of streams without a budget on resumable routes would have got ledger_unreachable (1309) for good in a fleet that has no ledger host, since their version is to be on record. Cause: the record was asked for whether or not a ledger group is placed. Evidence: found by reading the diff; TestStreamsWithoutLedgers. Change: without a group nothing is recorded, the stream is served, taking it up is rejected (1209). A stream that goes on at another back end has its latest start from that one. Result: go test -race ./internal/gateway -run 'Stream|TakeUps|Quota|Tenant' passes.

--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -74,13 +74,18 @@
 	return nil
 }
 
+// streamRetentionMs returns how long the caller may take the stream up, in milliseconds.
+func (c *call) streamRetentionMs() int64 {
+	return min(c.callerTimeout, maxStreamRetention).Milliseconds()
+}
+
 // streamOpening returns the message that records the expected origin of a stream, or that finds the
 // origin of a stream that is taken up; nil for a call that callers can't take up.
 func (d *Daemon) streamOpening(c *call) *program.StreamOpening {
 	if !c.canBeTakenUp() {
 		return nil
 	}
-	opening := &program.StreamOpening{RetentionMs: min(c.callerTimeout, maxStreamRetention).Milliseconds()}
+	opening := &program.StreamOpening{RetentionMs: c.streamRetentionMs()}
 	if c.isTakeUp() {
 		opening.TakesUp = c.takesUp
 		return opening
@@ -95,6 +100,10 @@
 	if opening == nil {
 		return nil
 	}
+	if d.ledgers.groupCount() == 0 {
+		// A fleet without ledger hosts serves streams, but none that is taken up.
+		return d.applyStreamOrigin(c, nil)
+	}
 	ledgerContext, cancel := context.WithDeadline(ctx, c.latestOpening())
 	defer cancel()
 	reply := d.ledgers.openStream(ledgerContext, &program.OpenStream{Program: c.streamScope(), Request: c.turnID, Session: c.sessionID, Opening: *opening})
@@ -115,13 +124,14 @@
 	}
 	c.programInProgress = true
 	if origin == nil {
-		return result.New(result.StreamUnknown, "the ledger records no streams")
+		return result.New(result.StreamUnknown, "no ledger host records streams")
 	}
 	if !slices.ContainsFunc(c.route.Shares, func(share routing.BackendShare) bool { return share.Backend == origin.Backend && share.Weight > 0 }) {
 		return result.New(result.StreamUnavailable, "the stream began at backend %s, which route %s does not lead to", origin.Backend, c.route.Name)
 	}
 	if c.backend.Name != origin.Backend {
 		c.setBackend(origin.Backend)
+		c.latestStart = d.latestStart(c)
 	}
 	c.requirement = versionRequirement{isRequired: true, version: origin.SoftwareVersion}
 	return d.checkRequirement(c, nil)
@@ -158,7 +168,7 @@
 	c.originRecording = recording
 	open := &program.OpenStream{
 		Program: c.streamScope(), Request: c.turnID, Session: c.sessionID,
-		Opening: program.StreamOpening{Origin: &origin, Attempt: c.attemptCount, RetentionMs: min(c.callerTimeout, maxStreamRetention).Milliseconds()},
+		Opening: program.StreamOpening{Origin: &origin, Attempt: c.attemptCount, RetentionMs: c.streamRetentionMs()},
 	}
 	recordingContext, cancel := context.WithDeadline(ctx, c.deadline)
 	go func() {
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -311,6 +311,25 @@
 	})
 }
 
+// TestStreamsWithoutLedgers guards against streams that are rejected in a fleet without ledger hosts
+// although they need nothing of them.
+func TestStreamsWithoutLedgers(t *testing.T) {
+	Convey("without a ledger group, streams without a budget are served, and take-ups are rejected", t, func() {
+		fleet := newStreamingFleet(t)
+		fleet.addEngine("a", "v1", 0)
+		view := *fleet.fixture.gateway.view.Load().fleet
+		view.Groups = nil
+		fleet.fixture.gateway.ledgers.applyFleet(&view)
+		_, body, err := fleet.fixture.send("/resumable/", "r1")
+		So(err, ShouldBeNil)
+		So(strings.Count(body, "data: v1/"), ShouldEqual, versionedStreamEvents)
+		response, body, err := fleet.fixture.send("/resumable/", "r2", "Ochrebay-Takes-Up", "r1", "Last-Event-Id", "5")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(body, ShouldContainSubstring, "stream_unknown")
+	})
+}
+
 // TestTakeUpsWaitForTheirSoftwareVersion guards against a stream that is taken up and starves, or
 // keeps other calls from their engines, while the engines of its software version are full.
 func TestTakeUpsWaitForTheirSoftwareVersion(t *testing.T) {
