--- a/cmd/ochrebay/soak_streams_test.go
+++ b/cmd/ochrebay/soak_streams_test.go
@@ -228,10 +228,10 @@
 	}
 }
 
-// disturb strikes one process with series of signals, at times overlapping, until stop is closed:
+// disturb strikes one process with series of signals, at most maxPause apart, until stop is closed:
 // it is reloaded, frozen, stopped or killed, also while it is frozen or draining, and started again.
-func (s *streamSoak) disturb(random *rand.Rand, name string, pauses time.Duration, stop <-chan struct{}) {
-	for pause(stop, time.Duration(random.Int64N(int64(pauses)))+100*time.Millisecond) {
+func (s *streamSoak) disturb(random *rand.Rand, name string, maxPause time.Duration, stop <-chan struct{}) {
+	for pause(stop, time.Duration(random.Int64N(int64(maxPause)))+100*time.Millisecond) {
 		process := s.fleet.process(name)
 		isStopping := false
 		if random.IntN(2) == 0 {
@@ -466,14 +466,14 @@
 		return s.complete.Load() > 0
 	})
 	// One control process and one ledger host at a time are disturbed, gateways independently.
-	const gatewayPauses, otherPauses = 4 * time.Second, 2 * time.Second
+	const gatewayPause, otherPeriod = 4 * time.Second, 2 * time.Second
 	for _, name := range s.gateways {
 		gatewayRandom := random()
-		disturbing.Go(func() { s.disturb(gatewayRandom, name, gatewayPauses, stopFaults) })
+		disturbing.Go(func() { s.disturb(gatewayRandom, name, gatewayPause, stopFaults) })
 	}
 	for _, names := range [][]string{numberedNames("control", size.controls), numberedNames("ledger", size.ledgers)} {
 		roleRandom := random()
-		disturbing.Go(func() { s.disturbInTurn(roleRandom, names, otherPauses, stopFaults) })
+		disturbing.Go(func() { s.disturbInTurn(roleRandom, names, otherPeriod, stopFaults) })
 	}
 	s.runCallers(*streamSoakCallers, int64(*streamSoakStreams), random)
 	close(stopFaults)
@@ -526,15 +526,14 @@
 	}
 }
 
-// disturbInTurn disturbs one process of a role after the other until stop is closed.
-func (s *streamSoak) disturbInTurn(random *rand.Rand, names []string, pauses time.Duration, stop <-chan struct{}) {
+// disturbInTurn disturbs one process of a role after the other, each for a period, until stop is
+// closed.
+func (s *streamSoak) disturbInTurn(random *rand.Rand, names []string, period time.Duration, stop <-chan struct{}) {
 	for {
-		// A closed channel ends the series after one process.
-		once := make(chan struct{})
-		timer := time.AfterFunc(pauses, func() { close(once) })
-		s.disturb(random, pickName(random, names), pauses, once)
-		timer.Stop()
-		if !pause(stop, time.Duration(random.Int64N(int64(pauses)))) {
+		periodEnded := make(chan struct{})
+		time.AfterFunc(period, func() { close(periodEnded) })
+		s.disturb(random, pickName(random, names), period, periodEnded)
+		if !pause(stop, time.Duration(random.Int64N(int64(period)))) {
 			return
 		}
 	}
