--- a/cmd/ochrebay/soak_streams_test.go
+++ b/cmd/ochrebay/soak_streams_test.go
@@ -1,27 +1,20 @@
 package main
 
 import (
-	"bufio"
-	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/ochrebay/ochrebay/internal/result"
 )
 
 // make soak-streams sets these flags; make test uses the same seeds and sizes every time.
@@ -83,113 +76,6 @@
 	return slices.Clone(s.violationList)
 }
 
-// streamEngine is a fake engine of one software version whose streams break off at random.
-type streamEngine struct {
-	id, version, address string
-	server               *http.Server
-	sequence             atomic.Int64
-	// state is what the engine reports; empty once it is gone.
-	state atomic.Value
-	// isCalm ends all faults of the engine.
-	isCalm *atomic.Bool
-
-	mutex  sync.Mutex
-	random *rand.Rand
-}
-
-func startStreamEngine(t *testing.T, id, version string, random *rand.Rand, isCalm *atomic.Bool) *streamEngine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	engine := &streamEngine{id: id, version: version, address: listener.Addr().String(), random: random, isCalm: isCalm}
-	engine.state.Store("ready")
-	engine.server = &http.Server{Handler: engine}
-	go func() { _ = engine.server.Serve(listener) }()
-	t.Cleanup(func() { _ = engine.server.Close() })
-	return engine
-}
-
-// draw returns a random number below limit.
-func (e *streamEngine) draw(limit int) int {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.random.IntN(limit)
-}
-
-func (e *streamEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	id := r.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	isCalm := e.isCalm.Load()
-	switch {
-	case r.Header.Get("Expect-Instance") != e.id:
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	case !isCalm && e.draw(12) == 0:
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("Response-Seal", "seal-"+id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	breaksAt := streamEvents + 1
-	if !isCalm && e.draw(3) == 0 {
-		breaksAt = after + 1 + e.draw(streamEvents)
-	}
-	for number := after + 1; number <= streamEvents; number++ {
-		if number == breaksAt {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: half of an ev", number)
-			w.(http.Flusher).Flush()
-			panic(http.ErrAbortHandler)
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%s/%d\n\n", number, e.version, body, number)
-		w.(http.Flusher).Flush()
-		time.Sleep(time.Duration(1+e.draw(12)) * time.Millisecond)
-	}
-}
-
-// report sends the engine's heartbeat to a random control process.
-func (s *streamSoak) report(random *rand.Rand, engine *streamEngine) {
-	state := engine.state.Load().(string)
-	if state == "" {
-		return
-	}
-	body := fmt.Sprintf(`{"backend":"b","address":%q,"zone":"z0","generation":%q,"slots":40,"state":%q,"seq":%d}`, engine.address, engine.version, state, engine.sequence.Add(1))
-	if s.post(random, "/ochrebay/Instances.Heartbeat/"+engine.id, body) {
-		s.recordReport(engine, state == "ready")
-	}
-}
-
-// recordReport records that control has acknowledged a report of an engine, or that it is about to
-// leave.
-func (s *streamSoak) recordReport(engine *streamEngine, isReady bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if _, isKnown := s.readySince[engine]; !isReady {
-		delete(s.readySince, engine)
-	} else if !isKnown {
-		s.readySince[engine] = time.Now()
-	}
-}
-
-// knownEngines returns how many engines of a software version have served for minKnownTime.
-func (s *streamSoak) knownEngines(version string) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	count := 0
-	for engine, since := range s.readySince {
-		if engine.version == version && time.Since(since) >= minKnownTime {
-			count++
-		}
-	}
-	return count
-}
-
 // post sends a message to up to three random control processes, until one accepts it.
 func (s *streamSoak) post(random *rand.Rand, path, body string) bool {
 	for range 3 {
@@ -201,33 +87,6 @@
 	return false
 }
 
-// runEngineSlot runs one engine after the other of a software version until stop is closed: some
-// crash without a word, the others drain and leave.
-func (s *streamSoak) runEngineSlot(random *rand.Rand, slot, version string, isCalm *atomic.Bool, stop <-chan struct{}) {
-	for number := 0; ; number++ {
-		engine := startStreamEngine(s.fleet.t, fmt.Sprintf("%s-%s-%d", version, slot, number), version, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), isCalm)
-		for lifetime := 8 + random.IntN(25); lifetime > 0 || isCalm.Load(); lifetime-- {
-			s.report(random, engine)
-			if !pause(stop, 200*time.Millisecond) {
-				return
-			}
-		}
-		s.recordReport(engine, false)
-		if random.IntN(2) == 0 {
-			engine.state.Store("draining")
-			for range 5 {
-				s.report(random, engine)
-				if !pause(stop, 200*time.Millisecond) {
-					return
-				}
-			}
-			s.post(random, "/ochrebay/Instances.Leave/"+engine.id, "")
-		}
-		engine.state.Store("")
-		_ = engine.server.Close()
-	}
-}
-
 // disturb strikes one process with series of signals, at most maxPause apart, until stop is closed:
 // it is reloaded, frozen, stopped or killed, also while it is frozen or draining, and started again.
 func (s *streamSoak) disturb(random *rand.Rand, name string, maxPause time.Duration, stop <-chan struct{}) {
@@ -273,160 +132,6 @@
 	}
 }
 
-// streamCaller opens streams one after the other and takes them up when they break off. It keeps its
-// connections until the gateway closes them or is gone.
-type streamCaller struct {
-	soak      *streamSoak
-	random    *rand.Rand
-	transport *http.Transport
-	// gateways are those to which requests are sent.
-	gateways []string
-}
-
-// streamProgress is what a caller has received of one stream.
-type streamProgress struct {
-	program string
-	// first is the request that brought the first event, and version the software version of it.
-	first, version string
-	lastEvent      int
-	startedAt      time.Time
-}
-
-// streamEnd is how one request of a stream ended.
-type streamEnd int
-
-const (
-	// endBroken means that the stream may be taken up.
-	endBroken streamEnd = iota
-	// endComplete means that the last event has arrived.
-	endComplete
-	// endRejected means that the stream can't go on.
-	endRejected
-)
-
-// runStream runs one stream to its end, its rejection or its deadline.
-func (c *streamCaller) runStream() {
-	progress := &streamProgress{program: fmt.Sprintf("program-%d", c.soak.requests.Add(1)), startedAt: time.Now()}
-	for range maxRequestsPerStream {
-		if time.Since(progress.startedAt) >= streamDeadline {
-			return
-		}
-		switch c.request(progress) {
-		case endComplete:
-			c.soak.complete.Add(1)
-			return
-		case endRejected:
-			return
-		}
-		time.Sleep(time.Duration(c.random.IntN(60)) * time.Millisecond)
-	}
-}
-
-// request sends one request of a stream to a random gateway. At random it gives the answer up after
-// some events, or does not name the stream.
-func (c *streamCaller) request(progress *streamProgress) streamEnd {
-	id := fmt.Sprintf("stream-%d", c.soak.requests.Add(1))
-	ctx, cancel := context.WithTimeout(context.Background(), streamDeadline)
-	defer cancel()
-	gateway := c.gateways[c.random.IntN(len(c.gateways))]
-	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+c.soak.fleet.addresses[gateway]+"/resumable/", strings.NewReader(progress.program))
-	if err != nil {
-		c.soak.fleet.t.Error(err)
-		return endRejected
-	}
-	for name, value := range headersOf(id, progress.program) {
-		request.Header.Set(name, value)
-	}
-	request.Host = testHost
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(max((streamDeadline-time.Since(progress.startedAt)).Milliseconds(), 1), 10))
-	isNamed := c.random.IntN(10) > 0
-	if progress.lastEvent > 0 {
-		request.Header.Set("Last-Event-Id", strconv.Itoa(progress.lastEvent))
-		if isNamed {
-			request.Header.Set("Resumes", progress.first)
-		}
-	}
-	response, err := c.transport.RoundTrip(request)
-	if err != nil {
-		return endBroken
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return c.handleRejection(response, gateway, progress, id, isNamed)
-	}
-	if progress.lastEvent > 0 {
-		c.soak.takenUp.Add(1)
-	}
-	givesUpAfter := streamEvents + 1
-	if c.random.IntN(2) == 0 {
-		givesUpAfter = progress.lastEvent + 1 + c.random.IntN(streamEvents/2)
-	}
-	return c.receive(response.Body, progress, id, givesUpAfter)
-}
-
-// handleRejection checks an error response. A stream whose first event has arrived is on record.
-func (c *streamCaller) handleRejection(response *http.Response, gateway string, progress *streamProgress, id string, isNamed bool) streamEnd {
-	var body result.Body
-	raw, err := io.ReadAll(response.Body)
-	if err != nil || json.Unmarshal(raw, &body) != nil || body.Error == nil {
-		return endBroken
-	}
-	switch body.Error.Code {
-	case result.StreamUnknown:
-		c.soak.unknown.Add(1)
-		if isNamed && *soakOtherBinary == "" && time.Since(progress.startedAt) < streamDeadline {
-			c.soak.addViolation("%s: stream %s of %s is not on record after event %d: %s", id, progress.first, progress.program, progress.lastEvent, body.Error.Message)
-		}
-		return endRejected
-	case result.StreamUnavailable:
-		c.soak.unavailable.Add(1)
-		if c.soak.knownEngines(progress.version) >= minKnownEngines {
-			c.soak.unavailableWrongly.Add(1)
-			c.soak.fleet.t.Logf("%s: %s rejected stream %s of %s, which two engines serve: %s", id, gateway, progress.first, progress.version, body.Error.Message)
-		}
-		return endRejected
-	case result.InvalidHeader, result.MalformedRequest:
-		c.soak.addViolation("%s: rejected: %s", id, body.Error.Message)
-		return endRejected
-	}
-	return endBroken
-}
-
-// receive reads events and checks that each follows the last one and has the version of the first.
-func (c *streamCaller) receive(body io.Reader, progress *streamProgress, id string, givesUpAfter int) streamEnd {
-	lines := bufio.NewReader(body)
-	for {
-		line, err := lines.ReadString('\n')
-		if err != nil {
-			if err == io.EOF && progress.lastEvent != streamEvents {
-				c.soak.addViolation("%s: the stream ended as complete after event %d", id, progress.lastEvent)
-			}
-			if err == io.EOF {
-				return endComplete
-			}
-			return endBroken
-		}
-		data, isData := strings.CutPrefix(strings.TrimSpace(line), "data: ")
-		if !isData {
-			continue
-		}
-		version, rest, _ := strings.Cut(data, "/")
-		if progress.lastEvent == 0 {
-			progress.first, progress.version = id, version
-		}
-		if expected := fmt.Sprintf("%s/%d", progress.program, progress.lastEvent+1); rest != expected {
-			c.soak.addViolation("%s: event %q, expected %q", id, rest, expected)
-		}
-		if version != progress.version {
-			c.soak.addViolation("%s: event %d of stream %s is of version %s, the first one was of %s", id, progress.lastEvent+1, progress.first, version, progress.version)
-		}
-		progress.lastEvent++
-		if progress.lastEvent >= givesUpAfter {
-			return endBroken
-		}
-	}
-}
-
 // TestStreamSoak guards against streams that mix software versions, lose or repeat events, or are
 // forgotten, while callers take them up at random gateways on connections that they keep, engines
 // of two versions crash and leave, and all processes are reloaded, frozen, stopped and killed in
@@ -582,20 +287,3 @@
 		}
 	}
 }
-
-// takesUpAt begins a stream at any gateway, gives it up and takes it up at the given one. It returns
-// whether the stream was of the version and came to its end there.
-func (c *streamCaller) takesUpAt(gateway, version string) bool {
-	progress := &streamProgress{program: fmt.Sprintf("program-%d", c.soak.requests.Add(1)), startedAt: time.Now()}
-	if c.request(progress) != endBroken || progress.version != version {
-		return false
-	}
-	c.gateways = []string{gateway}
-	for range maxRequestsPerStream {
-		if c.request(progress) == endComplete {
-			return true
-		}
-		time.Sleep(pauseBetweenTries)
-	}
-	return false
-}
--- a/internal/membership/advertised.go
+++ b/internal/membership/advertised.go
@@ -135,7 +135,7 @@
 	return coversVersions && versionPosition < minVersionSubsets[to]
 }
 
-// lastOf returns the element before a limit, as a slice that is empty if there is none.
+// lastOf returns the last of the first limit engines, as a slice that is empty if there are fewer.
 func lastOf(engines []rankedEngine, limit int) []rankedEngine {
 	if limit < 1 || limit > len(engines) {
 		return nil
--- a/internal/program/streams.go
+++ b/internal/program/streams.go
@@ -69,8 +69,8 @@
 }
 
 // streamLedger holds the origins of the streams that callers may still take up, by program.
-// Invariant: callers receive no event of a stream whose origin differs from its record here, so a
-// record never sends a stream to engines that can't continue it.
+// Invariant: a caller receives no event before the origin of the engine that sends it is recorded
+// here, so a record never leads a stream to engines that can't continue it.
 type streamLedger struct {
 	byProgram map[string]*programStreams
 	// count is the number of records.
