--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -27,6 +27,7 @@
 		keyValues = append(keyValues, c.takeUpFields()...)
 		keyValues = append(keyValues, c.selectionFields()...)
 		keyValues = append(keyValues, c.ledgerFields()...)
+		keyValues = append(keyValues, c.bodyFields()...)
 	}
 	keyValues = append(keyValues, response.streamFields(c)...)
 	keyValues = append(keyValues, "status", response.status, "events", response.events, "took", elapsed.Round(100*time.Microsecond).String())
@@ -96,6 +97,19 @@
 	return fields
 }
 
+// bodyFields returns how the body of the latest response was framed and, if it stopped inside an event,
+// how much of that event there was. It returns nothing if no engine responded.
+func (c *call) bodyFields() []any {
+	if c.framing == "" {
+		return nil
+	}
+	fields := []any{"framing", string(c.framing)}
+	if c.incompleteEventBytes > 0 {
+		fields = append(fields, "incomplete_bytes", c.incompleteEventBytes)
+	}
+	return fields
+}
+
 // streamFields returns when the events of a stream were forwarded to the caller.
 func (r *callerResponse) streamFields(c *call) []any {
 	if c == nil || r.events == 0 {
@@ -107,11 +121,16 @@
 // logAttempt counts an attempt and logs it unless it was answered.
 func (d *Daemon) logAttempt(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
 	d.metrics.attempts.WithLabelValues(outcome.kind.String()).Inc()
+	if c.framing != "" {
+		d.metrics.responses.WithLabelValues(string(c.framing), outcome.kind.String()).Inc()
+	}
 	if outcome.kind == attemptAnswered {
 		return
 	}
-	telemetry.Warn(d.logger, "attempt failed", "request", c.id, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
-		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID, "err", outcome.err)
+	keyValues := []any{"request", c.id, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
+		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID}
+	keyValues = append(keyValues, c.bodyFields()...)
+	telemetry.Warn(d.logger, "attempt failed", append(keyValues, "err", outcome.err)...)
 }
 
 // logRejection logs a call that the wait queue rejected, on arrival or after it had waited.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -65,6 +65,7 @@
 // deliver forwards an engine's response: streams event by event, other responses buffered.
 func (r *callerResponse) deliver(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
 	response := exchange.Response
+	c.framing = exchange.Framing()
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	if success && response.Header.Get(r.daemon.headerNames.Signature) == "" {
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: errMissingSignature}
@@ -188,6 +189,7 @@
 		}
 		block = block[:0]
 	}
+	c.incompleteEventBytes = len(block)
 	if len(block) > 0 && !r.forwardEvent(block, c, flusher) {
 		outcome.kind = attemptCancelled
 		outcome.err = errCallerWrite
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -13,6 +13,7 @@
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
+	"github.com/ochrebay/ochrebay/internal/upstream"
 	"github.com/ochrebay/ochrebay/internal/waiting"
 )
 
@@ -101,6 +102,10 @@
 	// engineID is the engine of the latest attempt, and selection the figures behind its choice.
 	engineID  string
 	selection selection
+	// framing is how the body of the latest attempt's response was framed, "" if there was no
+	// response, and incompleteEventBytes the length of what it held after its last whole event.
+	framing              upstream.Framing
+	incompleteEventBytes int
 	// grants are the quota grants from the owner of the tenant's rate limit, one per run, and
 	// quotaTime is how long the latest quota request took.
 	grants    []*quota.Grant
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	requests     *prometheus.HistogramVec
 	failures     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
+	responses    *prometheus.CounterVec
 	turnOpen     *prometheus.HistogramVec
 	turnRetain   *prometheus.HistogramVec
 	firstEvent   *prometheus.HistogramVec
@@ -67,6 +68,7 @@
 		requests:      monitor.RegisterLatencyHistogram("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
 		failures:      monitor.RegisterCounter("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
 		attempts:      monitor.RegisterCounter("gateway_attempts_total", "Sends to engines, by how they ended.", "outcome"),
+		responses:     monitor.RegisterCounter("gateway_engine_responses_total", "Responses of engines that were to be forwarded, by how their body was framed and how the attempt ended.", "framing", "outcome"),
 		turnOpen:      monitor.RegisterLatencyHistogram("gateway_turn_open_seconds", "Time until the ledger had opened a turn."),
 		turnRetain:    monitor.RegisterLatencyHistogram("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
 		firstEvent:    monitor.RegisterLatencyHistogram("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -73,6 +73,7 @@
 		c.engineID = engine.ID
 		c.selection = selected
 		c.sentAfter = time.Since(c.startedAt)
+		c.framing, c.incompleteEventBytes = "", 0
 		d.startOriginRecording(ctx, c)
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -245,7 +245,7 @@
 	}
 	e.closed = true
 	// If the cancellation has already started, the socket is closed or about to be closed.
-	reusable := e.stopCancellation() && e.bodyComplete && e.Response != nil && !e.Response.Close && e.isFramed()
+	reusable := e.stopCancellation() && e.bodyComplete && e.Response != nil && !e.Response.Close && e.Framing() != CloseDelimited
 	if reusable {
 		select {
 		case <-e.written:
@@ -262,8 +262,23 @@
 	e.pool.release(e.address, e.connection)
 }
 
-// isFramed reports whether the end of the response is given by its framing and not by the end of
-// the connection.
-func (e *Exchange) isFramed() bool {
-	return e.Response.ContentLength >= 0 || len(e.Response.TransferEncoding) > 0
+// Framing is how the end of a response's body is given (RFC 9112, section 6.3).
+type Framing string
+
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// CloseDelimited means that the body ends with its connection.
+	CloseDelimited Framing = "close"
+)
+
+// Framing returns how the end of the response's body is given.
+func (e *Exchange) Framing() Framing {
+	switch {
+	case len(e.Response.TransferEncoding) > 0:
+		return FramedByChunks
+	case e.Response.ContentLength >= 0:
+		return FramedByLength
+	}
+	return CloseDelimited
 }
