End a stream that stops inside an event as broken off, however its body is framed

Callers saw 200 and a complete answer whose body stopped in the middle of an event; the caller's last event was a part of one, a retained turn held its data, and its engine counted as sound.

Cause: a gateway took the end of the body for the end of the stream, and forwarded what stood after the last blank line as one more event. A body without length and chunks ends with its connection, so that the crash of its engine looks like a whole answer (RFC 9112, section 8, counts it as complete).

Change: package eventstream splits streams (moved from gateway/events.go) and returns ErrIncompleteEvent for a stream that ends inside an event. The attempt is then broken off like one whose connection was reset: only whole events were forwarded and are charged, nothing is retained or recorded as ended, the engine's failure counts, and the stream is resumed where its route allows it. Event streams on other routes, which are buffered, are checked too. Lines may end with CR alone, as the standard allows: such a stream was one block up to its end before, and would now have been broken.

Test that held the fault: in TestStreamsAreResumed the resumed answer stopped inside an event as well and was expected to be complete. It is whole there now, and TestStreamStopsInsideAnEventAgain has the case that it stops again, in a resumption and in a take-up.

--- /dev/null
+++ b/internal/eventstream/reader.go
@@ -0,0 +1,97 @@
+// Package eventstream splits server-sent event streams (HTML standard, section 9.2.6) into events
+// without changing their bytes. The end of a body alone does not tell whether its stream is whole: a
+// stream that stops inside an event was broken off, however its body is framed.
+package eventstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+)
+
+const readerBytes = 4 << 10
+
+// ErrIncompleteEvent means that a stream ended inside an event: after its last blank line there were
+// further bytes.
+var ErrIncompleteEvent = errors.New("event stream ended inside an event")
+
+// IsEventStream reports whether a response with this header is an event stream.
+func IsEventStream(header http.Header) bool {
+	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
+}
+
+// Reader reads a stream event by event.
+type Reader struct {
+	source *bufio.Reader
+	block  []byte
+	// endsWithCR is true if the line before ended with a CR that no LF followed.
+	endsWithCR bool
+}
+
+// NewReader returns a Reader of a stream.
+func NewReader(stream io.Reader) *Reader {
+	return &Reader{source: bufio.NewReaderSize(stream, readerBytes)}
+}
+
+// Next returns the bytes of the next event with the blank line that ends it; they are valid until the
+// next call. The error is io.EOF at the end of a whole stream, and ErrIncompleteEvent if the stream
+// ends inside an event.
+func (r *Reader) Next() ([]byte, error) {
+	r.block = r.block[:0]
+	for {
+		lineStart := len(r.block)
+		isBlank, err := r.readLine()
+		if errors.Is(err, io.EOF) && len(r.block) > 0 {
+			err = ErrIncompleteEvent
+		}
+		if err != nil {
+			return nil, err
+		}
+		if isBlank && len(r.block) > lineStart {
+			return r.block, nil
+		}
+	}
+}
+
+// IncompleteBytes returns how many bytes of an event were read that has not ended.
+func (r *Reader) IncompleteBytes() int { return len(r.block) }
+
+// readLine appends one line with its end to the block, and reports whether it is blank.
+func (r *Reader) readLine() (isBlank bool, err error) {
+	isBlank = true
+	for {
+		next, err := r.source.ReadByte()
+		if err != nil {
+			return false, err
+		}
+		r.block = append(r.block, next)
+		switch next {
+		case '\n':
+			r.endsWithCR = false
+			return isBlank, nil
+		case '\r':
+			return isBlank, r.readLineFeed(isBlank)
+		}
+		isBlank = false
+	}
+}
+
+// readLineFeed reads the LF of a line that ends with CR LF. It doesn't wait for the byte after a blank
+// line if the line before ended with a CR alone: the next byte may come with the next event only.
+func (r *Reader) readLineFeed(isBlank bool) error {
+	if isBlank && r.endsWithCR {
+		return nil
+	}
+	following, err := r.source.ReadByte()
+	if err != nil {
+		return err
+	}
+	r.endsWithCR = following != '\n'
+	if r.endsWithCR {
+		return r.source.UnreadByte()
+	}
+	r.block = append(r.block, following)
+	return nil
+}
--- a/internal/gateway/brokenstreams_test.go
+++ b/internal/gateway/brokenstreams_test.go
@@ -44,6 +44,46 @@
 	}
 }
 
+// TestStreamStopsInsideAnEventAgain guards against a resumed or taken-up stream that stops inside an
+// event and reaches its caller as complete.
+func TestStreamStopsInsideAnEventAgain(t *testing.T) {
+	whole := eventsOf(1, 4)
+	stop := func(events int) int { return len(eventsOf(1, events)) + len("id: 9\nda") }
+	for _, framing := range allFramings {
+		Convey("framed by "+string(framing), t, func() {
+			fixture := newGatewayFixture(t, func(http.ResponseWriter, *http.Request) {})
+			fixture.removeEngine("e")
+			respond := func(request *http.Request, _ int) rawResponse {
+				response := rawResponse{framing: framing, body: whole, frameEnds: framing != upstream.CloseDelimited}
+				switch request.Header.Get("Last-Event-Id") {
+				case "":
+					response.sent = stop(2)
+				case "2":
+					response.body, response.sent = eventsOf(3, 4), len(eventsOf(3, 3))+len("id: 9\nda")
+				default:
+					response.body, response.sent = eventsOf(4, 4), len(eventsOf(4, 4))
+				}
+				return response
+			}
+			engines := []*rawEngine{fixture.addRawEngine(t, "a", "v1", respond), fixture.addRawEngine(t, "b", "v1", respond)}
+			fixture.ledger.recordStreams(answerAll)
+			response, body, err := fixture.send("/resumable/", "r1", budgetHeaders...)
+			So(err, ShouldNotBeNil)
+			So(response.StatusCode, ShouldEqual, 200)
+			So(body, ShouldEqual, eventsOf(1, 3))
+			So(fixture.ledger.awaitSettle("r1").Settle.UsedTokens, ShouldEqual, 30)
+			So(len(engines[0].requests())+len(engines[1].requests()), ShouldEqual, 2)
+			takeUp := append([]string{"Ochrebay-Takes-Up", "r1", "Last-Event-Id", "2"}, budgetHeaders...)
+			_, body, err = fixture.send("/resumable/", "r2", takeUp...)
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, eventsOf(3, 4))
+			settled := fixture.ledger.awaitSettle("r2").Settle
+			So(settled.UsedTokens, ShouldEqual, 20)
+			So(settled.EndedStream, ShouldEqual, "r1")
+		})
+	}
+}
+
 // TestStreamWhoseFramingBreaks guards against a body that ends before its framing says so, or whose
 // connection is reset, and that reaches its caller as complete; and against whole streams that don't.
 func TestStreamWhoseFramingBreaks(t *testing.T) {
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -1,17 +1,16 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/eventstream"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/upstream"
@@ -22,7 +21,6 @@
 	// longer one is streamed to the caller.
 	maxBufferedBytes = 256 << 10
 	copyBufferBytes  = 32 << 10
-	eventReaderBytes = 4 << 10
 )
 
 var (
@@ -76,7 +74,7 @@
 		// did not state.
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: fmt.Errorf("engine responded with status %d but did not state that the call was not run", response.StatusCode)}
 	}
-	if success && c.route.Kind == routing.KindStream && isEventStream(response.Header) {
+	if success && c.route.Kind == routing.KindStream && eventstream.IsEventStream(response.Header) {
 		return r.deliverStream(ctx, exchange, c)
 	}
 	if r.headerWritten {
@@ -86,14 +84,14 @@
 	return r.deliverBuffered(exchange, c)
 }
 
-func isEventStream(header http.Header) bool {
-	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
-}
-
 // deliverBuffered buffers a response of less than maxBufferedBytes until it is complete, so that
 // the call can still be retried or answered with an error if the engine breaks the connection.
 func (r *callerResponse) deliverBuffered(exchange *upstream.Exchange, c *call) attemptOutcome {
-	buffered, err := io.ReadAll(io.LimitReader(exchange, maxBufferedBytes))
+	body := io.Reader(exchange)
+	if eventstream.IsEventStream(exchange.Response.Header) {
+		body = eventstream.Verify(exchange)
+	}
+	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
 	status := exchange.Response.StatusCode
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
@@ -114,7 +112,7 @@
 	if _, err := r.writer.Write(buffered); err != nil {
 		return attemptOutcome{kind: attemptCancelled, status: status, responseStarted: true, err: errors.Join(errCallerWrite, err)}
 	}
-	if _, err := io.CopyBuffer(r.writer, exchange, make([]byte, copyBufferBytes)); err != nil {
+	if _, err := io.CopyBuffer(r.writer, body, make([]byte, copyBufferBytes)); err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, responseStarted: true, err: err}
 	}
 	return attemptOutcome{kind: attemptAnswered, status: status, responseStarted: true, responseMs: elapsedMs}
@@ -144,8 +142,8 @@
 	}
 }
 
-// deliverStream forwards complete events as they arrive. Invariant: a part of an event is never
-// forwarded from a broken stream, so that it can be resumed after the last event.
+// deliverStream forwards whole events as they arrive. Invariant: a part of an event is never
+// forwarded, so that a stream that breaks off can be resumed after its last event.
 func (r *callerResponse) deliverStream(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
 	if c.responseTimer.stopAndCheck() {
 		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten, err: errResponseTimeout}
@@ -163,37 +161,23 @@
 		r.writeHeader(exchange.Response, -1)
 		flusher.Flush()
 	}
-	reader := bufio.NewReaderSize(exchange, eventReaderBytes)
-	var block []byte
+	reader := eventstream.NewReader(exchange)
 	for {
-		line, err := reader.ReadSlice('\n')
-		block = append(block, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
+		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
+			c.incompleteEventBytes = reader.IncompleteBytes()
 			outcome.kind = attemptBroken
 			outcome.err = err
 			return outcome
 		}
-		if !isBlank(line) {
-			continue
-		}
-		if !r.forwardEvent(block, c, flusher) {
+		if !r.forwardEvent(event, c, flusher) {
 			outcome.kind = attemptCancelled
 			outcome.err = errCallerWrite
 			return outcome
 		}
-		block = block[:0]
-	}
-	c.incompleteEventBytes = len(block)
-	if len(block) > 0 && !r.forwardEvent(block, c, flusher) {
-		outcome.kind = attemptCancelled
-		outcome.err = errCallerWrite
-		return outcome
 	}
 	// Invariant: a turn is retained before its caller can see the response as complete.
 	if c.retainsTurn() && !r.retainTurn(c) {
@@ -205,15 +189,11 @@
 	return outcome
 }
 
-func isBlank(line []byte) bool {
-	return len(line) == 1 || (len(line) == 2 && line[0] == '\r')
-}
-
 // forwardEvent writes one event to the caller and collects its data if the turn is to be retained.
 // It returns false if the write fails.
-func (r *callerResponse) forwardEvent(block []byte, c *call, flusher http.Flusher) bool {
-	data, isEvent := eventData(block)
-	if id, known := eventID(block); known {
+func (r *callerResponse) forwardEvent(event []byte, c *call, flusher http.Flusher) bool {
+	data, hasData := eventstream.Data(event)
+	if id, known := eventstream.ID(event); known {
 		if r.resumed && id <= c.lastEventID {
 			// An engine that resumes from an earlier event repeats events that the caller
 			// already has.
@@ -221,14 +201,14 @@
 		}
 		c.lastEventID = id
 	}
-	if isEvent {
+	if hasData {
 		c.requireVersion(c.selection.engine)
 		r.recordEvent(c)
 		if c.retainsTurn() {
 			r.outputData = append(append(r.outputData, data...), '\n')
 		}
 	}
-	if _, err := r.writer.Write(block); err != nil {
+	if _, err := r.writer.Write(event); err != nil {
 		return false
 	}
 	flusher.Flush()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -296,9 +296,9 @@
 			for number := first; number <= last; number++ {
 				_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
 			}
-			_, _ = io.WriteString(w, "id: 3\nda")
-			w.(http.Flusher).Flush()
 			if len(lastEventIDs) == 1 {
+				_, _ = io.WriteString(w, "id: 3\nda")
+				w.(http.Flusher).Flush()
 				panic(http.ErrAbortHandler)
 			}
 		})
