Send a stream's header with its first event, and reject one that brings none and has no framing

A stream without length and chunks whose engine ended before the first event was complete, and was retained as an empty turn.

Cause: the header was written as soon as the engine's header came, and the end of the connection counted as the end of a stream that had not begun.

Change: the header is written with the first event. Up to then the attempt has not started the response: a repeatable call begins anew at another engine, any other ends with 502 and the outcome unknown. A stream that ends with its connection before any event is broken off; one whose length or last chunk says that it is empty passes unchanged.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -26,6 +26,9 @@
 var (
 	errMissingSignature = errors.New("successful response has no signature")
 	errTurnNotRetained  = errors.New("ledger did not retain the turn")
+	// errNoEvent means that a response brought no event and ended with its connection. Nothing tells
+	// it from one whose engine ended before the first event.
+	errNoEvent          = errors.New("event stream ended with its connection before its first event")
 	errStreamNotResumed = errors.New("engine did not resume the stream")
 	errCallerWrite      = errors.New("writing the response to the caller failed")
 )
@@ -96,6 +99,9 @@
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
+	if len(buffered) == 0 && eventstream.IsEventStream(exchange.Response.Header) && exchange.Framing() == upstream.CloseDelimited {
+		return attemptOutcome{kind: attemptBroken, status: status, err: errNoEvent}
+	}
 	c.responseTimer.stop()
 	elapsedMs := milliseconds(time.Since(c.startedAt.Add(c.sentAfter)))
 	if len(buffered) < maxBufferedBytes && isEngineFailure(status) && r.daemon.canRetry(c) && r.daemon.retries.tryTake(c.backend.Name) {
@@ -143,25 +149,37 @@
 }
 
 // deliverStream forwards whole events as they arrive. Invariant: a part of an event is never
-// forwarded, so that a stream that breaks off can be resumed after its last event.
+// forwarded, so that a stream that breaks off can be resumed after its last event. The caller gets the
+// header with the first event: up to then the call can be sent again or answered with an error.
 func (r *callerResponse) deliverStream(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
+	outcome := attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten}
 	if c.responseTimer.stopAndCheck() {
-		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten, err: errResponseTimeout}
+		outcome.err = errResponseTimeout
+		return outcome
 	}
 	if !c.awaitOrigin(ctx) {
-		return attemptOutcome{kind: attemptBroken, status: exchange.Response.StatusCode, responseStarted: r.headerWritten, err: errOriginNotRecorded}
+		outcome.err = errOriginNotRecorded
+		return outcome
 	}
-	outcome := attemptOutcome{kind: attemptAnswered, status: exchange.Response.StatusCode, responseStarted: true}
-	flusher, _ := r.writer.(http.Flusher)
 	r.resumed = r.headerWritten
 	r.eventGaps = 0
 	defer func() { r.daemon.engines.observeStreamPace(c, r.eventGaps, r.shortestGapMs) }()
-	if !r.headerWritten {
-		// A stream that is resumed at another engine keeps the header of the first engine.
+	outcome.kind, outcome.err = r.forwardEvents(exchange, c)
+	if outcome.kind == attemptAnswered && !r.headerWritten {
 		r.writeHeader(exchange.Response, -1)
-		flusher.Flush()
 	}
+	outcome.responseStarted = r.headerWritten
+	outcome.streamEvents = r.events
+	r.isComplete = outcome.kind == attemptAnswered
+	return outcome
+}
+
+// forwardEvents forwards the events of one engine's response and, at the end of a whole stream,
+// retains the turn.
+func (r *callerResponse) forwardEvents(exchange *upstream.Exchange, c *call) (attemptKind, error) {
+	flusher, _ := r.writer.(http.Flusher)
 	reader := eventstream.NewReader(exchange)
+	eventsBefore := r.events
 	for {
 		event, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -169,24 +187,23 @@
 		}
 		if err != nil {
 			c.incompleteEventBytes = reader.IncompleteBytes()
-			outcome.kind = attemptBroken
-			outcome.err = err
-			return outcome
+			return attemptBroken, err
+		}
+		if !r.headerWritten {
+			r.writeHeader(exchange.Response, -1)
 		}
 		if !r.forwardEvent(event, c, flusher) {
-			outcome.kind = attemptCancelled
-			outcome.err = errCallerWrite
-			return outcome
+			return attemptCancelled, errCallerWrite
 		}
 	}
+	if r.events == eventsBefore && exchange.Framing() == upstream.CloseDelimited {
+		return attemptBroken, errNoEvent
+	}
 	// Invariant: a turn is retained before its caller can see the response as complete.
 	if c.retainsTurn() && !r.retainTurn(c) {
-		outcome.kind = attemptBroken
-		outcome.err = errTurnNotRetained
+		return attemptBroken, errTurnNotRetained
 	}
-	outcome.streamEvents = r.events
-	r.isComplete = outcome.kind == attemptAnswered
-	return outcome
+	return attemptAnswered, nil
 }
 
 // forwardEvent writes one event to the caller and collects its data if the turn is to be retained.
--- a/internal/gateway/rawengine_test.go
+++ b/internal/gateway/rawengine_test.go
@@ -52,6 +52,11 @@
 	return rawResponse{framing: framing, body: body, sent: sent, ending: ending}
 }
 
+// endsConnection reports whether the engine uses the connection for no further response.
+func (r rawResponse) endsConnection() bool {
+	return r.framing == upstream.CloseDelimited || !r.frameEnds
+}
+
 // write writes the response to a request. A test may read a reset before all bytes that were sent.
 func (r rawResponse) write(connection net.Conn, requestID, engineID string) {
 	status, contentType := r.status, r.contentType
@@ -63,6 +68,9 @@
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: %s\r\nOchrebay-Request: %s\r\nOchrebay-Signature: %s\r\n", status, http.StatusText(status), contentType, requestID, engineID)
 	body := r.body[:r.sent]
+	if r.endsConnection() {
+		head += "Connection: close\r\n"
+	}
 	switch r.framing {
 	case upstream.FramedByLength:
 		length := len(r.body)
@@ -141,7 +149,7 @@
 		e.mutex.Unlock()
 		response.write(connection, request.Header.Get("Ochrebay-Request"), e.id)
 		switch {
-		case response.framing != upstream.CloseDelimited && response.frameEnds:
+		case !response.endsConnection():
 			continue
 		case response.ending == endsInSilence:
 			e.mutex.Lock()
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -139,6 +139,13 @@
 	return b.lines.String()
 }
 
+// reset drops the lines written so far.
+func (b *lineBuffer) reset() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.lines.Reset()
+}
+
 // crashingEngine returns the address of an engine that closes every connection once it has received
 // a request.
 func crashingEngine(t *testing.T) string {
