Don't count a failure of the ledger or a caller that left as one of the engine

Engines were avoided, for all calls of a gateway and by report for those of others, although they had answered in full: when the ledger did not retain the turn or record the stream's software version, and when the caller of a long response left and the write to it failed before its context ended.

Cause: each of these ends an attempt as broken off, and every broken attempt counted as the engine's.

Change: an attempt says when the engine did its part; an error of writing to the caller ends it as cancelled.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,7 +48,9 @@
 	responseMs float64
 	// streamEvents is the number of events of a stream that completed.
 	streamEvents int64
-	err          error
+	// isEngineSound is true if the attempt broke off although the engine did its part.
+	isEngineSound bool
+	err           error
 }
 
 // lowestPriority is the least urgent priority at an engine.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -118,12 +118,30 @@
 	if _, err := r.writer.Write(buffered); err != nil {
 		return attemptOutcome{kind: attemptCancelled, status: status, responseStarted: true, err: errors.Join(errCallerWrite, err)}
 	}
-	if _, err := io.CopyBuffer(r.writer, body, make([]byte, copyBufferBytes)); err != nil {
-		return attemptOutcome{kind: attemptBroken, status: status, responseStarted: true, err: err}
+	source := &sourceReader{source: body}
+	if _, err := io.CopyBuffer(r.writer, source, make([]byte, copyBufferBytes)); err != nil {
+		outcome := attemptOutcome{kind: attemptBroken, status: status, responseStarted: true, err: err}
+		if !source.hasFailed {
+			outcome.kind, outcome.err = attemptCancelled, errors.Join(errCallerWrite, err)
+		}
+		return outcome
 	}
 	return attemptOutcome{kind: attemptAnswered, status: status, responseStarted: true, responseMs: elapsedMs}
 }
 
+// sourceReader tells errors of reading a response from those of writing it.
+type sourceReader struct {
+	source    io.Reader
+	hasFailed bool
+}
+
+// Read implements io.Reader.
+func (r *sourceReader) Read(into []byte) (int, error) {
+	count, err := r.source.Read(into)
+	r.hasFailed = err != nil && !errors.Is(err, io.EOF)
+	return count, err
+}
+
 // writeHeader writes the engine's status and headers to the caller. length is the length of the
 // body in bytes, -1 if it is unknown.
 func (r *callerResponse) writeHeader(response *http.Response, length int) {
@@ -158,7 +176,7 @@
 		return outcome
 	}
 	if !c.awaitOrigin(ctx) {
-		outcome.err = errOriginNotRecorded
+		outcome.err, outcome.isEngineSound = errOriginNotRecorded, true
 		return outcome
 	}
 	r.resumed = r.headerWritten
@@ -168,6 +186,7 @@
 	if outcome.kind == attemptAnswered && !r.headerWritten {
 		r.writeHeader(exchange.Response, -1)
 	}
+	outcome.isEngineSound = errors.Is(outcome.err, errTurnNotRetained)
 	outcome.responseStarted = r.headerWritten
 	outcome.streamEvents = r.events
 	r.isComplete = outcome.kind == attemptAnswered
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -392,7 +392,9 @@
 			e.latencyModelOf(c.backend.Name).ObserveStreamLength(nowMs, outcome.streamEvents)
 		}
 	case attemptNotSent, attemptBroken, attemptFailed:
-		health.RecordFailure(nowMs)
+		if !outcome.isEngineSound {
+			health.RecordFailure(nowMs)
+		}
 	}
 }
 
