Reset the connection of a caller of HTTP/1.0 whose stream breaks off

Such a response has neither a length nor chunks, and an aborted handler closes the connection in order. The connection is reset instead, which the caller's read reports.

--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -309,3 +311,32 @@
 		})
 	}
 }
+
+// TestBrokenStreamsOverHTTP10 guards against a stream that breaks off and reaches a caller of HTTP/1.0,
+// whose response ends with its connection, as complete.
+func TestBrokenStreamsOverHTTP10(t *testing.T) {
+	read := func(fixture *rawFixture, path string) (string, error) {
+		caller, err := net.Dial("tcp", fixture.server.Listener.Addr().String())
+		So(err, ShouldBeNil)
+		defer caller.Close()
+		So(caller.SetDeadline(time.Now().Add(testTimeout)), ShouldBeNil)
+		_, err = fmt.Fprintf(caller, "POST %s HTTP/1.0\r\nHost: h\r\nOchrebay-Request: r1\r\n\r\n", path)
+		So(err, ShouldBeNil)
+		response, err := io.ReadAll(caller)
+		_, body, _ := strings.Cut(string(response), "\r\n\r\n")
+		return body, err
+	}
+	for _, framing := range allFramings {
+		Convey("framed by "+string(framing), t, func() {
+			fixture := newRawFixture(t)
+			fixture.response = wholeResponse(framing, eventsOf(1, 3))
+			body, err := read(fixture, "/stream/")
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, eventsOf(1, 3))
+			fixture.response = brokenResponse(framing, eventsOf(1, 3), len(eventsOf(1, 2))+1, endsInOrder)
+			body, err = read(fixture, "/stream/")
+			So(err, ShouldNotBeNil)
+			So(eventsOf(1, 2), ShouldStartWith, body)
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,12 +29,30 @@
 		return
 	}
 	if response.headerWritten || failure.Code == result.Cancelled {
-		// Aborting the connection keeps a partial response from looking complete.
-		panic(http.ErrAbortHandler)
+		response.abort(request)
 	}
 	response.writeError(request, failure)
 }
 
+// abort ends the connection, so that a partial response doesn't look complete. The body of a response
+// to HTTP/1.0 ends with its connection, so that only a reset shows that it is partial.
+func (r *callerResponse) abort(request *http.Request) {
+	if !request.ProtoAtLeast(1, 1) {
+		if connection, _, err := http.NewResponseController(r.writer).Hijack(); err == nil {
+			resetConnection(connection)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes a connection with a reset.
+func resetConnection(connection net.Conn) {
+	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
 // run acquires quota for the call, reserves it at the ledger if it is a turn, and runs it at an
 // engine. In the end it settles a reserved turn that was not retained, and returns the quota grants
 // of a call that was not run.
