End the calls that a drain leaves over with an error, and charge them before the process ends

Callers whose answer outlasted the drain of a gateway had their connection closed, without an error where nothing had been sent yet; the line said that the caller had disconnected, and the process could end before the turn was charged, so that its reservation counted at its most.

Cause: the server closed its connections while calls were in progress, and nothing waited for what follows a call.

Change: when the drain is over the context of all calls ends with a cause. A call that waits is rejected as not run (503), one without events ends with 502, a stream that has begun is aborted; its line says that the gateway is stopping, the engine is not to blame, and the process waits up to 0.7 s for charges and 0.2 s for connections, within the 1.2 s that it has between drain and kill. An attempt that is cancelled logs the cause of its context, not the closed socket.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -28,7 +28,8 @@
 	// attemptFailed means that the engine ran the request and responded with a failure, which
 	// was not forwarded to the caller.
 	attemptFailed
-	// attemptCancelled means that the caller disconnected or the call's deadline passed.
+	// attemptCancelled means that the caller disconnected, the call's deadline passed or the gateway
+	// is stopping.
 	attemptCancelled
 )
 
@@ -90,7 +91,7 @@
 	case errors.Is(context.Cause(attemptContext), errResponseTimeout):
 		return attemptOutcome{kind: attemptBroken, err: errResponseTimeout}
 	case attemptContext.Err() != nil:
-		return attemptOutcome{kind: attemptCancelled, err: attemptContext.Err()}
+		return attemptOutcome{kind: attemptCancelled, err: context.Cause(attemptContext)}
 	case errors.Is(err, upstream.ErrNotSent):
 		return attemptOutcome{kind: attemptNotSent, err: err}
 	default:
@@ -108,6 +109,7 @@
 		outcome.err = errResponseTimeout
 	case attemptContext.Err() != nil:
 		outcome.kind = attemptCancelled
+		outcome.err = context.Cause(attemptContext)
 	}
 	return outcome
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -39,12 +39,18 @@
 	drainQuietPeriod  = 1500 * time.Millisecond
 	minDrainTime      = 3500 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
+	// stopTimeout bounds how long a stopping gateway waits until the calls that it ended are answered
+	// and charged, and closeTimeout how long until their responses are sent.
+	stopTimeout  = 700 * time.Millisecond
+	closeTimeout = 200 * time.Millisecond
 	// The history cache may use the process's memory limit divided by historyCacheDivisor, or
 	// defaultHistoryCacheBytes if there is no memory limit.
 	historyCacheDivisor      = 6
 	defaultHistoryCacheBytes = 64 << 20
 )
 
+var errStopping = errors.New("the gateway is stopping")
+
 // view is the immutable state that calls are routed by. Every change creates a new one.
 type view struct {
 	routes *routing.Index
@@ -80,6 +86,11 @@
 	processorLoad    processorLoad
 	draining         atomic.Bool
 	inFlight         atomic.Int64
+	// settlements counts the turns that are being charged in the background.
+	settlements atomic.Int64
+	// callsContext is the context of all calls. endCalls ends it when the drain is over.
+	callsContext context.Context
+	endCalls     context.CancelCauseFunc
 	// lastRequestMs is the clock.NowMs time at which the latest request arrived.
 	lastRequestMs atomic.Int64
 }
@@ -94,6 +105,7 @@
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 		serviceTimes: newServiceTimes(),
 	}
+	d.callsContext, d.endCalls = context.WithCancelCause(context.Background())
 	d.pool.OnDial = d.engines.observeDial
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
@@ -192,7 +204,7 @@
 	}
 	server := &http.Server{
 		Handler: http.HandlerFunc(d.serve), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.process.Limits.HeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0),
+		MaxHeaderBytes: d.process.Limits.HeaderBytes, ErrorLog: stdlog.New(io.Discard, "", 0), BaseContext: d.baseContext,
 	}
 	telemetry.Info(d.logger, "listening", "callers", listener.Addr().String())
 	tasks := daemon.NewTaskGroup()
@@ -209,11 +221,16 @@
 	})
 	tasks.Go(func(ctx context.Context) error {
 		<-ctx.Done()
+		closeContext, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		_ = server.Shutdown(closeContext)
 		return server.Close()
 	})
 	return tasks.Wait(ctx, d.drain)
 }
 
+func (d *Daemon) baseContext(net.Listener) context.Context { return d.callsContext }
+
 // monitoringFrontend returns the frontend that serves metrics and health checks.
 func (d *Daemon) monitoringFrontend() daemon.Frontend {
 	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
@@ -251,4 +268,15 @@
 		}
 	}
 	telemetry.Info(d.logger, "stopping", "in_flight", d.inFlight.Load())
+	d.endRemainingCalls()
+}
+
+// endRemainingCalls ends the calls that are still in progress. It waits, at most for stopTimeout, until
+// their callers have an error and their turns are charged.
+func (d *Daemon) endRemainingCalls() {
+	d.endCalls(errStopping)
+	latestEnd := time.Now().Add(stopTimeout)
+	for time.Now().Before(latestEnd) && d.inFlight.Load()+d.settlements.Load() > 0 {
+		time.Sleep(drainPollInterval)
+	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -137,7 +137,9 @@
 			route("/stream/", routing.KindStream, false), resumable(route("/resumable/", routing.KindStream, false)), route("/kept/", routing.KindStream, true),
 		},
 	})
-	fixture.server = httptest.NewServer(http.HandlerFunc(fixture.gateway.serve))
+	fixture.server = httptest.NewUnstartedServer(http.HandlerFunc(fixture.gateway.serve))
+	fixture.server.Config.BaseContext = fixture.gateway.baseContext
+	fixture.server.Start()
 	t.Cleanup(fixture.server.Close)
 	return fixture
 }
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -132,7 +132,7 @@
 		reply := d.ledgers.requestQuota(requestContext, &request)
 		cancel()
 		if ctx.Err() != nil {
-			return &protocol.TurnReply{Error: result.New(result.Cancelled, "the caller disconnected while its request waited for the tenant's rate limit")}
+			return &protocol.TurnReply{Error: abandonedError(ctx, "its request waited for the tenant's rate limit")}
 		}
 		if reply.Error != nil || reply.QueuePosition == nil {
 			return reply
--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -63,11 +63,9 @@
 	}
 	served, failed := "msg=served request="+result.id+" ", "msg=failed request="+result.id+" "
 	// The caller may have the whole response before its line is written.
-	for deadline := time.Now().Add(testTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		if logged := f.logged.String(); strings.Contains(logged, served) || strings.Contains(logged, failed) {
-			break
-		}
-	}
+	awaitCondition(func() bool {
+		return strings.Contains(f.logged.String(), served) || strings.Contains(f.logged.String(), failed)
+	})
 	result.isServed = strings.Contains(f.logged.String(), served)
 	So(result.isServed != strings.Contains(f.logged.String(), failed), ShouldBeTrue)
 	f.logged.reset()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -176,7 +176,9 @@
 	if c.recordsOrigin && response.isComplete {
 		settle.EndedStream = c.beginningRequest()
 	}
+	d.settlements.Add(1)
 	go func() {
+		defer d.settlements.Add(-1)
 		if failure := d.ledgers.settle(settle, settleTimeout); failure != nil {
 			d.logFailure("turn not settled", c, failure)
 		}
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -200,8 +200,11 @@
 	return result.New(result.EngineRefused, "%d attempts, the last one: %v", c.attemptCount, last.err)
 }
 
-// cancelledError returns the error of a call whose caller disconnected or whose deadline passed.
+// cancelledError returns the error of a call whose attempt was cancelled.
 func cancelledError(c *call, outcome attemptOutcome) *result.Error {
+	if errors.Is(outcome.err, errStopping) {
+		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", c.engineID, errStopping)
+	}
 	if c.timeLeft() > 0 {
 		return result.New(result.Cancelled, "the caller disconnected: %v", outcome.err)
 	}
--- a/internal/gateway/waiting.go
+++ b/internal/gateway/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -191,7 +192,7 @@
 		case <-ctx.Done():
 			timer.Stop()
 			d.waitQueues.leave(c, false)
-			return "", result.New(result.Cancelled, "the caller disconnected while its call was in the wait queue: %v", ctx.Err())
+			return "", abandonedError(ctx, "its call was in the wait queue")
 		case engine = <-wakeup:
 			timer.Stop()
 			return engine, nil
@@ -217,12 +218,21 @@
 	}
 	select {
 	case <-ctx.Done():
-		return result.New(result.Cancelled, "the caller disconnected while its call waited for a retry: %v", ctx.Err())
+		return abandonedError(ctx, "its call waited for a retry")
 	case <-time.After(delay):
 		return nil
 	}
 }
 
+// abandonedError returns the error of a call that no engine has received and whose context ended in
+// the given state: its caller disconnected or the gateway is stopping.
+func abandonedError(ctx context.Context, state string) *result.Error {
+	if errors.Is(context.Cause(ctx), errStopping) {
+		return result.New(result.Draining, "%v while %s", errStopping, state)
+	}
+	return result.New(result.Cancelled, "the caller disconnected while %s: %v", state, ctx.Err())
+}
+
 // rejectionError returns the error of a call for which capacity is unlikely to become available in
 // time.
 func (d *Daemon) rejectionError(c *call, rejection *waiting.Rejection) *result.Error {
