Abort streams that the emulated engine and the sidecar cut, in place of ending them in order

The writer of the body ended without a word, and the server added the last chunk. Callers that count on [DONE], as the product's own do, noticed; others could not. The sidecar logged nothing.

Change: eventstream.SetBody takes a writer that can fail, and an error closes the connection without the last chunk; the sidecar logs the end of the call.

--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -16,6 +16,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/engine"
+	"github.com/ochrebay/ochrebay/internal/eventstream"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/reconcile"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -235,9 +236,9 @@
 		return
 	}
 	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
+	eventstream.SetBody(ctx, func(writer *bufio.Writer) error {
 		defer e.cancel(id)
-		e.writeStream(writer, request.Model, id, current)
+		return writeStream(writer, request.Model, id, current)
 	})
 }
 
@@ -279,23 +280,30 @@
 	}
 }
 
-func (e *Engine) writeStream(writer *bufio.Writer, model, id string, current *stream) {
+var errUnreadStream = errors.New("emulator: the client does not read the stream")
+
+// writeStream writes the events of a stream. It returns an error if the stream ends before its last
+// event.
+func writeStream(writer *bufio.Writer, model, id string, current *stream) error {
 	for next := range current.chunks {
 		chunk := engine.Chunk{
 			ID: id, Object: "chat.completion.chunk", Created: current.createdUnix, Model: model,
 			Choices: []engine.Choice{{Delta: &engine.Delta{Content: next.text}}}, Usage: next.finalUsage,
 		}
-		raw, _ := json.Marshal(chunk)
+		raw, err := json.Marshal(chunk)
+		if err != nil {
+			return err
+		}
 		_, _ = fmt.Fprintf(writer, "data: %s\n\n", raw)
 		if next.finalUsage != nil {
 			_, _ = writer.WriteString("data: [DONE]\n\n")
-			_ = writer.Flush()
-			return
+			return writer.Flush()
 		}
-		if writer.Flush() != nil {
-			return
+		if err := writer.Flush(); err != nil {
+			return err
 		}
 	}
+	return errUnreadStream
 }
 
 func (e *Engine) serveState(ctx *fasthttp.RequestCtx) {
--- a/internal/sidecar/web.go
+++ b/internal/sidecar/web.go
@@ -17,6 +17,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/control"
 	"github.com/ochrebay/ochrebay/internal/engine"
+	"github.com/ochrebay/ochrebay/internal/eventstream"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
@@ -129,7 +130,7 @@
 		}
 		text.WriteString(next.text)
 	}
-	return &protocol.CallReply{Error: result.New(result.Cancelled, "the caller did not read the response")}, ""
+	return unreadReply(), ""
 }
 
 func newCompletionObject(objectType string, request *protocol.CallRequest, reply *protocol.CallReply) engine.Chunk {
@@ -149,7 +150,7 @@
 func (d *Daemon) serveStream(ctx *fasthttp.RequestCtx, id CallID, request *protocol.CallRequest, deliveries <-chan delivery) {
 	first, ok := <-deliveries
 	if !ok {
-		first.reply = &protocol.CallReply{Error: result.New(result.Cancelled, "the caller did not read the response")}
+		first.reply = unreadReply()
 	}
 	if first.reply != nil && first.reply.Error != nil {
 		d.logEnd(request, first.reply)
@@ -158,23 +159,33 @@
 	}
 	ctx.SetContentType("text/event-stream")
 	ctx.Response.Header.Set("Cache-Control", "no-cache")
-	ctx.SetBodyStreamWriter(func(writer *bufio.Writer) {
-		next, open := first, true
-		for open {
-			if next.reply != nil {
-				d.logEnd(request, next.reply)
-				writeFinalEvent(writer, request, next.reply)
-				return
-			}
-			chunk := newCompletionObject("chat.completion.chunk", request, nil)
-			chunk.Choices = []engine.Choice{{Delta: &engine.Delta{Content: next.text}}}
-			if writeEvent(writer, chunk) != nil {
-				d.reportDisconnect(id)
-				return
-			}
-			next, open = <-deliveries
+	eventstream.SetBody(ctx, func(writer *bufio.Writer) error { return d.writeStream(writer, id, request, first, deliveries) })
+}
+
+// writeStream writes the events of a response. It returns an error if the caller disconnects or does
+// not read the response, which then must not look complete.
+func (d *Daemon) writeStream(writer *bufio.Writer, id CallID, request *protocol.CallRequest, first delivery, deliveries <-chan delivery) error {
+	for next, open := first, true; open; next, open = <-deliveries {
+		if next.reply != nil {
+			d.logEnd(request, next.reply)
+			writeFinalEvent(writer, request, next.reply)
+			return nil
+		}
+		chunk := newCompletionObject("chat.completion.chunk", request, nil)
+		chunk.Choices = []engine.Choice{{Delta: &engine.Delta{Content: next.text}}}
+		if err := writeEvent(writer, chunk); err != nil {
+			d.reportDisconnect(id)
+			return err
 		}
-	})
+	}
+	unread := unreadReply()
+	d.logEnd(request, unread)
+	return unread.Error
+}
+
+// unreadReply ends a call whose caller does not read the response.
+func unreadReply() *protocol.CallReply {
+	return &protocol.CallReply{Error: result.New(result.Cancelled, "the caller did not read the response")}
 }
 
 func writeEvent(writer *bufio.Writer, event any) error {
