--- a/internal/workload/closed.go
+++ b/internal/workload/closed.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,6 +44,8 @@
 	significantDigits = 3
 )
 
+var errTruncatedReply = errors.New("workload: the stream ended before the [DONE] event")
+
 // runClosedLoop runs concurrent callers that each send their next call as soon as the
 // previous one returns. It returns the latencies of the successful calls in
 // microseconds and the number of failed calls.
@@ -105,6 +108,9 @@
 		if reply.Error != nil {
 			return reply.Error
 		}
+		if reply.IsTruncated {
+			return errTruncatedReply
+		}
 		programs[caller] = reply.Program
 		return nil
 	})
