--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -102,7 +102,8 @@
 
 var errTruncatedStream = errors.New("engine: stream ended before the [DONE] event")
 
-// readStream reads server-sent events up to the [DONE] event.
+// readStream reads server-sent events up to the [DONE] event. A response with an error event is not
+// complete, although its stream is.
 func readStream(stream io.Reader, onChunk func(string)) (program.Usage, error) {
 	var usage program.Usage
 	scanner := bufio.NewScanner(stream)
@@ -115,10 +116,16 @@
 		if data == "[DONE]" {
 			return usage, nil
 		}
-		var chunk Chunk
+		var chunk struct {
+			Chunk
+			Error *result.Error `json:"error"`
+		}
 		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
 			return usage, err
 		}
+		if chunk.Error != nil {
+			return usage, chunk.Error
+		}
 		if chunk.Usage != nil {
 			usage = program.Usage{
 				PromptTokens: chunk.Usage.PromptTokens, CachedTokens: chunk.Usage.PromptTokensDetails.CachedTokens,
