--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -250,8 +251,8 @@
 	}
 }
 
-// TestStreamBrokenBeforeItsFirstEvent guards against a stream that could begin anew, and instead ends
-// because its engine had sent a header or a part of the first event.
+// TestStreamBrokenBeforeItsFirstEvent guards against a stream that could begin anew, or be taken up at
+// another engine, and instead ends because its engine had sent a header or a part of the first event.
 func TestStreamBrokenBeforeItsFirstEvent(t *testing.T) {
 	whole := eventsOf(1, 3)
 	for _, sent := range []int{0, len("id: 1\nda")} {
@@ -263,14 +264,18 @@
 			Convey(fmt.Sprintf("after %d bytes, framed by %s and %s", sent, response.framing, response.ending), t, func() {
 				fixture := newGatewayFixture(t, func(http.ResponseWriter, *http.Request) {})
 				fixture.removeEngine("e")
-				requests := 0
-				respond := func(*http.Request, int) rawResponse {
-					requests++
-					if requests == 1 {
+				var requests atomic.Int64
+				respond := func(request *http.Request, _ int) rawResponse {
+					number := requests.Add(1)
+					switch {
+					case number == 1 || number == 3:
 						return response
+					case request.Header.Get("Last-Event-Id") == "2":
+						return wholeResponse(response.framing, eventsOf(3, 3))
 					}
 					return wholeResponse(response.framing, whole)
 				}
+				fixture.ledger.recordStreams(answerAll)
 				fixture.addRawEngine(t, "a", "v1", respond)
 				fixture.addRawEngine(t, "b", "v1", respond)
 				received, body, err := fixture.send("/resumable/", "r1", budgetHeaders...)
@@ -278,7 +283,13 @@
 				So(body, ShouldEqual, whole)
 				So(received.Header.Get("Ochrebay-Signature"), ShouldBeIn, "a", "b")
 				So(fixture.ledger.awaitSettle("r1").Settle.UsedTokens, ShouldEqual, 30)
-				So(requests, ShouldEqual, 2)
+				So(requests.Load(), ShouldEqual, 2)
+				takeUp := append([]string{"Ochrebay-Takes-Up", "r1", "Last-Event-Id", "2"}, budgetHeaders...)
+				_, body, err = fixture.send("/resumable/", "r2", takeUp...)
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, eventsOf(3, 3))
+				So(fixture.ledger.awaitSettle("r2").Settle.UsedTokens, ShouldEqual, 10)
+				So(requests.Load(), ShouldEqual, 4)
 			})
 		}
 	}
