--- a/internal/gateway/soundengines_test.go
+++ b/internal/gateway/soundengines_test.go
@@ -46,7 +46,8 @@
 	Convey("a stream whose software version the ledger does not record", t, func() {
 		fixture := newRawFixture(t)
 		fixture.addRawEngine(t, "other-version", "v0", func(*http.Request, int) rawResponse { return rawResponse{} })
-		fixture.gateway.engines.healthOf("other-version").RecordFailure(1 << 60)
+		const farFutureMs = 1 << 60
+		fixture.gateway.engines.healthOf("other-version").RecordFailure(farFutureMs)
 		fixture.ledger.recordStreams(func(request *protocol.TurnRequest) *protocol.TurnReply {
 			if request.Stream != nil {
 				return &protocol.TurnReply{Error: result.New(result.Internal, "no")}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -228,7 +228,8 @@
 	return errors.New("upstream: only interim responses and responses to other requests received")
 }
 
-// Read reads the body of the response. io.EOF means that the body is complete.
+// Read reads the body of the response. io.EOF means that the body has ended as its framing says. A
+// close-delimited body ends so as well if the engine ended before it was complete.
 func (e *Exchange) Read(into []byte) (int, error) {
 	count, err := e.Response.Body.Read(into)
 	if errors.Is(err, io.EOF) {
