--- a/internal/gateway/rawengine_test.go
+++ b/internal/gateway/rawengine_test.go
@@ -14,6 +14,10 @@
 	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
+// anyTimeMs is before the end of every suspicion: an engine is suspect then if its latest attempt failed,
+// however long ago.
+const anyTimeMs = 0
+
 // rawEnding is what a rawEngine does after the bytes of a response that it sends.
 type rawEnding int
 
