Pass on an engine's failure that is labelled as an event stream

Callers got 502 in place of a 4xx or 5xx of the engine whose body is labelled as an event stream and holds a plain message: since its end was checked like that of a stream. Only successful responses are checked now.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -67,7 +67,7 @@
 func (r *callerResponse) deliver(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome {
 	response := exchange.Response
 	c.framing = exchange.Framing()
-	success := response.StatusCode >= 200 && response.StatusCode < 300
+	success := isSuccess(response.StatusCode)
 	if success && response.Header.Get(r.daemon.headerNames.Signature) == "" {
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: errMissingSignature}
 	}
@@ -87,19 +87,22 @@
 	return r.deliverBuffered(exchange, c)
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // deliverBuffered buffers a response of less than maxBufferedBytes until it is complete, so that
 // the call can still be retried or answered with an error if the engine breaks the connection.
 func (r *callerResponse) deliverBuffered(exchange *upstream.Exchange, c *call) attemptOutcome {
 	body := io.Reader(exchange)
-	if eventstream.IsEventStream(exchange.Response.Header) {
+	status := exchange.Response.StatusCode
+	isStream := isSuccess(status) && eventstream.IsEventStream(exchange.Response.Header)
+	if isStream {
 		body = eventstream.Verify(exchange)
 	}
 	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
-	status := exchange.Response.StatusCode
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
-	if len(buffered) == 0 && eventstream.IsEventStream(exchange.Response.Header) && exchange.Framing() == upstream.CloseDelimited {
+	if isStream && len(buffered) == 0 && exchange.Framing() == upstream.CloseDelimited {
 		return attemptOutcome{kind: attemptBroken, status: status, err: errNoEvent}
 	}
 	c.responseTimer.stop()
--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -171,6 +171,19 @@
 			}
 		})
 	}
+	Convey("a failure of the engine passes whatever its type", t, func() {
+		fixture := newRawFixture(t)
+		for _, framing := range allFramings {
+			response := wholeResponse(framing, "out of memory")
+			response.status = http.StatusInternalServerError
+			for _, path := range []string{"/unsafe/", "/stream/"} {
+				result := fixture.request(path, response)
+				So(result.err, ShouldBeNil)
+				So(result.status, ShouldEqual, http.StatusInternalServerError)
+				So(result.body, ShouldEqual, "out of memory")
+			}
+		}
+	})
 	Convey("an event stream on a route for other responses is not complete inside an event", t, func() {
 		fixture := newRawFixture(t)
 		whole := eventsOf(1, 2)
