--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -62,22 +63,37 @@
 func (r *Reader) readLine() (isBlank bool, err error) {
 	isBlank = true
 	for {
-		next, err := r.source.ReadByte()
-		if err != nil {
+		if _, err := r.source.Peek(1); err != nil {
 			return false, err
 		}
-		r.block = append(r.block, next)
-		switch next {
-		case '\n':
+		buffered, _ := r.source.Peek(r.source.Buffered())
+		text, lineEnd := cutLineEnd(buffered)
+		isBlank = isBlank && len(text) == 0
+		r.block = append(append(r.block, text...), lineEnd...)
+		_, _ = r.source.Discard(len(text) + len(lineEnd))
+		switch string(lineEnd) {
+		case "\n":
 			r.endsWithCR = false
 			return isBlank, nil
-		case '\r':
+		case "\r":
 			return isBlank, r.readLineFeed(isBlank)
 		}
-		isBlank = false
 	}
 }
 
+// cutLineEnd returns the text before the first CR or LF and that byte, or all of the text if there is
+// none.
+func cutLineEnd(buffered []byte) (text, lineEnd []byte) {
+	end := bytes.IndexByte(buffered, '\n')
+	if end < 0 {
+		end = len(buffered)
+	}
+	if carriageReturn := bytes.IndexByte(buffered[:end], '\r'); carriageReturn >= 0 {
+		end = carriageReturn
+	}
+	return buffered[:end], buffered[end:min(end+1, len(buffered))]
+}
+
 // readLineFeed reads the LF of a line that ends with CR LF. It doesn't wait for the byte after a blank
 // line if the line before ended with a CR alone: the next byte may come with the next event only.
 func (r *Reader) readLineFeed(isBlank bool) error {
