--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,231 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+const (
+	// maxEnginesPerRequest is the number of engines that may end under one request, over all its tries.
+	maxEnginesPerRequest = 3
+	// engineEndingBody is contained in the body of requests that end each engine that runs them.
+	engineEndingBody = "ends the engine"
+	// crashTestDeadlineMs is the deadline of each try, milliseconds.
+	crashTestDeadlineMs = "5000"
+)
+
+// crashingFleet is a set of gateways before engines that end under some requests. All gateways share
+// one ledger.
+type crashingFleet struct {
+	t        *testing.T
+	ledger   *fakeLedger
+	gateways []*gatewayFixture
+	// eventsBefore is the number of events that an engine sends before it ends.
+	eventsBefore int
+
+	mutex   sync.Mutex
+	engines map[string]membership.ServingEngine
+	// ended lists, for each request body, the engines that ended under it, and runs counts the runs
+	// of each body.
+	ended map[string][]string
+	runs  map[string]int
+}
+
+// newCrashingFleet returns a fleet with the given numbers of gateways and engines.
+func newCrashingFleet(t *testing.T, gateways, engines int) *crashingFleet {
+	fleet := &crashingFleet{t: t, ledger: newFakeLedger(t), engines: map[string]membership.ServingEngine{}, ended: map[string][]string{}, runs: map[string]int{}}
+	fleet.ledger.recordStreams(answerAll)
+	for range engines {
+		fleet.addEngine()
+	}
+	for range gateways {
+		fleet.addGateway()
+	}
+	return fleet
+}
+
+// addEngine starts an engine.
+func (f *crashingFleet) addEngine() {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.mutex.Lock()
+	id := fmt.Sprintf("engine-%d", len(f.engines))
+	f.engines[id] = membership.ServingEngine{ID: id, Backend: "b", Zone: "near", Slots: 4, Address: listener.Addr().String(), SoftwareVersion: "v1"}
+	f.mutex.Unlock()
+	server := &http.Server{ReadHeaderTimeout: testTimeout}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.runAt(id, server, w, r) })
+	go func() { _ = server.Serve(listener) }()
+	f.t.Cleanup(func() { _ = server.Close() })
+}
+
+// runAt runs a request at an engine, which ends under some of them.
+func (f *crashingFleet) runAt(id string, server *http.Server, w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	endsEngine := strings.Contains(string(body), engineEndingBody)
+	f.mutex.Lock()
+	f.runs[string(body)]++
+	if endsEngine {
+		f.ended[string(body)] = append(f.ended[string(body)], id)
+	}
+	f.mutex.Unlock()
+	w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
+	w.Header().Set("Ochrebay-Signature", id)
+	last, resumedAfter := versionedStreamEvents, 0
+	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &resumedAfter)
+	if endsEngine {
+		last = min(resumedAfter+f.eventsBefore, versionedStreamEvents-1)
+	}
+	if strings.HasPrefix(r.URL.Path, "/safe/") || strings.HasPrefix(r.URL.Path, "/unsafe/") {
+		if !endsEngine {
+			_, _ = io.WriteString(w, "out")
+			return
+		}
+		_ = server.Close()
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for number := resumedAfter + 1; number <= last; number++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", number, number)
+		w.(http.Flusher).Flush()
+	}
+	if endsEngine {
+		_ = server.Close()
+	}
+}
+
+// addGateway starts a gateway that remembers nothing.
+func (f *crashingFleet) addGateway() *gatewayFixture {
+	gateway := newGatewayFixture(f.t, respondSigned)
+	view := *gateway.gateway.view.Load().fleet
+	view.Groups = map[uint32]membership.Placement{1: {Group: 1, Members: []string{f.ledger.server.Address()}}}
+	view.Engines = map[string]membership.ServingEngine{}
+	f.mutex.Lock()
+	for id, engine := range f.engines {
+		view.Engines[id] = engine
+	}
+	f.mutex.Unlock()
+	gateway.gateway.applyUpdate(&view, nil)
+	f.gateways = append(f.gateways, gateway)
+	return gateway
+}
+
+// sent is the end of a client attempt.
+type sent struct {
+	status     int
+	body       string
+	retryAfter string
+	err        error
+}
+
+// send sends a request of a program as a new client attempt.
+func (f *crashingFleet) send(gateway *gatewayFixture, path, program, id, body string, headers ...string) sent {
+	request, err := http.NewRequest("POST", gateway.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Ochrebay-Request", id)
+	request.Header.Set("Ochrebay-Program", program)
+	request.Header.Set("Ochrebay-Deadline-Ms", crashTestDeadlineMs)
+	for position := 0; position+1 < len(headers); position += 2 {
+		request.Header.Set(headers[position], headers[position+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return sent{err: err}
+	}
+	defer response.Body.Close()
+	received, err := io.ReadAll(response.Body)
+	return sent{response.StatusCode, string(received), response.Header.Get("Retry-After"), err}
+}
+
+// endedUnder returns the engines that ended under the requests with the given body.
+func (f *crashingFleet) endedUnder(body string) []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]string(nil), f.ended[body]...)
+}
+
+// TestRequestThatEndsItsEngines guards against a request under which engines end being sent to one
+// engine after the other, in one try, in later tries with other ids, and through other gateways.
+func TestRequestThatEndsItsEngines(t *testing.T) {
+	const engines, tries = 10, 8
+	poison := engineEndingBody
+	kinds := []struct {
+		path         string
+		eventsBefore int
+		headers      []string
+	}{
+		{"/safe/", 0, nil}, {"/unsafe/", 0, nil}, {"/stream/", 0, nil}, {"/stream/", 2, budgetHeaders}, {"/kept/", 1, budgetHeaders},
+		{"/resumable/", 0, nil}, {"/resumable/", 1, nil}, {"/resumable/", 1, budgetHeaders},
+	}
+	for _, kind := range kinds {
+		title := fmt.Sprintf("%s, %d events, %d headers: ", kind.path, kind.eventsBefore, len(kind.headers)/2)
+		newFleet := func(t *testing.T) *crashingFleet {
+			fleet := newCrashingFleet(t, 3, engines)
+			fleet.eventsBefore = kind.eventsBefore
+			return fleet
+		}
+		Convey(title+"one try ends a bounded number of engines, and fails without the claim that it was not run", t, func() {
+			fleet := newFleet(t)
+			ended := fleet.send(fleet.gateways[0], kind.path, "p", "r1", poison, kind.headers...)
+			So(len(fleet.endedUnder(poison)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+			if kind.eventsBefore > 0 {
+				So(ended.err, ShouldNotBeNil)
+				return
+			}
+			So(ended.status, ShouldEqual, http.StatusBadGateway)
+			So(ended.retryAfter, ShouldBeBlank)
+		})
+		Convey(title+"tries through all gateways, also new ones, end a bounded number of engines in all", t, func() {
+			fleet := newFleet(t)
+			var last sent
+			for try := range tries {
+				gateway := fleet.gateways[try%len(fleet.gateways)]
+				if try >= tries/2 {
+					gateway = fleet.addGateway()
+				}
+				last = fleet.send(gateway, kind.path, "p", fmt.Sprint("r", try), poison, kind.headers...)
+			}
+			So(len(fleet.endedUnder(poison)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+			So(last.err, ShouldBeNil)
+			So(last.status, ShouldEqual, http.StatusServiceUnavailable)
+			So(last.retryAfter, ShouldNotBeBlank)
+			innocent := fleet.send(fleet.gateways[0], kind.path, "p", "innocent", "innocent", kind.headers...)
+			So(innocent.err, ShouldBeNil)
+			So(innocent.status, ShouldEqual, http.StatusOK)
+		})
+	}
+}
+
+// TestRequestThatEndsItsEnginesWithoutLedger guards against a gateway that counts the engines that ended
+// under a request only if a ledger does.
+func TestRequestThatEndsItsEnginesWithoutLedger(t *testing.T) {
+	Convey("a gateway whose ledger fails bounds the engines that one request ends at this gateway", t, func() {
+		fleet := newCrashingFleet(t, 1, 10)
+		fleet.ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply {
+			return &protocol.TurnReply{Error: result.New(result.MalformedRequest, "empty request")}
+		})
+		startedAt := time.Now()
+		for try := range 6 {
+			fleet.send(fleet.gateways[0], "/safe/", "p", fmt.Sprint("r", try), engineEndingBody)
+		}
+		So(len(fleet.endedUnder(engineEndingBody)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+		So(fleet.send(fleet.gateways[0], "/safe/", "p", "innocent", "innocent").status, ShouldEqual, http.StatusOK)
+		So(time.Since(startedAt), ShouldBeLessThan, testTimeout)
+	})
+}
