Log what the tries of one request have in common, and the state of an engine after a broken attempt

No line told whether two client attempts are one request (each has an id of its own), nor why a broken send did or did not count towards the limit of attempts. Lines of requests and attempts now have a hash of the request's content, and broken attempts the state that the dial to their engine has shown. The dial was made before, for the same requests; no decision changed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,7 +51,9 @@
 	streamEvents int64
 	// isEngineSound is true if the attempt broke off although the engine did its part.
 	isEngineSound bool
-	err           error
+	// engineState is the state of the engine after an interrupted attempt.
+	engineState engineState
+	err         error
 }
 
 // lowestPriority is the least urgent priority at an engine.
--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -19,7 +19,7 @@
 	keyValues := []any{"request", id}
 	if c != nil {
 		keyValues = append(keyValues, "route", c.route.Name, "generation", c.tableGeneration, "backend", c.backend.Name,
-			"program", c.programID, "attempts", c.attemptCount)
+			"program", c.programID, "content", c.fingerprint, "attempts", c.attemptCount)
 		if c.waitTime > 0 {
 			keyValues = append(keyValues, "waited_ms", c.waitTime.Milliseconds())
 		}
@@ -127,8 +127,8 @@
 	if outcome.kind == attemptAnswered {
 		return
 	}
-	keyValues := []any{"request", c.id, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
-		"outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID}
+	keyValues := []any{"request", c.id, "program", c.programID, "content", c.fingerprint, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
+		"engine_state", outcome.engineState.String(), "outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID}
 	keyValues = append(keyValues, c.bodyFields()...)
 	telemetry.Warn(d.logger, "attempt failed", append(keyValues, "err", outcome.err)...)
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -76,6 +76,8 @@
 	maxTokens    int64
 	previousTurn string
 	affinityKey  string
+	// fingerprint identifies the request over all its client attempts.
+	fingerprint string
 	// lastEventID is the last event that the caller has received, 0 for none.
 	lastEventID int64
 	// takesUp is the request that brought the first event of the stream that the caller takes up,
@@ -153,7 +155,9 @@
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
 		return nil, failure
 	}
-	return c, c.readHeaders(d.headerNames)
+	failure := c.readHeaders(d.headerNames)
+	c.computeFingerprint()
+	return c, failure
 }
 
 // setBackend sets the backend whose engines may run the call.
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
-	"syscall"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
@@ -15,8 +13,6 @@
 )
 
 const (
-	// goneDialTimeout bounds the dial that checks whether an engine is gone.
-	goneDialTimeout = 100 * time.Millisecond
 	// minSendTime is the least time left for which an attempt at an engine is worthwhile.
 	minSendTime = 5 * time.Millisecond
 	// maxProbedEngines is how many engines a call tries after a wait if it is unknown which engine
@@ -78,6 +74,9 @@
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
 		d.recordCompletion(c, outcome)
+		if outcome.kind == attemptBroken && c.route.IsRepeatable() {
+			outcome.engineState = probeEngine(engine)
+		}
 		d.logAttempt(c, engine, outcome)
 		state.excludedEngines = append(state.excludedEngines, engine.ID)
 		if state.remainingEngines > 0 {
@@ -101,9 +100,9 @@
 		state.runs++
 	case attemptBroken:
 		state.mayHaveRun = true
-		// An engine that is gone no longer runs the call, so its run does not count towards
+		// An engine that has ended no longer runs the call, so its run does not count towards
 		// the attempt limit.
-		if !c.route.IsRepeatable() || !d.isEngineGone(engine) {
+		if outcome.engineState != engineEnded {
 			state.runs++
 		}
 		if !d.canFailOver(c, outcome) || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
@@ -183,16 +182,6 @@
 	return !outcome.responseStarted || (c.route.Resumable && !c.retainsTurn() && c.lastEventID > 0)
 }
 
-// isEngineGone reports whether an engine is gone: its address refuses connections.
-func (d *Daemon) isEngineGone(engine membership.ServingEngine) bool {
-	connection, err := net.DialTimeout("tcp", engine.Address, goneDialTimeout)
-	if err == nil {
-		_ = connection.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 func attemptsExhaustedError(c *call, mayHaveRun bool, last attemptOutcome) *result.Error {
 	if mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d attempts, the last one: %v", c.attemptCount, last.err)
