A request is sent to no further engine once three have ended under it, over all its tries

What callers and operators saw: a request under which each engine ends was sent to one engine after the other until none was left, in one try where it is repeatable, else over its caller's tries, which have ids of their own and go through other gateways.

Cause: a send to an engine that ended is taken out of the limit of attempts, as it must be for requests whose engines end by chance, and nothing else counted it; and what a try had learnt ended with the try.

Change: a request is identified over its tries by its program and a hash of its content. When an engine ends or may have ended under it (its connection is lost, or a dial to it fails), the gateway counts the engine's incarnation, and the program's ledger group records it before the call is sent on or answered. The record comes with the reservation of a turn, and for other calls in a lookup of 100 ms at most; without a ledger the gateway goes by what it has seen. From policy.retry.crash_limit engines on (3) the try in progress ends with 1304, and later ones are rejected at once with 1211 (503, Retry-After: until it is forgotten). An answer deletes the record. A call under which an engine ended goes to engines without another such call, and for its last allowed attempt to those with the fewest requests in flight. Engines that announced their end do not count.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,6 +76,19 @@
 	return input
 }
 
+// selectEngine selects the engine for the next attempt of a call. A call under whose request an engine
+// has ended goes, if possible, to an engine where it puts few other requests at risk.
+func (d *Daemon) selectEngine(c *call, excluded []string) (selection, bool) {
+	if len(c.crashedEngines) > 0 {
+		isLastAllowed := len(c.crashedEngines) >= d.crashLimit()-1
+		spared := d.engines.enginesToSpare(c.backend.Name, c.requirement, excluded, isLastAllowed, clock.NowMs())
+		if selected, found := d.engines.selectEngine(c.backend, d.selectionInput(c, append(spared, excluded...)), c.requirement, true); found {
+			return selected, true
+		}
+	}
+	return d.engines.selectEngine(c.backend, d.selectionInput(c, excluded), c.requirement, len(c.crashedEngines) > 0)
+}
+
 // deliverFunc forwards an engine's response to the caller.
 type deliverFunc func(ctx context.Context, exchange *upstream.Exchange, c *call) attemptOutcome
 
--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -127,8 +127,8 @@
 	if outcome.kind == attemptAnswered {
 		return
 	}
-	keyValues := []any{"request", c.id, "program", c.programID, "content", c.fingerprint, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
-		"engine_state", outcome.engineState.String(), "outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID}
+	keyValues := []any{"request", c.id, "engine", engine.ID, "software", engine.SoftwareVersion, "address", engine.Address, "attempt", c.attemptCount,
+		"program", c.programID, "content", c.fingerprint, "engine_state", outcome.engineState.String(), "outcome", outcome.kind.String(), "status", outcome.status, "started", outcome.responseStarted, "last_event", c.lastEventID}
 	keyValues = append(keyValues, c.bodyFields()...)
 	telemetry.Warn(d.logger, "attempt failed", append(keyValues, "err", outcome.err)...)
 }
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,250 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/clock"
+	"github.com/ochrebay/ochrebay/internal/eventstream"
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/telemetry"
+	"github.com/ochrebay/ochrebay/internal/upstream"
+)
+
+const (
+	// programCrashRetention is how long the engines that ended under a request of a program are
+	// remembered after the last of them ended.
+	programCrashRetention = 10 * time.Minute
+	// callerCrashRetention is the same for requests without a program. It is shorter because different
+	// requests of one caller may have the same content.
+	callerCrashRetention = time.Minute
+	// crashLookupTimeout bounds the lookup of a request's crash record. Without a reply the gateway
+	// goes by what it has seen itself.
+	crashLookupTimeout = 100 * time.Millisecond
+	// crashLookupBackoff is how long a ledger group is not asked after a lookup failed.
+	crashLookupBackoff = time.Second
+	// crashReportWait is how long a call waits until the ledger has recorded a crash, and
+	// crashReportTimeout how long the gateway tries to report it.
+	crashReportWait    = 250 * time.Millisecond
+	crashReportTimeout = 6 * time.Second
+	// crashSweepInterval is the least time between two sweeps of the gateway's own records.
+	crashSweepInterval = 10 * time.Second
+)
+
+// crashTracker holds what this gateway knows of the engines that ended under requests: its own
+// observations and what the ledger has replied.
+type crashTracker struct {
+	mutex   sync.Mutex
+	table   *program.CrashTable
+	sweptMs int64
+	// nextLookupMs is when a ledger group whose lookups fail is asked again.
+	nextLookupMs map[uint32]int64
+}
+
+func newCrashTracker() *crashTracker {
+	return &crashTracker{table: program.NewCrashTable(), nextLookupMs: map[uint32]int64{}}
+}
+
+// record adds a crash and returns the record of its request.
+func (t *crashTracker) record(crash program.Crash) program.CrashHistory {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	nowMs := clock.NowMs()
+	if nowMs-t.sweptMs > crashSweepInterval.Milliseconds() {
+		t.table.Sweep(nowMs)
+		t.sweptMs = nowMs
+	}
+	return t.table.Record(nowMs, crash)
+}
+
+// find returns the record of a request.
+func (t *crashTracker) find(key program.RequestKey) program.CrashHistory {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.table.Find(clock.NowMs(), key)
+}
+
+// mayLookUp reports whether a ledger group may be asked for a record.
+func (t *crashTracker) mayLookUp(group uint32) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return clock.NowMs() >= t.nextLookupMs[group]
+}
+
+// recordFailedLookup records that a ledger group did not reply to a lookup.
+func (t *crashTracker) recordFailedLookup(group uint32) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.nextLookupMs[group] = clock.NowMs() + crashLookupBackoff.Milliseconds()
+}
+
+// requestKey identifies the call's request over all its client attempts.
+func (c *call) requestKey() program.RequestKey {
+	if c.programID == "" {
+		return program.RequestKey{Scope: c.fingerprint, Fingerprint: c.fingerprint}
+	}
+	return program.RequestKey{Scope: c.programID, Fingerprint: c.fingerprint}
+}
+
+// crashRetention returns how long engines that ended under the call are remembered.
+func (c *call) crashRetention() time.Duration {
+	if c.programID == "" {
+		return callerCrashRetention
+	}
+	return programCrashRetention
+}
+
+// addCrashes adds the engines of a record to those that are known to have ended under the call.
+func (c *call) addCrashes(history program.CrashHistory) {
+	for _, engine := range history.Engines {
+		if !slices.Contains(c.crashedEngines, engine) {
+			c.crashedEngines = append(c.crashedEngines, engine)
+		}
+	}
+	c.crashesRetained = max(c.crashesRetained, time.Duration(history.RemainingMs)*time.Millisecond)
+}
+
+// crashLimit returns how many engines may end under one request.
+func (d *Daemon) crashLimit() int { return max(d.process.Policy.Retry.CrashLimit, 1) }
+
+// loadCrashes loads the crash record of a call. recorded is what the ledger has replied already; if it
+// is nil and the ledger has not been asked, it is asked now.
+func (d *Daemon) loadCrashes(ctx context.Context, c *call, recorded *program.CrashHistory, isAsked bool) {
+	c.addCrashes(d.crashes.find(c.requestKey()))
+	if recorded == nil && !isAsked {
+		recorded = d.lookUpCrashes(ctx, c)
+	}
+	if recorded != nil {
+		c.addCrashes(*recorded)
+	}
+}
+
+// lookUpCrashes asks the ledger for the crash record of a call. It returns nil if there is none or the
+// ledger does not reply in time.
+func (d *Daemon) lookUpCrashes(ctx context.Context, c *call) *program.CrashHistory {
+	key := c.requestKey()
+	group, isPlaced := d.ledgers.groupOf(key.Scope)
+	if !isPlaced || !d.crashes.mayLookUp(group) {
+		return nil
+	}
+	lookupContext, cancel := context.WithTimeout(ctx, crashLookupTimeout)
+	defer cancel()
+	reply := d.ledgers.lookUpCrashes(lookupContext, group, &key)
+	if reply.Error != nil && ctx.Err() == nil {
+		d.crashes.recordFailedLookup(group)
+	}
+	return reply.Crashes
+}
+
+// checkCrashLimit rejects a call under whose request as many engines have ended as allowed. Invariant:
+// such a call is sent to no engine.
+func (d *Daemon) checkCrashLimit(c *call) *result.Error {
+	if len(c.crashedEngines) < d.crashLimit() {
+		return nil
+	}
+	return result.New(result.CrashLimit, "%d engines ended while they ran this request, the limit is %d", len(c.crashedEngines), d.crashLimit()).
+		WithRetryAfter(c.crashesRetained)
+}
+
+// mayHaveCrashed reports whether an engine ended, or may have ended, under an attempt. An engine that
+// has announced its end does not count.
+func (d *Daemon) mayHaveCrashed(engine membership.ServingEngine, outcome attemptOutcome) bool {
+	switch {
+	case outcome.isEngineSound || d.engines.isDraining(engine):
+		return false
+	case outcome.engineState == engineEnded || outcome.engineState == engineUnreachable:
+		return true
+	}
+	return isConnectionLoss(outcome.err)
+}
+
+// isConnectionLoss reports whether an attempt ended with the connection to its engine. It does if the
+// engine ended, also if a new incarnation accepts connections already.
+func isConnectionLoss(err error) bool {
+	if errors.Is(err, upstream.ErrNotSent) {
+		return false
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, eventstream.ErrIncompleteEvent, errNoEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	var networkError net.Error
+	return errors.As(err, &networkError) && networkError.Timeout()
+}
+
+// recordCrash records that an engine ended, or may have ended, under a call. Invariant: the call is
+// neither sent to another engine nor answered before the ledger has recorded it, unless that takes
+// longer than crashReportWait.
+func (d *Daemon) recordCrash(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
+	startedAt := time.Now()
+	crash := program.Crash{Key: c.requestKey(), Engines: []string{engine.IncarnationKey()}, RetentionMs: c.crashRetention().Milliseconds()}
+	c.addCrashes(d.crashes.record(crash))
+	crash.Engines = slices.Clone(c.crashedEngines)
+	recorded := make(chan *program.CrashHistory, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+		defer cancel()
+		reply := d.ledgers.reportCrash(ctx, &crash)
+		if reply.Error != nil {
+			d.logFailure("crash not recorded", c, reply.Error)
+		}
+		recorded <- reply.Crashes
+	}()
+	isRecorded := false
+	select {
+	case history := <-recorded:
+		isRecorded = history != nil
+		if isRecorded {
+			c.addCrashes(*history)
+		}
+	case <-time.After(crashReportWait):
+	}
+	d.metrics.engineCrashes.WithLabelValues(outcome.engineState.String()).Inc()
+	telemetry.Warn(d.logger, "engine ended under request", "request", c.id, "program", c.programID, "content", c.fingerprint, "backend", c.backend.Name,
+		"engine", engine.ID, "engine_state", outcome.engineState.String(), "ended", len(c.crashedEngines), "limit", d.crashLimit(),
+		"recorded", isRecorded, "recorded_ms", milliseconds(time.Since(startedAt)), "err", outcome.err)
+}
+
+// clearCrashes deletes the crash record of a call that an engine has answered, in the background: its
+// request was not why the engines ended.
+func (d *Daemon) clearCrashes(c *call) {
+	if len(c.crashedEngines) == 0 {
+		return
+	}
+	crash := program.Crash{Key: c.requestKey(), IsCleared: true}
+	d.crashes.record(crash)
+	telemetry.Info(d.logger, "request answered after engines ended", "request", c.id, "program", c.programID, "content", c.fingerprint, "ended", len(c.crashedEngines))
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+		defer cancel()
+		if reply := d.ledgers.reportCrash(ctx, &crash); reply.Error != nil {
+			d.logFailure("crash not recorded", c, reply.Error)
+		}
+	}()
+}
+
+// checkAbandonedEngine finds out in the background whether the engine of an attempt that ended without
+// a response has ended: its caller's next try would otherwise be sent to another engine as if nothing
+// had happened. An engine that has answered other calls since the attempt started is not dialled.
+func (d *Daemon) checkAbandonedEngine(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
+	if errors.Is(outcome.err, errStopping) || c.framing != "" || d.engines.hasAnsweredSince(c.selection, c.lastSentMs) {
+		return
+	}
+	abandoned := *c
+	abandoned.crashedEngines = slices.Clone(c.crashedEngines)
+	go func() {
+		outcome.engineState = probeEngine(engine)
+		if outcome.engineState != engineAccepts && d.mayHaveCrashed(engine, outcome) {
+			d.recordCrash(&abandoned, engine, outcome)
+		}
+	}()
+}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -217,6 +217,7 @@
 func TestRequestThatEndsItsEnginesWithoutLedger(t *testing.T) {
 	Convey("a gateway whose ledger fails bounds the engines that one request ends at this gateway", t, func() {
 		fleet := newCrashingFleet(t, 1, 10)
+		fleet.ledger.crashes.Store(nil)
 		fleet.ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply {
 			return &protocol.TurnReply{Error: result.New(result.MalformedRequest, "empty request")}
 		})
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -75,6 +75,7 @@
 	ledgers      *ledgerClient
 	histories    *historyCache
 	denials      *denials
+	crashes      *crashTracker
 	serviceTimes *serviceTimes
 	view         atomic.Pointer[view]
 	// confirmationAge returns how long ago control last confirmed that the routing table is in
@@ -103,6 +104,7 @@
 		engines: newEngineRegistry(process.Zone, process.Policy), waitQueues: newWaitQueues(process.Policy.Waiting, process.Policy.Disable),
 		retries:   newRetryPolicy(process.Policy.Retry, process.Policy.Disable),
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
+		crashes:      newCrashTracker(),
 		serviceTimes: newServiceTimes(),
 	}
 	d.callsContext, d.endCalls = context.WithCancelCause(context.Background())
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -29,6 +30,11 @@
 	// latencyModels holds the latency model of each backend, learned from all its engines.
 	latencyModels map[string]*scheduling.LatencyModel
 	activity      activityTracker
+	// suspectCalls counts, for each engine, this gateway's calls in flight under whose request another
+	// engine has ended.
+	suspectCalls map[string]int
+	// draining holds the incarnations that have announced their end.
+	draining map[string]bool
 	// admissionControllers decide which programs may start at each backend.
 	admissionControllers map[string]*scheduling.AdmissionController
 	// usageMeter measures the usage of tenants at this gateway, tenantShares holds the usage
@@ -50,6 +56,7 @@
 func newEngineRegistry(zone string, policy config.Policy) *engineRegistry {
 	return &engineRegistry{
 		byBackend: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, incarnations: map[string]int64{},
+		suspectCalls: map[string]int{}, draining: map[string]bool{},
 		latencyModels: map[string]*scheduling.LatencyModel{}, admissionControllers: map[string]*scheduling.AdmissionController{}, zone: zone, disabled: policy.Disable,
 		fairSharesEnabled: policy.EnforcesFairShares && !policy.Disable.Has(scheduling.MechanismFairShares),
 		usageMeter:        admission.NewUsageMeter(clock.NowMs()), slotsByBackend: map[string]int{},
@@ -70,10 +77,13 @@
 	}
 	e.byBackend = map[string][]membership.ServingEngine{}
 	e.zoneByAddress = map[string]string{}
+	e.draining = map[string]bool{}
 	for _, engine := range view.Engines {
 		delete(staleAddresses, engine.Address)
 		e.zoneByAddress[engine.Address] = engine.Zone
-		if !engine.Draining {
+		if engine.Draining {
+			e.draining[engine.IncarnationKey()] = true
+		} else {
 			e.byBackend[engine.Backend] = append(e.byBackend[engine.Backend], engine)
 		}
 	}
@@ -289,11 +299,13 @@
 	preemptedTokens       int64
 	// health belongs to the engine's incarnation; a later incarnation gets a new one.
 	health *scheduling.EngineHealth
+	// isSuspectCall is true if another engine has ended under the call's request.
+	isSuspectCall bool
 }
 
 // selectEngine selects the engine for a call with a requirement and counts the call as in flight
-// there.
-func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput, requirement versionRequirement) (selection, bool) {
+// there. isSuspectCall is true if an engine has ended under the call's request.
+func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput, requirement versionRequirement, isSuspectCall bool) (selection, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	backendEngines := e.eligibleEngines(backend.Name, requirement)
@@ -323,6 +335,9 @@
 	}
 	health := selected.Candidate.Health
 	health.RecordStart(input.NowMs)
+	if isSuspectCall {
+		e.suspectCalls[selected.Candidate.ID]++
+	}
 	reservedBefore := health.ReservedKVCacheTokens(input.NowMs)
 	health.ReserveKVCache(input.NowMs, input.RequiredKVCacheTokens)
 	index := slices.IndexFunc(backendEngines, func(engine membership.ServingEngine) bool { return engine.ID == selected.Candidate.ID })
@@ -332,6 +347,7 @@
 		prefillTokens: selected.PrefillTokens, costMs: selected.CostMs, nextBestCostMs: selected.NextBestCostMs, affineEngineCostMs: selected.AffineEngineCostMs, health: health,
 		requiredKVCacheTokens: input.RequiredKVCacheTokens, reservedKVCacheTokens: int64(reservedBefore), preemptedTokens: selected.PreemptedTokens,
 		slowdown: selected.Slowdown, affineEngineSlowdown: selected.AffineEngineSlowdown, remainingTurns: input.RemainingTurns, moveReason: selected.MoveReason,
+		isSuspectCall: isSuspectCall,
 	}, true
 }
 
@@ -341,6 +357,60 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	selected.health.RecordEnd(nowMs)
+	e.endSuspectCall(selected)
+}
+
+// endSuspectCall counts a call in suspectCalls no longer. The caller must hold the mutex.
+func (e *engineRegistry) endSuspectCall(ended selection) {
+	if !ended.isSuspectCall {
+		return
+	}
+	if e.suspectCalls[ended.engine.ID]--; e.suspectCalls[ended.engine.ID] <= 0 {
+		delete(e.suspectCalls, ended.engine.ID)
+	}
+}
+
+// enginesToSpare returns the engines that a call under whose request an engine has ended should not be
+// sent to: those that run another such call of this gateway, so that an innocent one of them does not
+// lose its engine again, and, if this is its last allowed attempt, all but the ones with the fewest
+// requests in flight.
+func (e *engineRegistry) enginesToSpare(backend string, requirement versionRequirement, excluded []string, isLastAllowed bool, nowMs int64) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var spared []string
+	fewest := math.Inf(1)
+	eligible := e.eligibleEngines(backend, requirement)
+	for _, engine := range eligible {
+		if e.suspectCalls[engine.ID] > 0 {
+			spared = append(spared, engine.ID)
+		} else if !slices.Contains(excluded, engine.ID) && !e.healthOf(engine.ID).IsSuspect(nowMs) {
+			fewest = min(fewest, e.healthOf(engine.ID).EstimatedInFlight(nowMs))
+		}
+	}
+	if !isLastAllowed || math.IsInf(fewest, 1) {
+		return spared
+	}
+	for _, engine := range eligible {
+		if e.suspectCalls[engine.ID] == 0 && e.healthOf(engine.ID).EstimatedInFlight(nowMs) > fewest {
+			spared = append(spared, engine.ID)
+		}
+	}
+	return spared
+}
+
+// isDraining reports whether an engine's incarnation has announced its end.
+func (e *engineRegistry) isDraining(engine membership.ServingEngine) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.draining[engine.IncarnationKey()]
+}
+
+// hasAnsweredSince reports whether the engine of a selection has answered a call of this gateway since
+// the given time.
+func (e *engineRegistry) hasAnsweredSince(selected selection, sinceMs int64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return selected.health.LastSuccessMs() >= sinceMs
 }
 
 // observeFirstEvent records how long an engine took to send the first event of a stream.
@@ -377,6 +447,7 @@
 	health := c.selection.health
 	health.RecordEnd(nowMs)
 	health.ReleaseKVCache(nowMs, c.selection.requiredKVCacheTokens)
+	e.endSuspectCall(c.selection)
 	switch outcome.kind {
 	case attemptAnswered:
 		if isEngineFailure(outcome.status) {
@@ -384,7 +455,7 @@
 			health.RecordFailure(nowMs)
 			return
 		}
-		health.RecordSuccess()
+		health.RecordSuccess(nowMs)
 		if outcome.responseMs > 0 {
 			e.latencyModelOf(c.backend.Name).ObserveResponse(health, nowMs, c.route.Name, outcome.responseMs)
 		}
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -12,15 +12,13 @@
 // stateProbeTimeout bounds the dial that finds out the state of an engine after an attempt broke off.
 const stateProbeTimeout = 100 * time.Millisecond
 
-// engineState is what a dial to an engine's address has shown.
+// engineState is what a dial to an engine's address has shown, 0 if it was not dialled.
 type engineState uint8
 
 const (
-	// engineNotProbed means that the address was not dialled.
-	engineNotProbed engineState = iota
 	// engineAccepts means that a process accepts connections at the address: the engine or a later
 	// incarnation.
-	engineAccepts
+	engineAccepts engineState = iota + 1
 	// engineEnded means that the address refuses connections.
 	engineEnded
 	// engineUnreachable means that the dial failed otherwise; the engine may still run.
--- a/internal/gateway/fleetsize_test.go
+++ b/internal/gateway/fleetsize_test.go
@@ -47,7 +47,7 @@
 			e.applyFleet(newFleetViewOfSize(engines))
 			b.ReportAllocs()
 			for b.Loop() {
-				if _, found := e.selectEngine(routing.Backend{Name: "b", Slots: 6}, scheduling.SelectionInput{IsStream: true, NowMs: 1000, MaxEvents: 4}, versionRequirement{}); !found {
+				if _, found := e.selectEngine(routing.Backend{Name: "b", Slots: 6}, scheduling.SelectionInput{IsStream: true, NowMs: 1000, MaxEvents: 4}, versionRequirement{}, false); !found {
 					b.Fatal("no engine selected")
 				}
 			}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
@@ -37,13 +39,48 @@
 )
 
 // fakeLedger answers a gateway with a configurable response function. A nil reply means that no
-// answer is sent.
+// answer is sent. It records crashes itself.
 type fakeLedger struct {
+	// crashes is the record of crashes. Without one, the response function answers all requests.
+	crashes  atomic.Pointer[fakeCrashLedger]
 	server   *protocol.Server
 	requests chan *protocol.TurnRequest
 	respond  atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
 }
 
+// fakeCrashLedger is the record of crashes of a fakeLedger. A nil one has none.
+type fakeCrashLedger struct {
+	mutex sync.Mutex
+	table *program.CrashTable
+}
+
+// answer answers a report or a lookup of crashes, and returns false for other requests.
+func (l *fakeCrashLedger) answer(request *protocol.TurnRequest) (*protocol.TurnReply, bool) {
+	if l == nil || (request.Crash == nil && request.CrashesOf == nil) {
+		return nil, false
+	}
+	if request.CrashesOf != nil {
+		return &protocol.TurnReply{Crashes: l.find(*request.CrashesOf)}, true
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	crashes := l.table.Record(clock.NowMs(), *request.Crash)
+	return &protocol.TurnReply{Crashes: &crashes}, true
+}
+
+// find returns the crash record of a request, nil if there is none.
+func (l *fakeCrashLedger) find(key program.RequestKey) *program.CrashHistory {
+	if l == nil {
+		return nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if crashes := l.table.Find(clock.NowMs(), key); len(crashes.Engines) > 0 {
+		return &crashes
+	}
+	return nil
+}
+
 // testRouteTimeoutMs is the timeout of the test routes.
 const testRouteTimeoutMs = 30_000
 
@@ -59,8 +96,16 @@
 			_ = connection.Reply(frame.Call, protocol.KindResponse, &protocol.TurnReply{}, true)
 			return
 		}
+		crashes := ledger.crashes.Load()
+		if reply, isAnswered := crashes.answer(request); isAnswered {
+			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
+			return
+		}
 		ledger.requests <- request
 		if reply := (*ledger.respond.Load())(request); reply != nil {
+			if request.Reserve != nil && reply.Error == nil {
+				reply.Crashes = crashes.find(request.Reserve.Key())
+			}
 			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
 		}
 	})
@@ -69,6 +114,7 @@
 	}
 	t.Cleanup(server.Close)
 	ledger.server = server
+	ledger.crashes.Store(&fakeCrashLedger{table: program.NewCrashTable()})
 	ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply { return &protocol.TurnReply{} })
 	return ledger
 }
--- a/internal/gateway/incarnations_test.go
+++ b/internal/gateway/incarnations_test.go
@@ -28,7 +28,7 @@
 	second := first
 	second.StartedMs = 200
 	startCall := func(e *engineRegistry) *call {
-		selected, found := e.selectEngine(routing.Backend{Name: "b", Slots: 4}, scheduling.SelectionInput{NowMs: nowMs, IsStream: true, RequestKind: "r"}, versionRequirement{})
+		selected, found := e.selectEngine(routing.Backend{Name: "b", Slots: 4}, scheduling.SelectionInput{NowMs: nowMs, IsStream: true, RequestKind: "r"}, versionRequirement{}, false)
 		So(found, ShouldBeTrue)
 		return &call{engineID: selected.engine.ID, selection: selected, backend: routing.Backend{Name: "b"}, route: &routing.Route{Name: "r"}}
 	}
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -78,6 +78,12 @@
 	affinityKey  string
 	// fingerprint identifies the request over all its client attempts.
 	fingerprint string
+	// crashedEngines are the incarnations that ended, or may have ended, while they ran the request, in
+	// this client attempt or an earlier one, and crashesRetained is how long that is remembered.
+	crashedEngines  []string
+	crashesRetained time.Duration
+	// lastSentMs is the clock.NowMs time at which the latest attempt was sent.
+	lastSentMs int64
 	// lastEventID is the last event that the caller has received, 0 for none.
 	lastEventID int64
 	// takesUp is the request that brought the first event of the stream that the caller takes up,
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -151,6 +151,36 @@
 	return reply
 }
 
+// reportCrash reports engines that ended while they ran a request.
+func (l *ledgerClient) reportCrash(ctx context.Context, crash *program.Crash) *protocol.TurnReply {
+	group, isPlaced := l.groupOf(crash.Key.Scope)
+	if !isPlaced {
+		return &protocol.TurnReply{}
+	}
+	reply := l.callLeader(ctx, &protocol.TurnRequest{Group: group, Crash: crash})
+	if reply.Error != nil && reply.Error.Code == result.MalformedRequest {
+		// The leader runs a release that records no crashes.
+		return &protocol.TurnReply{}
+	}
+	return reply
+}
+
+// lookUpCrashes asks the leader of a group once for the crash record of a request.
+func (l *ledgerClient) lookUpCrashes(ctx context.Context, group uint32, key *program.RequestKey) *protocol.TurnReply {
+	leader := l.leaders.find(ctx, group)
+	if leader == "" {
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d: no leader found", group)}
+	}
+	reply := &protocol.TurnReply{}
+	if err := l.client.CallWithTimeout(ctx, crashLookupTimeout, leader, protocol.KindTurn, &protocol.TurnRequest{Group: group, CrashesOf: key}, reply); err != nil {
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d: %s: %v", group, leader, err)}
+	}
+	if reply.Error != nil && reply.Error.Code == result.NotLeader {
+		l.leaders.invalidate(group, leader)
+	}
+	return reply
+}
+
 // openStream records or finds the origin of a stream in its program's group.
 func (l *ledgerClient) openStream(ctx context.Context, open *program.OpenStream) *protocol.TurnReply {
 	group, isPlaced := l.groupOf(open.Program)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	sessionMoves *prometheus.CounterVec
 	// continuations counts the streams that broke off, by whether they went on.
 	continuations *prometheus.CounterVec
+	// engineCrashes counts the engines that ended, or may have ended, under a request.
+	engineCrashes *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics of a gateway.
@@ -75,6 +77,7 @@
 		historyReads:  monitor.RegisterCounter("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
 		sessionMoves:  monitor.RegisterCounter("gateway_sessions_moved_total", "Turns that went to another engine than the one that holds what their session has read, by why.", "reason"),
 		continuations: monitor.RegisterCounter("gateway_streams_continued_total", "Streams that broke off, by who was to continue them (gateway: in the same answer; caller: in another request) and whether they went on.", "by", "outcome"),
+		engineCrashes: monitor.RegisterCounter("gateway_engine_crashes_total", "Attempts under which an engine ended or may have ended, by what a dial to its address showed afterwards.", "engine_state"),
 		quotaWait:     monitor.RegisterLatencyHistogram("gateway_quota_seconds", "Time until the owner of a tenant's limit had answered.", "outcome"),
 	}
 }
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -56,6 +56,10 @@
 // concurrently unless the tenant was denied recently.
 func (d *Daemon) openCall(ctx context.Context, c *call) *result.Error {
 	if !c.isTurn() {
+		d.loadCrashes(ctx, c, nil, false)
+		if failure := d.checkCrashLimit(c); failure != nil {
+			return failure
+		}
 		if failure := d.acquireQuota(ctx, c); failure != nil {
 			return failure
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -94,6 +94,7 @@
 	defer cancel()
 	reserve := &program.Reserve{
 		Program: c.programID, Request: c.turnID, BudgetTokens: c.tokenBudget, MaxTokens: c.maxTokens, Session: c.sessionID, Stream: d.streamOpening(c),
+		Fingerprint: c.fingerprint,
 	}
 	var cached cachedHistory
 	if c.route.RetainTurns && c.previousTurn != "" {
@@ -117,12 +118,16 @@
 		c.turnReserved = c.tokenBudget > 0 && reply.Error.Code == result.LedgerUnreachable
 		return reply.Error
 	}
+	d.loadCrashes(ctx, c, reply.Crashes, true)
 	c.affineEngine = reply.AffineEngine
 	if !c.historyInOtherGroup && reserve.PreviousRequest != "" {
 		c.history = cached.extend(reply)
 	}
 	c.turnReserved = c.tokenBudget > 0
 	c.programInProgress = !reply.IsFirstTurn || c.previousTurn != ""
+	if failure := d.checkCrashLimit(c); failure != nil {
+		return failure
+	}
 	if failure := d.applyStreamOrigin(c, reply.Stream); failure != nil {
 		return failure
 	}
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -52,7 +52,7 @@
 	for {
 		selected, found := selection{}, false
 		if state.remainingEngines != 0 {
-			selected, found = d.engines.selectEngine(c.backend, d.selectionInput(c, state.excludedEngines), c.requirement)
+			selected, found = d.selectEngine(c, state.excludedEngines)
 		}
 		if !found {
 			if failure := d.waitInQueue(ctx, c, state); failure != nil {
@@ -69,6 +69,7 @@
 		c.engineID = engine.ID
 		c.selection = selected
 		c.sentAfter = time.Since(c.startedAt)
+		c.lastSentMs = clock.NowMs()
 		c.framing, c.incompleteEventBytes = "", 0
 		d.startOriginRecording(ctx, c)
 		outcome := d.attempt(ctx, c, engine, deliver)
@@ -92,8 +93,12 @@
 func (d *Daemon) evaluateAttempt(c *call, state *attemptState, engine membership.ServingEngine, outcome attemptOutcome) (done bool, failure *result.Error) {
 	switch outcome.kind {
 	case attemptAnswered:
+		if !isEngineFailure(outcome.status) {
+			d.clearCrashes(c)
+		}
 		return true, nil
 	case attemptCancelled:
+		d.checkAbandonedEngine(c, engine, outcome)
 		return true, cancelledError(c, outcome)
 	case attemptFailed:
 		state.mayHaveRun = true
@@ -105,6 +110,12 @@
 		if outcome.engineState != engineEnded {
 			state.runs++
 		}
+		if d.mayHaveCrashed(engine, outcome) {
+			d.recordCrash(c, engine, outcome)
+		}
+		if d.checkCrashLimit(c) != nil {
+			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedEngines), outcome.err)
+		}
 		if !d.canFailOver(c, outcome) || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
 		}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -44,6 +44,10 @@
 		c.openTurn(id, group, request)
 	case request.Stream != nil:
 		c.proposeAfterSettles(id, group, program.TurnCommand{Stream: request.Stream}, nil)
+	case request.Crash != nil:
+		c.proposeAfterSettles(id, group, program.TurnCommand{Crash: request.Crash}, nil)
+	case request.CrashesOf != nil:
+		c.transport.Reply(id, &protocol.TurnReply{Crashes: c.crashesOf(group, *request.CrashesOf)})
 	case request.Settle != nil && !request.Settle.Retain:
 		c.deferredSettles[group.ID] = append(c.deferredSettles[group.ID], deferredSettle{id, request.Settle})
 	case request.Settle != nil:
@@ -60,10 +64,12 @@
 func (c *Core) openTurn(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
 	previous := request.Reserve.PreviousRequest
 	makeHistoryReply := func() *protocol.TurnReply {
-		if previous == "" {
-			return &protocol.TurnReply{}
+		reply := &protocol.TurnReply{}
+		if previous != "" {
+			reply = c.turnHistory(group, previous, request.CachedTurn, request.Zone)
 		}
-		return c.turnHistory(group, previous, request.CachedTurn, request.Zone)
+		reply.Crashes = c.crashesOf(group, request.Reserve.Key())
+		return reply
 	}
 	if request.Reserve.BudgetTokens <= 0 && request.Reserve.Stream == nil {
 		c.host.LinearizableRead(group, func(failure *result.Error) {
@@ -81,6 +87,16 @@
 	c.proposeAfterSettles(id, group, program.TurnCommand{Reserve: request.Reserve}, makeHistoryReply)
 }
 
+// crashesOf returns the crash record of a request as the local replica has applied it, nil if there is
+// none.
+func (c *Core) crashesOf(group *replication.Group, key program.RequestKey) *program.CrashHistory {
+	crashes := group.StateMachine.(*stateMachine).turns.Crashes(c.nowMs, key)
+	if len(crashes.Engines) == 0 {
+		return nil
+	}
+	return &crashes
+}
+
 // hasTurn reports whether the local replica of a group has a turn.
 func (c *Core) hasTurn(group *replication.Group, request string) bool {
 	return group.StateMachine.(*stateMachine).turns.HasTurn(request)
@@ -114,6 +130,9 @@
 			response.AffineEngine = typed.Engine
 			response.IsFirstTurn = typed.IsFirstTurn
 			response.Stream = typed.Stream
+			if len(typed.Crashes.Engines) > 0 {
+				response.Crashes = &typed.Crashes
+			}
 		case *result.Error:
 			response.Error = typed
 		}
--- /dev/null
+++ b/internal/program/crashes.go
@@ -0,0 +1,141 @@
+package program
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+const (
+	// maxCrashRecords bounds the records of a CrashTable. Beyond it, the one that expires first is
+	// dropped.
+	maxCrashRecords = 4096
+	// maxEnginesPerCrashRecord bounds the engines of one record.
+	maxEnginesPerCrashRecord = 16
+	// crashSweepDelayMs is how long expired records may stay, so that a group with steady traffic is
+	// swept once in this time and not at every interval.
+	crashSweepDelayMs = 5_000
+)
+
+// RequestKey identifies a request over all its client attempts, which have different ids.
+type RequestKey struct {
+	// Scope is the program of the request or, if it belongs to none, its fingerprint. It determines
+	// the ledger group that records the request.
+	Scope string `msgpack:"p"`
+	// Fingerprint is a hash of what all client attempts of the request have in common.
+	Fingerprint string `msgpack:"f"`
+}
+
+// Crash reports engines that ended, or may have ended, while they ran a request.
+type Crash struct {
+	Key RequestKey `msgpack:"k"`
+	// Engines are the keys of the engines' incarnations.
+	Engines []string `msgpack:"e,omitempty"`
+	// RetentionMs is how long the record is retained from now on.
+	RetentionMs int64 `msgpack:"t,omitempty"`
+	// IsCleared deletes the record instead, because an engine has answered the request.
+	IsCleared bool `msgpack:"c,omitempty"`
+}
+
+// CrashHistory lists the engines that ended, or may have ended, while they ran a request.
+type CrashHistory struct {
+	Engines []string `msgpack:"e,omitempty"`
+	// RemainingMs is how long the record is still retained.
+	RemainingMs int64 `msgpack:"t,omitempty"`
+}
+
+// crashRecord is the stored form of one record.
+type crashRecord struct {
+	Key       RequestKey `msgpack:"k"`
+	Engines   []string   `msgpack:"e"`
+	ExpiresMs int64      `msgpack:"x"`
+}
+
+// CrashTable records under which requests engines ended. Invariant: it holds at most maxCrashRecords
+// records of at most maxEnginesPerCrashRecord engines, each engine once.
+type CrashTable struct {
+	records map[RequestKey]*crashRecord
+}
+
+// newCrashTable returns a table with the given records.
+func newCrashTable(recorded []*crashRecord) CrashTable {
+	table := CrashTable{records: make(map[RequestKey]*crashRecord, len(recorded))}
+	for _, record := range recorded {
+		table.records[record.Key] = record
+	}
+	return table
+}
+
+// NewCrashTable returns an empty table.
+func NewCrashTable() *CrashTable {
+	table := newCrashTable(nil)
+	return &table
+}
+
+// Len returns the number of records.
+func (t *CrashTable) Len() int { return len(t.records) }
+
+// Record applies a report and returns the record of its request.
+func (t *CrashTable) Record(nowMs int64, crash Crash) CrashHistory {
+	if crash.IsCleared {
+		delete(t.records, crash.Key)
+		return CrashHistory{}
+	}
+	record := t.records[crash.Key]
+	if record == nil || record.ExpiresMs < nowMs {
+		record = &crashRecord{Key: crash.Key}
+		if len(t.records) >= maxCrashRecords && t.records[crash.Key] == nil {
+			t.dropFirstExpiring()
+		}
+		t.records[crash.Key] = record
+	}
+	for _, engine := range crash.Engines {
+		if len(record.Engines) < maxEnginesPerCrashRecord && !slices.Contains(record.Engines, engine) {
+			record.Engines = append(record.Engines, engine)
+		}
+	}
+	record.ExpiresMs = max(record.ExpiresMs, nowMs+crash.RetentionMs)
+	return t.Find(nowMs, crash.Key)
+}
+
+// Find returns the record of a request, the zero value if there is none.
+func (t *CrashTable) Find(nowMs int64, key RequestKey) CrashHistory {
+	record := t.records[key]
+	if record == nil || record.ExpiresMs < nowMs {
+		return CrashHistory{}
+	}
+	return CrashHistory{Engines: slices.Clone(record.Engines), RemainingMs: record.ExpiresMs - nowMs}
+}
+
+// dropFirstExpiring drops the record that expires first, the lowest key among several.
+func (t *CrashTable) dropFirstExpiring() {
+	first := slices.MinFunc(slices.Collect(maps.Values(t.records)), func(a, b *crashRecord) int {
+		return cmp.Or(cmp.Compare(a.ExpiresMs, b.ExpiresMs), a.Key.compare(b.Key))
+	})
+	delete(t.records, first.Key)
+}
+
+// compare orders keys by scope and fingerprint.
+func (k RequestKey) compare(other RequestKey) int {
+	return cmp.Or(cmp.Compare(k.Scope, other.Scope), cmp.Compare(k.Fingerprint, other.Fingerprint))
+}
+
+// isSweepDue reports whether records have expired for longer than crashSweepDelayMs.
+func (t *CrashTable) isSweepDue(nowMs int64) bool {
+	for _, record := range t.records {
+		if record.ExpiresMs+crashSweepDelayMs < nowMs {
+			return true
+		}
+	}
+	return false
+}
+
+// Sweep deletes the expired records.
+func (t *CrashTable) Sweep(nowMs int64) {
+	maps.DeleteFunc(t.records, func(_ RequestKey, record *crashRecord) bool { return record.ExpiresMs < nowMs })
+}
+
+// sorted returns the records in ascending order of their keys.
+func (t *CrashTable) sorted() []*crashRecord {
+	return slices.SortedFunc(maps.Values(t.records), func(a, b *crashRecord) int { return a.Key.compare(b.Key) })
+}
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -38,8 +38,13 @@
 	Session string `msgpack:"s,omitempty"`
 	// Stream opens the turn's stream together with the turn; nil if callers can't take it up.
 	Stream *StreamOpening `msgpack:"o,omitempty"`
+	// Fingerprint asks for the crash record of the request; empty for none.
+	Fingerprint string `msgpack:"f,omitempty"`
 }
 
+// Key returns the key of the request over all its client attempts.
+func (r *Reserve) Key() RequestKey { return RequestKey{Scope: r.Program, Fingerprint: r.Fingerprint} }
+
 // Settle closes a turn: it charges the generated tokens and stores the turn if requested.
 type Settle struct {
 	Program string `msgpack:"p"`
@@ -68,6 +73,8 @@
 	Sweep   bool     `msgpack:"w,omitempty"`
 	// Stream records or finds the origin of a stream.
 	Stream *OpenStream `msgpack:"o,omitempty"`
+	// Crash reports engines that ended while they ran a request.
+	Crash *Crash `msgpack:"c,omitempty"`
 	// Quota reserves a part of a tenant's limit. TurnLedger does not handle it: the state
 	// machine that contains the TurnLedger applies it.
 	Quota *quota.Reservation `msgpack:"q,omitempty"`
@@ -158,6 +165,7 @@
 	budgets map[string]*budget
 	turns   map[string]*retainedTurn
 	streams streamLedger
+	crashes CrashTable
 
 	// DisableBudget accepts turns beyond the budgets of their programs, for runs that show the
 	// effect of the check.
@@ -166,7 +174,7 @@
 
 // NewTurnLedger returns an empty ledger.
 func NewTurnLedger() *TurnLedger {
-	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}, streams: newStreamLedger(nil)}
+	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}, streams: newStreamLedger(nil), crashes: newCrashTable(nil)}
 }
 
 // TurnCount returns the number of retained turns.
@@ -175,6 +183,14 @@
 // StreamCount returns the number of streams whose origin is on record.
 func (t *TurnLedger) StreamCount() int { return t.streams.count }
 
+// CrashRecordCount returns the number of requests under which engines ended.
+func (t *TurnLedger) CrashRecordCount() int { return t.crashes.Len() }
+
+// Crashes returns the crash record of a request, the zero value if there is none.
+func (t *TurnLedger) Crashes(nowMs int64, key RequestKey) CrashHistory {
+	return t.crashes.Find(nowMs, key)
+}
+
 // BudgetCount returns the number of budgets.
 func (t *TurnLedger) BudgetCount() int { return len(t.budgets) }
 
@@ -220,6 +236,8 @@
 	IsFirstTurn bool
 	// Stream is the origin of the stream that the command opened, nil if it opened none.
 	Stream *StreamOrigin
+	// Crashes is the crash record of the request that the command names.
+	Crashes CrashHistory
 }
 
 // Apply applies one command.
@@ -231,6 +249,9 @@
 		if account, ok := t.budgets[command.Reserve.Program]; ok {
 			reply.IsFirstTurn = account.isFirstTurn()
 		}
+		if command.Reserve.Fingerprint != "" {
+			reply.Crashes = t.crashes.Find(command.NowMs, command.Reserve.Key())
+		}
 		return reply, TurnEffects{}
 	case command.Settle != nil:
 		return TurnReply{}, t.settle(command.NowMs, command.Settle)
@@ -242,6 +263,8 @@
 			return TurnReply{Error: failure}, TurnEffects{}
 		}
 		return TurnReply{Stream: &origin}, TurnEffects{}
+	case command.Crash != nil:
+		return TurnReply{Crashes: t.crashes.Record(command.NowMs, *command.Crash)}, TurnEffects{}
 	}
 	return TurnReply{Error: result.New(result.Internal, "empty command")}, TurnEffects{}
 }
@@ -345,7 +368,7 @@
 			return true
 		}
 	}
-	return t.streams.isSweepDue(nowMs)
+	return t.streams.isSweepDue(nowMs) || t.crashes.isSweepDue(nowMs)
 }
 
 func (t *TurnLedger) sweep(nowMs int64) TurnEffects {
@@ -363,6 +386,7 @@
 		}
 	}
 	t.streams.sweep(nowMs)
+	t.crashes.Sweep(nowMs)
 	return effects
 }
 
@@ -372,6 +396,8 @@
 	Turns   []*retainedTurn `msgpack:"t"`
 	// Streams is absent in snapshots of releases that record no streams.
 	Streams []*programStreams `msgpack:"s,omitempty"`
+	// Crashes is absent in snapshots of releases that record no crashes.
+	Crashes []*crashRecord `msgpack:"c,omitempty"`
 }
 
 // Snapshot encodes the ledger without the content of the turns.
@@ -386,6 +412,7 @@
 	slices.SortFunc(encoded.Budgets, func(a, b *budget) int { return cmp.Compare(a.Program, b.Program) })
 	slices.SortFunc(encoded.Turns, func(a, b *retainedTurn) int { return cmp.Compare(a.Request, b.Request) })
 	encoded.Streams = t.streams.sorted()
+	encoded.Crashes = t.crashes.sorted()
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.SetSortMapKeys(true)
@@ -410,5 +437,6 @@
 		t.turns[retained.Request] = retained
 	}
 	t.streams = newStreamLedger(encoded.Streams)
+	t.crashes = newCrashTable(encoded.Crashes)
 	return nil
 }
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -126,7 +126,7 @@
 }
 
 // TurnRequest is a request to the leader of a ledger group; exactly one of Reserve, Settle,
-// Stream, HistoryOf, ContentsOf, Quota and ProbeLeader is set. Any replica that stores the contents may
+// Stream, Crash, CrashesOf, HistoryOf, ContentsOf, Quota and ProbeLeader is set. Any replica that stores the contents may
 // reply to ContentsOf.
 type TurnRequest struct {
 	Group   uint32           `msgpack:"g"`
@@ -137,6 +137,10 @@
 	Settle     *program.Settle `msgpack:"s,omitempty"`
 	// Stream records or finds the origin of a stream.
 	Stream *program.OpenStream `msgpack:"o,omitempty"`
+	// Crash reports engines that ended while they ran a request.
+	Crash *program.Crash `msgpack:"x,omitempty"`
+	// CrashesOf is the request whose crash record is requested.
+	CrashesOf *program.RequestKey `msgpack:"k,omitempty"`
 	// Zone is the sender's zone. If another replica is in that zone, the reply to Reserve lists
 	// the older turns of the history by id, to be requested from that replica.
 	Zone string `msgpack:"z,omitempty"`
@@ -175,4 +179,7 @@
 	// requester has to repeat the request.
 	Grant         *quota.Grant         `msgpack:"q,omitempty"`
 	QueuePosition *quota.QueuePosition `msgpack:"u,omitempty"`
+	// Crashes is the crash record of the request that Reserve, Crash or CrashesOf names; nil if there
+	// is none, and from releases that record no crashes.
+	Crashes *program.CrashHistory `msgpack:"k,omitempty"`
 }
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -62,6 +62,7 @@
 	ShareUsed         Code = 1208
 	StreamUnknown     Code = 1209
 	StreamUnavailable Code = 1210
+	CrashLimit        Code = 1211
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -126,6 +127,7 @@
 	{ShareUsed, "share_used", NotRun, 429, time.Second, "The backend is oversubscribed and the tenant uses more than its fair share of it."},
 	{StreamUnknown, "stream_unknown", NotRun, 503, 0, "It is not on record which software version began the stream that the request takes up. The stream has to begin anew."},
 	{StreamUnavailable, "stream_version_unavailable", NotRun, 503, 0, "No engine of the software version that began the stream is left for the request that takes it up. The stream has to begin anew."},
+	{CrashLimit, "crash_limit", NotRun, 503, 0, "As many engines as allowed ended while they ran this request in earlier tries; it is sent to no further engine until that is forgotten."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica that received the request is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm the request in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; all allowed attempts were used."},
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -13,11 +13,15 @@
 	// more requests survive a failing engine. With a lower value engines that fail because of
 	// overload get less additional load.
 	RetriesPerSuccess float64 `yaml:"share" validate:"min=0,max=1"`
+	// CrashLimit is the number of engines that may end while they run one request, over all its client
+	// attempts at all gateways. With a higher value an innocent request survives more engines that end
+	// by chance. With a lower value a request that ends its engines ends fewer of them.
+	CrashLimit int `yaml:"crash_limit" validate:"min=1,max=16"`
 }
 
-// DefaultSettings allows one retry per five successes. That is enough for a backend in which a
-// sixth of the engines fail every request.
-func DefaultSettings() Settings { return Settings{RetriesPerSuccess: 0.2} }
+// DefaultSettings allows one retry per five successes, which is enough for a backend in which a sixth
+// of the engines fail every request, and three engines that end under one request.
+func DefaultSettings() Settings { return Settings{RetriesPerSuccess: 0.2, CrashLimit: 3} }
 
 // maxSavedRetries bounds the retries that accumulate while nothing fails. It is the number of
 // requests that are interrupted when an engine at full load stops.
