--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -53,6 +53,8 @@
 	isEngineSound bool
 	// engineState is the state of the engine after an interrupted attempt.
 	engineState engineState
+	// lastEventMs is the clock.NowMs time at which the engine sent its latest event, 0 for none.
+	lastEventMs int64
 	err         error
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -35,6 +35,9 @@
 	// crashReportTimeout how long the gateway tries to report it.
 	crashReportWait    = 250 * time.Millisecond
 	crashReportTimeout = 6 * time.Second
+	// minAbandonedSilence is how long an engine must have been silent when its call was abandoned, to be
+	// checked.
+	minAbandonedSilence = 500 * time.Millisecond
 	// crashSweepInterval is the least time between two sweeps of the gateway's own records.
 	crashSweepInterval = 10 * time.Second
 )
@@ -232,11 +235,13 @@
 	}()
 }
 
-// checkAbandonedEngine finds out in the background whether the engine of an attempt that ended without
-// a response has ended: its caller's next try would otherwise be sent to another engine as if nothing
-// had happened. An engine that has answered other calls since the attempt started is not dialled.
+// checkAbandonedEngine finds out in the background whether the engine of a call that its caller or its
+// deadline ended is unreachable: the caller's next try would otherwise be sent to another engine as if
+// nothing had happened. An engine that was heard of within minAbandonedSilence, or that has answered
+// other calls since it was last heard of, is not dialled.
 func (d *Daemon) checkAbandonedEngine(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
-	if errors.Is(outcome.err, errStopping) || c.framing != "" || d.engines.hasAnsweredSince(c.selection, c.lastSentMs) {
+	heardMs := max(c.lastSentMs, outcome.lastEventMs)
+	if errors.Is(outcome.err, errStopping) || clock.NowMs()-heardMs < minAbandonedSilence.Milliseconds() || d.engines.hasAnsweredSince(c.selection, heardMs) {
 		return
 	}
 	abandoned := *c
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -3,14 +3,17 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -34,6 +37,9 @@
 	gateways []*gatewayFixture
 	// eventsBefore is the number of events that an engine sends before it ends.
 	eventsBefore int
+	// beforeRun, if set, is called when a request arrives at an engine, and returns true if it ended the
+	// engine.
+	beforeRun func(id string, server *http.Server, isFirstRun bool) bool
 
 	mutex   sync.Mutex
 	engines map[string]membership.ServingEngine
@@ -78,10 +84,14 @@
 	endsEngine := strings.Contains(string(body), engineEndingBody)
 	f.mutex.Lock()
 	f.runs[string(body)]++
+	isFirstRun := f.runs[string(body)] == 1
 	if endsEngine {
 		f.ended[string(body)] = append(f.ended[string(body)], id)
 	}
 	f.mutex.Unlock()
+	if f.beforeRun != nil && f.beforeRun(id, server, isFirstRun) {
+		return
+	}
 	w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
 	w.Header().Set("Ochrebay-Signature", id)
 	last, resumedAfter := versionedStreamEvents, 0
@@ -230,3 +240,86 @@
 		So(time.Since(startedAt), ShouldBeLessThan, testTimeout)
 	})
 }
+
+// TestCrashLimitProperty guards against a request that ends more engines than allowed, and against
+// innocent requests that fail, in any order of tries of several requests, through any gateways, with
+// gateways that are replaced by ones that remember nothing, and with losses that the ledger has and
+// the gateway does not.
+func TestCrashLimitProperty(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		const engines = 16
+		fleet := newCrashingFleet(t, rapid.IntRange(1, 3).Draw(draw, "gateways"), engines)
+		fleet.eventsBefore = rapid.IntRange(0, 2).Draw(draw, "events before the end")
+		paths := []string{"/safe/", "/unsafe/", "/stream/", "/kept/", "/resumable/"}
+		path := map[string]string{}
+		for number := range rapid.IntRange(1, 3).Draw(draw, "poisonous requests") {
+			path[fmt.Sprint(engineEndingBody, number)] = rapid.SampledFrom(paths).Draw(draw, "path")
+		}
+		for try := range rapid.IntRange(1, 14).Draw(draw, "tries") {
+			if rapid.IntRange(0, 3).Draw(draw, "replace a gateway") == 0 {
+				fleet.gateways = fleet.gateways[1:]
+				fleet.addGateway()
+			}
+			gateway := rapid.SampledFrom(fleet.gateways).Draw(draw, "gateway")
+			body := rapid.SampledFrom(append(slices.Sorted(maps.Keys(path)), "innocent")).Draw(draw, "request")
+			id := fmt.Sprint("r", try)
+			if body == "innocent" {
+				ended := fleet.send(gateway, rapid.SampledFrom(paths).Draw(draw, "path"), "p", id, body, budgetHeaders...)
+				if ended.err != nil || ended.status != http.StatusOK {
+					draw.Fatalf("innocent request ended with status %d, %v: %s", ended.status, ended.err, ended.body)
+				}
+				continue
+			}
+			before := len(fleet.endedUnder(body))
+			ended := fleet.send(gateway, path[body], "p", id, body, budgetHeaders...)
+			after := len(fleet.endedUnder(body))
+			switch {
+			case after > maxEnginesPerRequest:
+				draw.Fatalf("%d engines ended under %q on %s", after, body, path[body])
+			case ended.err == nil && ended.status == http.StatusServiceUnavailable && after > before:
+				draw.Fatalf("a try that ended %d engines claims that it was not run", after-before)
+			case after == before && (ended.err != nil || ended.status != http.StatusServiceUnavailable):
+				draw.Fatalf("a try that was not run ended with status %d, %v", ended.status, ended.err)
+			}
+		}
+	})
+}
+
+// TestManyEnginesEndAtOnce guards against innocent requests that fail because many engines end at
+// once, more than the retry budget covers.
+func TestManyEnginesEndAtOnce(t *testing.T) {
+	Convey("repeatable requests at engines that end together are all served by the others", t, func() {
+		const requests, engines, ending = 60, 16, 12
+		fleet := newCrashingFleet(t, 1, engines)
+		var arrived sync.WaitGroup
+		arrived.Add(requests)
+		endTogether := make(chan struct{})
+		fleet.beforeRun = func(id string, server *http.Server, isFirstRun bool) bool {
+			if !isFirstRun {
+				return false
+			}
+			arrived.Done()
+			<-endTogether
+			var number int
+			_, _ = fmt.Sscanf(id, "engine-%d", &number)
+			if number < ending {
+				_ = server.Close()
+			}
+			return number < ending
+		}
+		results := make(chan sent, requests)
+		for number := range requests {
+			go func() {
+				path := []string{"/safe/", "/resumable/"}[number%2]
+				results <- fleet.send(fleet.gateways[0], path, fmt.Sprint("program-", number), fmt.Sprint("r", number), fmt.Sprint("innocent ", number), "Ochrebay-Deadline-Ms", "30000")
+			}()
+		}
+		arrived.Wait()
+		close(endTogether)
+		for range requests {
+			ended := <-results
+			So(ended.err, ShouldBeNil)
+			So(ended.status, ShouldEqual, http.StatusOK)
+		}
+	})
+}
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -186,6 +186,9 @@
 	r.eventGaps = 0
 	defer func() { r.daemon.engines.observeStreamPace(c, r.eventGaps, r.shortestGapMs) }()
 	outcome.kind, outcome.err = r.forwardEvents(exchange, c)
+	if r.events > 0 {
+		outcome.lastEventMs = clock.NowMs() - time.Since(r.lastEventAt).Milliseconds()
+	}
 	if outcome.kind == attemptAnswered && !r.headerWritten {
 		r.writeHeader(exchange.Response, -1)
 	}
--- /dev/null
+++ b/internal/program/crashes_test.go
@@ -0,0 +1,103 @@
+package program
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// TestCrashTableProperty guards against crash records that lose or repeat an engine, outlive their
+// retention, grow without bound or differ between a replica and one restored from its snapshot.
+func TestCrashTableProperty(t *testing.T) {
+	type known struct {
+		engines   []string
+		expiresMs int64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		ledger := NewTurnLedger()
+		expected := map[RequestKey]*known{}
+		nowMs := int64(1000)
+		for range rapid.IntRange(1, 60).Draw(t, "commands") {
+			nowMs += rapid.Int64Range(0, 400).Draw(t, "pause")
+			key := RequestKey{Scope: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "scope"), Fingerprint: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "fingerprint")}
+			current := expected[key]
+			if current != nil && current.expiresMs < nowMs {
+				current = nil
+			}
+			switch rapid.SampledFrom([]string{"crash", "crash", "crash", "clear", "sweep", "restore"}).Draw(t, "command") {
+			case "crash":
+				crash := Crash{Key: key, Engines: []string{fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "engine"))}, RetentionMs: 1000}
+				if current == nil {
+					current = &known{}
+				}
+				if !slices.Contains(current.engines, crash.Engines[0]) && len(current.engines) < maxEnginesPerCrashRecord {
+					current.engines = append(current.engines, crash.Engines[0])
+				}
+				current.expiresMs = max(current.expiresMs, nowMs+1000)
+				expected[key] = current
+				ledger.Apply(TurnCommand{NowMs: nowMs, Crash: &crash})
+			case "clear":
+				delete(expected, key)
+				ledger.Apply(TurnCommand{NowMs: nowMs, Crash: &Crash{Key: key, IsCleared: true}})
+			case "sweep":
+				ledger.Apply(TurnCommand{NowMs: nowMs, Sweep: true})
+			case "restore":
+				snapshot, err := ledger.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				ledger = NewTurnLedger()
+				if err := ledger.Restore(snapshot); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for key, current := range expected {
+				found := ledger.Crashes(nowMs, key)
+				if current.expiresMs < nowMs {
+					current = &known{expiresMs: nowMs}
+				}
+				if !slices.Equal(found.Engines, current.engines) || found.RemainingMs != current.expiresMs-nowMs {
+					t.Fatalf("at %d: record of %v is %+v, expected %+v", nowMs, key, found, current)
+				}
+			}
+		}
+		ledger.Apply(TurnCommand{NowMs: nowMs + 2*1000, Sweep: true})
+		if ledger.CrashRecordCount() != 0 {
+			t.Fatalf("%d records are left after their retention", ledger.CrashRecordCount())
+		}
+	})
+}
+
+// TestCrashTableIsBounded guards against a caller that fills the memory of ledgers and gateways with
+// requests that end their engines.
+func TestCrashTableIsBounded(t *testing.T) {
+	Convey("beyond its bound the table drops the record that expires first", t, func() {
+		table := NewCrashTable()
+		key := func(number int) RequestKey { return RequestKey{Scope: "p", Fingerprint: fmt.Sprint(number)} }
+		for number := range maxCrashRecords + 10 {
+			table.Record(int64(number), Crash{Key: key(number), Engines: []string{"e"}, RetentionMs: 1 << 40})
+		}
+		So(table.Len(), ShouldEqual, maxCrashRecords)
+		So(table.Find(maxCrashRecords, key(9)).Engines, ShouldBeEmpty)
+		So(table.Find(maxCrashRecords, key(10)).Engines, ShouldResemble, []string{"e"})
+	})
+}
+
+// TestReservationsNameCrashes guards against a turn that is sent to an engine although the ledger has
+// on record that engines ended under the same request in earlier tries.
+func TestReservationsNameCrashes(t *testing.T) {
+	Convey("a reservation returns the crash record of its request, and of no other", t, func() {
+		ledger := NewTurnLedger()
+		ledger.Apply(TurnCommand{NowMs: 1, Crash: &Crash{Key: RequestKey{Scope: "p", Fingerprint: "f"}, Engines: []string{"a", "b"}, RetentionMs: 100}})
+		reserve := func(request, fingerprint string) []string {
+			reply, _ := ledger.Apply(TurnCommand{NowMs: 2, Reserve: &Reserve{Program: "p", Request: request, BudgetTokens: 100, MaxTokens: 1, Fingerprint: fingerprint}})
+			return reply.Crashes.Engines
+		}
+		So(reserve("r1", "f"), ShouldResemble, []string{"a", "b"})
+		So(reserve("r2", "other"), ShouldBeEmpty)
+		So(reserve("r3", ""), ShouldBeEmpty)
+	})
+}
