Failovers from engines that have ended take no retry budget

What callers saw: when many engines ended at once, requests that could be repeated got 502 although other engines were free. Cause: each failover takes one retry from the back end's budget at the gateway, 16 at the most; the rest failed. The budget guards engines against runs on top of runs, and a run at an engine that has ended is none. What bounds such failovers of one request is the crash limit. Attempts that broke off at engines that still accept connections, or that can't be reached, take the budget as before.

--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -135,9 +135,10 @@
 
 // takeRetryBudget takes one retry of a call that an engine may have run from the backend's budget,
 // and returns false if none is left. For an attempt that timed out, the response timer has already
-// taken it.
+// taken it. A failover from an engine that has ended takes none: its run occupies no engine any more, and
+// the crash limit bounds how often that happens to one request.
 func (d *Daemon) takeRetryBudget(c *call, outcome attemptOutcome) bool {
-	return errors.Is(outcome.err, errResponseTimeout) || d.retries.tryTake(c.backend.Name)
+	return outcome.engineState == engineEnded || errors.Is(outcome.err, errResponseTimeout) || d.retries.tryTake(c.backend.Name)
 }
 
 // waitInQueue makes a call wait for capacity, or ends a call that an engine may have run. After the
