Count attempts under which an engine ended, and tell engines that only cut a connection from ones that ended

Two faults of the crash limit's first form, found while its tests were written. An engine that cuts connections and runs on counted as ended: three cut answers of one request would have rejected it. And an engine that is back at once under its id counted once, however often it ended, since its incarnation is known only with its next report. Now attempts are counted, not engines; and after a lost connection the gateway dials the engine and then looks whether another connection from before the attempt is still open, which the kernel of a process that has ended would have closed.

Tests: TestEnginesThatCutConnections, TestEnginesThatAreBackAtOnce, TestEnginesThatAnnouncedTheirEnd, TestHostsThatGoDark.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,14 +81,14 @@
 // selectEngine selects the engine for the next attempt of a call. A call under whose request an engine
 // has ended goes, if possible, to an engine where it puts few other requests at risk.
 func (d *Daemon) selectEngine(c *call, excluded []string) (selection, bool) {
-	if len(c.crashedEngines) > 0 {
-		isLastAllowed := len(c.crashedEngines) >= d.crashLimit()-1
+	if len(c.crashedAttempts) > 0 {
+		isLastAllowed := len(c.crashedAttempts) >= d.crashLimit()-1
 		spared := d.engines.enginesToSpare(c.backend.Name, c.requirement, excluded, isLastAllowed, clock.NowMs())
 		if selected, found := d.engines.selectEngine(c.backend, d.selectionInput(c, append(spared, excluded...)), c.requirement, true); found {
 			return selected, true
 		}
 	}
-	return d.engines.selectEngine(c.backend, d.selectionInput(c, excluded), c.requirement, len(c.crashedEngines) > 0)
+	return d.engines.selectEngine(c.backend, d.selectionInput(c, excluded), c.requirement, len(c.crashedAttempts) > 0)
 }
 
 // deliverFunc forwards an engine's response to the caller.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -105,11 +106,11 @@
 	return programCrashRetention
 }
 
-// addCrashes adds the engines of a record to those that are known to have ended under the call.
+// addCrashes adds the attempts of a record to those under which engines are known to have ended.
 func (c *call) addCrashes(history program.CrashHistory) {
-	for _, engine := range history.Engines {
-		if !slices.Contains(c.crashedEngines, engine) {
-			c.crashedEngines = append(c.crashedEngines, engine)
+	for _, attempt := range history.Attempts {
+		if !slices.Contains(c.crashedAttempts, attempt) {
+			c.crashedAttempts = append(c.crashedAttempts, attempt)
 		}
 	}
 	c.crashesRetained = max(c.crashesRetained, time.Duration(history.RemainingMs)*time.Millisecond)
@@ -150,10 +151,10 @@
 // checkCrashLimit rejects a call under whose request as many engines have ended as allowed. Invariant:
 // such a call is sent to no engine.
 func (d *Daemon) checkCrashLimit(c *call) *result.Error {
-	if len(c.crashedEngines) < d.crashLimit() {
+	if len(c.crashedAttempts) < d.crashLimit() {
 		return nil
 	}
-	return result.New(result.CrashLimit, "%d engines ended while they ran this request, the limit is %d", len(c.crashedEngines), d.crashLimit()).
+	return result.New(result.CrashLimit, "%d engines ended while they ran this request, the limit is %d", len(c.crashedAttempts), d.crashLimit()).
 		WithRetryAfter(c.crashesRetained)
 }
 
@@ -161,7 +162,7 @@
 // has announced its end does not count.
 func (d *Daemon) mayHaveCrashed(engine membership.ServingEngine, outcome attemptOutcome) bool {
 	switch {
-	case outcome.isEngineSound || d.engines.isDraining(engine):
+	case outcome.isEngineSound || outcome.engineState == engineRuns || d.engines.isDraining(engine):
 		return false
 	case outcome.engineState == engineEnded || outcome.engineState == engineUnreachable:
 		return true
@@ -189,9 +190,9 @@
 // longer than crashReportWait.
 func (d *Daemon) recordCrash(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
 	startedAt := time.Now()
-	crash := program.Crash{Key: c.requestKey(), Engines: []string{engine.IncarnationKey()}, RetentionMs: c.crashRetention().Milliseconds()}
+	crash := program.Crash{Key: c.requestKey(), Attempts: []string{fmt.Sprintf("%s/%d %s", c.turnID, c.attemptCount, engine.IncarnationKey())}, RetentionMs: c.crashRetention().Milliseconds()}
 	c.addCrashes(d.crashes.record(crash))
-	crash.Engines = slices.Clone(c.crashedEngines)
+	crash.Attempts = slices.Clone(c.crashedAttempts)
 	recorded := make(chan *program.CrashHistory, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
@@ -213,19 +214,19 @@
 	}
 	d.metrics.engineCrashes.WithLabelValues(outcome.engineState.String()).Inc()
 	telemetry.Warn(d.logger, "engine ended under request", "request", c.id, "program", c.programID, "content", c.fingerprint, "backend", c.backend.Name,
-		"engine", engine.ID, "engine_state", outcome.engineState.String(), "ended", len(c.crashedEngines), "limit", d.crashLimit(),
+		"engine", engine.ID, "engine_state", outcome.engineState.String(), "ended", len(c.crashedAttempts), "limit", d.crashLimit(),
 		"recorded", isRecorded, "recorded_ms", milliseconds(time.Since(startedAt)), "err", outcome.err)
 }
 
 // clearCrashes deletes the crash record of a call that an engine has answered, in the background: its
 // request was not why the engines ended.
 func (d *Daemon) clearCrashes(c *call) {
-	if len(c.crashedEngines) == 0 {
+	if len(c.crashedAttempts) == 0 {
 		return
 	}
 	crash := program.Crash{Key: c.requestKey(), IsCleared: true}
 	d.crashes.record(crash)
-	telemetry.Info(d.logger, "request answered after engines ended", "request", c.id, "program", c.programID, "content", c.fingerprint, "ended", len(c.crashedEngines))
+	telemetry.Info(d.logger, "request answered after engines ended", "request", c.id, "program", c.programID, "content", c.fingerprint, "ended", len(c.crashedAttempts))
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 		defer cancel()
@@ -244,10 +245,10 @@
 	if errors.Is(outcome.err, errStopping) || clock.NowMs()-heardMs < minAbandonedSilence.Milliseconds() || d.engines.hasAnsweredSince(c.selection, heardMs) {
 		return
 	}
-	abandoned := *c
-	abandoned.crashedEngines = slices.Clone(c.crashedEngines)
+	abandoned, attemptStart := *c, c.startedAt.Add(c.sentAfter)
+	abandoned.crashedAttempts = slices.Clone(c.crashedAttempts)
 	go func() {
-		outcome.engineState = probeEngine(engine)
+		outcome.engineState = d.probeEngine(engine, attemptStart)
 		if outcome.engineState != engineAccepts && d.mayHaveCrashed(engine, outcome) {
 			d.recordCrash(&abandoned, engine, outcome)
 		}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -29,6 +29,19 @@
 	crashTestDeadlineMs = "5000"
 )
 
+// engineEnding is what happens to an engine under a request that ends it.
+type engineEnding int
+
+const (
+	// endsProcess means that its connections are closed and its address refuses new ones.
+	endsProcess engineEnding = iota
+	// restartsProcess means that its connections are closed, and a new incarnation accepts new ones at
+	// once.
+	restartsProcess
+	// cutsConnection means that only the request's connection is closed.
+	cutsConnection
+)
+
 // crashingFleet is a set of gateways before engines that end under some requests. All gateways share
 // one ledger.
 type crashingFleet struct {
@@ -37,9 +50,11 @@
 	gateways []*gatewayFixture
 	// eventsBefore is the number of events that an engine sends before it ends.
 	eventsBefore int
+	// ending is what happens to an engine under a request that ends it.
+	ending engineEnding
 	// beforeRun, if set, is called when a request arrives at an engine, and returns true if it ended the
 	// engine.
-	beforeRun func(id string, server *http.Server, isFirstRun bool) bool
+	beforeRun func(id string, end func(), isFirstRun bool) bool
 
 	mutex   sync.Mutex
 	engines map[string]membership.ServingEngine
@@ -72,14 +87,50 @@
 	id := fmt.Sprintf("engine-%d", len(f.engines))
 	f.engines[id] = membership.ServingEngine{ID: id, Backend: "b", Zone: "near", Slots: 4, Address: listener.Addr().String(), SoftwareVersion: "v1"}
 	f.mutex.Unlock()
-	server := &http.Server{ReadHeaderTimeout: testTimeout}
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.runAt(id, server, w, r) })
+	connections := &openConnections{open: map[net.Conn]bool{}}
+	server := &http.Server{ReadHeaderTimeout: testTimeout, ConnState: connections.observe}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runAt(id, func() {
+			switch f.ending {
+			case endsProcess:
+				_ = server.Close()
+			case restartsProcess:
+				connections.closeAll()
+			case cutsConnection:
+				panic(http.ErrAbortHandler)
+			}
+		}, w, r)
+	})
 	go func() { _ = server.Serve(listener) }()
 	f.t.Cleanup(func() { _ = server.Close() })
 }
 
+// openConnections are the open connections of a server.
+type openConnections struct {
+	mutex sync.Mutex
+	open  map[net.Conn]bool
+}
+
+func (o *openConnections) observe(connection net.Conn, state http.ConnState) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(o.open, connection)
+		return
+	}
+	o.open[connection] = true
+}
+
+func (o *openConnections) closeAll() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for connection := range o.open {
+		_ = connection.Close()
+	}
+}
+
 // runAt runs a request at an engine, which ends under some of them.
-func (f *crashingFleet) runAt(id string, server *http.Server, w http.ResponseWriter, r *http.Request) {
+func (f *crashingFleet) runAt(id string, end func(), w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	endsEngine := strings.Contains(string(body), engineEndingBody)
 	f.mutex.Lock()
@@ -89,7 +140,7 @@
 		f.ended[string(body)] = append(f.ended[string(body)], id)
 	}
 	f.mutex.Unlock()
-	if f.beforeRun != nil && f.beforeRun(id, server, isFirstRun) {
+	if f.beforeRun != nil && f.beforeRun(id, end, isFirstRun) {
 		return
 	}
 	w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
@@ -104,7 +155,7 @@
 			_, _ = io.WriteString(w, "out")
 			return
 		}
-		_ = server.Close()
+		end()
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -113,24 +164,24 @@
 		w.(http.Flusher).Flush()
 	}
 	if endsEngine {
-		_ = server.Close()
+		end()
 	}
 }
 
 // addGateway starts a gateway that remembers nothing.
 func (f *crashingFleet) addGateway() *gatewayFixture {
 	gateway := newGatewayFixture(f.t, respondSigned)
+	f.setEngines(gateway, f.engines)
+	f.gateways = append(f.gateways, gateway)
+	return gateway
+}
+
+// setEngines replaces the engines that a gateway knows.
+func (f *crashingFleet) setEngines(gateway *gatewayFixture, engines map[string]membership.ServingEngine) {
 	view := *gateway.gateway.view.Load().fleet
 	view.Groups = map[uint32]membership.Placement{1: {Group: 1, Members: []string{f.ledger.server.Address()}}}
-	view.Engines = map[string]membership.ServingEngine{}
-	f.mutex.Lock()
-	for id, engine := range f.engines {
-		view.Engines[id] = engine
-	}
-	f.mutex.Unlock()
+	view.Engines = maps.Clone(engines)
 	gateway.gateway.applyUpdate(&view, nil)
-	f.gateways = append(f.gateways, gateway)
-	return gateway
 }
 
 // sent is the end of a client attempt.
@@ -294,7 +345,7 @@
 		var arrived sync.WaitGroup
 		arrived.Add(requests)
 		endTogether := make(chan struct{})
-		fleet.beforeRun = func(id string, server *http.Server, isFirstRun bool) bool {
+		fleet.beforeRun = func(id string, end func(), isFirstRun bool) bool {
 			if !isFirstRun {
 				return false
 			}
@@ -303,7 +354,7 @@
 			var number int
 			_, _ = fmt.Sscanf(id, "engine-%d", &number)
 			if number < ending {
-				_ = server.Close()
+				end()
 			}
 			return number < ending
 		}
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -16,9 +16,11 @@
 type engineState uint8
 
 const (
+	// engineRuns means that the engine's process has not ended: it still holds other connections.
+	engineRuns engineState = iota + 1
 	// engineAccepts means that a process accepts connections at the address: the engine or a later
 	// incarnation.
-	engineAccepts engineState = iota + 1
+	engineAccepts
 	// engineEnded means that the address refuses connections.
 	engineEnded
 	// engineUnreachable means that the dial failed otherwise; the engine may still run.
@@ -27,15 +29,20 @@
 
 // String returns the name of the state in logs.
 func (s engineState) String() string {
-	return [...]string{"not_probed", "accepts", "ended", "unreachable"}[s]
+	return [...]string{"not_probed", "runs", "accepts", "ended", "unreachable"}[s]
 }
 
-// probeEngine dials an engine's address.
-func probeEngine(engine membership.ServingEngine) engineState {
+// probeEngine finds out the state of an engine after an attempt that started at the given time broke
+// off. The dial comes first: by the time it is answered, the kernel of an engine that has ended has
+// closed the other connections too.
+func (d *Daemon) probeEngine(engine membership.ServingEngine, attemptStart time.Time) engineState {
 	connection, err := net.DialTimeout("tcp", engine.Address, stateProbeTimeout)
 	switch {
 	case err == nil:
 		_ = connection.Close()
+		if d.pool.HasOpenConnection(engine.Address, attemptStart) {
+			return engineRuns
+		}
 		return engineAccepts
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return engineEnded
--- /dev/null
+++ b/internal/gateway/enginestate_test.go
@@ -0,0 +1,170 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/upstream"
+)
+
+// openConnections makes a gateway hold the given number of idle connections to each engine.
+func (f *crashingFleet) openConnections(gateway *gatewayFixture, count int) {
+	for _, engine := range f.engines {
+		var exchanges []*upstream.Exchange
+		for range count {
+			exchange, err := gateway.gateway.pool.Do(f.t.Context(), engine.Address, &upstream.Request{Method: "GET", URI: "/safe/", Host: "h", Header: http.Header{}})
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			exchanges = append(exchanges, exchange)
+		}
+		for _, exchange := range exchanges {
+			drainResponse(exchange)
+			exchange.Close()
+		}
+	}
+}
+
+// TestEnginesThatAreBackAtOnce guards against engines that are not counted as ended under a request
+// because a new incarnation accepts connections at the address before the gateway looks.
+func TestEnginesThatAreBackAtOnce(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/", "/resumable/"} {
+		Convey(path+": a request under which engines restart ends a bounded number of them", t, func() {
+			fleet := newCrashingFleet(t, 2, 8)
+			fleet.ending = restartsProcess
+			for _, gateway := range fleet.gateways {
+				fleet.openConnections(gateway, 2)
+			}
+			var last sent
+			for try := range 6 {
+				last = fleet.send(fleet.gateways[try%2], path, "p", fmt.Sprint("r", try), engineEndingBody)
+			}
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+			So(last.status, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestEnginesThatCutConnections guards against a request that is rejected as one that ends its engines
+// although these only cut its connections.
+func TestEnginesThatCutConnections(t *testing.T) {
+	Convey("a request whose connections are cut by engines that run on is sent in each of its tries", t, func() {
+		fleet := newCrashingFleet(t, 1, 8)
+		fleet.ending = cutsConnection
+		fleet.openConnections(fleet.gateways[0], 2)
+		for try := range 6 {
+			before := len(fleet.endedUnder(engineEndingBody))
+			ended := fleet.send(fleet.gateways[0], "/unsafe/", "p", fmt.Sprint("r", try), engineEndingBody)
+			So(ended.status, ShouldEqual, http.StatusBadGateway)
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldEqual, before+1)
+		}
+	})
+}
+
+// TestEnginesThatAnnouncedTheirEnd guards against a request that is rejected because engines that drained
+// ended while they still ran it.
+func TestEnginesThatAnnouncedTheirEnd(t *testing.T) {
+	Convey("engines that drain when they end don't count", t, func() {
+		fleet := newCrashingFleet(t, 1, 8)
+		gateway := fleet.gateways[0]
+		fleet.beforeRun = func(id string, end func(), _ bool) bool {
+			engine := fleet.engines[id]
+			engine.Draining = true
+			fleet.engines[id] = engine
+			fleet.setEngines(gateway, fleet.engines)
+			end()
+			return true
+		}
+		for try := range 5 {
+			So(fleet.send(gateway, "/unsafe/", "p", fmt.Sprint("r", try), "innocent").status, ShouldEqual, http.StatusBadGateway)
+		}
+		fleet.beforeRun = nil
+		So(fleet.send(gateway, "/unsafe/", "p", "last", "innocent").status, ShouldEqual, http.StatusOK)
+	})
+}
+
+// darkHost is an engine that goes dark under the first request that it reads: it neither answers nor
+// refuses anything any more.
+type darkHost struct {
+	address  string
+	requests atomic.Int64
+}
+
+// startDarkHost starts a host whose queue of connections is full once it has read a request.
+func startDarkHost(t *testing.T) *darkHost {
+	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = unix.Shutdown(descriptor, unix.SHUT_RDWR); _ = unix.Close(descriptor) })
+	if err := unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Listen(descriptor, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := unix.Getsockname(descriptor)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := &darkHost{address: fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)}
+	go func() {
+		accepted, _, err := unix.Accept(descriptor)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = unix.Close(accepted) })
+		if count, err := unix.Read(accepted, make([]byte, 1)); err != nil || count == 0 {
+			return
+		}
+		for range 3 {
+			if connection, err := net.DialTimeout("tcp", host.address, stateProbeTimeout); err == nil {
+				t.Cleanup(func() { _ = connection.Close() })
+			}
+		}
+		host.requests.Add(1)
+	}()
+	return host
+}
+
+// TestHostsThatGoDark guards against a request under which hosts go dark being sent to one after the
+// other over its tries.
+func TestHostsThatGoDark(t *testing.T) {
+	Convey("a request ends a bounded number of hosts", t, func() {
+		const hosts, tries = 6, 5
+		fleet := newCrashingFleet(t, 2, 0)
+		dark := make([]*darkHost, hosts)
+		engines := map[string]membership.ServingEngine{}
+		for number := range hosts {
+			dark[number] = startDarkHost(t)
+			id := fmt.Sprint("dark-", number)
+			engines[id] = membership.ServingEngine{ID: id, Backend: "b", Zone: "near", Slots: 4, Address: dark[number].address}
+		}
+		for _, gateway := range fleet.gateways {
+			fleet.setEngines(gateway, engines)
+		}
+		crashes := fleet.ledger.crashes.Load()
+		var last sent
+		for try := range tries {
+			last = fleet.send(fleet.gateways[try%2], "/unsafe/", "p", fmt.Sprint("r", try), "in", "Ochrebay-Deadline-Ms", "800")
+			// The host is checked only once its caller has its answer.
+			for deadline := time.Now().Add(testTimeout); crashes.reportCount() < min(try+1, maxEnginesPerRequest) && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		requests := int64(0)
+		for _, host := range dark {
+			requests += host.requests.Load()
+		}
+		So(requests, ShouldEqual, maxEnginesPerRequest)
+		So(last.status, ShouldEqual, http.StatusServiceUnavailable)
+	})
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -52,6 +52,15 @@
 type fakeCrashLedger struct {
 	mutex sync.Mutex
 	table *program.CrashTable
+	// reported holds the attempts under which engines were reported to have ended.
+	reported map[string]bool
+}
+
+// reportCount returns the number of attempts under which engines were reported to have ended.
+func (l *fakeCrashLedger) reportCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return len(l.reported)
 }
 
 // answer answers a report or a lookup of crashes, and returns false for other requests.
@@ -64,6 +73,9 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	for _, attempt := range request.Crash.Attempts {
+		l.reported[attempt] = true
+	}
 	crashes := l.table.Record(clock.NowMs(), *request.Crash)
 	return &protocol.TurnReply{Crashes: &crashes}, true
 }
@@ -75,7 +87,7 @@
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if crashes := l.table.Find(clock.NowMs(), key); len(crashes.Engines) > 0 {
+	if crashes := l.table.Find(clock.NowMs(), key); len(crashes.Attempts) > 0 {
 		return &crashes
 	}
 	return nil
@@ -114,7 +126,7 @@
 	}
 	t.Cleanup(server.Close)
 	ledger.server = server
-	ledger.crashes.Store(&fakeCrashLedger{table: program.NewCrashTable()})
+	ledger.crashes.Store(&fakeCrashLedger{table: program.NewCrashTable(), reported: map[string]bool{}})
 	ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply { return &protocol.TurnReply{} })
 	return ledger
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -78,9 +78,9 @@
 	affinityKey  string
 	// fingerprint identifies the request over all its client attempts.
 	fingerprint string
-	// crashedEngines are the incarnations that ended, or may have ended, while they ran the request, in
-	// this client attempt or an earlier one, and crashesRetained is how long that is remembered.
-	crashedEngines  []string
+	// crashedAttempts are the attempts under which an engine ended or may have ended, in this client
+	// attempt of the request or an earlier one, and crashesRetained is how long that is remembered.
+	crashedAttempts []string
 	crashesRetained time.Duration
 	// lastSentMs is the clock.NowMs time at which the latest attempt was sent.
 	lastSentMs int64
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -75,8 +75,8 @@
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
 		d.recordCompletion(c, outcome)
-		if outcome.kind == attemptBroken && c.route.IsRepeatable() {
-			outcome.engineState = probeEngine(engine)
+		if outcome.kind == attemptBroken && (c.route.IsRepeatable() || isConnectionLoss(outcome.err)) {
+			outcome.engineState = d.probeEngine(engine, c.startedAt.Add(c.sentAfter))
 		}
 		d.logAttempt(c, engine, outcome)
 		state.excludedEngines = append(state.excludedEngines, engine.ID)
@@ -107,14 +107,14 @@
 		state.mayHaveRun = true
 		// An engine that has ended no longer runs the call, so its run does not count towards
 		// the attempt limit.
-		if outcome.engineState != engineEnded {
+		if !c.route.IsRepeatable() || outcome.engineState != engineEnded {
 			state.runs++
 		}
 		if d.mayHaveCrashed(engine, outcome) {
 			d.recordCrash(c, engine, outcome)
 		}
 		if d.checkCrashLimit(c) != nil {
-			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedEngines), outcome.err)
+			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedAttempts), outcome.err)
 		}
 		if !d.canFailOver(c, outcome) || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -91,7 +91,7 @@
 // none.
 func (c *Core) crashesOf(group *replication.Group, key program.RequestKey) *program.CrashHistory {
 	crashes := group.StateMachine.(*stateMachine).turns.Crashes(c.nowMs, key)
-	if len(crashes.Engines) == 0 {
+	if len(crashes.Attempts) == 0 {
 		return nil
 	}
 	return &crashes
@@ -130,7 +130,7 @@
 			response.AffineEngine = typed.Engine
 			response.IsFirstTurn = typed.IsFirstTurn
 			response.Stream = typed.Stream
-			if len(typed.Crashes.Engines) > 0 {
+			if len(typed.Crashes.Attempts) > 0 {
 				response.Crashes = &typed.Crashes
 			}
 		case *result.Error:
--- a/internal/program/crashes.go
+++ b/internal/program/crashes.go
@@ -10,8 +10,8 @@
 	// maxCrashRecords bounds the records of a CrashTable. Beyond it, the one that expires first is
 	// dropped.
 	maxCrashRecords = 4096
-	// maxEnginesPerCrashRecord bounds the engines of one record.
-	maxEnginesPerCrashRecord = 16
+	// maxAttemptsPerCrashRecord bounds the attempts of one record.
+	maxAttemptsPerCrashRecord = 16
 	// crashSweepDelayMs is how long expired records may stay, so that a group with steady traffic is
 	// swept once in this time and not at every interval.
 	crashSweepDelayMs = 5_000
@@ -26,20 +26,20 @@
 	Fingerprint string `msgpack:"f"`
 }
 
-// Crash reports engines that ended, or may have ended, while they ran a request.
+// Crash reports attempts of a request under which an engine ended or may have ended.
 type Crash struct {
 	Key RequestKey `msgpack:"k"`
-	// Engines are the keys of the engines' incarnations.
-	Engines []string `msgpack:"e,omitempty"`
+	// Attempts identify the attempts: each one counts once, however often it is reported.
+	Attempts []string `msgpack:"a,omitempty"`
 	// RetentionMs is how long the record is retained from now on.
 	RetentionMs int64 `msgpack:"t,omitempty"`
 	// IsCleared deletes the record instead, because an engine has answered the request.
 	IsCleared bool `msgpack:"c,omitempty"`
 }
 
-// CrashHistory lists the engines that ended, or may have ended, while they ran a request.
+// CrashHistory lists the attempts of a request under which an engine ended or may have ended.
 type CrashHistory struct {
-	Engines []string `msgpack:"e,omitempty"`
+	Attempts []string `msgpack:"a,omitempty"`
 	// RemainingMs is how long the record is still retained.
 	RemainingMs int64 `msgpack:"t,omitempty"`
 }
@@ -47,12 +47,12 @@
 // crashRecord is the stored form of one record.
 type crashRecord struct {
 	Key       RequestKey `msgpack:"k"`
-	Engines   []string   `msgpack:"e"`
+	Attempts  []string   `msgpack:"a"`
 	ExpiresMs int64      `msgpack:"x"`
 }
 
 // CrashTable records under which requests engines ended. Invariant: it holds at most maxCrashRecords
-// records of at most maxEnginesPerCrashRecord engines, each engine once.
+// records of at most maxAttemptsPerCrashRecord attempts, each attempt once.
 type CrashTable struct {
 	records map[RequestKey]*crashRecord
 }
@@ -89,9 +89,9 @@
 		}
 		t.records[crash.Key] = record
 	}
-	for _, engine := range crash.Engines {
-		if len(record.Engines) < maxEnginesPerCrashRecord && !slices.Contains(record.Engines, engine) {
-			record.Engines = append(record.Engines, engine)
+	for _, attempt := range crash.Attempts {
+		if len(record.Attempts) < maxAttemptsPerCrashRecord && !slices.Contains(record.Attempts, attempt) {
+			record.Attempts = append(record.Attempts, attempt)
 		}
 	}
 	record.ExpiresMs = max(record.ExpiresMs, nowMs+crash.RetentionMs)
@@ -104,7 +104,7 @@
 	if record == nil || record.ExpiresMs < nowMs {
 		return CrashHistory{}
 	}
-	return CrashHistory{Engines: slices.Clone(record.Engines), RemainingMs: record.ExpiresMs - nowMs}
+	return CrashHistory{Attempts: slices.Clone(record.Attempts), RemainingMs: record.ExpiresMs - nowMs}
 }
 
 // dropFirstExpiring drops the record that expires first, the lowest key among several.
--- a/internal/program/crashes_test.go
+++ b/internal/program/crashes_test.go
@@ -9,11 +9,11 @@
 	"pgregory.net/rapid"
 )
 
-// TestCrashTableProperty guards against crash records that lose or repeat an engine, outlive their
+// TestCrashTableProperty guards against crash records that lose or repeat an attempt, outlive their
 // retention, grow without bound or differ between a replica and one restored from its snapshot.
 func TestCrashTableProperty(t *testing.T) {
 	type known struct {
-		engines   []string
+		attempts  []string
 		expiresMs int64
 	}
 	rapid.Check(t, func(t *rapid.T) {
@@ -29,12 +29,12 @@
 			}
 			switch rapid.SampledFrom([]string{"crash", "crash", "crash", "clear", "sweep", "restore"}).Draw(t, "command") {
 			case "crash":
-				crash := Crash{Key: key, Engines: []string{fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "engine"))}, RetentionMs: 1000}
+				crash := Crash{Key: key, Attempts: []string{fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "attempt"))}, RetentionMs: 1000}
 				if current == nil {
 					current = &known{}
 				}
-				if !slices.Contains(current.engines, crash.Engines[0]) && len(current.engines) < maxEnginesPerCrashRecord {
-					current.engines = append(current.engines, crash.Engines[0])
+				if !slices.Contains(current.attempts, crash.Attempts[0]) && len(current.attempts) < maxAttemptsPerCrashRecord {
+					current.attempts = append(current.attempts, crash.Attempts[0])
 				}
 				current.expiresMs = max(current.expiresMs, nowMs+1000)
 				expected[key] = current
@@ -59,7 +59,7 @@
 				if current.expiresMs < nowMs {
 					current = &known{expiresMs: nowMs}
 				}
-				if !slices.Equal(found.Engines, current.engines) || found.RemainingMs != current.expiresMs-nowMs {
+				if !slices.Equal(found.Attempts, current.attempts) || found.RemainingMs != current.expiresMs-nowMs {
 					t.Fatalf("at %d: record of %v is %+v, expected %+v", nowMs, key, found, current)
 				}
 			}
@@ -78,11 +78,11 @@
 		table := NewCrashTable()
 		key := func(number int) RequestKey { return RequestKey{Scope: "p", Fingerprint: fmt.Sprint(number)} }
 		for number := range maxCrashRecords + 10 {
-			table.Record(int64(number), Crash{Key: key(number), Engines: []string{"e"}, RetentionMs: 1 << 40})
+			table.Record(int64(number), Crash{Key: key(number), Attempts: []string{"e"}, RetentionMs: 1 << 40})
 		}
 		So(table.Len(), ShouldEqual, maxCrashRecords)
-		So(table.Find(maxCrashRecords, key(9)).Engines, ShouldBeEmpty)
-		So(table.Find(maxCrashRecords, key(10)).Engines, ShouldResemble, []string{"e"})
+		So(table.Find(maxCrashRecords, key(9)).Attempts, ShouldBeEmpty)
+		So(table.Find(maxCrashRecords, key(10)).Attempts, ShouldResemble, []string{"e"})
 	})
 }
 
@@ -91,10 +91,10 @@
 func TestReservationsNameCrashes(t *testing.T) {
 	Convey("a reservation returns the crash record of its request, and of no other", t, func() {
 		ledger := NewTurnLedger()
-		ledger.Apply(TurnCommand{NowMs: 1, Crash: &Crash{Key: RequestKey{Scope: "p", Fingerprint: "f"}, Engines: []string{"a", "b"}, RetentionMs: 100}})
+		ledger.Apply(TurnCommand{NowMs: 1, Crash: &Crash{Key: RequestKey{Scope: "p", Fingerprint: "f"}, Attempts: []string{"a", "b"}, RetentionMs: 100}})
 		reserve := func(request, fingerprint string) []string {
 			reply, _ := ledger.Apply(TurnCommand{NowMs: 2, Reserve: &Reserve{Program: "p", Request: request, BudgetTokens: 100, MaxTokens: 1, Fingerprint: fingerprint}})
-			return reply.Crashes.Engines
+			return reply.Crashes.Attempts
 		}
 		So(reserve("r1", "f"), ShouldResemble, []string{"a", "b"})
 		So(reserve("r2", "other"), ShouldBeEmpty)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,14 +30,14 @@
 
 // connection is a persistent connection to an engine.
 type connection struct {
-	socket net.Conn
+	socket *trackedSocket
 	reader *bufio.Reader
 	// usableUntil is the time until which the idle connection may be reused. The engine may close
 	// it soon after.
 	usableUntil time.Time
 }
 
-func newConnection(socket net.Conn) *connection {
+func newConnection(socket *trackedSocket) *connection {
 	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes)}
 }
 
@@ -54,25 +53,7 @@
 
 // isOpenAndDrained reports whether an idle connection is open and has no unread bytes.
 func (c *connection) isOpenAndDrained() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, ok := c.socket.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	drained := false
-	var peeked [1]byte
-	err = control.Read(func(descriptor uintptr) bool {
-		_, _, readErr := unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		drained = readErr == unix.EAGAIN || readErr == unix.EWOULDBLOCK
-		return true
-	})
-	return err == nil && drained
+	return c.reader.Buffered() == 0 && c.socket.isOpenAndDrained()
 }
 
 // recordKeepAlive sets usableUntil from the keep-alive timeout that the engine announces, at most
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -68,6 +68,8 @@
 type Pool struct {
 	mutex sync.Mutex
 	idle  map[string][]*connection
+	// sockets holds the sockets of all connections.
+	sockets openSockets
 	// ConnectionsOpened counts new connections, and ConnectionsReused the requests that were sent
 	// on connections from the pool.
 	ConnectionsOpened atomic.Int64
@@ -118,7 +120,7 @@
 	if p.OnDial != nil {
 		p.OnDial(address, time.Since(dialStart))
 	}
-	return newConnection(socket), nil
+	return newConnection(p.sockets.track(address, socket)), nil
 }
 
 func (p *Pool) release(address string, idle *connection) {
