Crash records are looked up with a linearizable read

A replica that had lost the leadership and did not know it yet (partitioned, or frozen and back) replied to a lookup without the latest crash, so that a request under which three engines had ended could have been sent to a fourth.

--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -47,7 +47,7 @@
 	case request.Crash != nil:
 		c.proposeAfterSettles(id, group, program.TurnCommand{Crash: request.Crash}, nil)
 	case request.CrashesOf != nil:
-		c.transport.Reply(id, &protocol.TurnReply{Crashes: c.crashesOf(group, *request.CrashesOf)})
+		c.replyCrashes(id, group, *request.CrashesOf)
 	case request.Settle != nil && !request.Settle.Retain:
 		c.deferredSettles[group.ID] = append(c.deferredSettles[group.ID], deferredSettle{id, request.Settle})
 	case request.Settle != nil:
@@ -148,6 +148,18 @@
 	}
 }
 
+// replyCrashes replies with the crash record of a request, after a linearizable read: a replica that
+// leads no longer would reply without the latest crash.
+func (c *Core) replyCrashes(id RequestID, group *replication.Group, key program.RequestKey) {
+	c.host.LinearizableRead(group, func(failure *result.Error) {
+		if failure != nil {
+			c.transport.Reply(id, &protocol.TurnReply{Error: failure})
+			return
+		}
+		c.transport.Reply(id, &protocol.TurnReply{Crashes: c.crashesOf(group, key)})
+	})
+}
+
 // replyHistory replies with the history of a turn, after a linearizable read. The requester may be
 // about to continue the turn in another group, which does not store it.
 func (c *Core) replyHistory(id RequestID, group *replication.Group, request string) {
