A call under which an engine ended goes to another one only once the ledger has recorded that

So a try that meets a ledger without a leader ends one engine at the most. Fleets without ledger groups, and ledgers of the earlier release, count at the gateway as before.

TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent holds it. TestStreamSoak now sends requests that end their engines through random gateways: at most 3 engines each, one more for each gateway that ended meanwhile and for each try without a settled ledger, and in calm 3 in any case.

--- /dev/null
+++ b/cmd/ochrebay/soak_crashes_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ochrebay/ochrebay/internal/result"
+)
+
+const (
+	// crashingProgram is the prefix of the programs whose requests end each engine that runs them.
+	crashingProgram = "crashing-"
+	// crashSoakLimit is the number of engines that may end under one request.
+	crashSoakLimit = 3
+	// crashSoakTries is how often a caller sends such a request, each time with a new id.
+	crashSoakTries = 8
+	// crashSoakPause is the longest pause between two of these requests.
+	crashSoakPause = 3 * time.Second
+)
+
+// crashCounts counts the engines that ended under requests.
+type crashCounts struct {
+	mutex     sync.Mutex
+	byProgram map[string]int
+	// sent counts the requests that end engines, and rejections the tries that were rejected for it.
+	sent, rejections atomic.Int64
+}
+
+func (c *crashCounts) add(program string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.byProgram == nil {
+		c.byProgram = map[string]int{}
+	}
+	c.byProgram[program]++
+}
+
+// under returns how many engines ended under the requests of a program.
+func (c *crashCounts) under(program string) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.byProgram[program]
+}
+
+// engines returns how many engines have ended, and most the largest number under one request.
+func (c *crashCounts) engines() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	total := 0
+	for _, count := range c.byProgram {
+		total += count
+	}
+	return total
+}
+
+func (c *crashCounts) most() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	most := 0
+	for _, count := range c.byProgram {
+		most = max(most, count)
+	}
+	return most
+}
+
+// crash ends the engine under a request.
+func (e *streamEngine) crash(program string) {
+	if e.hasEnded.Swap(true) {
+		return
+	}
+	e.crashes.add(program)
+	e.state.Store("")
+	_ = e.server.Close()
+}
+
+// sendCrashingRequests sends requests that end their engines, one after the other, until stop is
+// closed.
+func (s *streamSoak) sendCrashingRequests(random *rand.Rand, stop <-chan struct{}) {
+	for number := 0; pause(stop, time.Duration(random.Int64N(int64(crashSoakPause)))); number++ {
+		s.tryCrashingRequest(random, fmt.Sprint(crashingProgram, number), stop)
+	}
+}
+
+// tryCrashingRequest sends a request that ends its engines through random gateways, with a new id for
+// each try. At most crashSoakLimit engines may end under it, one more for each gateway that ended before
+// it could report an engine, and one more for each try while the ledger had no leader.
+func (s *streamSoak) tryCrashingRequest(random *rand.Rand, program string, stop <-chan struct{}) {
+	paths := []string{"/resumable/", "/kept/", "/safe/"}
+	path := paths[random.IntN(len(paths))]
+	gatewayEndsBefore := s.gatewayEnds.Load()
+	triesWithoutLedger := 0
+	s.crashes.sent.Add(1)
+	for range crashSoakTries {
+		isSettled := s.areLedgersSettled()
+		s.sendCrashingRequest(random, path, program)
+		if !isSettled || !s.areLedgersSettled() {
+			triesWithoutLedger++
+		}
+		if !pause(stop, time.Duration(random.IntN(150))*time.Millisecond) {
+			break
+		}
+	}
+	ended := s.crashes.under(program)
+	if limit := crashSoakLimit + int(s.gatewayEnds.Load()-gatewayEndsBefore) + triesWithoutLedger; ended > limit {
+		s.addViolation("%d engines ended under the request of %s on %s, limit %d", ended, program, path, limit)
+	}
+}
+
+// areLedgersSettled reports whether all ledger groups should have leaders.
+func (s *streamSoak) areLedgersSettled() bool {
+	return time.Now().UnixMilli() >= s.ledgersSettledAt.Load()
+}
+
+// checkCrashLimitInCalm checks that, once no fault is left, no request ends more than crashSoakLimit
+// engines, and that each is rejected in the end.
+func (s *streamSoak) checkCrashLimitInCalm(random *rand.Rand) {
+	s.fleet.waitFor("ledgers to settle", s.areLedgersSettled)
+	for number := range 3 {
+		program := fmt.Sprint(crashingProgram, "calm-", number)
+		rejectionsBefore := s.crashes.rejections.Load()
+		s.tryCrashingRequest(random, program, nil)
+		if s.crashes.rejections.Load() == rejectionsBefore && s.crashes.under(program) >= crashSoakLimit {
+			s.addViolation("no try of %s was rejected although %d engines ended", program, s.crashes.under(program))
+		}
+	}
+}
+
+// sendCrashingRequest sends one try and checks that a rejection does not follow engines that it ended.
+func (s *streamSoak) sendCrashingRequest(random *rand.Rand, path, program string) {
+	ctx, cancel := context.WithTimeout(context.Background(), streamDeadline)
+	defer cancel()
+	id := fmt.Sprintf("crash-%d", s.requests.Add(1))
+	gateway := s.gateways[random.IntN(len(s.gateways))]
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+s.fleet.addresses[gateway]+path, strings.NewReader(program))
+	if err != nil {
+		s.fleet.t.Error(err)
+		return
+	}
+	for name, value := range headersOf(id, program) {
+		request.Header.Set(name, value)
+	}
+	request.Host = testHost
+	request.Header.Set("Deadline-Ms", strconv.FormatInt(streamDeadline.Milliseconds(), 10))
+	before := s.crashes.under(program)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	var body result.Body
+	raw, err := io.ReadAll(response.Body)
+	if err != nil || json.Unmarshal(raw, &body) != nil || body.Error == nil {
+		return
+	}
+	if body.Error.Code != result.CrashLimit {
+		return
+	}
+	s.crashes.rejections.Add(1)
+	if after := s.crashes.under(program); after != before {
+		s.addViolation("%s: rejected as not run although %d engines ended under it", id, after-before)
+	}
+}
--- a/cmd/ochrebay/soak_streams_engine_test.go
+++ b/cmd/ochrebay/soak_streams_engine_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,17 +23,20 @@
 	state atomic.Value
 	// isCalm ends all faults of the engine.
 	isCalm *atomic.Bool
+	// crashes counts the engines that ended under requests, and hasEnded is true once this one has.
+	crashes  *crashCounts
+	hasEnded atomic.Bool
 
 	mutex  sync.Mutex
 	random *rand.Rand
 }
 
-func startStreamEngine(t *testing.T, id, version string, random *rand.Rand, isCalm *atomic.Bool) *streamEngine {
+func startStreamEngine(t *testing.T, id, version string, random *rand.Rand, isCalm *atomic.Bool, crashes *crashCounts) *streamEngine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	engine := &streamEngine{id: id, version: version, address: listener.Addr().String(), random: random, isCalm: isCalm}
+	engine := &streamEngine{id: id, version: version, address: listener.Addr().String(), random: random, isCalm: isCalm, crashes: crashes}
 	engine.state.Store("ready")
 	engine.server = &http.Server{Handler: engine}
 	go func() { _ = engine.server.Serve(listener) }()
@@ -59,6 +63,9 @@
 	case r.Header.Get("Expect-Instance") != e.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case strings.HasPrefix(string(body), crashingProgram):
+		e.crash(string(body))
+		return
 	case !isCalm && e.draw(12) == 0:
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -121,15 +128,18 @@
 // crash without a word, the others drain and leave.
 func (s *streamSoak) runEngineSlot(random *rand.Rand, slot, version string, isCalm *atomic.Bool, stop <-chan struct{}) {
 	for number := 0; ; number++ {
-		engine := startStreamEngine(s.fleet.t, fmt.Sprintf("%s-%s-%d", version, slot, number), version, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), isCalm)
+		engine := startStreamEngine(s.fleet.t, fmt.Sprintf("%s-%s-%d", version, slot, number), version, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())), isCalm, &s.crashes)
 		for lifetime := 8 + random.IntN(25); lifetime > 0 || isCalm.Load(); lifetime-- {
 			s.report(random, engine)
 			if !pause(stop, 200*time.Millisecond) {
 				return
 			}
+			if engine.hasEnded.Load() {
+				break
+			}
 		}
 		s.recordReport(engine, false)
-		if random.IntN(2) == 0 {
+		if !engine.hasEnded.Load() && random.IntN(2) == 0 {
 			engine.state.Store("draining")
 			for range 5 {
 				s.report(random, engine)
--- a/cmd/ochrebay/soak_streams_test.go
+++ b/cmd/ochrebay/soak_streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -39,6 +40,8 @@
 	minKnownTime    = 3 * time.Second
 	// pauseBetweenTries is the pause of a caller that is rejected once no fault is left.
 	pauseBetweenTries = 100 * time.Millisecond
+	// ledgerSettleTime is how long after a fault of a host the ledger groups may be without a leader.
+	ledgerSettleTime = 4 * time.Second
 	// maxRequestsPerStream bounds the requests by which a caller takes one stream up.
 	maxRequestsPerStream = 12
 )
@@ -58,6 +61,12 @@
 	// minKnownEngines engines served, which control had known for minKnownTime.
 	unavailableWrongly atomic.Int64
 
+	// crashes counts the engines that ended under requests, and gatewayEnds the ends of gateways.
+	// ledgersSettledAt is the time from which ledger groups have leaders again, in milliseconds since 1970.
+	crashes          crashCounts
+	gatewayEnds      atomic.Int64
+	ledgersSettledAt atomic.Int64
+
 	mutex         sync.Mutex
 	violationList []string
 	// readySince holds when control first acknowledged a report of each engine that serves.
@@ -92,6 +101,10 @@
 func (s *streamSoak) disturb(random *rand.Rand, name string, maxPause time.Duration, stop <-chan struct{}) {
 	for pause(stop, time.Duration(random.Int64N(int64(maxPause)))+100*time.Millisecond) {
 		process := s.fleet.process(name)
+		isLedger := strings.HasPrefix(name, "ledger")
+		if isLedger {
+			s.ledgersSettledAt.Store(math.MaxInt64)
+		}
 		isStopping := false
 		if random.IntN(2) == 0 && s.hasStarted(name) {
 			_ = process.Process.Signal(syscall.SIGHUP)
@@ -106,15 +119,27 @@
 			_ = process.Process.Signal(syscall.SIGCONT)
 		}
 		if !isStopping && random.IntN(2) == 0 {
+			s.recordFaultEnd(isLedger)
 			continue
 		}
 		if isStopping || random.IntN(2) == 0 {
 			_ = process.Process.Signal(syscall.SIGTERM)
 			time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
 		}
+		if strings.HasPrefix(name, "gateway") {
+			s.gatewayEnds.Add(1)
+		}
 		_ = process.Process.Signal(syscall.SIGKILL)
 		_ = process.Wait()
 		s.fleet.start(name)
+		s.recordFaultEnd(isLedger)
+	}
+}
+
+// recordFaultEnd records that a fault of a ledger host has ended.
+func (s *streamSoak) recordFaultEnd(isLedger bool) {
+	if isLedger {
+		s.ledgersSettledAt.Store(time.Now().Add(ledgerSettleTime).UnixMilli())
 	}
 }
 
@@ -180,11 +205,15 @@
 		roleRandom := random()
 		disturbing.Go(func() { s.disturbInTurn(roleRandom, names, otherPeriod, stopFaults) })
 	}
+	crashRandom := random()
+	disturbing.Go(func() { s.sendCrashingRequests(crashRandom, stopFaults) })
 	s.runCallers(*streamSoakCallers, int64(*streamSoakStreams), random)
 	close(stopFaults)
 	disturbing.Wait()
 	isCalm.Store(true)
 	s.checkCalm(random)
+	s.checkCrashLimitInCalm(random())
+	t.Logf("seed %d: %d engines ended under %d requests, %d rejections, most under one %d", seed, s.crashes.engines(), s.crashes.sent.Load(), s.crashes.rejections.Load(), s.crashes.most())
 	t.Logf("seed %d: %d streams complete, %d taken up, %d rejected for want of their version (%d while two engines served it), %d as unknown",
 		seed, s.complete.Load(), s.takenUp.Load(), s.unavailable.Load(), s.unavailableWrongly.Load(), s.unknown.Load())
 	if violations := s.violations(); len(violations) > 0 {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -15,6 +15,7 @@
 	"github.com/ochrebay/ochrebay/internal/eventstream"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
 	"github.com/ochrebay/ochrebay/internal/upstream"
@@ -32,9 +33,11 @@
 	crashLookupTimeout = 100 * time.Millisecond
 	// crashLookupBackoff is how long a ledger group is not asked after a lookup failed.
 	crashLookupBackoff = time.Second
-	// crashReportWait is how long a call waits until the ledger has recorded a crash, and
-	// crashReportTimeout how long the gateway tries to report it.
+	// crashReportWait is how long a call that will not be sent again waits until the ledger has recorded
+	// a crash. One that may be sent again waits up to failoverReportWait, which covers the election of a
+	// leader. The gateway tries to report the crash for crashReportTimeout.
 	crashReportWait    = 250 * time.Millisecond
+	failoverReportWait = time.Second
 	crashReportTimeout = 6 * time.Second
 	// minAbandonedSilence is how long an engine must have been silent when its call was abandoned, to be
 	// checked.
@@ -185,15 +188,16 @@
 	return errors.As(err, &networkError) && networkError.Timeout()
 }
 
-// recordCrash records that an engine ended, or may have ended, under a call. Invariant: the call is
-// neither sent to another engine nor answered before the ledger has recorded it, unless that takes
-// longer than crashReportWait.
-func (d *Daemon) recordCrash(c *call, engine membership.ServingEngine, outcome attemptOutcome) {
+// recordCrash records that an engine ended, or may have ended, under a call, and waits for at most the
+// given time until the ledger has recorded it. It returns whether the call may be sent to another engine.
+// Invariant: it may not before the ledger has recorded the crash, because other gateways go by that.
+// Without ledger groups, or with a ledger that records no crashes, the gateway's own record decides.
+func (d *Daemon) recordCrash(c *call, engine membership.ServingEngine, outcome attemptOutcome, wait time.Duration) bool {
 	startedAt := time.Now()
 	crash := program.Crash{Key: c.requestKey(), Attempts: []string{fmt.Sprintf("%s/%d %s", c.turnID, c.attemptCount, engine.IncarnationKey())}, RetentionMs: c.crashRetention().Milliseconds()}
 	c.addCrashes(d.crashes.record(crash))
 	crash.Attempts = slices.Clone(c.crashedAttempts)
-	recorded := make(chan *program.CrashHistory, 1)
+	replies := make(chan *protocol.TurnReply, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 		defer cancel()
@@ -201,21 +205,22 @@
 		if reply.Error != nil {
 			d.logFailure("crash not recorded", c, reply.Error)
 		}
-		recorded <- reply.Crashes
+		replies <- reply
 	}()
 	isRecorded := false
 	select {
-	case history := <-recorded:
-		isRecorded = history != nil
-		if isRecorded {
-			c.addCrashes(*history)
+	case reply := <-replies:
+		isRecorded = reply.Error == nil
+		if reply.Crashes != nil {
+			c.addCrashes(*reply.Crashes)
 		}
-	case <-time.After(crashReportWait):
+	case <-time.After(wait):
 	}
 	d.metrics.engineCrashes.WithLabelValues(outcome.engineState.String()).Inc()
 	telemetry.Warn(d.logger, "engine ended under request", "request", c.id, "program", c.programID, "content", c.fingerprint, "backend", c.backend.Name,
 		"engine", engine.ID, "engine_state", outcome.engineState.String(), "ended", len(c.crashedAttempts), "limit", d.crashLimit(),
 		"recorded", isRecorded, "recorded_ms", milliseconds(time.Since(startedAt)), "err", outcome.err)
+	return isRecorded
 }
 
 // clearCrashes deletes the crash record of a call that an engine has answered, in the background: its
@@ -250,7 +255,7 @@
 	go func() {
 		outcome.engineState = d.probeEngine(engine, attemptStart)
 		if outcome.engineState != engineAccepts && d.mayHaveCrashed(engine, outcome) {
-			d.recordCrash(&abandoned, engine, outcome)
+			d.recordCrash(&abandoned, engine, outcome, 0)
 		}
 	}()
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -292,6 +292,26 @@
 	})
 }
 
+// TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent guards against a request that is sent from engine to
+// engine while other gateways can't learn of it.
+func TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent(t *testing.T) {
+	Convey("each try ends one engine, and a gateway no more than the limit", t, func() {
+		fleet := newCrashingFleet(t, 1, 10)
+		fleet.ledger.crashes.Store(nil)
+		fleet.ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply { return nil })
+		for try := range 5 {
+			ended := fleet.send(fleet.gateways[0], "/safe/", "p", fmt.Sprint("r", try), engineEndingBody)
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldEqual, min(try+1, maxEnginesPerRequest))
+			if try < maxEnginesPerRequest {
+				So(ended.status, ShouldEqual, http.StatusBadGateway)
+			} else {
+				So(ended.status, ShouldEqual, http.StatusServiceUnavailable)
+			}
+		}
+		So(fleet.send(fleet.gateways[0], "/safe/", "p", "innocent", "innocent").status, ShouldEqual, http.StatusOK)
+	})
+}
+
 // TestCrashLimitProperty guards against a request that ends more engines than allowed, and against
 // innocent requests that fail, in any order of tries of several requests, through any gateways, with
 // gateways that are replaced by ones that remember nothing, and with losses that the ledger has and
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -110,13 +110,18 @@
 		if !c.route.IsRepeatable() || outcome.engineState != engineEnded {
 			state.runs++
 		}
+		mayFailOver := d.canFailOver(c, outcome)
 		if d.mayHaveCrashed(engine, outcome) {
-			d.recordCrash(c, engine, outcome)
+			wait := crashReportWait
+			if mayFailOver {
+				wait = max(min(failoverReportWait, time.Until(c.latestStart)), wait)
+			}
+			mayFailOver = d.recordCrash(c, engine, outcome, wait) && mayFailOver
 		}
 		if d.checkCrashLimit(c) != nil {
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedAttempts), outcome.err)
 		}
-		if !d.canFailOver(c, outcome) || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
+		if !mayFailOver || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
 			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
 		}
 		if c.requirement.isRequired {
