--- a/internal/program/crashes_test.go
+++ b/internal/program/crashes_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 )
 
@@ -101,3 +103,30 @@
 		So(reserve("r3", ""), ShouldBeEmpty)
 	})
 }
+
+// BenchmarkCrashRecords shows what the record of one request under which three engines ended costs, with
+// ids of the platform's length: heap of a replica and bytes of a snapshot.
+func BenchmarkCrashRecords(b *testing.B) {
+	heapBytes := func() float64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return float64(stats.HeapAlloc)
+	}
+	table := NewCrashTable()
+	before := heapBytes()
+	for number := range maxCrashRecords {
+		crash := Crash{Key: RequestKey{Scope: fmt.Sprintf("%014x", number), Fingerprint: fmt.Sprintf("%016x", number)}, RetentionMs: 1 << 40}
+		for attempt := range 3 {
+			crash.Attempts = append(crash.Attempts, fmt.Sprintf("%016x/1 i-%08x", number*3+attempt, number))
+		}
+		table.Record(int64(number), crash)
+	}
+	b.ReportMetric((heapBytes()-before)/maxCrashRecords, "heap-B/record")
+	encoded, err := msgpack.Marshal(table.sorted())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(len(encoded))/maxCrashRecords, "snapshot-B/record")
+	runtime.KeepAlive(table)
+}
