A cut connection no longer counts once its engine answers; the ledger's replies are remembered by the gateway

What was seen. TestStreamStopsInsideAnEventAgain failed (once reported, each time since attempts are counted): an engine that frames a stream as complete inside an event, three times, counted as three engines that ended, although its connections were open.

Changes: what the ledger replies to a lookup or a report is kept by the gateway; a lookup may take 300 ms; a body that ends as it was framed is no lost connection; and an attempt whose engine may have ended or only cut the connection is taken off the record once that incarnation responds.

TestEnginesThatAnswerAfterACut, TestCallsAfterCrashesAreKeptApart (new), TestStreamStopsInsideAnEventAgain and the whole packages gateway and program pass. engines.go and evaluateAttempt are split, without a change of behaviour.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,6 +118,7 @@
 	if refusal, refused := d.parseRefusal(exchange); refused {
 		return refusal
 	}
+	d.resolveCrashes(c, engine)
 	d.waitQueues.leave(c, true)
 	outcome := deliver(attemptContext, exchange, c)
 	switch {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -28,9 +28,11 @@
 	// callerCrashRetention is the same for requests without a program. It is shorter because different
 	// requests of one caller may have the same content.
 	callerCrashRetention = time.Minute
+	// maxUnresolvedCrashes bounds the attempts of which it is not known whether their engine has ended.
+	maxUnresolvedCrashes = 256
 	// crashLookupTimeout bounds the lookup of a request's crash record. Without a reply the gateway
 	// goes by what it has seen itself.
-	crashLookupTimeout = 100 * time.Millisecond
+	crashLookupTimeout = 300 * time.Millisecond
 	// crashLookupBackoff is how long a ledger group is not asked after a lookup failed.
 	crashLookupBackoff = time.Second
 	// crashReportWait is how long a call that will not be sent again waits until the ledger has recorded
@@ -54,10 +56,36 @@
 	sweptMs int64
 	// nextLookupMs is when a ledger group whose lookups fail is asked again.
 	nextLookupMs map[uint32]int64
+	// unresolved holds, by the incarnation of the engine, the recorded attempts of which it is not known
+	// whether the engine has ended or has only cut the connection, and unresolvedCount their number.
+	unresolved      map[string][]program.Crash
+	unresolvedCount int
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{table: program.NewCrashTable(), nextLookupMs: map[uint32]int64{}}
+	return &crashTracker{table: program.NewCrashTable(), nextLookupMs: map[uint32]int64{}, unresolved: map[string][]program.Crash{}}
+}
+
+// addUnresolved adds an attempt of which it is not known whether its engine has ended.
+func (t *crashTracker) addUnresolved(engine string, crash program.Crash) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.unresolvedCount >= maxUnresolvedCrashes {
+		clear(t.unresolved)
+		t.unresolvedCount = 0
+	}
+	t.unresolved[engine] = append(t.unresolved[engine], crash)
+	t.unresolvedCount++
+}
+
+// takeUnresolved returns and removes the unresolved attempts of an engine.
+func (t *crashTracker) takeUnresolved(engine string) []program.Crash {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	crashes := t.unresolved[engine]
+	delete(t.unresolved, engine)
+	t.unresolvedCount -= len(crashes)
+	return crashes
 }
 
 // record adds a crash and returns the record of its request.
@@ -129,9 +157,17 @@
 	if recorded == nil && !isAsked {
 		recorded = d.lookUpCrashes(ctx, c)
 	}
-	if recorded != nil {
-		c.addCrashes(*recorded)
+	d.applyCrashes(c, recorded)
+}
+
+// applyCrashes applies a record that the ledger has returned, nil for none, to the call and to the
+// gateway's own record, which decides while the ledger does not reply.
+func (d *Daemon) applyCrashes(c *call, recorded *program.CrashHistory) {
+	if recorded == nil || len(recorded.Attempts) == 0 {
+		return
 	}
+	c.addCrashes(*recorded)
+	d.crashes.record(program.Crash{Key: c.requestKey(), Attempts: recorded.Attempts, RetentionMs: recorded.RemainingMs})
 }
 
 // lookUpCrashes asks the ledger for the crash record of a call. It returns nil if there is none or the
@@ -139,13 +175,19 @@
 func (d *Daemon) lookUpCrashes(ctx context.Context, c *call) *program.CrashHistory {
 	key := c.requestKey()
 	group, isPlaced := d.ledgers.groupOf(key.Scope)
-	if !isPlaced || !d.crashes.mayLookUp(group) {
+	if !isPlaced {
+		return nil
+	}
+	if !d.crashes.mayLookUp(group) {
+		c.areCrashesUnknown = true
 		return nil
 	}
 	lookupContext, cancel := context.WithTimeout(ctx, crashLookupTimeout)
 	defer cancel()
 	reply := d.ledgers.lookUpCrashes(lookupContext, group, &key)
-	if reply.Error != nil && ctx.Err() == nil {
+	// A ledger of a release that records no crashes rejects the lookup as malformed.
+	if reply.Error != nil && reply.Error.Code != result.MalformedRequest && ctx.Err() == nil {
+		c.areCrashesUnknown = true
 		d.crashes.recordFailedLookup(group)
 	}
 	return reply.Crashes
@@ -163,23 +205,48 @@
 
 // mayHaveCrashed reports whether an engine ended, or may have ended, under an attempt. An engine that
 // has announced its end does not count.
-func (d *Daemon) mayHaveCrashed(engine membership.ServingEngine, outcome attemptOutcome) bool {
+func (d *Daemon) mayHaveCrashed(c *call, engine membership.ServingEngine, outcome attemptOutcome) bool {
 	switch {
 	case outcome.isEngineSound || outcome.engineState == engineRuns || d.engines.isDraining(engine):
 		return false
 	case outcome.engineState == engineEnded || outcome.engineState == engineUnreachable:
 		return true
 	}
-	return isConnectionLoss(outcome.err)
+	return c.isConnectionLoss(outcome.err)
+}
+
+// resolveCrashes removes the attempts from the record after which an engine has responded as the same
+// incarnation: it had only cut their connections.
+func (d *Daemon) resolveCrashes(c *call, engine membership.ServingEngine) {
+	for _, survived := range d.crashes.takeUnresolved(engine.IncarnationKey()) {
+		d.crashes.record(survived)
+		if survived.Key == c.requestKey() {
+			c.crashedAttempts = slices.DeleteFunc(c.crashedAttempts, func(attempt string) bool { return slices.Contains(survived.Survived, attempt) })
+		}
+		go d.reportInBackground(c, &survived)
+	}
+}
+
+// reportInBackground reports a change of a crash record that no caller waits for.
+func (d *Daemon) reportInBackground(c *call, crash *program.Crash) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
+	defer cancel()
+	if reply := d.ledgers.reportCrash(ctx, crash); reply.Error != nil {
+		d.logFailure("crash not recorded", c, reply.Error)
+	}
 }
 
 // isConnectionLoss reports whether an attempt ended with the connection to its engine. It does if the
 // engine ended, also if a new incarnation accepts connections already.
-func isConnectionLoss(err error) bool {
+func (c *call) isConnectionLoss(err error) bool {
 	if errors.Is(err, upstream.ErrNotSent) {
 		return false
 	}
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, eventstream.ErrIncompleteEvent, errNoEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
+	if errors.Is(err, eventstream.ErrIncompleteEvent) {
+		// A body that ended as its framing says leaves its connection open.
+		return c.framing == upstream.CloseDelimited
+	}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, errNoEvent, syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH} {
 		if errors.Is(err, cause) {
 			return true
 		}
@@ -194,8 +261,12 @@
 // Without ledger groups, or with a ledger that records no crashes, the gateway's own record decides.
 func (d *Daemon) recordCrash(c *call, engine membership.ServingEngine, outcome attemptOutcome, wait time.Duration) bool {
 	startedAt := time.Now()
-	crash := program.Crash{Key: c.requestKey(), Attempts: []string{fmt.Sprintf("%s/%d %s", c.turnID, c.attemptCount, engine.IncarnationKey())}, RetentionMs: c.crashRetention().Milliseconds()}
+	attempt := fmt.Sprintf("%s/%d %s", c.turnID, c.attemptCount, engine.IncarnationKey())
+	crash := program.Crash{Key: c.requestKey(), Attempts: []string{attempt}, RetentionMs: c.crashRetention().Milliseconds()}
 	c.addCrashes(d.crashes.record(crash))
+	if outcome.engineState == engineAccepts {
+		d.crashes.addUnresolved(engine.IncarnationKey(), program.Crash{Key: crash.Key, Survived: []string{attempt}})
+	}
 	crash.Attempts = slices.Clone(c.crashedAttempts)
 	replies := make(chan *protocol.TurnReply, 1)
 	go func() {
@@ -211,15 +282,13 @@
 	select {
 	case reply := <-replies:
 		isRecorded = reply.Error == nil
-		if reply.Crashes != nil {
-			c.addCrashes(*reply.Crashes)
-		}
+		d.applyCrashes(c, reply.Crashes)
 	case <-time.After(wait):
 	}
 	d.metrics.engineCrashes.WithLabelValues(outcome.engineState.String()).Inc()
 	telemetry.Warn(d.logger, "engine ended under request", "request", c.id, "program", c.programID, "content", c.fingerprint, "backend", c.backend.Name,
 		"engine", engine.ID, "engine_state", outcome.engineState.String(), "ended", len(c.crashedAttempts), "limit", d.crashLimit(),
-		"recorded", isRecorded, "recorded_ms", milliseconds(time.Since(startedAt)), "err", outcome.err)
+		"looked_up", !c.areCrashesUnknown, "recorded", isRecorded, "recorded_ms", milliseconds(time.Since(startedAt)), "err", outcome.err)
 	return isRecorded
 }
 
@@ -232,13 +301,7 @@
 	crash := program.Crash{Key: c.requestKey(), IsCleared: true}
 	d.crashes.record(crash)
 	telemetry.Info(d.logger, "request answered after engines ended", "request", c.id, "program", c.programID, "content", c.fingerprint, "ended", len(c.crashedAttempts))
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
-		defer cancel()
-		if reply := d.ledgers.reportCrash(ctx, &crash); reply.Error != nil {
-			d.logFailure("crash not recorded", c, reply.Error)
-		}
-	}()
+	go d.reportInBackground(c, &crash)
 }
 
 // checkAbandonedEngine finds out in the background whether the engine of a call that its caller or its
@@ -254,7 +317,7 @@
 	abandoned.crashedAttempts = slices.Clone(c.crashedAttempts)
 	go func() {
 		outcome.engineState = d.probeEngine(engine, attemptStart)
-		if outcome.engineState != engineAccepts && d.mayHaveCrashed(engine, outcome) {
+		if outcome.engineState != engineAccepts && d.mayHaveCrashed(&abandoned, engine, outcome) {
 			d.recordCrash(&abandoned, engine, outcome, 0)
 		}
 	}()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -15,9 +15,12 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 
+	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/routing"
+	"github.com/ochrebay/ochrebay/internal/scheduling"
 )
 
 const (
@@ -394,3 +397,36 @@
 		}
 	})
 }
+
+// TestCallsAfterCrashesAreKeptApart guards against an innocent request that loses its engine again because
+// it is sent to the same one as the request under which its first engine ended.
+func TestCallsAfterCrashesAreKeptApart(t *testing.T) {
+	const nowMs = 1000
+	newRegistry := func() *engineRegistry {
+		registry := newEngineRegistry("near", config.Defaults().Policy)
+		view := &membership.FleetView{Engines: map[string]membership.ServingEngine{}}
+		for _, id := range []string{"a", "b", "c"} {
+			view.Engines[id] = membership.ServingEngine{ID: id, Backend: "b", Zone: "near", Slots: 4}
+		}
+		registry.applyFleet(view)
+		return registry
+	}
+	Convey("a call under whose request an engine ended avoids the engines of others", t, func() {
+		registry := newRegistry()
+		registry.callsAfterCrash["b"] = 1
+		So(registry.enginesToSpare("b", versionRequirement{}, nil, false, nowMs), ShouldResemble, []string{"b"})
+	})
+	Convey("its last allowed attempt goes to an engine with the fewest requests in flight", t, func() {
+		registry := newRegistry()
+		registry.healthOf("a").RecordStart(nowMs)
+		So(registry.enginesToSpare("b", versionRequirement{}, []string{"b"}, true, nowMs), ShouldResemble, []string{"a"})
+	})
+	Convey("a call counts while it is in flight", t, func() {
+		registry := newRegistry()
+		selected, found := registry.selectEngine(routing.Backend{Name: "b"}, scheduling.SelectionInput{NowMs: nowMs}, versionRequirement{}, true)
+		So(found, ShouldBeTrue)
+		So(registry.callsAfterCrash, ShouldResemble, map[string]int{selected.engine.ID: 1})
+		registry.cancelSelection(selected, nowMs)
+		So(registry.callsAfterCrash, ShouldBeEmpty)
+	})
+}
--- /dev/null
+++ b/internal/gateway/enginerisk.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+)
+
+// endCallAfterCrash counts a call in callsAfterCrash no longer. The caller must hold the mutex.
+func (e *engineRegistry) endCallAfterCrash(ended selection) {
+	if !ended.isAfterCrash {
+		return
+	}
+	if e.callsAfterCrash[ended.engine.ID]--; e.callsAfterCrash[ended.engine.ID] <= 0 {
+		delete(e.callsAfterCrash, ended.engine.ID)
+	}
+}
+
+// enginesToSpare returns the engines that a call under whose request an engine has ended should not be
+// sent to: those that run another such call of this gateway, so that an innocent one of them does not
+// lose its engine again, and, if this is its last allowed attempt, all but the ones with the fewest
+// requests in flight.
+func (e *engineRegistry) enginesToSpare(backend string, requirement versionRequirement, excluded []string, isLastAllowed bool, nowMs int64) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var spared []string
+	fewest := math.Inf(1)
+	eligible := e.eligibleEngines(backend, requirement)
+	for _, engine := range eligible {
+		if e.callsAfterCrash[engine.ID] > 0 {
+			spared = append(spared, engine.ID)
+		} else if !slices.Contains(excluded, engine.ID) && !e.healthOf(engine.ID).IsSuspect(nowMs) {
+			fewest = min(fewest, e.healthOf(engine.ID).EstimatedInFlight(nowMs))
+		}
+	}
+	if !isLastAllowed || math.IsInf(fewest, 1) {
+		return spared
+	}
+	for _, engine := range eligible {
+		if e.callsAfterCrash[engine.ID] == 0 && e.healthOf(engine.ID).EstimatedInFlight(nowMs) > fewest {
+			spared = append(spared, engine.ID)
+		}
+	}
+	return spared
+}
+
+// isDraining reports whether an engine's incarnation has announced its end.
+func (e *engineRegistry) isDraining(engine membership.ServingEngine) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.draining[engine.IncarnationKey()]
+}
+
+// hasAnsweredSince reports whether the engine of a selection has answered a call of this gateway since
+// the given time.
+func (e *engineRegistry) hasAnsweredSince(selected selection, sinceMs int64) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return selected.health.LastSuccessMs() >= sinceMs
+}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"cmp"
-	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,9 +27,9 @@
 	// latencyModels holds the latency model of each backend, learned from all its engines.
 	latencyModels map[string]*scheduling.LatencyModel
 	activity      activityTracker
-	// suspectCalls counts, for each engine, this gateway's calls in flight under whose request another
+	// callsAfterCrash counts, for each engine, this gateway's calls in flight under whose request another
 	// engine has ended.
-	suspectCalls map[string]int
+	callsAfterCrash map[string]int
 	// draining holds the incarnations that have announced their end.
 	draining map[string]bool
 	// admissionControllers decide which programs may start at each backend.
@@ -56,7 +53,7 @@
 func newEngineRegistry(zone string, policy config.Policy) *engineRegistry {
 	return &engineRegistry{
 		byBackend: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, incarnations: map[string]int64{},
-		suspectCalls: map[string]int{}, draining: map[string]bool{},
+		callsAfterCrash: map[string]int{}, draining: map[string]bool{},
 		latencyModels: map[string]*scheduling.LatencyModel{}, admissionControllers: map[string]*scheduling.AdmissionController{}, zone: zone, disabled: policy.Disable,
 		fairSharesEnabled: policy.EnforcesFairShares && !policy.Disable.Has(scheduling.MechanismFairShares),
 		usageMeter:        admission.NewUsageMeter(clock.NowMs()), slotsByBackend: map[string]int{},
@@ -201,26 +198,6 @@
 	return eligible
 }
 
-// mainVersion returns the software version that most engines of a backend run, the lowest of them if
-// there are several.
-func (e *engineRegistry) mainVersion(backend string) string {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.mainVersions[backend]
-}
-
-// updateMainVersions determines the main version of every backend.
-func (e *engineRegistry) updateMainVersions() {
-	e.mainVersions = map[string]string{}
-	for backend, backendEngines := range e.byBackend {
-		counts := map[string]int{}
-		for _, engine := range backendEngines {
-			counts[engine.SoftwareVersion]++
-		}
-		e.mainVersions[backend] = slices.MaxFunc(slices.Sorted(maps.Keys(counts)), func(a, b string) int { return cmp.Compare(counts[a], counts[b]) })
-	}
-}
-
 // latencyRatio returns the ratio of an engine's latency to that of the other engines.
 func (e *engineRegistry) latencyRatio(engine string, nowMs int64) float64 {
 	e.mutex.Lock()
@@ -299,13 +276,13 @@
 	preemptedTokens       int64
 	// health belongs to the engine's incarnation; a later incarnation gets a new one.
 	health *scheduling.EngineHealth
-	// isSuspectCall is true if another engine has ended under the call's request.
-	isSuspectCall bool
+	// isAfterCrash is true if another engine has ended under the call's request.
+	isAfterCrash bool
 }
 
 // selectEngine selects the engine for a call with a requirement and counts the call as in flight
-// there. isSuspectCall is true if an engine has ended under the call's request.
-func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput, requirement versionRequirement, isSuspectCall bool) (selection, bool) {
+// there. isAfterCrash is true if an engine has ended under the call's request.
+func (e *engineRegistry) selectEngine(backend routing.Backend, input scheduling.SelectionInput, requirement versionRequirement, isAfterCrash bool) (selection, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	backendEngines := e.eligibleEngines(backend.Name, requirement)
@@ -335,8 +312,8 @@
 	}
 	health := selected.Candidate.Health
 	health.RecordStart(input.NowMs)
-	if isSuspectCall {
-		e.suspectCalls[selected.Candidate.ID]++
+	if isAfterCrash {
+		e.callsAfterCrash[selected.Candidate.ID]++
 	}
 	reservedBefore := health.ReservedKVCacheTokens(input.NowMs)
 	health.ReserveKVCache(input.NowMs, input.RequiredKVCacheTokens)
@@ -347,7 +324,7 @@
 		prefillTokens: selected.PrefillTokens, costMs: selected.CostMs, nextBestCostMs: selected.NextBestCostMs, affineEngineCostMs: selected.AffineEngineCostMs, health: health,
 		requiredKVCacheTokens: input.RequiredKVCacheTokens, reservedKVCacheTokens: int64(reservedBefore), preemptedTokens: selected.PreemptedTokens,
 		slowdown: selected.Slowdown, affineEngineSlowdown: selected.AffineEngineSlowdown, remainingTurns: input.RemainingTurns, moveReason: selected.MoveReason,
-		isSuspectCall: isSuspectCall,
+		isAfterCrash: isAfterCrash,
 	}, true
 }
 
@@ -357,60 +334,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	selected.health.RecordEnd(nowMs)
-	e.endSuspectCall(selected)
-}
-
-// endSuspectCall counts a call in suspectCalls no longer. The caller must hold the mutex.
-func (e *engineRegistry) endSuspectCall(ended selection) {
-	if !ended.isSuspectCall {
-		return
-	}
-	if e.suspectCalls[ended.engine.ID]--; e.suspectCalls[ended.engine.ID] <= 0 {
-		delete(e.suspectCalls, ended.engine.ID)
-	}
-}
-
-// enginesToSpare returns the engines that a call under whose request an engine has ended should not be
-// sent to: those that run another such call of this gateway, so that an innocent one of them does not
-// lose its engine again, and, if this is its last allowed attempt, all but the ones with the fewest
-// requests in flight.
-func (e *engineRegistry) enginesToSpare(backend string, requirement versionRequirement, excluded []string, isLastAllowed bool, nowMs int64) []string {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	var spared []string
-	fewest := math.Inf(1)
-	eligible := e.eligibleEngines(backend, requirement)
-	for _, engine := range eligible {
-		if e.suspectCalls[engine.ID] > 0 {
-			spared = append(spared, engine.ID)
-		} else if !slices.Contains(excluded, engine.ID) && !e.healthOf(engine.ID).IsSuspect(nowMs) {
-			fewest = min(fewest, e.healthOf(engine.ID).EstimatedInFlight(nowMs))
-		}
-	}
-	if !isLastAllowed || math.IsInf(fewest, 1) {
-		return spared
-	}
-	for _, engine := range eligible {
-		if e.suspectCalls[engine.ID] == 0 && e.healthOf(engine.ID).EstimatedInFlight(nowMs) > fewest {
-			spared = append(spared, engine.ID)
-		}
-	}
-	return spared
-}
-
-// isDraining reports whether an engine's incarnation has announced its end.
-func (e *engineRegistry) isDraining(engine membership.ServingEngine) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.draining[engine.IncarnationKey()]
-}
-
-// hasAnsweredSince reports whether the engine of a selection has answered a call of this gateway since
-// the given time.
-func (e *engineRegistry) hasAnsweredSince(selected selection, sinceMs int64) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return selected.health.LastSuccessMs() >= sinceMs
+	e.endCallAfterCrash(selected)
 }
 
 // observeFirstEvent records how long an engine took to send the first event of a stream.
@@ -447,7 +371,7 @@
 	health := c.selection.health
 	health.RecordEnd(nowMs)
 	health.ReleaseKVCache(nowMs, c.selection.requiredKVCacheTokens)
-	e.endSuspectCall(c.selection)
+	e.endCallAfterCrash(c.selection)
 	switch outcome.kind {
 	case attemptAnswered:
 		if isEngineFailure(outcome.status) {
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -69,6 +69,22 @@
 	})
 }
 
+// TestEnginesThatAnswerAfterACut guards against a request that is rejected because an engine cut its
+// connections while the gateway had no other connection to see that the engine runs.
+func TestEnginesThatAnswerAfterACut(t *testing.T) {
+	Convey("a cut no longer counts once its engine has answered another request", t, func() {
+		fleet := newCrashingFleet(t, 1, 1)
+		fleet.ending = cutsConnection
+		gateway := fleet.gateways[0]
+		for try := range 5 {
+			So(fleet.send(gateway, "/unsafe/", "p", fmt.Sprint("r", try), engineEndingBody).status, ShouldEqual, http.StatusBadGateway)
+			So(fleet.send(gateway, "/unsafe/", "q", fmt.Sprint("s", try), "innocent").status, ShouldEqual, http.StatusOK)
+			gateway.gateway.pool.CloseIdle(fleet.engines["engine-0"].Address)
+		}
+		So(fleet.ledger.crashes.Load().reportCount(), ShouldEqual, 5)
+	})
+}
+
 // TestEnginesThatAnnouncedTheirEnd guards against a request that is rejected because engines that drained
 // ended while they still ran it.
 func TestEnginesThatAnnouncedTheirEnd(t *testing.T) {
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -82,6 +82,8 @@
 	// attempt of the request or an earlier one, and crashesRetained is how long that is remembered.
 	crashedAttempts []string
 	crashesRetained time.Duration
+	// areCrashesUnknown is true if the ledger did not reply to the lookup of its crash record.
+	areCrashesUnknown bool
 	// lastSentMs is the clock.NowMs time at which the latest attempt was sent.
 	lastSentMs int64
 	// lastEventID is the last event that the caller has received, 0 for none.
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -75,7 +75,7 @@
 		outcome := d.attempt(ctx, c, engine, deliver)
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
 		d.recordCompletion(c, outcome)
-		if outcome.kind == attemptBroken && (c.route.IsRepeatable() || isConnectionLoss(outcome.err)) {
+		if outcome.kind == attemptBroken && (c.route.IsRepeatable() || c.isConnectionLoss(outcome.err)) {
 			outcome.engineState = d.probeEngine(engine, c.startedAt.Add(c.sentAfter))
 		}
 		d.logAttempt(c, engine, outcome)
@@ -105,31 +105,8 @@
 		state.runs++
 	case attemptBroken:
 		state.mayHaveRun = true
-		// An engine that has ended no longer runs the call, so its run does not count towards
-		// the attempt limit.
-		if !c.route.IsRepeatable() || outcome.engineState != engineEnded {
-			state.runs++
-		}
-		mayFailOver := d.canFailOver(c, outcome)
-		if d.mayHaveCrashed(engine, outcome) {
-			wait := crashReportWait
-			if mayFailOver {
-				wait = max(min(failoverReportWait, time.Until(c.latestStart)), wait)
-			}
-			mayFailOver = d.recordCrash(c, engine, outcome, wait) && mayFailOver
-		}
-		if d.checkCrashLimit(c) != nil {
-			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedAttempts), outcome.err)
-		}
-		if !mayFailOver || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
-			return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
-		}
-		if c.requirement.isRequired {
-			failure := d.checkRequirement(c, state.excludedEngines)
-			d.logContinuation(c, continuedByGateway, failure)
-			if failure != nil {
-				return true, result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %s", engine.ID, failure.Message)
-			}
+		if failure := d.evaluateBreak(c, state, engine, outcome); failure != nil {
+			return true, failure
 		}
 	}
 	if c.timeLeft() < minSendTime {
@@ -138,6 +115,38 @@
 	return false, nil
 }
 
+// evaluateBreak counts an attempt that broke off and returns an error if the call is not sent again.
+func (d *Daemon) evaluateBreak(c *call, state *attemptState, engine membership.ServingEngine, outcome attemptOutcome) *result.Error {
+	// An engine that has ended no longer runs the call, so its run does not count towards the attempt
+	// limit. The crash limit bounds such runs.
+	if !c.route.IsRepeatable() || outcome.engineState != engineEnded {
+		state.runs++
+	}
+	mayFailOver := d.canFailOver(c, outcome)
+	if d.mayHaveCrashed(c, engine, outcome) {
+		wait := crashReportWait
+		if mayFailOver {
+			wait = max(min(failoverReportWait, time.Until(c.latestStart)), wait)
+		}
+		mayFailOver = d.recordCrash(c, engine, outcome, wait) && mayFailOver
+	}
+	if d.checkCrashLimit(c) != nil {
+		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedAttempts), outcome.err)
+	}
+	if !mayFailOver || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
+		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
+	}
+	if !c.requirement.isRequired {
+		return nil
+	}
+	failure := d.checkRequirement(c, state.excludedEngines)
+	d.logContinuation(c, continuedByGateway, failure)
+	if failure != nil {
+		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %s", engine.ID, failure.Message)
+	}
+	return nil
+}
+
 // takeRetryBudget takes one retry of a call that an engine may have run from the backend's budget,
 // and returns false if none is left. For an attempt that timed out, the response timer has already
 // taken it. A failover from an engine that has ended takes none: its run occupies no engine any more, and
--- a/internal/program/crashes.go
+++ b/internal/program/crashes.go
@@ -31,6 +31,8 @@
 	Key RequestKey `msgpack:"k"`
 	// Attempts identify the attempts: each one counts once, however often it is reported.
 	Attempts []string `msgpack:"a,omitempty"`
+	// Survived are reported attempts whose engines have turned out to run on. They are removed.
+	Survived []string `msgpack:"s,omitempty"`
 	// RetentionMs is how long the record is retained from now on.
 	RetentionMs int64 `msgpack:"t,omitempty"`
 	// IsCleared deletes the record instead, because an engine has answered the request.
@@ -82,6 +84,10 @@
 		return CrashHistory{}
 	}
 	record := t.records[crash.Key]
+	if len(crash.Survived) > 0 {
+		t.removeSurvived(record, crash.Survived)
+		return t.Find(nowMs, crash.Key)
+	}
 	if record == nil || record.ExpiresMs < nowMs {
 		record = &crashRecord{Key: crash.Key}
 		if len(t.records) >= maxCrashRecords && t.records[crash.Key] == nil {
@@ -98,6 +104,17 @@
 	return t.Find(nowMs, crash.Key)
 }
 
+// removeSurvived removes attempts from a record, and the record if none is left. A nil record has none.
+func (t *CrashTable) removeSurvived(record *crashRecord, survived []string) {
+	if record == nil {
+		return
+	}
+	record.Attempts = slices.DeleteFunc(record.Attempts, func(attempt string) bool { return slices.Contains(survived, attempt) })
+	if len(record.Attempts) == 0 {
+		delete(t.records, record.Key)
+	}
+}
+
 // Find returns the record of a request, the zero value if there is none.
 func (t *CrashTable) Find(nowMs int64, key RequestKey) CrashHistory {
 	record := t.records[key]
