--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -30,6 +30,8 @@
 	callerCrashRetention = time.Minute
 	// maxUnresolvedCrashes bounds the attempts of which it is not known whether their engine has ended.
 	maxUnresolvedCrashes = 256
+	// maxUnreportedRequests bounds the requests with crashes that the ledger has not recorded.
+	maxUnreportedRequests = 4096
 	// crashLookupTimeout bounds the lookup of a request's crash record. Without a reply the gateway
 	// goes by what it has seen itself.
 	crashLookupTimeout = 300 * time.Millisecond
@@ -54,6 +56,8 @@
 	mutex   sync.Mutex
 	table   *program.CrashTable
 	sweptMs int64
+	// unreported counts, by request, the crashes that the ledger has not confirmed to have recorded.
+	unreported map[program.RequestKey]int
 	// nextLookupMs is when a ledger group whose lookups fail is asked again.
 	nextLookupMs map[uint32]int64
 	// unresolved holds, by the incarnation of the engine, the recorded attempts of which it is not known
@@ -63,7 +67,7 @@
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{table: program.NewCrashTable(), nextLookupMs: map[uint32]int64{}, unresolved: map[string][]program.Crash{}}
+	return &crashTracker{table: program.NewCrashTable(), unreported: map[program.RequestKey]int{}, nextLookupMs: map[uint32]int64{}, unresolved: map[string][]program.Crash{}}
 }
 
 // addUnresolved adds an attempt of which it is not known whether its engine has ended.
@@ -100,11 +104,39 @@
 	return t.table.Record(nowMs, crash)
 }
 
-// find returns the record of a request.
-func (t *crashTracker) find(key program.RequestKey) program.CrashHistory {
+// merge applies the record of a request that the ledger has returned, nil for none, and returns the
+// resulting one. If isCurrent is true, the gateway's own record is dropped: the request may have been
+// answered through another gateway since. It is kept as long as the ledger lacks some of it.
+func (t *crashTracker) merge(key program.RequestKey, recorded *program.CrashHistory, isCurrent bool) program.CrashHistory {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.table.Find(clock.NowMs(), key)
+	nowMs := clock.NowMs()
+	if isCurrent && t.unreported[key] == 0 {
+		t.table.Record(nowMs, program.Crash{Key: key, IsCleared: true})
+	}
+	if recorded != nil && len(recorded.Attempts) > 0 {
+		t.table.Record(nowMs, program.Crash{Key: key, Attempts: recorded.Attempts, RetentionMs: recorded.RemainingMs})
+	}
+	return t.table.Find(nowMs, key)
+}
+
+// addUnreported counts a crash that the ledger has not recorded yet.
+func (t *crashTracker) addUnreported(key program.RequestKey) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.unreported) >= maxUnreportedRequests {
+		clear(t.unreported)
+	}
+	t.unreported[key]++
+}
+
+// removeUnreported counts a crash no longer, because the ledger has recorded it.
+func (t *crashTracker) removeUnreported(key program.RequestKey) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.unreported[key]--; t.unreported[key] <= 0 {
+		delete(t.unreported, key)
+	}
 }
 
 // mayLookUp reports whether a ledger group may be asked for a record.
@@ -150,47 +182,32 @@
 // crashLimit returns how many engines may end under one request.
 func (d *Daemon) crashLimit() int { return max(d.process.Policy.Retry.CrashLimit, 1) }
 
-// loadCrashes loads the crash record of a call. recorded is what the ledger has replied already; if it
-// is nil and the ledger has not been asked, it is asked now.
-func (d *Daemon) loadCrashes(ctx context.Context, c *call, recorded *program.CrashHistory, isAsked bool) {
-	c.addCrashes(d.crashes.find(c.requestKey()))
-	if recorded == nil && !isAsked {
-		recorded = d.lookUpCrashes(ctx, c)
-	}
-	d.applyCrashes(c, recorded)
-}
-
-// applyCrashes applies a record that the ledger has returned, nil for none, to the call and to the
-// gateway's own record, which decides while the ledger does not reply.
+// applyCrashes applies the crash record that the ledger has returned for a call, nil for none.
 func (d *Daemon) applyCrashes(c *call, recorded *program.CrashHistory) {
-	if recorded == nil || len(recorded.Attempts) == 0 {
-		return
-	}
-	c.addCrashes(*recorded)
-	d.crashes.record(program.Crash{Key: c.requestKey(), Attempts: recorded.Attempts, RetentionMs: recorded.RemainingMs})
+	c.addCrashes(d.crashes.merge(c.requestKey(), recorded, true))
 }
 
-// lookUpCrashes asks the ledger for the crash record of a call. It returns nil if there is none or the
-// ledger does not reply in time.
-func (d *Daemon) lookUpCrashes(ctx context.Context, c *call) *program.CrashHistory {
+// loadCrashes asks the ledger for the crash record of a call that is not a turn. Without a reply in time
+// the gateway's own record decides.
+func (d *Daemon) loadCrashes(ctx context.Context, c *call) {
 	key := c.requestKey()
 	group, isPlaced := d.ledgers.groupOf(key.Scope)
 	if !isPlaced {
-		return nil
-	}
-	if !d.crashes.mayLookUp(group) {
-		c.areCrashesUnknown = true
-		return nil
+		c.addCrashes(d.crashes.merge(key, nil, false))
+		return
 	}
-	lookupContext, cancel := context.WithTimeout(ctx, crashLookupTimeout)
-	defer cancel()
-	reply := d.ledgers.lookUpCrashes(lookupContext, group, &key)
-	// A ledger of a release that records no crashes rejects the lookup as malformed.
-	if reply.Error != nil && reply.Error.Code != result.MalformedRequest && ctx.Err() == nil {
-		c.areCrashesUnknown = true
-		d.crashes.recordFailedLookup(group)
+	reply := &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d did not reply to an earlier lookup", group)}
+	if d.crashes.mayLookUp(group) {
+		lookupContext, cancel := context.WithTimeout(ctx, crashLookupTimeout)
+		defer cancel()
+		reply = d.ledgers.lookUpCrashes(lookupContext, group, &key)
+		// A ledger of a release that records no crashes rejects the lookup as malformed.
+		if reply.Error != nil && reply.Error.Code != result.MalformedRequest && ctx.Err() == nil {
+			d.crashes.recordFailedLookup(group)
+		}
 	}
-	return reply.Crashes
+	c.areCrashesUnknown = reply.Error != nil && reply.Error.Code != result.MalformedRequest
+	c.addCrashes(d.crashes.merge(key, reply.Crashes, reply.Error == nil))
 }
 
 // checkCrashLimit rejects a call under whose request as many engines have ended as allowed. Invariant:
@@ -269,6 +286,7 @@
 	}
 	crash.Attempts = slices.Clone(c.crashedAttempts)
 	replies := make(chan *protocol.TurnReply, 1)
+	d.crashes.addUnreported(crash.Key)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashReportTimeout)
 		defer cancel()
@@ -276,13 +294,16 @@
 		if reply.Error != nil {
 			d.logFailure("crash not recorded", c, reply.Error)
 		}
+		if reply.Crashes != nil {
+			d.crashes.removeUnreported(crash.Key)
+		}
 		replies <- reply
 	}()
 	isRecorded := false
 	select {
 	case reply := <-replies:
 		isRecorded = reply.Error == nil
-		d.applyCrashes(c, reply.Crashes)
+		c.addCrashes(d.crashes.merge(crash.Key, reply.Crashes, false))
 	case <-time.After(wait):
 	}
 	d.metrics.engineCrashes.WithLabelValues(outcome.engineState.String()).Inc()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -56,6 +56,13 @@
 	reported map[string]bool
 }
 
+// recordCount returns the number of records.
+func (l *fakeCrashLedger) recordCount() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.table.Len()
+}
+
 // reportCount returns the number of attempts under which engines were reported to have ended.
 func (l *fakeCrashLedger) reportCount() int {
 	l.mutex.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -118,7 +118,7 @@
 		c.turnReserved = c.tokenBudget > 0 && reply.Error.Code == result.LedgerUnreachable
 		return reply.Error
 	}
-	d.loadCrashes(ctx, c, reply.Crashes, true)
+	d.applyCrashes(c, reply.Crashes)
 	c.affineEngine = reply.AffineEngine
 	if !c.historyInOtherGroup && reserve.PreviousRequest != "" {
 		c.history = cached.extend(reply)
