--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -56,7 +56,9 @@
 	f.engine.mutex.Unlock()
 	f.requests++
 	result := rawResult{id: fmt.Sprint("request-", f.requests)}
-	received, body, err := f.send(path, result.id, append(headers, budgetHeaders...)...)
+	// Each request is one of a program of its own, and not a further try of the one before.
+	headers = append(append([]string{"Ochrebay-Program", "program-" + result.id}, headers...), budgetHeaders...)
+	received, body, err := f.send(path, result.id, headers...)
 	result.body, result.err = body, err
 	if received != nil {
 		result.status = received.StatusCode
