Soak test: engines report until the last check ends

The stand-ins now report, restart and leave until that check has ended; what it checks is as before.

--- a/cmd/ochrebay/soak_test.go
+++ b/cmd/ochrebay/soak_test.go
@@ -225,9 +225,9 @@
 	for number := range uint64(soakEngines) {
 		engines = append(engines, newSoakEngine(t, s.runs, number))
 	}
-	stop := make(chan struct{})
-	var running sync.WaitGroup
-	running.Go(func() { s.sendHeartbeats(random(1), engines, stop) })
+	stop, stopHeartbeats := make(chan struct{}), make(chan struct{})
+	var running, reporting sync.WaitGroup
+	reporting.Go(func() { s.sendHeartbeats(random(1), engines, stopHeartbeats) })
 	running.Go(func() { s.replaceConfigurations(random(2), stop) })
 	for number := range soakCallers {
 		running.Go(func() {
@@ -243,7 +243,10 @@
 	s.injectFaults(random(3))
 	close(stop)
 	running.Wait()
+	// Control removes engines that stop reporting, so they report until the last turn.
 	s.continueLatestChains(random(4))
+	close(stopHeartbeats)
+	reporting.Wait()
 	s.checkRuns()
 	t.Logf("%d requests, %d served, generation %d acknowledged, %d turn chains", s.requests.Load(), s.served.Load(), s.acknowledged.Load(), len(s.chains))
 	if violations := s.violations(); len(violations) > 0 {
