--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -67,7 +67,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE PROGRAM RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*record, *fleet, bool){"transfer": runTransfer, "refusal": runRefusal, "succession": runSuccession}
+	cases := map[string]func(*record, *fleet, bool){"transfer": runTransfer, "refusal": runRefusal, "succession": runSuccession, "orphans": runOrphans}
 	run, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
