--- a/review/stand/main_test.go
+++ b/review/stand/main_test.go
@@ -70,7 +70,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE PROGRAM RECORD")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*record, *fleet, bool){"transfer": runTransfer, "refusal": runRefusal, "succession": runSuccession, "orphans": runOrphans, "shrink": runShrink, "stray": runStray}
+	cases := map[string]func(*record, *fleet, bool){"transfer": runTransfer, "refusal": runRefusal, "succession": runSuccession, "orphans": runOrphans, "stop": runStop, "shrink": runShrink, "stray": runStray}
 	run, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case")
