--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 if [ ! -x "$root/review/bin/stand" ] || [ ! -x "$root/target/ochrebay" ]; then
   bash "$root/review/build.sh" >&2 || exit 2
 fi
-exec "$root/review/bin/stand" stop "$root/target/ochrebay" "$here/record.txt"
+exec "$root/review/bin/stand" refusal "$root/target/ochrebay" "$here/record.txt"
