--- a/internal/gateway/calllog.go
+++ b/internal/gateway/calllog.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -140,6 +141,19 @@
 		"chance", rejection.Probability, "time_left_ms", c.timeLeft().Milliseconds(), "retry_after_ms", rejection.RetryAfterMs)
 }
 
+// maxLoggedEngines bounds the engines that one log line names.
+const maxLoggedEngines = 32
+
+// logEnginesLeft logs the incarnations that the fleet view holds no longer, so that attempts at them can
+// be related to their end.
+func (d *Daemon) logEnginesLeft(incarnations []string) {
+	if len(incarnations) == 0 {
+		return
+	}
+	named := incarnations[:min(len(incarnations), maxLoggedEngines)]
+	telemetry.Info(d.logger, "engines left", "count", len(incarnations), "engines", strings.Join(named, ","))
+}
+
 func (d *Daemon) logFailure(message string, c *call, failure *result.Error) {
 	telemetry.Warn(d.logger, message, "request", c.id, "program", c.programID, "code", int(failure.Code), "err", failure.Error())
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -175,6 +175,7 @@
 	for _, address := range d.engines.applyFleet(fleet) {
 		d.pool.CloseIdle(address)
 	}
+	d.logEnginesLeft(d.engines.replaceRegistered(fleet))
 	d.ledgers.applyFleet(fleet)
 	telemetry.Info(d.logger, "fleet in force", "version", fleet.Version, "engines", len(fleet.Engines), "ledgers", len(fleet.Ledgers),
 		"groups", len(fleet.Groups))
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -30,8 +30,10 @@
 	// callsAfterCrash counts, for each engine, this gateway's calls in flight under whose request another
 	// engine has ended.
 	callsAfterCrash map[string]int
-	// draining holds the incarnations that have announced their end.
-	draining map[string]bool
+	// registered holds the incarnations in the latest view (replaceRegistered), and draining those of
+	// them that have announced their end.
+	registered map[string]bool
+	draining   map[string]bool
 	// admissionControllers decide which programs may start at each backend.
 	admissionControllers map[string]*scheduling.AdmissionController
 	// usageMeter measures the usage of tenants at this gateway, tenantShares holds the usage
@@ -97,6 +99,26 @@
 	return closedAddresses
 }
 
+// replaceRegistered replaces the registered incarnations and returns, in ascending order, those that
+// are registered no longer.
+func (e *engineRegistry) replaceRegistered(view *membership.FleetView) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	registered := make(map[string]bool, len(view.Engines))
+	for _, engine := range view.Engines {
+		registered[engine.IncarnationKey()] = true
+	}
+	var left []string
+	for incarnation := range e.registered {
+		if !registered[incarnation] {
+			left = append(left, incarnation)
+		}
+	}
+	slices.Sort(left)
+	e.registered = registered
+	return left
+}
+
 // resetRestartedEngines discards the health of engines that have restarted under the same id, and
 // returns their addresses. Invariant: an incarnation starts without observations; requests in
 // flight at the previous incarnation are counted for that one only. The start time of an engine
