Failing tests: one request is handed to up to 24 engines that end under it

Attempts that overlap, callers that leave before the engine ends, engines that announce their end, ledger groups out of reach, an answer between two ends, and silent connections of hosts without power each get past the bound of three engines a request.

--- /dev/null
+++ b/internal/gateway/crashbound_test.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/protocol"
+)
+
+// requestKindUnderTest is a kind of request that ends the engines which run it.
+type requestKindUnderTest struct {
+	path         string
+	eventsBefore int
+	headers      []string
+}
+
+var requestKindsUnderTest = []requestKindUnderTest{
+	{"/safe/", 0, nil}, {"/unsafe/", 0, nil}, {"/stream/", 0, budgetHeaders}, {"/resumable/", 1, nil}, {"/resumable/", 1, budgetHeaders},
+}
+
+// sendWithPatience sends a request as a new client attempt whose caller leaves after the given time.
+func (f *crashingFleet) sendWithPatience(gateway *gatewayFixture, patience time.Duration, kind requestKindUnderTest, id, body string) sent {
+	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "POST", gateway.server.URL+kind.path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Ochrebay-Request", id)
+	request.Header.Set("Ochrebay-Program", "p")
+	request.Header.Set("Ochrebay-Deadline-Ms", crashTestDeadlineMs)
+	for position := 0; position+1 < len(kind.headers); position += 2 {
+		request.Header.Set(kind.headers[position], kind.headers[position+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return sent{err: err}
+	}
+	defer response.Body.Close()
+	received, err := io.ReadAll(response.Body)
+	return sent{response.StatusCode, string(received), response.Header.Get("Retry-After"), err}
+}
+
+// markDraining makes all gateways see an engine as draining.
+func (f *crashingFleet) markDraining(id string) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	engine := f.engines[id]
+	engine.Draining = true
+	f.engines[id] = engine
+	for _, gateway := range f.gateways {
+		f.setEngines(gateway, f.engines)
+	}
+}
+
+// wayOfEnding is a way in which a request and its callers' attempts meet the ends of engines.
+type wayOfEnding struct {
+	name string
+	// attempts is the number of client attempts; they start apart from one another if isOverlapping, else
+	// each one after the previous one has ended.
+	attempts      int
+	isOverlapping bool
+	// patience is how long each caller waits.
+	patience time.Duration
+	// newGateways makes each attempt go through a gateway that remembers nothing.
+	newGateways bool
+	// run is called when the request arrives at an engine. It returns once the engine has ended.
+	run func(fleet *crashingFleet, id string, end func())
+}
+
+// pauseThenEnd ends an engine some time into a run, whether the caller still waits or not.
+func pauseThenEnd(pause time.Duration) func(*crashingFleet, string, func()) {
+	return func(_ *crashingFleet, _ string, end func()) {
+		time.Sleep(pause)
+		end()
+	}
+}
+
+var waysOfEnding = []wayOfEnding{
+	{name: "attempts one after the other", attempts: 8, patience: testTimeout, run: pauseThenEnd(0)},
+	{name: "attempts that overlap", attempts: 9, isOverlapping: true, patience: testTimeout, run: pauseThenEnd(60 * time.Millisecond)},
+	{name: "callers that leave before the engine ends", attempts: 8, patience: 60 * time.Millisecond, run: pauseThenEnd(110 * time.Millisecond)},
+	{name: "callers that leave as the engine ends", attempts: 8, patience: 52 * time.Millisecond, run: pauseThenEnd(50 * time.Millisecond)},
+	{name: "engines that announce their end", attempts: 8, patience: testTimeout, run: func(fleet *crashingFleet, id string, end func()) {
+		fleet.markDraining(id)
+		time.Sleep(20 * time.Millisecond)
+		end()
+	}},
+	{name: "gateways that lose the list of ledger hosts as the engine ends", attempts: 8, patience: testTimeout, newGateways: true, run: func(fleet *crashingFleet, _ string, end func()) {
+		for _, gateway := range fleet.gateways {
+			gateway.gateway.ledgers.applyFleet(&membership.FleetView{})
+		}
+		end()
+	}},
+	{name: "engines that end under attempts that their gateways have given up", attempts: 6, patience: testTimeout, run: func(fleet *crashingFleet, _ string, end func()) {
+		for _, gateway := range fleet.gateways {
+			gateway.server.CloseClientConnections()
+		}
+		time.Sleep(30 * time.Millisecond)
+		end()
+	}},
+}
+
+// TestEnginesPerRequest guards against a request that is handed to more than three engines which end under
+// it, in any of the ways in which its attempts, its callers and the engines' ends can meet.
+func TestEnginesPerRequest(t *testing.T) {
+	for _, way := range waysOfEnding {
+		for _, kind := range requestKindsUnderTest {
+			title := fmt.Sprintf("%s: %s, %d headers", way.name, kind.path, len(kind.headers)/2)
+			Convey(title, t, func() {
+				fleet := newCrashingFleet(t, 3, 24)
+				fleet.eventsBefore = kind.eventsBefore
+				fleet.beforeRun = func(id string, end func(), _ bool) bool {
+					way.run(fleet, id, end)
+					return true
+				}
+				fleet.sendAttempts(way, kind)
+				fleet.awaitRuns()
+				So(len(fleet.endedUnder(engineEndingBody)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+				fleet.beforeRun = nil
+				innocent := fleet.send(fleet.addGateway(), kind.path, "p", "innocent", "innocent", kind.headers...)
+				So(innocent.err, ShouldBeNil)
+				So(innocent.status, ShouldEqual, http.StatusOK)
+			})
+		}
+	}
+}
+
+// sendAttempts sends the attempts of a request in a given way.
+func (f *crashingFleet) sendAttempts(way wayOfEnding, kind requestKindUnderTest) {
+	const timeBetweenOverlapping = 15 * time.Millisecond
+	var attempts sync.WaitGroup
+	for number := range way.attempts {
+		gateway := f.gateways[number%len(f.gateways)]
+		if way.newGateways {
+			gateway = f.addGateway()
+		}
+		attempt := func() { f.sendWithPatience(gateway, way.patience, kind, fmt.Sprint("r", number), engineEndingBody) }
+		if !way.isOverlapping {
+			attempt()
+			continue
+		}
+		attempts.Go(attempt)
+		time.Sleep(timeBetweenOverlapping)
+	}
+	attempts.Wait()
+}
+
+// awaitRuns waits until no engine runs a request.
+func (f *crashingFleet) awaitRuns() {
+	f.running.Wait()
+}
+
+// TestEnginesPerRequestWithoutLedgerGroups guards against a request that each gateway hands to engines on
+// its own account while the ledger groups are out of reach.
+func TestEnginesPerRequestWithoutLedgerGroups(t *testing.T) {
+	for _, kind := range requestKindsUnderTest {
+		Convey(fmt.Sprintf("%s, %d headers", kind.path, len(kind.headers)/2), t, func() {
+			fleet := newCrashingFleet(t, 3, 24)
+			fleet.ledger.crashes.Store(nil)
+			fleet.ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply { return nil })
+			kind.headers = append([]string{"Ochrebay-Deadline-Ms", "1000"}, kind.headers...)
+			for try := range 9 {
+				ended := fleet.send(fleet.gateways[try%3], kind.path, "p", fmt.Sprint("r", try), engineEndingBody, kind.headers...)
+				So(ended.status, ShouldNotEqual, http.StatusOK)
+			}
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldBeLessThanOrEqualTo, maxEnginesPerRequest)
+		})
+	}
+}
+
+// TestEnginesPerRequestBetweenAnswers guards against a request whose engines are counted from zero again
+// because one of its runs was answered, although its caller did not get the answer and tries again.
+func TestEnginesPerRequestBetweenAnswers(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusGatewayTimeout} {
+		Convey(fmt.Sprintf("a run answered with %d between two ends clears nothing while its caller tries again", status), t, func() {
+			fleet := newCrashingFleet(t, 3, 24)
+			runs := 0
+			fleet.beforeAnswer = func(w http.ResponseWriter) bool {
+				if runs++; runs%3 != 0 {
+					return false
+				}
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, "out")
+				return true
+			}
+			for try := range 9 {
+				fleet.send(fleet.gateways[try%3], "/unsafe/", "p", fmt.Sprint("r", try), engineEndingBody)
+			}
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+		})
+	}
+}
+
+// TestConnectionsThatStaySilent guards against an engine that is taken for one that runs on because
+// connections from before the end of its host still look open when a later incarnation accepts others.
+func TestConnectionsThatStaySilent(t *testing.T) {
+	for _, kind := range requestKindsUnderTest {
+		Convey(fmt.Sprintf("%s, %d headers", kind.path, len(kind.headers)/2), t, func() {
+			fleet := newCrashingFleet(t, 3, 24)
+			fleet.eventsBefore = kind.eventsBefore
+			fleet.ending = losesPower
+			for _, gateway := range fleet.gateways {
+				fleet.openConnections(gateway, 2)
+			}
+			for try := range 8 {
+				ended := fleet.send(fleet.gateways[try%3], kind.path, "p", fmt.Sprint("r", try), engineEndingBody, kind.headers...)
+				So(ended.err != nil || ended.status >= http.StatusInternalServerError, ShouldBeTrue)
+			}
+			So(len(fleet.endedUnder(engineEndingBody)), ShouldBeBetweenOrEqual, 1, maxEnginesPerRequest)
+		})
+	}
+}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -43,6 +43,9 @@
 	restartsProcess
 	// cutsConnection means that only the request's connection is closed.
 	cutsConnection
+	// losesPower means that the request's connection is reset, the others stay open and silent, and a new
+	// incarnation accepts new ones at once.
+	losesPower
 )
 
 // crashingFleet is a set of gateways before engines that end under some requests. All gateways share
@@ -58,6 +61,11 @@
 	// beforeRun, if set, is called when a request arrives at an engine, and returns true if it ended the
 	// engine.
 	beforeRun func(id string, end func(), isFirstRun bool) bool
+	// beforeAnswer, if set, is called before an engine ends under a request, and returns true if it has
+	// answered the request instead.
+	beforeAnswer func(w http.ResponseWriter) bool
+	// running counts the runs in progress.
+	running sync.WaitGroup
 
 	mutex   sync.Mutex
 	engines map[string]membership.ServingEngine
@@ -93,6 +101,12 @@
 	connections := &openConnections{open: map[net.Conn]bool{}}
 	server := &http.Server{ReadHeaderTimeout: testTimeout, ConnState: connections.observe}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.running.Add(1)
+		defer f.running.Done()
+		if connections.isSilent(r.RemoteAddr) {
+			<-f.t.Context().Done()
+			return
+		}
 		f.runAt(id, func() {
 			switch f.ending {
 			case endsProcess:
@@ -101,6 +115,9 @@
 				connections.closeAll()
 			case cutsConnection:
 				panic(http.ErrAbortHandler)
+			case losesPower:
+				connections.silenceAll()
+				panic(http.ErrAbortHandler)
 			}
 		}, w, r)
 	})
@@ -112,6 +129,26 @@
 type openConnections struct {
 	mutex sync.Mutex
 	open  map[net.Conn]bool
+	// silent holds the remote addresses of the connections on which nothing is answered any more.
+	silent map[string]bool
+}
+
+// silenceAll makes all connections that are open now stay open without any answer.
+func (o *openConnections) silenceAll() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.silent == nil {
+		o.silent = map[string]bool{}
+	}
+	for connection := range o.open {
+		o.silent[connection.RemoteAddr().String()] = true
+	}
+}
+
+func (o *openConnections) isSilent(address string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.silent[address]
 }
 
 func (o *openConnections) observe(connection net.Conn, state http.ConnState) {
@@ -139,6 +176,12 @@
 	f.mutex.Lock()
 	f.runs[string(body)]++
 	isFirstRun := f.runs[string(body)] == 1
+	w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
+	w.Header().Set("Ochrebay-Signature", id)
+	if endsEngine && f.beforeAnswer != nil && f.beforeAnswer(w) {
+		f.mutex.Unlock()
+		return
+	}
 	if endsEngine {
 		f.ended[string(body)] = append(f.ended[string(body)], id)
 	}
@@ -146,8 +189,6 @@
 	if f.beforeRun != nil && f.beforeRun(id, end, isFirstRun) {
 		return
 	}
-	w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
-	w.Header().Set("Ochrebay-Signature", id)
 	last, resumedAfter := versionedStreamEvents, 0
 	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &resumedAfter)
 	if endsEngine {
