--- a/cmd/ochrebay/gateway.go
+++ b/cmd/ochrebay/gateway.go
@@ -24,6 +24,7 @@
 	}
 	daemon := gateway.NewDaemon(process, gatewayHeaders(process), logger)
 	daemon.Frontends = gatewayFrontends(process, daemon)
+	daemon.EngineStatusPath = engineStatusPath(process)
 	stopWatching := watchSettingsFile(signals, flags, logger, daemon.Follower().SetSeeds)
 	defer stopWatching()
 	err = daemon.Run(ctx)
--- a/cmd/ochrebay/platform.go
+++ b/cmd/ochrebay/platform.go
@@ -26,6 +26,14 @@
 	return gateway.DefaultHeaderNames()
 }
 
+// engineStatusPath returns the path at which engines respond without running anything.
+func engineStatusPath(process config.Process) string {
+	if process.Interface == interfacePlatform {
+		return platform.EngineStatusPath
+	}
+	return gateway.DefaultEngineStatusPath
+}
+
 // gatewayFrontends returns the additional frontends of a gateway: the platform's readiness check.
 func gatewayFrontends(process config.Process, gatewayDaemon *gateway.Daemon) []daemon.Frontend {
 	if process.Interface != interfacePlatform || process.Listen.Readiness == "" {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,10 @@
 	streamEvents int64
 	// isEngineSound is true if the attempt broke off although the engine did its part.
 	isEngineSound bool
+	// isNotSent is true if no part of the request reached the engine, and isRunComplete if the engine has
+	// sent its whole response.
+	isNotSent     bool
+	isRunComplete bool
 	// engineState is the state of the engine after an interrupted attempt.
 	engineState engineState
 	// lastEventMs is the clock.NowMs time at which the engine sent its latest event, 0 for none.
@@ -106,21 +110,24 @@
 	switch {
 	case err == nil:
 	case errors.Is(context.Cause(attemptContext), errResponseTimeout):
-		return attemptOutcome{kind: attemptBroken, err: errResponseTimeout}
+		return attemptOutcome{kind: attemptBroken, isNotSent: errors.Is(err, upstream.ErrNotSent), err: errResponseTimeout}
 	case attemptContext.Err() != nil:
-		return attemptOutcome{kind: attemptCancelled, err: context.Cause(attemptContext)}
+		return attemptOutcome{kind: attemptCancelled, isNotSent: errors.Is(err, upstream.ErrNotSent), err: context.Cause(attemptContext)}
 	case errors.Is(err, upstream.ErrNotSent):
-		return attemptOutcome{kind: attemptNotSent, err: err}
+		return attemptOutcome{kind: attemptNotSent, isNotSent: true, err: err}
 	default:
 		return attemptOutcome{kind: attemptBroken, err: err}
 	}
 	defer exchange.Close()
+	if exchange.Response.StatusCode != http.StatusMisdirectedRequest {
+		d.closeOutlivedAttempts(c, engine, exchange.ConnectionOpenedAt())
+	}
 	if refusal, refused := d.parseRefusal(exchange); refused {
 		return refusal
 	}
-	d.resolveCrashes(c, engine)
 	d.waitQueues.leave(c, true)
 	outcome := deliver(attemptContext, exchange, c)
+	outcome.isRunComplete = exchange.HasEnded()
 	switch {
 	case outcome.kind != attemptBroken:
 	case errors.Is(context.Cause(attemptContext), errResponseTimeout):
--- a/internal/gateway/crashbound_test.go
+++ b/internal/gateway/crashbound_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -72,6 +74,8 @@
 	isOverlapping bool
 	// patience is how long each caller waits.
 	patience time.Duration
+	// ignoresClaims means that the ledger records no claims with turns.
+	ignoresClaims bool
 	// newGateways makes each attempt go through a gateway that remembers nothing.
 	newGateways bool
 	// run is called when the request arrives at an engine. It returns once the engine has ended.
@@ -89,6 +93,7 @@
 var waysOfEnding = []wayOfEnding{
 	{name: "attempts one after the other", attempts: 8, patience: testTimeout, run: pauseThenEnd(0)},
 	{name: "attempts that overlap", attempts: 9, isOverlapping: true, patience: testTimeout, run: pauseThenEnd(60 * time.Millisecond)},
+	{name: "attempts that overlap before a ledger of an earlier release", attempts: 9, isOverlapping: true, ignoresClaims: true, patience: testTimeout, run: pauseThenEnd(60 * time.Millisecond)},
 	{name: "callers that leave before the engine ends", attempts: 8, patience: 60 * time.Millisecond, run: pauseThenEnd(110 * time.Millisecond)},
 	{name: "callers that leave as the engine ends", attempts: 8, patience: 52 * time.Millisecond, run: pauseThenEnd(50 * time.Millisecond)},
 	{name: "engines that announce their end", attempts: 8, patience: testTimeout, run: func(fleet *crashingFleet, id string, end func()) {
@@ -120,6 +125,7 @@
 			Convey(title, t, func() {
 				fleet := newCrashingFleet(t, 3, 24)
 				fleet.eventsBefore = kind.eventsBefore
+				fleet.ledger.ignoresClaims = way.ignoresClaims
 				fleet.beforeRun = func(id string, end func(), _ bool) bool {
 					way.run(fleet, id, end)
 					return true
@@ -161,6 +167,66 @@
 	f.running.Wait()
 }
 
+// TestEnginesPerRequestProperty guards against a request that ends more than three engines in any mixture of
+// client attempts that overlap, callers that leave, gateways that are replaced, and engines that end at
+// once or later, announced or not, with or without a new incarnation at their address, between others that
+// only cut the connection or fail.
+func TestEnginesPerRequestProperty(t *testing.T) {
+	rapid.Check(t, func(draw *rapid.T) {
+		fleet := newCrashingFleet(t, rapid.IntRange(1, 3).Draw(draw, "gateways"), 12)
+		fleet.ending = rapid.SampledFrom([]engineEnding{endsProcess, restartsProcess, losesPower}).Draw(draw, "ending")
+		kind := rapid.SampledFrom(requestKindsUnderTest).Draw(draw, "kind")
+		fleet.eventsBefore = kind.eventsBefore
+		fleet.ledger.ignoresClaims = rapid.Bool().Draw(draw, "ledger ignores claims")
+		type runPlan struct {
+			pause     time.Duration
+			announces bool
+			ends      bool
+		}
+		drawMs := func(most int, name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(draw, name)) * time.Millisecond
+		}
+		plans := make([]runPlan, 24)
+		for position := range plans {
+			plans[position] = runPlan{drawMs(60, "pause"), rapid.IntRange(0, 3).Draw(draw, "announces") == 0, rapid.IntRange(0, 3).Draw(draw, "ends") > 0}
+		}
+		var started, ended atomic.Int64
+		fleet.beforeRun = func(id string, end func(), _ bool) bool {
+			plan := plans[min(int(started.Add(1))-1, len(plans)-1)]
+			if plan.announces {
+				fleet.markDraining(id)
+			}
+			time.Sleep(plan.pause)
+			if !plan.ends {
+				panic(http.ErrAbortHandler)
+			}
+			ended.Add(1)
+			end()
+			return true
+		}
+		var attempts sync.WaitGroup
+		for try := range rapid.IntRange(1, 9).Draw(draw, "attempts") {
+			if rapid.IntRange(0, 3).Draw(draw, "replace a gateway") == 0 {
+				fleet.addGateway()
+			}
+			gateway := rapid.SampledFrom(fleet.gateways).Draw(draw, "gateway")
+			patience := drawMs(120, "patience") + time.Millisecond
+			attempts.Go(func() { fleet.sendWithPatience(gateway, patience, kind, fmt.Sprint("r", try), engineEndingBody) })
+			time.Sleep(drawMs(50, "time to the next attempt"))
+		}
+		attempts.Wait()
+		fleet.awaitRuns()
+		if ended.Load() > maxEnginesPerRequest {
+			draw.Fatalf("%d engines ended under one request", ended.Load())
+		}
+		fleet.beforeRun = nil
+		innocent := fleet.send(fleet.addGateway(), kind.path, "p", "innocent", "innocent", kind.headers...)
+		if innocent.err != nil || innocent.status != http.StatusOK {
+			draw.Fatalf("innocent request ended with status %d, %v: %s", innocent.status, innocent.err, innocent.body)
+		}
+	})
+}
+
 // TestEnginesPerRequestWithoutLedgerGroups guards against a request that each gateway hands to engines on
 // its own account while the ledger groups are out of reach.
 func TestEnginesPerRequestWithoutLedgerGroups(t *testing.T) {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -336,22 +336,24 @@
 	})
 }
 
-// TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent guards against a request that is sent from engine to
-// engine while other gateways can't learn of it.
+// TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent guards against a request that is sent to an engine
+// while other gateways can't learn of it.
 func TestRequestThatEndsItsEnginesWhileTheLedgerIsSilent(t *testing.T) {
-	Convey("each try ends one engine, and a gateway no more than the limit", t, func() {
+	Convey("calls are rejected as not run while their attempts can't be on record, and served once they can", t, func() {
+		const shortDeadlineMs = "700"
 		fleet := newCrashingFleet(t, 1, 10)
-		fleet.ledger.crashes.Store(nil)
+		crashes := fleet.ledger.crashes.Swap(nil)
 		fleet.ledger.setResponse(func(*protocol.TurnRequest) *protocol.TurnReply { return nil })
 		for try := range 5 {
-			ended := fleet.send(fleet.gateways[0], "/safe/", "p", fmt.Sprint("r", try), engineEndingBody)
-			So(len(fleet.endedUnder(engineEndingBody)), ShouldEqual, min(try+1, maxEnginesPerRequest))
-			if try < maxEnginesPerRequest {
-				So(ended.status, ShouldEqual, http.StatusBadGateway)
-			} else {
+			for _, body := range []string{engineEndingBody, "innocent"} {
+				ended := fleet.send(fleet.gateways[0], "/safe/", "p", fmt.Sprint(body, try), body, "Ochrebay-Deadline-Ms", shortDeadlineMs)
 				So(ended.status, ShouldEqual, http.StatusServiceUnavailable)
+				So(ended.retryAfter, ShouldNotBeBlank)
 			}
 		}
+		So(fleet.endedUnder(engineEndingBody), ShouldBeEmpty)
+		fleet.ledger.crashes.Store(crashes)
+		fleet.ledger.recordStreams(answerAll)
 		So(fleet.send(fleet.gateways[0], "/safe/", "p", "innocent", "innocent").status, ShouldEqual, http.StatusOK)
 	})
 }
@@ -401,42 +403,52 @@
 }
 
 // TestManyEnginesEndAtOnce guards against innocent requests that fail because many engines end at
-// once, more than the retry budget covers.
+// once, announced or not, more than the retry budget covers.
 func TestManyEnginesEndAtOnce(t *testing.T) {
-	Convey("repeatable requests at engines that end together are all served by the others", t, func() {
-		const requests, engines, ending = 60, 16, 12
-		fleet := newCrashingFleet(t, 1, engines)
-		var arrived sync.WaitGroup
-		arrived.Add(requests)
-		endTogether := make(chan struct{})
-		fleet.beforeRun = func(id string, end func(), isFirstRun bool) bool {
-			if !isFirstRun {
-				return false
+	for _, isAnnounced := range []bool{false, true} {
+		Convey(fmt.Sprintf("repeatable requests at engines that end together (announced: %t) are all served by the others", isAnnounced), t, func() {
+			const requests, engines, ending = 60, 16, 12
+			fleet := newCrashingFleet(t, 1, engines)
+			var arrived sync.WaitGroup
+			arrived.Add(requests)
+			endTogether := make(chan struct{})
+			endsAtOnce := func(id string) bool {
+				var number int
+				_, _ = fmt.Sscanf(id, "engine-%d", &number)
+				return number < ending
 			}
-			arrived.Done()
-			<-endTogether
-			var number int
-			_, _ = fmt.Sscanf(id, "engine-%d", &number)
-			if number < ending {
-				end()
+			fleet.beforeRun = func(id string, end func(), isFirstRun bool) bool {
+				if !isFirstRun {
+					return false
+				}
+				arrived.Done()
+				<-endTogether
+				if endsAtOnce(id) {
+					end()
+				}
+				return endsAtOnce(id)
 			}
-			return number < ending
-		}
-		results := make(chan sent, requests)
-		for number := range requests {
-			go func() {
-				path := []string{"/safe/", "/resumable/"}[number%2]
-				results <- fleet.send(fleet.gateways[0], path, fmt.Sprint("program-", number), fmt.Sprint("r", number), fmt.Sprint("innocent ", number), "Ochrebay-Deadline-Ms", "30000")
-			}()
-		}
-		arrived.Wait()
-		close(endTogether)
-		for range requests {
-			ended := <-results
-			So(ended.err, ShouldBeNil)
-			So(ended.status, ShouldEqual, http.StatusOK)
-		}
-	})
+			results := make(chan sent, requests)
+			for number := range requests {
+				go func() {
+					path := []string{"/safe/", "/resumable/"}[number%2]
+					results <- fleet.send(fleet.gateways[0], path, fmt.Sprint("program-", number), fmt.Sprint("r", number), fmt.Sprint("innocent ", number), "Ochrebay-Deadline-Ms", "30000")
+				}()
+			}
+			arrived.Wait()
+			for number := range engines {
+				if id := fmt.Sprintf("engine-%d", number); isAnnounced && endsAtOnce(id) {
+					fleet.markDraining(id)
+				}
+			}
+			close(endTogether)
+			for range requests {
+				ended := <-results
+				So(ended.err, ShouldBeNil)
+				So(ended.status, ShouldEqual, http.StatusOK)
+			}
+		})
+	}
 }
 
 // TestCallsAfterCrashesAreKeptApart guards against an innocent request that loses its engine again because
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,8 @@
 	// defaultHistoryCacheBytes if there is no memory limit.
 	historyCacheDivisor      = 6
 	defaultHistoryCacheBytes = 64 << 20
+	// instanceBase is the base in which the gateway's random instance number is written.
+	instanceBase = 36
 )
 
 var errStopping = errors.New("the gateway is stopping")
@@ -61,21 +64,26 @@
 type Daemon struct {
 	// Frontends are served in addition to the daemon's own interface.
 	Frontends []daemon.Frontend
+	// EngineStatusPath is the path at which an engine responds without running anything.
+	EngineStatusPath string
 
-	process      config.Process
-	headerNames  HeaderNames
-	logger       log.Logger
-	monitor      *telemetry.Monitor
-	metrics      *metrics
-	follower     *daemon.Follower
-	pool         *upstream.Pool
-	engines      *engineRegistry
-	waitQueues   *waitQueues
-	retries      *retryPolicy
-	ledgers      *ledgerClient
-	histories    *historyCache
-	denials      *denials
-	crashes      *crashTracker
+	process     config.Process
+	headerNames HeaderNames
+	logger      log.Logger
+	monitor     *telemetry.Monitor
+	metrics     *metrics
+	follower    *daemon.Follower
+	pool        *upstream.Pool
+	engines     *engineRegistry
+	waitQueues  *waitQueues
+	retries     *retryPolicy
+	ledgers     *ledgerClient
+	histories   *historyCache
+	denials     *denials
+	crashes     *crashTracker
+	// instance distinguishes the starts of all gateways, and attemptNames numbers the attempts of this one.
+	instance     string
+	attemptNames attemptNames
 	serviceTimes *serviceTimes
 	view         atomic.Pointer[view]
 	// confirmationAge returns how long ago control last confirmed that the routing table is in
@@ -87,7 +95,8 @@
 	processorLoad    processorLoad
 	draining         atomic.Bool
 	inFlight         atomic.Int64
-	// settlements counts the turns that are being charged in the background.
+	// settlements counts the turns that are being charged, and the claims that are being closed, in the
+	// background.
 	settlements atomic.Int64
 	// callsContext is the context of all calls. endCalls ends it when the drain is over.
 	callsContext context.Context
@@ -104,7 +113,7 @@
 		engines: newEngineRegistry(process.Zone, process.Policy), waitQueues: newWaitQueues(process.Policy.Waiting, process.Policy.Disable),
 		retries:   newRetryPolicy(process.Policy.Retry, process.Policy.Disable),
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
-		crashes:      newCrashTracker(),
+		crashes: newCrashTracker(), instance: strconv.FormatUint(rand.Uint64(), instanceBase), EngineStatusPath: DefaultEngineStatusPath,
 		serviceTimes: newServiceTimes(),
 	}
 	d.callsContext, d.endCalls = context.WithCancelCause(context.Background())
@@ -175,7 +184,9 @@
 	for _, address := range d.engines.applyFleet(fleet) {
 		d.pool.CloseIdle(address)
 	}
-	d.logEnginesLeft(d.engines.replaceRegistered(fleet))
+	left := d.engines.replaceRegistered(fleet)
+	d.logEnginesLeft(left)
+	d.crashes.open.remove(left)
 	d.ledgers.applyFleet(fleet)
 	telemetry.Info(d.logger, "fleet in force", "version", fleet.Version, "engines", len(fleet.Engines), "ledgers", len(fleet.Ledgers),
 		"groups", len(fleet.Groups))
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -289,6 +289,7 @@
 	settle := &program.Settle{
 		Program: c.programID, Request: c.turnID, UsedTokens: r.usedTokens(c), Retain: true, PreviousRequest: c.previousTurn,
 		Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(), Content: content, RetentionMs: c.route.RetentionMs,
+		ClosedClaim: c.closedClaim(),
 	}
 	if c.historyInOtherGroup {
 		settle.PreviousRequest = ""
@@ -302,6 +303,7 @@
 		return false
 	}
 	c.turnReserved = false
+	c.claim = ""
 	r.daemon.histories.put(c.turnID, c.programID, c.sessionID, append(append(make([]byte, 0, len(c.history)+len(content)), c.history...), content...))
 	return true
 }
--- a/internal/gateway/enginerisk.go
+++ b/internal/gateway/enginerisk.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"slices"
-
-	"github.com/ochrebay/ochrebay/internal/membership"
 )
 
 // endCallAfterCrash counts a call in callsAfterCrash no longer. The caller must hold the mutex.
@@ -45,13 +43,6 @@
 	return spared
 }
 
-// isDraining reports whether an engine's incarnation has announced its end.
-func (e *engineRegistry) isDraining(engine membership.ServingEngine) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.draining[engine.IncarnationKey()]
-}
-
 // hasAnsweredSince reports whether the engine of a selection has answered a call of this gateway since
 // the given time.
 func (e *engineRegistry) hasAnsweredSince(selected selection, sinceMs int64) bool {
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -30,10 +30,8 @@
 	// callsAfterCrash counts, for each engine, this gateway's calls in flight under whose request another
 	// engine has ended.
 	callsAfterCrash map[string]int
-	// registered holds the incarnations in the latest view (replaceRegistered), and draining those of
-	// them that have announced their end.
+	// registered holds the incarnations in the latest view (replaceRegistered).
 	registered map[string]bool
-	draining   map[string]bool
 	// admissionControllers decide which programs may start at each backend.
 	admissionControllers map[string]*scheduling.AdmissionController
 	// usageMeter measures the usage of tenants at this gateway, tenantShares holds the usage
@@ -55,8 +53,8 @@
 func newEngineRegistry(zone string, policy config.Policy) *engineRegistry {
 	return &engineRegistry{
 		byBackend: map[string][]membership.ServingEngine{}, health: map[string]*scheduling.EngineHealth{}, incarnations: map[string]int64{},
-		callsAfterCrash: map[string]int{}, draining: map[string]bool{},
-		latencyModels: map[string]*scheduling.LatencyModel{}, admissionControllers: map[string]*scheduling.AdmissionController{}, zone: zone, disabled: policy.Disable,
+		callsAfterCrash: map[string]int{},
+		latencyModels:   map[string]*scheduling.LatencyModel{}, admissionControllers: map[string]*scheduling.AdmissionController{}, zone: zone, disabled: policy.Disable,
 		fairSharesEnabled: policy.EnforcesFairShares && !policy.Disable.Has(scheduling.MechanismFairShares),
 		usageMeter:        admission.NewUsageMeter(clock.NowMs()), slotsByBackend: map[string]int{},
 		zoneCosts: scheduling.ZoneCosts{CrossZonePenaltyMs: policy.CrossZonePenaltyMs},
@@ -76,13 +74,10 @@
 	}
 	e.byBackend = map[string][]membership.ServingEngine{}
 	e.zoneByAddress = map[string]string{}
-	e.draining = map[string]bool{}
 	for _, engine := range view.Engines {
 		delete(staleAddresses, engine.Address)
 		e.zoneByAddress[engine.Address] = engine.Zone
-		if engine.Draining {
-			e.draining[engine.IncarnationKey()] = true
-		} else {
+		if !engine.Draining {
 			e.byBackend[engine.Backend] = append(e.byBackend[engine.Backend], engine)
 		}
 	}
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -81,26 +81,31 @@
 			So(fleet.send(gateway, "/unsafe/", "q", fmt.Sprint("s", try), "innocent").status, ShouldEqual, http.StatusOK)
 			gateway.gateway.pool.CloseIdle(fleet.engines["engine-0"].Address)
 		}
-		So(fleet.ledger.crashes.Load().reportCount(), ShouldEqual, 5)
+		crashes := fleet.ledger.crashes.Load()
+		for deadline := time.Now().Add(testTimeout); crashes.recordCount() > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		So(crashes.recordCount(), ShouldEqual, 0)
 	})
 }
 
-// TestEnginesThatAnnouncedTheirEnd guards against a request that is rejected because engines that drained
-// ended while they still ran it.
+// TestEnginesThatAnnouncedTheirEnd guards against a request that is handed to one engine after the other
+// because engines that drain when they end under it are not counted.
 func TestEnginesThatAnnouncedTheirEnd(t *testing.T) {
-	Convey("engines that drain when they end don't count", t, func() {
+	Convey("engines that drain when they end count, and stop no other request", t, func() {
 		fleet := newCrashingFleet(t, 1, 8)
 		gateway := fleet.gateways[0]
 		fleet.beforeRun = func(id string, end func(), _ bool) bool {
-			engine := fleet.engines[id]
-			engine.Draining = true
-			fleet.engines[id] = engine
-			fleet.setEngines(gateway, fleet.engines)
+			fleet.markDraining(id)
 			end()
 			return true
 		}
 		for try := range 5 {
-			So(fleet.send(gateway, "/unsafe/", "p", fmt.Sprint("r", try), "innocent").status, ShouldEqual, http.StatusBadGateway)
+			expected := http.StatusBadGateway
+			if try >= maxEnginesPerRequest {
+				expected = http.StatusServiceUnavailable
+			}
+			So(fleet.send(gateway, "/unsafe/", "p", fmt.Sprint("r", try), "unlucky").status, ShouldEqual, expected)
 		}
 		fleet.beforeRun = nil
 		So(fleet.send(gateway, "/unsafe/", "p", "last", "innocent").status, ShouldEqual, http.StatusOK)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,10 +42,12 @@
 // answer is sent. It records crashes itself.
 type fakeLedger struct {
 	// crashes is the record of crashes. Without one, the response function answers all requests.
-	crashes  atomic.Pointer[fakeCrashLedger]
-	server   *protocol.Server
-	requests chan *protocol.TurnRequest
-	respond  atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
+	crashes atomic.Pointer[fakeCrashLedger]
+	// ignoresClaims means that reservations record no claims, as with replicas of an earlier release.
+	ignoresClaims bool
+	server        *protocol.Server
+	requests      chan *protocol.TurnRequest
+	respond       atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
 }
 
 // fakeCrashLedger is the record of crashes of a fakeLedger. A nil one has none.
@@ -87,6 +89,19 @@
 	return &protocol.TurnReply{Crashes: &crashes}, true
 }
 
+// recordWithTurn records what a reservation claims, or a settlement closes.
+func (l *fakeCrashLedger) recordWithTurn(report *program.Crash) {
+	if l == nil || report == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, attempt := range report.Attempts {
+		l.reported[attempt] = true
+	}
+	l.table.Record(clock.NowMs(), *report)
+}
+
 // find returns the crash record of a request, nil if there is none.
 func (l *fakeCrashLedger) find(key program.RequestKey) *program.CrashHistory {
 	if l == nil {
@@ -122,7 +137,13 @@
 		}
 		ledger.requests <- request
 		if reply := (*ledger.respond.Load())(request); reply != nil {
+			if request.Settle != nil {
+				crashes.recordWithTurn(request.Settle.ClosedClaim)
+			}
 			if request.Reserve != nil && reply.Error == nil {
+				if !ledger.ignoresClaims {
+					crashes.recordWithTurn(request.Reserve.Claim)
+				}
 				reply.Crashes = crashes.find(request.Reserve.Key())
 			}
 			_ = connection.Reply(frame.Call, protocol.KindResponse, reply, true)
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -78,12 +78,14 @@
 	affinityKey  string
 	// fingerprint identifies the request over all its client attempts.
 	fingerprint string
-	// crashedAttempts are the attempts under which an engine ended or may have ended, in this client
-	// attempt of the request or an earlier one, and crashesRetained is how long that is remembered.
+	// claim names the next attempt on record at the ledger, empty while there is none. The record is used
+	// by one attempt that its engine does not outlive, or by any number of attempts that their engines do.
+	claim string
+	// crashedAttempts are the other attempts of the request on record, in this client attempt or another
+	// one, under which an engine ended or may end. closings are closed once the ledger has removed others
+	// that their engines have outlived.
 	crashedAttempts []string
-	crashesRetained time.Duration
-	// areCrashesUnknown is true if the ledger did not reply to the lookup of its crash record.
-	areCrashesUnknown bool
+	closings        []chan struct{}
 	// lastSentMs is the clock.NowMs time at which the latest attempt was sent.
 	lastSentMs int64
 	// lastEventID is the last event that the caller has received, 0 for none.
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -40,7 +40,9 @@
 	historyReads *prometheus.CounterVec
 	mutex        sync.Mutex
 	view         *membership.FleetView
-	leaders      *leaderCache
+	// hasPlacedGroups is true once a view has placed ledger groups.
+	hasPlacedGroups bool
+	leaders         *leaderCache
 	// disabled lists the scheduling mechanisms that are turned off.
 	disabled scheduling.DisabledMechanisms
 }
@@ -55,6 +57,15 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.view = view
+	l.hasPlacedGroups = l.hasPlacedGroups || len(view.Groups) > 0
+}
+
+// hasNoLedger reports whether the fleet has no ledger hosts at all, as opposed to ones that this gateway
+// does not know at the moment.
+func (l *ledgerClient) hasNoLedger() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.view != nil && !l.hasPlacedGroups && len(l.view.Ledgers) == 0
 }
 
 // groupCount returns the number of ledger groups that are placed on hosts.
@@ -151,36 +162,35 @@
 	return reply
 }
 
-// reportCrash reports engines that ended while they ran a request.
+// reportCrash claims or closes attempts of a request, or reports ones that were not claimed. The reply
+// has the resulting record. It has none if the fleet has no ledger, or one of a release that records no
+// crashes.
 func (l *ledgerClient) reportCrash(ctx context.Context, crash *program.Crash) *protocol.TurnReply {
-	group, isPlaced := l.groupOf(crash.Key.Scope)
+	return l.callCrashRecord(ctx, crash.Key, &protocol.TurnRequest{Crash: crash})
+}
+
+// lookUpCrashes asks for the crash record of a request. The reply has none if there is none.
+func (l *ledgerClient) lookUpCrashes(ctx context.Context, key *program.RequestKey) *protocol.TurnReply {
+	return l.callCrashRecord(ctx, *key, &protocol.TurnRequest{CrashesOf: key})
+}
+
+// callCrashRecord sends a request to the group that holds the crash record of a key.
+func (l *ledgerClient) callCrashRecord(ctx context.Context, key program.RequestKey, request *protocol.TurnRequest) *protocol.TurnReply {
+	group, isPlaced := l.groupOf(key.Scope)
 	if !isPlaced {
-		return &protocol.TurnReply{}
+		if l.hasNoLedger() {
+			return &protocol.TurnReply{}
+		}
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
 	}
-	reply := l.callLeader(ctx, &protocol.TurnRequest{Group: group, Crash: crash})
+	request.Group = group
+	reply := l.callLeader(ctx, request)
 	if reply.Error != nil && reply.Error.Code == result.MalformedRequest {
-		// The leader runs a release that records no crashes.
 		return &protocol.TurnReply{}
 	}
 	return reply
 }
 
-// lookUpCrashes asks the leader of a group once for the crash record of a request.
-func (l *ledgerClient) lookUpCrashes(ctx context.Context, group uint32, key *program.RequestKey) *protocol.TurnReply {
-	leader := l.leaders.find(ctx, group)
-	if leader == "" {
-		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d: no leader found", group)}
-	}
-	reply := &protocol.TurnReply{}
-	if err := l.client.CallWithTimeout(ctx, crashLookupTimeout, leader, protocol.KindTurn, &protocol.TurnRequest{Group: group, CrashesOf: key}, reply); err != nil {
-		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d: %s: %v", group, leader, err)}
-	}
-	if reply.Error != nil && reply.Error.Code == result.NotLeader {
-		l.leaders.invalidate(group, leader)
-	}
-	return reply
-}
-
 // openStream records or finds the origin of a stream in its program's group.
 func (l *ledgerClient) openStream(ctx context.Context, open *program.OpenStream) *protocol.TurnReply {
 	group, isPlaced := l.groupOf(open.Program)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -56,8 +56,7 @@
 // concurrently unless the tenant was denied recently.
 func (d *Daemon) openCall(ctx context.Context, c *call) *result.Error {
 	if !c.isTurn() {
-		d.loadCrashes(ctx, c)
-		if failure := d.checkCrashLimit(c); failure != nil {
+		if failure := d.openAttemptRecord(ctx, c); failure != nil {
 			return failure
 		}
 		if failure := d.acquireQuota(ctx, c); failure != nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -64,6 +64,7 @@
 		if c.turnReserved {
 			d.settleAsync(c, response)
 		}
+		d.releaseClaim(c)
 	}()
 	c.latestStart = d.latestStart(c)
 	failure := d.openCall(ctx, c)
@@ -94,7 +95,7 @@
 	defer cancel()
 	reserve := &program.Reserve{
 		Program: c.programID, Request: c.turnID, BudgetTokens: c.tokenBudget, MaxTokens: c.maxTokens, Session: c.sessionID, Stream: d.streamOpening(c),
-		Fingerprint: c.fingerprint,
+		Fingerprint: c.fingerprint, Claim: d.newClaim(c),
 	}
 	var cached cachedHistory
 	if c.route.RetainTurns && c.previousTurn != "" {
@@ -115,17 +116,19 @@
 	if reply.Error != nil {
 		// The reservation may have been made although no reply arrived. No engine gets the call,
 		// so the reservation has to be settled and nothing charged.
-		c.turnReserved = c.tokenBudget > 0 && reply.Error.Code == result.LedgerUnreachable
+		if reply.Error.Code == result.LedgerUnreachable {
+			c.turnReserved = c.tokenBudget > 0
+			c.claim = reserve.Claim.Attempts[0]
+		}
 		return reply.Error
 	}
-	d.applyCrashes(c, reply.Crashes)
 	c.affineEngine = reply.AffineEngine
 	if !c.historyInOtherGroup && reserve.PreviousRequest != "" {
 		c.history = cached.extend(reply)
 	}
 	c.turnReserved = c.tokenBudget > 0
 	c.programInProgress = !reply.IsFirstTurn || c.previousTurn != ""
-	if failure := d.checkCrashLimit(c); failure != nil {
+	if failure := d.claimWithTurn(ctx, c, reserve.Claim, reply); failure != nil {
 		return failure
 	}
 	if failure := d.applyStreamOrigin(c, reply.Stream); failure != nil {
@@ -177,7 +180,11 @@
 // settleAsync charges a turn that is not retained, in the background so that the caller does not
 // wait for it.
 func (d *Daemon) settleAsync(c *call, response *callerResponse) {
-	settle := &program.Settle{Program: c.programID, Request: c.turnID, UsedTokens: response.usedTokens(c), Session: c.sessionID, Engine: c.selection.engine.IncarnationKey()}
+	settle := &program.Settle{
+		Program: c.programID, Request: c.turnID, UsedTokens: response.usedTokens(c), Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(),
+		ClosedClaim: c.closedClaim(),
+	}
+	c.claim = ""
 	if c.recordsOrigin && response.isComplete {
 		settle.EndedStream = c.beginningRequest()
 	}
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -326,6 +326,8 @@
 		fleet.addEngine("a", "v1", 0)
 		view := *fleet.fixture.gateway.view.Load().fleet
 		view.Groups = nil
+		// A gateway that had ledger groups before takes their absence for a view that is not complete.
+		fleet.fixture.gateway.ledgers.hasPlacedGroups = false
 		fleet.fixture.gateway.ledgers.applyFleet(&view)
 		_, body, err := fleet.fixture.send("/resumable/", "r1")
 		So(err, ShouldBeNil)
--- a/internal/gateway/tries.go
+++ b/internal/gateway/tries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/clock"
@@ -50,6 +51,9 @@
 		}
 	}
 	for {
+		if failure := d.claimAttempt(ctx, c); failure != nil {
+			return unclaimedError(c, state, failure)
+		}
 		selected, found := selection{}, false
 		if state.remainingEngines != 0 {
 			selected, found = d.selectEngine(c, state.excludedEngines)
@@ -76,7 +80,7 @@
 		d.engines.recordAttemptEnd(c, clock.NowMs(), outcome)
 		d.recordCompletion(c, outcome)
 		if outcome.kind == attemptBroken && (c.route.IsRepeatable() || c.isConnectionLoss(outcome.err)) {
-			outcome.engineState = d.probeEngine(engine, c.startedAt.Add(c.sentAfter))
+			outcome.engineState = d.probeEngine(c, engine)
 		}
 		d.logAttempt(c, engine, outcome)
 		state.excludedEngines = append(state.excludedEngines, engine.ID)
@@ -93,12 +97,16 @@
 func (d *Daemon) evaluateAttempt(c *call, state *attemptState, engine membership.ServingEngine, outcome attemptOutcome) (done bool, failure *result.Error) {
 	switch outcome.kind {
 	case attemptAnswered:
-		if !isEngineFailure(outcome.status) {
-			d.clearCrashes(c)
+		if outcome.status < http.StatusInternalServerError {
+			d.forgetAnswered(c)
 		}
 		return true, nil
 	case attemptCancelled:
-		d.checkAbandonedEngine(c, engine, outcome)
+		if c.claim == "" {
+			d.checkAbandonedEngine(c, engine, outcome)
+		} else if !outcome.hasOutlived() {
+			d.keepAttempt(c, engine, outcome, 0)
+		}
 		return true, cancelledError(c, outcome)
 	case attemptFailed:
 		state.mayHaveRun = true
@@ -123,15 +131,15 @@
 		state.runs++
 	}
 	mayFailOver := d.canFailOver(c, outcome)
-	if d.mayHaveCrashed(c, engine, outcome) {
+	if !outcome.hasOutlived() {
 		wait := crashReportWait
 		if mayFailOver {
 			wait = max(min(failoverReportWait, time.Until(c.latestStart)), wait)
 		}
-		mayFailOver = d.recordCrash(c, engine, outcome, wait) && mayFailOver
+		mayFailOver = d.keepAttempt(c, engine, outcome, wait) && mayFailOver
 	}
-	if d.checkCrashLimit(c) != nil {
-		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d engines have ended under this request: %v", engine.ID, len(c.crashedAttempts), outcome.err)
+	if len(c.crashedAttempts) >= d.crashLimit() {
+		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted, and %d attempts of this request have not been outlived by their engines: %v", engine.ID, len(c.crashedAttempts), outcome.err)
 	}
 	if !mayFailOver || state.runs >= max(c.route.MaxAttempts, 1) || !d.takeRetryBudget(c, outcome) {
 		return result.New(result.OutcomeUnknown, "attempt at engine %s was interrupted: %v", engine.ID, outcome.err)
@@ -208,6 +216,14 @@
 	return !outcome.responseStarted || (c.route.Resumable && !c.retainsTurn() && c.lastEventID > 0)
 }
 
+// unclaimedError returns the error of a call whose next attempt got no claim.
+func unclaimedError(c *call, state *attemptState, failure *result.Error) *result.Error {
+	if !state.mayHaveRun {
+		return failure
+	}
+	return result.New(result.OutcomeUnknown, "%d attempts, and no further one: %s", c.attemptCount, failure.Message)
+}
+
 func attemptsExhaustedError(c *call, mayHaveRun bool, last attemptOutcome) *result.Error {
 	if mayHaveRun {
 		return result.New(result.OutcomeUnknown, "%d attempts, the last one: %v", c.attemptCount, last.err)
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -133,8 +133,11 @@
 	// of its latest leadership transfer for load balancing.
 	ledSinceMs    map[storage.GroupID]int64
 	lastBalanceMs int64
-	// deferredSettles holds the settlements that wait for the next proposal in their group.
-	deferredSettles map[storage.GroupID][]deferredSettle
+	// deferredCommands holds the commands that wait for the next proposal in their group.
+	deferredCommands map[storage.GroupID][]deferredCommand
+	// supportsClaims holds, by member, whether its latest messages said that it records claims together
+	// with turns.
+	supportsClaims map[string]bool
 	// quotaOwners grant the requests of the tenants that belong to the groups led here.
 	quotaOwners map[storage.GroupID]*quotaOwner
 	// programKinds holds the learned statistics of the kinds of tenants' programs, over all
@@ -153,11 +156,11 @@
 func NewCore(options Options, store Storage, transport Transport, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: store, transport: transport, nowMs: nowMs, lastTickMs: nowMs,
-		leaderlessSinceMs: map[storage.GroupID]int64{}, deferredSettles: map[storage.GroupID][]deferredSettle{}, ledSinceMs: map[storage.GroupID]int64{},
+		leaderlessSinceMs: map[storage.GroupID]int64{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
 		quotaOwners: map[storage.GroupID]*quotaOwner{}, programKinds: admission.NewProgramKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, store, func(member string, messages []protocol.PeerMessage) {
-		transport.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages})
+		transport.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages, SupportsClaims: true})
 	})
 	core.setNow(nowMs)
 	return core
@@ -268,6 +271,7 @@
 // HandlePeerBatch processes a batch of consensus messages from another ledger host.
 func (c *Core) HandlePeerBatch(batch protocol.PeerBatch, nowMs int64) {
 	c.setNow(nowMs)
+	c.supportsClaims[batch.From] = batch.SupportsClaims
 	c.host.Step(batch)
 }
 
@@ -281,7 +285,7 @@
 		c.lastTickMs = nowMs
 		c.tickQuotas()
 		for _, group := range c.host.Groups {
-			c.proposeDeferredSettles(group)
+			c.proposeDeferred(group)
 			group.Node.Tick()
 		}
 	}
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -11,12 +11,12 @@
 	"github.com/ochrebay/ochrebay/internal/storage"
 )
 
-// deferredSettle is a settlement that charges a turn without retaining it. No caller waits for it,
-// so it is proposed together with the next command of its group, or at the next tick, and needs no
-// messages and no sync of its own.
-type deferredSettle struct {
-	id     RequestID
-	settle *program.Settle
+// deferredCommand is a command whose effect no caller waits for: a settlement that charges a turn
+// without retaining it, or the end of claims. It is proposed together with the next command of its
+// group, or at the next tick, and needs no messages and no sync of its own.
+type deferredCommand struct {
+	id      RequestID
+	command program.TurnCommand
 }
 
 // HandleRequest processes a request of a gateway. The reply goes through the transport, before or
@@ -43,15 +43,15 @@
 	case request.Reserve != nil:
 		c.openTurn(id, group, request)
 	case request.Stream != nil:
-		c.proposeAfterSettles(id, group, program.TurnCommand{Stream: request.Stream}, nil)
+		c.proposeAfterDeferred(id, group, program.TurnCommand{Stream: request.Stream}, nil)
+	case request.Crash != nil && request.Crash.IsClosing():
+		c.deferCommand(id, group, program.TurnCommand{Crash: request.Crash})
 	case request.Crash != nil:
-		c.proposeAfterSettles(id, group, program.TurnCommand{Crash: request.Crash}, nil)
+		c.proposeAfterDeferred(id, group, program.TurnCommand{Crash: request.Crash}, nil)
 	case request.CrashesOf != nil:
 		c.replyCrashes(id, group, *request.CrashesOf)
-	case request.Settle != nil && !request.Settle.Retain:
-		c.deferredSettles[group.ID] = append(c.deferredSettles[group.ID], deferredSettle{id, request.Settle})
 	case request.Settle != nil:
-		c.proposeAfterSettles(id, group, program.TurnCommand{Settle: request.Settle}, nil)
+		c.settleTurn(id, group, request.Settle)
 	case request.HistoryOf != "":
 		c.replyHistory(id, group, request.HistoryOf)
 	default:
@@ -59,19 +59,59 @@
 	}
 }
 
-// openTurn opens a turn. A turn without a budget whose stream is not recorded changes no state, so a
-// linearizable read is sufficient.
+// settleTurn closes a turn. Claims are closed by a command of their own while a replica of an earlier
+// release would ignore them in the settlement.
+func (c *Core) settleTurn(id RequestID, group *replication.Group, settle *program.Settle) {
+	if settle.ClosedClaim != nil && !c.groupSupportsClaims(group) {
+		_ = c.host.Propose(group, &program.TurnCommand{NowMs: c.nowMs, Crash: settle.ClosedClaim}, func(any) {})
+		withoutClaim := *settle
+		withoutClaim.ClosedClaim = nil
+		settle = &withoutClaim
+	}
+	if settle.Retain {
+		c.proposeAfterDeferred(id, group, program.TurnCommand{Settle: settle}, nil)
+		return
+	}
+	c.deferCommand(id, group, program.TurnCommand{Settle: settle})
+}
+
+// deferCommand keeps a command for the next proposal of its group.
+func (c *Core) deferCommand(id RequestID, group *replication.Group, command program.TurnCommand) {
+	c.deferredCommands[group.ID] = append(c.deferredCommands[group.ID], deferredCommand{id, command})
+}
+
+// groupSupportsClaims reports whether all replicas of a group record claims together with turns.
+// Invariant: an entry with such a claim is proposed only then, because replicas of an earlier release
+// would ignore it and come to another state.
+func (c *Core) groupSupportsClaims(group *replication.Group) bool {
+	for _, replica := range group.Node.Configuration().Replicas {
+		if replica.Member != c.options.Member && !c.supportsClaims[replica.Member] {
+			return false
+		}
+	}
+	return true
+}
+
+// openTurn opens a turn. A turn without a budget whose stream is not recorded and that claims nothing
+// changes no state, so a linearizable read is sufficient.
 func (c *Core) openTurn(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
-	previous := request.Reserve.PreviousRequest
+	reserve := request.Reserve
+	if reserve.Claim != nil && !c.groupSupportsClaims(group) {
+		// The gateway claims its attempt in a request of its own.
+		withoutClaim := *reserve
+		withoutClaim.Claim = nil
+		reserve = &withoutClaim
+	}
+	previous := reserve.PreviousRequest
 	makeHistoryReply := func() *protocol.TurnReply {
 		reply := &protocol.TurnReply{}
 		if previous != "" {
 			reply = c.turnHistory(group, previous, request.CachedTurn, request.Zone)
 		}
-		reply.Crashes = c.crashesOf(group, request.Reserve.Key())
+		reply.Crashes = c.crashesOf(group, reserve.Key())
 		return reply
 	}
-	if request.Reserve.BudgetTokens <= 0 && request.Reserve.Stream == nil {
+	if reserve.BudgetTokens <= 0 && reserve.Stream == nil && reserve.Claim == nil {
 		c.host.LinearizableRead(group, func(failure *result.Error) {
 			if failure == nil && previous != "" && !c.hasTurn(group, previous) {
 				failure = result.New(result.UnknownTurn, "no turn %s", previous)
@@ -84,7 +124,7 @@
 		})
 		return
 	}
-	c.proposeAfterSettles(id, group, program.TurnCommand{Reserve: request.Reserve}, makeHistoryReply)
+	c.proposeAfterDeferred(id, group, program.TurnCommand{Reserve: reserve}, makeHistoryReply)
 }
 
 // crashesOf returns the crash record of a request as the local replica has applied it, nil if there is
@@ -102,19 +142,19 @@
 	return group.StateMachine.(*stateMachine).turns.HasTurn(request)
 }
 
-// proposeDeferredSettles proposes the deferred settlements of a group.
-func (c *Core) proposeDeferredSettles(group *replication.Group) {
-	waiting := c.deferredSettles[group.ID]
-	delete(c.deferredSettles, group.ID)
+// proposeDeferred proposes the deferred commands of a group.
+func (c *Core) proposeDeferred(group *replication.Group) {
+	waiting := c.deferredCommands[group.ID]
+	delete(c.deferredCommands, group.ID)
 	for _, deferred := range waiting {
-		c.proposeCommand(deferred.id, group, program.TurnCommand{Settle: deferred.settle}, nil)
+		c.proposeCommand(deferred.id, group, deferred.command, nil)
 	}
 }
 
-// proposeAfterSettles proposes a command after the deferred settlements of its group, and replies
-// once it is applied.
-func (c *Core) proposeAfterSettles(id RequestID, group *replication.Group, command program.TurnCommand, makeReply func() *protocol.TurnReply) {
-	c.proposeDeferredSettles(group)
+// proposeAfterDeferred proposes a command after the deferred commands of its group, and replies once
+// it is applied.
+func (c *Core) proposeAfterDeferred(id RequestID, group *replication.Group, command program.TurnCommand, makeReply func() *protocol.TurnReply) {
+	c.proposeDeferred(group)
 	c.proposeCommand(id, group, command, makeReply)
 }
 
--- a/internal/program/crashes.go
+++ b/internal/program/crashes.go
@@ -26,12 +26,13 @@
 	Fingerprint string `msgpack:"f"`
 }
 
-// Crash reports attempts of a request under which an engine ended or may have ended.
+// Crash reports attempts of a request under which an engine ended or may end. An attempt that is
+// reported before it is sent is a claim: it counts like the others until it is reported as survived.
 type Crash struct {
 	Key RequestKey `msgpack:"k"`
 	// Attempts identify the attempts: each one counts once, however often it is reported.
 	Attempts []string `msgpack:"a,omitempty"`
-	// Survived are reported attempts whose engines have turned out to run on. They are removed.
+	// Survived are reported attempts whose engines have outlived them. They are removed.
 	Survived []string `msgpack:"s,omitempty"`
 	// RetentionMs is how long the record is retained from now on.
 	RetentionMs int64 `msgpack:"t,omitempty"`
@@ -39,13 +40,29 @@
 	IsCleared bool `msgpack:"c,omitempty"`
 }
 
-// CrashHistory lists the attempts of a request under which an engine ended or may have ended.
+// IsClosing reports whether the report only removes attempts.
+func (c *Crash) IsClosing() bool { return len(c.Survived) > 0 }
+
+// CrashHistory lists the attempts of a request under which an engine ended or may end, in the order in
+// which they were reported.
 type CrashHistory struct {
 	Attempts []string `msgpack:"a,omitempty"`
 	// RemainingMs is how long the record is still retained.
 	RemainingMs int64 `msgpack:"t,omitempty"`
 }
 
+// Admits reports whether a claimed attempt may be sent. Invariant: of the attempts that are on record at
+// the same time, at most limit are admitted, because the order of a record never changes.
+func (h CrashHistory) Admits(attempt string, limit int) bool {
+	position := slices.Index(h.Attempts, attempt)
+	return position >= 0 && position < limit
+}
+
+// Without returns the attempts other than the given one.
+func (h CrashHistory) Without(attempt string) []string {
+	return slices.DeleteFunc(slices.Clone(h.Attempts), func(other string) bool { return other == attempt })
+}
+
 // crashRecord is the stored form of one record.
 type crashRecord struct {
 	Key       RequestKey `msgpack:"k"`
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -40,6 +40,8 @@
 	Stream *StreamOpening `msgpack:"o,omitempty"`
 	// Fingerprint asks for the crash record of the request; empty for none.
 	Fingerprint string `msgpack:"f,omitempty"`
+	// Claim is recorded with the reservation if it is granted, nil for none.
+	Claim *Crash `msgpack:"a,omitempty"`
 }
 
 // Key returns the key of the request over all its client attempts.
@@ -62,6 +64,8 @@
 	RetentionMs     int64  `msgpack:"t,omitempty"`
 	// EndedStream is the request that began the turn's stream, if its last event was sent.
 	EndedStream string `msgpack:"d,omitempty"`
+	// ClosedClaim closes the claims of the turn's attempts that their engines have outlived, nil for none.
+	ClosedClaim *Crash `msgpack:"x,omitempty"`
 }
 
 // TurnCommand is one entry of a ledger group's log. Exactly one field besides NowMs is set.
@@ -249,11 +253,17 @@
 		if account, ok := t.budgets[command.Reserve.Program]; ok {
 			reply.IsFirstTurn = account.isFirstTurn()
 		}
+		if command.Reserve.Claim != nil && failure == nil {
+			t.crashes.Record(command.NowMs, *command.Reserve.Claim)
+		}
 		if command.Reserve.Fingerprint != "" {
 			reply.Crashes = t.crashes.Find(command.NowMs, command.Reserve.Key())
 		}
 		return reply, TurnEffects{}
 	case command.Settle != nil:
+		if command.Settle.ClosedClaim != nil {
+			t.crashes.Record(command.NowMs, *command.Settle.ClosedClaim)
+		}
 		return TurnReply{}, t.settle(command.NowMs, command.Settle)
 	case command.Sweep:
 		return TurnReply{}, t.sweep(command.NowMs)
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -78,6 +78,9 @@
 	// SupportsVersionSubsets means that the sender's replicas can advertise engines of every software
 	// version.
 	SupportsVersionSubsets bool `msgpack:"v,omitempty"`
+	// SupportsClaims means that the sender's replicas of ledger groups record and close claims together
+	// with turns.
+	SupportsClaims bool `msgpack:"c,omitempty"`
 }
 
 // EngineLiveness is a batch of engines that have reported to the sender, for the leader of the
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,15 +31,17 @@
 
 // connection is a persistent connection to an engine.
 type connection struct {
-	socket *trackedSocket
+	socket net.Conn
 	reader *bufio.Reader
+	// openedAt is when the connection was made.
+	openedAt time.Time
 	// usableUntil is the time until which the idle connection may be reused. The engine may close
 	// it soon after.
 	usableUntil time.Time
 }
 
-func newConnection(socket *trackedSocket) *connection {
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes)}
+func newConnection(socket net.Conn) *connection {
+	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), openedAt: time.Now()}
 }
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose peer
@@ -53,7 +56,27 @@
 
 // isOpenAndDrained reports whether an idle connection is open and has no unread bytes.
 func (c *connection) isOpenAndDrained() bool {
-	return c.reader.Buffered() == 0 && c.socket.isOpenAndDrained()
+	return c.reader.Buffered() == 0 && isOpenAndDrained(c.socket)
+}
+
+// isOpenAndDrained reports whether the peer has neither closed the connection nor sent bytes that were
+// not read yet. It reads nothing.
+func isOpenAndDrained(socket net.Conn) bool {
+	source, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	drained := false
+	var peeked [1]byte
+	err = raw.Control(func(descriptor uintptr) {
+		_, _, readErr := unix.Recvfrom(int(descriptor), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		drained = readErr == unix.EAGAIN || readErr == unix.EWOULDBLOCK
+	})
+	return err == nil && drained
 }
 
 // recordKeepAlive sets usableUntil from the keep-alive timeout that the engine announces, at most
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,9 @@
 	// backgroundWriteBytes is the size above which a request is written in the background while
 	// the response is awaited: an engine may respond before it has read the whole request.
 	backgroundWriteBytes = 4 << 10
+	// maxProbeResponseBytes bounds how much of the response to a probe is read. The connection of a longer
+	// one is closed.
+	maxProbeResponseBytes = 64 << 10
 )
 
 // Errors of an exchange.
@@ -68,8 +72,6 @@
 type Pool struct {
 	mutex sync.Mutex
 	idle  map[string][]*connection
-	// sockets holds the sockets of all connections.
-	sockets openSockets
 	// ConnectionsOpened counts new connections, and ConnectionsReused the requests that were sent
 	// on connections from the pool.
 	ConnectionsOpened atomic.Int64
@@ -120,7 +122,7 @@
 	if p.OnDial != nil {
 		p.OnDial(address, time.Since(dialStart))
 	}
-	return newConnection(p.sockets.track(address, socket)), nil
+	return newConnection(socket), nil
 }
 
 func (p *Pool) release(address string, idle *connection) {
@@ -168,6 +170,49 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	return p.exchange(ctx, address, acquired, request)
+}
+
+// Probe sends a request on an idle connection to an address that was opened before the given time, and
+// reports whether a response begins. If so, the process that accepted the connection has not ended. An
+// idle connection alone does not show that: nobody closes the connections of a host without power.
+func (p *Pool) Probe(ctx context.Context, address string, openedBefore time.Time, request *Request) bool {
+	for {
+		earlier := p.popIdleOpenedBefore(address, openedBefore)
+		if earlier == nil {
+			return false
+		}
+		if !earlier.isOpenAndDrained() {
+			_ = earlier.socket.Close()
+			continue
+		}
+		exchange, err := p.exchange(ctx, address, earlier, request)
+		if err != nil {
+			return false
+		}
+		_, _ = io.CopyN(io.Discard, exchange, maxProbeResponseBytes)
+		exchange.Close()
+		return true
+	}
+}
+
+// popIdleOpenedBefore removes and returns an idle connection that was opened before the given time, nil
+// if there is none.
+func (p *Pool) popIdleOpenedBefore(address string, openedBefore time.Time) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[address]
+	position := slices.IndexFunc(idle, func(candidate *connection) bool { return candidate.openedAt.Before(openedBefore) })
+	if position < 0 {
+		return nil
+	}
+	earlier := idle[position]
+	p.idle[address] = slices.Delete(idle, position, position+1)
+	return earlier
+}
+
+// exchange sends a request on a connection and returns the head of the response.
+func (p *Pool) exchange(ctx context.Context, address string, acquired *connection, request *Request) (*Exchange, error) {
 	exchange := &Exchange{pool: p, address: address, connection: acquired, written: make(chan struct{})}
 	exchange.stopCancellation = context.AfterFunc(ctx, func() { _ = acquired.socket.Close() })
 	exchange.send(request)
@@ -230,6 +275,9 @@
 	return errors.New("upstream: only interim responses and responses to other requests received")
 }
 
+// ConnectionOpenedAt returns when the connection of the exchange was opened.
+func (e *Exchange) ConnectionOpenedAt() time.Time { return e.connection.openedAt }
+
 // Read reads the body of the response. io.EOF means that the body has ended as its framing says. A
 // close-delimited body ends so as well if the engine ended before it was complete.
 func (e *Exchange) Read(into []byte) (int, error) {
@@ -240,6 +288,10 @@
 	return count, err
 }
 
+// HasEnded reports whether the body of the response has ended as its framing says, with its connection
+// still open.
+func (e *Exchange) HasEnded() bool { return e.bodyComplete && e.Framing() != CloseDelimited }
+
 // Close ends the exchange. Invariant: the connection is reused only if the whole request was
 // written, the whole response was read and no unread bytes are left.
 func (e *Exchange) Close() {
