A claim that no ledger host was sent is not withdrawn; test: silent runs are not awaited

While a ledger group has no leader, each rejected call would have tried for 6 s to withdraw a claim that nobody can have recorded. TestEnginesPerRequestProperty waited, once in some hundred cases, for a handler that stands for a host without power and never returns: it hung for 10 min in one run of the package.

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -64,7 +64,12 @@
 	claimContext, cancel := context.WithDeadline(ctx, c.latestOpening())
 	defer cancel()
 	c.awaitClosings(claimContext)
-	failure := d.applyClaim(c, claim, d.ledgers.reportCrash(claimContext, claim))
+	reply, wasSent := d.ledgers.claim(claimContext, claim)
+	if reply.Error != nil && wasSent {
+		// The claim may have been recorded although no reply arrived.
+		d.withdrawClaim(c, claim.Attempts[0])
+	}
+	failure := d.applyClaim(c, claim, reply)
 	if failure != nil && ctx.Err() != nil {
 		return abandonedError(ctx, "its attempt was put on record")
 	}
@@ -75,8 +80,6 @@
 func (d *Daemon) applyClaim(c *call, claim *program.Crash, reply *protocol.TurnReply) *result.Error {
 	attempt := claim.Attempts[0]
 	if reply.Error != nil {
-		// The claim may have been recorded although no reply arrived.
-		d.withdrawClaim(c, attempt)
 		return reply.Error
 	}
 	var history program.CrashHistory
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -101,12 +101,12 @@
 	connections := &openConnections{open: map[net.Conn]bool{}}
 	server := &http.Server{ReadHeaderTimeout: testTimeout, ConnState: connections.observe}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		f.running.Add(1)
-		defer f.running.Done()
 		if connections.isSilent(r.RemoteAddr) {
 			<-f.t.Context().Done()
 			return
 		}
+		f.running.Add(1)
+		defer f.running.Done()
 		f.runAt(id, func() {
 			switch f.ending {
 			case endsProcess:
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -99,6 +99,12 @@
 // ends. Repeating is safe because the ledger identifies a turn by its request id, and a quota
 // request by its ticket.
 func (l *ledgerClient) callLeader(ctx context.Context, request *protocol.TurnRequest) *protocol.TurnReply {
+	reply, _ := l.tryLeaders(ctx, request)
+	return reply
+}
+
+// tryLeaders is callLeader. It also returns whether the request was sent to any host.
+func (l *ledgerClient) tryLeaders(ctx context.Context, request *protocol.TurnRequest) (reply *protocol.TurnReply, wasSent bool) {
 	request.TimeoutMs = ledgerCallTimeout.Milliseconds()
 	lastError := result.New(result.LedgerUnreachable, "group %d: no leader found", request.Group)
 	for attempt := 0; ctx.Err() == nil; attempt++ {
@@ -107,13 +113,14 @@
 			break
 		}
 		reply := &protocol.TurnReply{}
+		wasSent = true
 		err := l.client.CallWithTimeout(ctx, ledgerCallTimeout, leader, protocol.KindTurn, request, reply)
 		switch {
 		case err != nil:
 			lastError = result.New(result.LedgerUnreachable, "group %d: %s: %v", request.Group, leader, err)
 			l.leaders.invalidate(request.Group, leader)
 		case reply.Error == nil:
-			return reply
+			return reply, true
 		case reply.Error.Code == result.NotLeader || reply.Error.Code == result.NoQuorum:
 			lastError = reply.Error
 			l.leaders.invalidate(request.Group, leader)
@@ -121,10 +128,10 @@
 				l.leaders.set(request.Group, reply.Leader)
 			}
 		default:
-			return reply
+			return reply, true
 		}
 	}
-	return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "%s", lastError.Message)}
+	return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "%s", lastError.Message)}, wasSent
 }
 
 // groupOf returns the group that stores the turns of a program, or that owns the rate limit of a
@@ -162,33 +169,39 @@
 	return reply
 }
 
-// reportCrash claims or closes attempts of a request, or reports ones that were not claimed. The reply
-// has the resulting record. It has none if the fleet has no ledger, or one of a release that records no
-// crashes.
+// claim claims an attempt of a request. The reply has the resulting record. It has none if the fleet has no
+// ledger, or one of a release that records no crashes. wasSent is false if no host can have recorded it.
+func (l *ledgerClient) claim(ctx context.Context, claim *program.Crash) (reply *protocol.TurnReply, wasSent bool) {
+	return l.callCrashRecord(ctx, claim.Key, &protocol.TurnRequest{Crash: claim})
+}
+
+// reportCrash closes attempts of a request, or reports ones that were not claimed. The reply is as for claim.
 func (l *ledgerClient) reportCrash(ctx context.Context, crash *program.Crash) *protocol.TurnReply {
-	return l.callCrashRecord(ctx, crash.Key, &protocol.TurnRequest{Crash: crash})
+	reply, _ := l.callCrashRecord(ctx, crash.Key, &protocol.TurnRequest{Crash: crash})
+	return reply
 }
 
 // lookUpCrashes asks for the crash record of a request. The reply has none if there is none.
 func (l *ledgerClient) lookUpCrashes(ctx context.Context, key *program.RequestKey) *protocol.TurnReply {
-	return l.callCrashRecord(ctx, *key, &protocol.TurnRequest{CrashesOf: key})
+	reply, _ := l.callCrashRecord(ctx, *key, &protocol.TurnRequest{CrashesOf: key})
+	return reply
 }
 
 // callCrashRecord sends a request to the group that holds the crash record of a key.
-func (l *ledgerClient) callCrashRecord(ctx context.Context, key program.RequestKey, request *protocol.TurnRequest) *protocol.TurnReply {
+func (l *ledgerClient) callCrashRecord(ctx context.Context, key program.RequestKey, request *protocol.TurnRequest) (reply *protocol.TurnReply, wasSent bool) {
 	group, isPlaced := l.groupOf(key.Scope)
 	if !isPlaced {
 		if l.hasNoLedger() {
-			return &protocol.TurnReply{}
+			return &protocol.TurnReply{}, false
 		}
-		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}
+		return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "no ledger group is placed")}, false
 	}
 	request.Group = group
-	reply := l.callLeader(ctx, request)
+	reply, wasSent = l.tryLeaders(ctx, request)
 	if reply.Error != nil && reply.Error.Code == result.MalformedRequest {
-		return &protocol.TurnReply{}
+		return &protocol.TurnReply{}, false
 	}
-	return reply
+	return reply, wasSent
 }
 
 // openStream records or finds the origin of a stream in its program's group.
