--- a/internal/gateway/crashbound_test.go
+++ b/internal/gateway/crashbound_test.go
@@ -287,3 +287,29 @@
 		})
 	}
 }
+
+// TestClaimsAreClosed guards against claims of requests that were answered, refused or rejected and that stay
+// on record: they would stop later tries and fill the ledger.
+func TestClaimsAreClosed(t *testing.T) {
+	for _, kind := range append([]requestKindUnderTest{{"/kept/", 0, budgetHeaders}, {"/stream/", 0, nil}}, requestKindsUnderTest...) {
+		Convey(fmt.Sprintf("%s, %d headers", kind.path, len(kind.headers)/2), t, func() {
+			fleet := newCrashingFleet(t, 1, 2)
+			crashes := fleet.ledger.crashes.Load()
+			awaitNoRecord := func() {
+				for deadline := time.Now().Add(testTimeout); crashes.recordCount() > 0 && time.Now().Before(deadline); {
+					time.Sleep(time.Millisecond)
+				}
+				So(crashes.recordCount(), ShouldEqual, 0)
+			}
+			for number := range 5 {
+				So(fleet.send(fleet.gateways[0], kind.path, "p", fmt.Sprint("r", number), "innocent", kind.headers...).status, ShouldEqual, http.StatusOK)
+			}
+			awaitNoRecord()
+			So(crashes.reportCount(), ShouldEqual, 5)
+			fleet.setEngines(fleet.gateways[0], nil)
+			headers := append([]string{"Ochrebay-Deadline-Ms", "200"}, kind.headers...)
+			So(fleet.send(fleet.gateways[0], kind.path, "p", "rejected", "innocent", headers...).status, ShouldEqual, http.StatusServiceUnavailable)
+			awaitNoRecord()
+		})
+	}
+}
