Ledger hosts write no line for each claim of a call

Each lookup, and since the change each claim and each closed claim, of a call wrote a line 'turn history read' with an empty request: two a call.

--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -282,6 +282,10 @@
 		// The gateway logs denials, and the time that a grant took.
 		return
 	}
+	if (request.Crash != nil || request.CrashesOf != nil) && reply.Error == nil {
+		// The gateway logs the attempts that matter; each attempt of a call has a claim.
+		return
+	}
 	id := request.HistoryOf
 	keyValues := []any{"group", request.Group, "took", elapsed.Round(100 * time.Microsecond).String()}
 	message := "turn history read"
