--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -154,12 +154,17 @@
 	case o.isNotSent || o.isRunComplete:
 		return true
 	case o.kind == attemptBroken:
-		// An engine whose run the gateway has ended may still end because of it.
-		return o.engineState == engineRuns && !errors.Is(o.err, errResponseTimeout) && !errors.Is(o.err, errOriginNotRecorded)
+		return o.engineState == engineRuns && !o.wasGivenUp()
 	}
 	return o.kind != attemptCancelled
 }
 
+// wasGivenUp reports whether the gateway or the caller ended the attempt. Its engine may still end because
+// of it.
+func (o attemptOutcome) wasGivenUp() bool {
+	return o.kind == attemptCancelled || errors.Is(o.err, errResponseTimeout) || errors.Is(o.err, errOriginNotRecorded)
+}
+
 // keepAttempt keeps an attempt on record that its engine has not, or not yet, outlived. It returns false
 // if the attempt is not on record.
 func (d *Daemon) keepAttempt(c *call, engine membership.ServingEngine, outcome attemptOutcome, reportWait time.Duration) bool {
@@ -181,7 +186,7 @@
 		survived: program.Crash{Key: c.requestKey(), Survived: []string{attempt}}, requestID: c.id, programID: c.programID,
 		sentAt: c.startedAt.Add(c.sentAfter), closableMs: clock.NowMs(),
 	}
-	if !c.isConnectionLoss(outcome.err) {
+	if outcome.wasGivenUp() {
 		kept.closableMs += min(max(c.timeLeft(), minAbandonedRun), maxAbandonedRun).Milliseconds()
 	}
 	d.crashes.open.add(engine.IncarnationKey(), kept)
--- a/internal/gateway/crashbound_test.go
+++ b/internal/gateway/crashbound_test.go
@@ -313,3 +313,30 @@
 		})
 	}
 }
+
+// TestAttemptsThatRanIntoTheirDeadline guards against an attempt that no longer counts as soon as its engine
+// responds to another request, although its run may still end the engine.
+func TestAttemptsThatRanIntoTheirDeadline(t *testing.T) {
+	Convey("an engine that responds right after the deadline has not outlived the attempt yet", t, func() {
+		fleet := newCrashingFleet(t, 1, 1)
+		gateway := fleet.gateways[0]
+		fleet.openConnections(gateway, 2)
+		release := make(chan struct{})
+		var runs atomic.Int64
+		fleet.beforeRun = func(string, func(), bool) bool {
+			if runs.Add(1) == 1 {
+				<-release
+			}
+			return false
+		}
+		status := fleet.send(gateway, "/unsafe/", "p", "r1", "slow", "Ochrebay-Deadline-Ms", "100").status
+		close(release)
+		So(status, ShouldEqual, http.StatusGatewayTimeout)
+		So(fleet.send(gateway, "/safe/", "p", "other", "other", "Ochrebay-Deadline-Ms", "5000").status, ShouldEqual, http.StatusOK)
+		crashes := fleet.ledger.crashes.Load()
+		for deadline := time.Now().Add(testTimeout); crashes.recordCount() != 1 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		So(crashes.recordCount(), ShouldEqual, 1)
+	})
+}
