--- a/internal/gateway/crashbound_test.go
+++ b/internal/gateway/crashbound_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,24 +32,7 @@
 func (f *crashingFleet) sendWithPatience(gateway *gatewayFixture, patience time.Duration, kind requestKindUnderTest, id, body string) sent {
 	ctx, cancel := context.WithTimeout(f.t.Context(), patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, "POST", gateway.server.URL+kind.path, strings.NewReader(body))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	request.Host = "h"
-	request.Header.Set("Ochrebay-Request", id)
-	request.Header.Set("Ochrebay-Program", "p")
-	request.Header.Set("Ochrebay-Deadline-Ms", crashTestDeadlineMs)
-	for position := 0; position+1 < len(kind.headers); position += 2 {
-		request.Header.Set(kind.headers[position], kind.headers[position+1])
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return sent{err: err}
-	}
-	defer response.Body.Close()
-	received, err := io.ReadAll(response.Body)
-	return sent{response.StatusCode, string(received), response.Header.Get("Retry-After"), err}
+	return f.sendUntil(ctx, gateway, kind.path, "p", id, body, kind.headers...)
 }
 
 // markDraining makes all gateways see an engine as draining.
@@ -340,3 +322,32 @@
 		So(crashes.recordCount(), ShouldEqual, 1)
 	})
 }
+
+// TestCrashRecordsClearedElsewhere guards against a gateway that counts engines which ended under a request
+// although an engine has answered it through another gateway since.
+func TestCrashRecordsClearedElsewhere(t *testing.T) {
+	Convey("a gateway drops its own record if the ledger has none any more", t, func() {
+		fleet := newCrashingFleet(t, 2, 8)
+		endsEngine := true
+		fleet.beforeRun = func(_ string, end func(), _ bool) bool {
+			if endsEngine {
+				end()
+			}
+			return endsEngine
+		}
+		send := func(gateway, try int) int {
+			return fleet.send(fleet.gateways[gateway], "/unsafe/", "p", fmt.Sprint("r", try), "flaky").status
+		}
+		So(send(0, 1), ShouldEqual, http.StatusBadGateway)
+		So(send(0, 2), ShouldEqual, http.StatusBadGateway)
+		endsEngine = false
+		So(send(1, 3), ShouldEqual, http.StatusOK)
+		crashes := fleet.ledger.crashes.Load()
+		for deadline := time.Now().Add(testTimeout); crashes.recordCount() > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		endsEngine = true
+		So(send(0, 4), ShouldEqual, http.StatusBadGateway)
+		So(send(0, 5), ShouldEqual, http.StatusBadGateway)
+	})
+}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -238,7 +239,12 @@
 
 // send sends a request of a program as a new client attempt.
 func (f *crashingFleet) send(gateway *gatewayFixture, path, program, id, body string, headers ...string) sent {
-	request, err := http.NewRequest("POST", gateway.server.URL+path, strings.NewReader(body))
+	return f.sendUntil(f.t.Context(), gateway, path, program, id, body, headers...)
+}
+
+// sendUntil sends a request of a program as a new client attempt whose caller leaves when ctx ends.
+func (f *crashingFleet) sendUntil(ctx context.Context, gateway *gatewayFixture, path, program, id, body string, headers ...string) sent {
+	request, err := http.NewRequestWithContext(ctx, "POST", gateway.server.URL+path, strings.NewReader(body))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -483,32 +489,3 @@
 		So(registry.callsAfterCrash, ShouldBeEmpty)
 	})
 }
-
-// TestCrashRecordsClearedElsewhere guards against a gateway that counts engines which ended under a request
-// although an engine has answered it through another gateway since.
-func TestCrashRecordsClearedElsewhere(t *testing.T) {
-	Convey("a gateway drops its own record if the ledger has none any more", t, func() {
-		fleet := newCrashingFleet(t, 2, 8)
-		endsEngine := true
-		fleet.beforeRun = func(_ string, end func(), _ bool) bool {
-			if endsEngine {
-				end()
-			}
-			return endsEngine
-		}
-		send := func(gateway, try int) int {
-			return fleet.send(fleet.gateways[gateway], "/unsafe/", "p", fmt.Sprint("r", try), "flaky").status
-		}
-		So(send(0, 1), ShouldEqual, http.StatusBadGateway)
-		So(send(0, 2), ShouldEqual, http.StatusBadGateway)
-		endsEngine = false
-		So(send(1, 3), ShouldEqual, http.StatusOK)
-		crashes := fleet.ledger.crashes.Load()
-		for deadline := time.Now().Add(testTimeout); crashes.recordCount() > 0 && time.Now().Before(deadline); {
-			time.Sleep(time.Millisecond)
-		}
-		endsEngine = true
-		So(send(0, 4), ShouldEqual, http.StatusBadGateway)
-		So(send(0, 5), ShouldEqual, http.StatusBadGateway)
-	})
-}
--- a/internal/gateway/enginerisk.go
+++ b/internal/gateway/enginerisk.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"slices"
+
+	"github.com/ochrebay/ochrebay/internal/membership"
 )
 
 // endCallAfterCrash counts a call in callsAfterCrash no longer. The caller must hold the mutex.
@@ -50,3 +52,23 @@
 	defer e.mutex.Unlock()
 	return selected.health.LastSuccessMs() >= sinceMs
 }
+
+// replaceRegistered replaces the registered incarnations and returns, in ascending order, those that
+// are registered no longer.
+func (e *engineRegistry) replaceRegistered(view *membership.FleetView) []string {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	registered := make(map[string]bool, len(view.Engines))
+	for _, engine := range view.Engines {
+		registered[engine.IncarnationKey()] = true
+	}
+	var left []string
+	for incarnation := range e.registered {
+		if !registered[incarnation] {
+			left = append(left, incarnation)
+		}
+	}
+	slices.Sort(left)
+	e.registered = registered
+	return left
+}
--- a/internal/gateway/engines.go
+++ b/internal/gateway/engines.go
@@ -94,26 +94,6 @@
 	return closedAddresses
 }
 
-// replaceRegistered replaces the registered incarnations and returns, in ascending order, those that
-// are registered no longer.
-func (e *engineRegistry) replaceRegistered(view *membership.FleetView) []string {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	registered := make(map[string]bool, len(view.Engines))
-	for _, engine := range view.Engines {
-		registered[engine.IncarnationKey()] = true
-	}
-	var left []string
-	for incarnation := range e.registered {
-		if !registered[incarnation] {
-			left = append(left, incarnation)
-		}
-	}
-	slices.Sort(left)
-	e.registered = registered
-	return left
-}
-
 // resetRestartedEngines discards the health of engines that have restarted under the same id, and
 // returns their addresses. Invariant: an incarnation starts without observations; requests in
 // flight at the previous incarnation are counted for that one only. The start time of an engine
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -50,71 +49,6 @@
 	respond       atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
 }
 
-// fakeCrashLedger is the record of crashes of a fakeLedger. A nil one has none.
-type fakeCrashLedger struct {
-	mutex sync.Mutex
-	table *program.CrashTable
-	// reported holds the attempts under which engines were reported to have ended.
-	reported map[string]bool
-}
-
-// recordCount returns the number of records.
-func (l *fakeCrashLedger) recordCount() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.table.Len()
-}
-
-// reportCount returns the number of attempts under which engines were reported to have ended.
-func (l *fakeCrashLedger) reportCount() int {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return len(l.reported)
-}
-
-// answer answers a report or a lookup of crashes, and returns false for other requests.
-func (l *fakeCrashLedger) answer(request *protocol.TurnRequest) (*protocol.TurnReply, bool) {
-	if l == nil || (request.Crash == nil && request.CrashesOf == nil) {
-		return nil, false
-	}
-	if request.CrashesOf != nil {
-		return &protocol.TurnReply{Crashes: l.find(*request.CrashesOf)}, true
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, attempt := range request.Crash.Attempts {
-		l.reported[attempt] = true
-	}
-	crashes := l.table.Record(clock.NowMs(), *request.Crash)
-	return &protocol.TurnReply{Crashes: &crashes}, true
-}
-
-// recordWithTurn records what a reservation claims, or a settlement closes.
-func (l *fakeCrashLedger) recordWithTurn(report *program.Crash) {
-	if l == nil || report == nil {
-		return
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, attempt := range report.Attempts {
-		l.reported[attempt] = true
-	}
-	l.table.Record(clock.NowMs(), *report)
-}
-
-// find returns the crash record of a request, nil if there is none.
-func (l *fakeCrashLedger) find(key program.RequestKey) *program.CrashHistory {
-	if l == nil {
-		return nil
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if crashes := l.table.Find(clock.NowMs(), key); len(crashes.Attempts) > 0 {
-		return &crashes
-	}
-	return nil
-}
-
 // testRouteTimeoutMs is the timeout of the test routes.
 const testRouteTimeoutMs = 30_000
 
