A successor takes the place of a silent voter in one step

Cause: a successor became a further voter, and the voter that was gone was removed later, by a leader that had led for 6 s without a break. Leaders that are lost sooner remove nobody: 5, 6, 7, 8 voters while five machines run. The class is a change of members in two halves, of which the second may never come. The property tests showed a second instance: two machines lost at once, where that must be borne, with successors that caught up before the loss was 0.8 s old.

Ruled out: removals that are proposed and fail (none was proposed), successors that are admitted twice.

Change: consensus.ProposeReplacement makes a learner vote in place of a voter through a joint configuration, which the leader leaves by itself. control/voters.go (from formation.go) replaces a voter that has been silent for 2 s by the next learner that has caught up; no learner is promoted while a voter is suspect. Each process goes by its own record of silence, which takes off its own pauses and survives changes of the leader; a leader acts on it after 0.8 s. Without a successor a voter is removed after 2 s if the others would not bear the losses that must be borne, else after 6 s, never below 2 x tolerated + 1. Replicas of an earlier release are replaced the old way.

TestReplacement* and TestSafetyUnderAnyInterleaving, which draws replacements now, hold the consensus core.

--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -189,11 +189,14 @@
 	}
 	next := leader.Configuration()
 	id := ReplicaID(rapid.IntRange(1, 5).Draw(t, "changed replica"))
-	switch rapid.IntRange(0, 2).Draw(t, "change") {
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
 	case 0:
 		next = next.With(Replica{ID: id, IsLearner: true})
 	case 1:
 		next = next.With(Replica{ID: id})
+	case 2:
+		_ = leader.ProposeReplacement(ReplicaID(rapid.IntRange(1, 5).Draw(t, "replaced voter")), id)
+		return
 	default:
 		next = next.Without(id)
 	}
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -63,7 +63,7 @@
 
 // requestVotes sends vote or pre-vote requests to the other voters.
 func (n *Node) requestVotes(kind MessageKind, term uint64) {
-	for _, id := range n.log.configuration().Voters() {
+	for _, id := range n.log.configuration().allVoters() {
 		if id == n.options.ID {
 			continue
 		}
@@ -81,13 +81,7 @@
 
 // hasVoteQuorum reports whether a quorum of voters has granted its vote.
 func (n *Node) hasVoteQuorum() bool {
-	granted := 0
-	for _, id := range n.log.configuration().Voters() {
-		if n.votes[id] {
-			granted++
-		}
-	}
-	return granted >= n.log.configuration().Quorum()
+	return n.log.configuration().HasQuorum(func(id ReplicaID) bool { return n.votes[id] })
 }
 
 // becomeLeader makes the replica the leader of its term. It appends a barrier entry, since entries of
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -10,12 +10,14 @@
 	// ErrNotLeader means that this replica is not the leader, or that it is transferring the
 	// leadership.
 	ErrNotLeader = errors.New("consensus: not the leader")
-	// ErrChangePending means that an earlier configuration is not committed yet, or that the
-	// leader has not committed an entry of its own term yet.
+	// ErrChangePending means that an earlier configuration is not committed yet or is joint, or that
+	// the leader has not committed an entry of its own term yet.
 	ErrChangePending = errors.New("consensus: a configuration change is pending")
 	// ErrMultipleVoterChanges means that a proposed configuration differs from the current one in
-	// more than one voter.
+	// more than one voter, or is joint.
 	ErrMultipleVoterChanges = errors.New("consensus: a change adds or removes more than one voter")
+	// ErrNotReplaceable means that a replacement does not name a voter and a learner.
+	ErrNotReplaceable = errors.New("consensus: a replacement needs a voter and a learner")
 )
 
 // Options configure a Node. Durations are in ticks; the owner chooses the interval between ticks.
@@ -124,7 +126,7 @@
 // setInitialElectionTimeout lets voters that start together elect a leader without waiting for the
 // regular election timeout, which is meant to detect the failure of a leader.
 func (n *Node) setInitialElectionTimeout() {
-	voters := n.log.configuration().Voters()
+	voters := n.log.configuration().allVoters()
 	position := slices.Index(voters, n.options.ID)
 	if n.options.InitialElectionTicks <= 0 || position < 0 {
 		return
@@ -243,22 +245,59 @@
 // ProposeConfiguration proposes a configuration that differs from the current one in at most one
 // voter.
 func (n *Node) ProposeConfiguration(next Configuration) error {
+	if err := n.checkChange(); err != nil {
+		return err
+	}
+	if next.IsJoint() || countVoterChanges(n.log.configuration(), next) > 1 {
+		return ErrMultipleVoterChanges
+	}
+	n.appendConfiguration(next)
+	return nil
+}
+
+// ProposeReplacement proposes that the learner incoming votes in place of the voter outgoing, which then
+// leaves the group. The group passes through a joint configuration, which the leader leaves once it is
+// committed. The number of voters stays the same, and the group decides throughout as long as a majority
+// of the voters without outgoing and incoming does.
+func (n *Node) ProposeReplacement(outgoing, incoming ReplicaID) error {
+	if err := n.checkChange(); err != nil {
+		return err
+	}
+	configuration := n.log.configuration()
+	learner, found := configuration.Find(incoming)
+	if !found || !learner.IsLearner || !configuration.IsVoter(outgoing) {
+		return ErrNotReplaceable
+	}
+	n.appendConfiguration(configuration.replacing(outgoing, incoming))
+	return nil
+}
+
+// checkChange returns an error unless a change of the configuration may be proposed. Invariant: at most
+// one configuration is uncommitted, none follows a joint one but its end, and none is proposed before the
+// leader has committed an entry of its own term (thesis, section 4.1 and its correction).
+func (n *Node) checkChange() error {
 	if n.role != Leader {
 		return ErrNotLeader
 	}
 	committedTerm, _ := n.log.term(n.log.commit)
-	// Invariant: at most one configuration is uncommitted, and none is proposed before the leader
-	// has committed an entry of its own term (thesis, section 4.1 and its correction).
-	if n.log.configurationIndex() > n.log.commit || committedTerm != n.term {
+	if n.log.configurationIndex() > n.log.commit || n.log.configuration().IsJoint() || committedTerm != n.term {
 		return ErrChangePending
 	}
-	if countVoterChanges(n.log.configuration(), next) > 1 {
-		return ErrMultipleVoterChanges
-	}
+	return nil
+}
+
+func (n *Node) appendConfiguration(next Configuration) {
 	n.appendEntry(Entry{Kind: EntryConfiguration, Configuration: &next})
 	n.updateProgress()
 	n.broadcastAppend()
-	return nil
+}
+
+// leaveJointConfiguration appends the configuration that follows a joint one once the joint one and an
+// entry of the leader's own term are committed.
+func (n *Node) leaveJointConfiguration() {
+	if configuration := n.log.configuration(); configuration.IsJoint() && n.log.configurationIndex() <= n.log.commit {
+		n.appendConfiguration(configuration.withoutOutgoing())
+	}
 }
 
 // countVoterChanges returns the number of voters that are in only one of two configurations.
@@ -285,7 +324,8 @@
 // reports whether the transfer was started. Commands are rejected during the transfer, so that the
 // voter can catch up (thesis, section 3.10).
 func (n *Node) TransferLeadership(to ReplicaID) bool {
-	if n.role != Leader || n.transferTarget != None || !n.log.configuration().IsVoter(to) || !n.IsCaughtUp(to, maxTransferLagEntries) {
+	replica, found := n.log.configuration().Find(to)
+	if n.role != Leader || n.transferTarget != None || !found || replica.IsLearner || !n.IsCaughtUp(to, maxTransferLagEntries) {
 		return false
 	}
 	n.Wake()
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -65,7 +65,7 @@
 func (n *Node) completeConfirmedReads() {
 	var unconfirmed []pendingRead
 	for _, read := range n.pendingReads {
-		confirmed := len(read.acks) >= n.log.configuration().Quorum() || n.options.DisableReadConfirmation
+		confirmed := n.options.DisableReadConfirmation || n.log.configuration().HasQuorum(func(id ReplicaID) bool { return read.acks[id] })
 		if read.round == 0 || !confirmed {
 			unconfirmed = append(unconfirmed, read)
 			continue
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -129,10 +129,10 @@
 }
 
 // sendAppend sends a follower the next entries as far as its limits allow, or requests a snapshot for
-// it if the entry before them is compacted.
+// it if the entry before them is compacted. It sends nothing to a replica that has left the group.
 func (n *Node) sendAppend(id ReplicaID) {
 	follower := n.progress[id]
-	if follower.awaitsSnapshot || (follower.isProbing && follower.inflightAppends > 0) || follower.inflightAppends >= n.options.MaxInflight {
+	if follower == nil || follower.awaitsSnapshot || (follower.isProbing && follower.inflightAppends > 0) || follower.inflightAppends >= n.options.MaxInflight {
 		return
 	}
 	previous := follower.next - 1
@@ -191,18 +191,15 @@
 
 // checkQuorum reports whether a quorum has responded since the last check, and starts a new period.
 func (n *Node) checkQuorum() bool {
-	activeVoters := 0
-	for _, id := range n.log.configuration().Voters() {
+	hasQuorum := n.log.configuration().HasQuorum(func(id ReplicaID) bool {
 		follower := n.progress[id]
-		if id == n.options.ID || (follower != nil && follower.isActive) {
-			activeVoters++
-		}
-	}
+		return id == n.options.ID || (follower != nil && follower.isActive)
+	})
 	for _, follower := range n.progress {
 		follower.wasActive = follower.isActive
 		follower.isActive = false
 	}
-	return activeVoters >= n.log.configuration().Quorum()
+	return hasQuorum
 }
 
 func (n *Node) broadcastHeartbeat() {
@@ -242,32 +239,42 @@
 // index with the next append or heartbeat. It needs no message of its own, since only the leader
 // replies to proposals and linearizable reads.
 func (n *Node) maybeCommit() {
-	var matches []uint64
-	for _, id := range n.log.configuration().Voters() {
-		if id == n.options.ID {
-			matches = append(matches, n.log.stable)
-			continue
-		}
-		matches = append(matches, n.progress[id].match)
-	}
-	if len(matches) == 0 {
+	configuration := n.log.configuration()
+	if len(configuration.Voters()) == 0 {
 		return
 	}
-	slices.Sort(matches)
-	candidate := matches[len(matches)-n.log.configuration().Quorum()]
+	candidate := n.majorityMatch(configuration.Voters())
+	if configuration.IsJoint() {
+		candidate = min(candidate, n.majorityMatch(configuration.Outgoing))
+	}
 	term, ok := n.log.term(candidate)
 	// Invariant: only entries of the leader's own term are committed by counting replicas.
 	if candidate <= n.log.commit || !ok || term != n.term {
 		return
 	}
 	n.log.commit = candidate
-	if n.log.configurationIndex() <= candidate && !n.log.configuration().IsVoter(n.options.ID) {
+	if n.log.configurationIndex() <= candidate && !configuration.IsVoter(n.options.ID) {
 		n.becomeFollower(n.term, None)
 		return
 	}
+	n.leaveJointConfiguration()
 	n.startPendingReads()
 }
 
+// majorityMatch returns the last index that a majority of voters has on disk.
+func (n *Node) majorityMatch(voters []ReplicaID) uint64 {
+	var matches []uint64
+	for _, id := range voters {
+		if id == n.options.ID {
+			matches = append(matches, n.log.stable)
+			continue
+		}
+		matches = append(matches, n.progress[id].match)
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
+
 // Step processes a message from another replica.
 func (n *Node) Step(message Message) {
 	switch message.Kind {
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -29,6 +29,19 @@
 // Configuration is the list of a group's replicas.
 type Configuration struct {
 	Replicas []Replica `msgpack:"r" json:"replicas"`
+	// Outgoing lists the voters of the previous configuration while the configuration is joint (thesis,
+	// section 4.3), and is empty otherwise. A decision then needs a majority of Voters and a majority of
+	// Outgoing. An outgoing voter that does not vote any more stays in Replicas, as a learner, until the
+	// group leaves the joint configuration.
+	Outgoing []ReplicaID `msgpack:"o,omitempty" json:"outgoing,omitempty"`
+}
+
+// IsJoint reports whether the configuration is joint.
+func (c Configuration) IsJoint() bool { return len(c.Outgoing) > 0 }
+
+// Equal reports whether two configurations are the same.
+func (c Configuration) Equal(other Configuration) bool {
+	return slices.Equal(c.Replicas, other.Replicas) && slices.Equal(c.Outgoing, other.Outgoing)
 }
 
 // Find returns the replica with the given ID.
@@ -41,7 +54,8 @@
 	return Replica{}, false
 }
 
-// Voters returns the IDs of the replicas that count in quorums.
+// Voters returns the IDs of the replicas that count in quorums, without the outgoing ones of a joint
+// configuration.
 func (c Configuration) Voters() []ReplicaID {
 	var voters []ReplicaID
 	for _, replica := range c.Replicas {
@@ -52,15 +66,62 @@
 	return voters
 }
 
-// Quorum returns the number of voters that form a majority.
-func (c Configuration) Quorum() int {
-	return len(c.Voters())/2 + 1
+// allVoters returns the IDs of the replicas that count in any quorum of the configuration.
+func (c Configuration) allVoters() []ReplicaID {
+	voters := c.Voters()
+	for _, id := range c.Outgoing {
+		if !slices.Contains(voters, id) {
+			voters = append(voters, id)
+		}
+	}
+	return voters
 }
 
-// IsVoter reports whether the replica with the given ID counts in quorums.
+// HasQuorum reports whether the replicas for which counts returns true suffice for a decision: a
+// majority of the voters and, in a joint configuration, a majority of the outgoing voters.
+func (c Configuration) HasQuorum(counts func(id ReplicaID) bool) bool {
+	return isMajority(c.Voters(), counts) && (!c.IsJoint() || isMajority(c.Outgoing, counts))
+}
+
+func isMajority(voters []ReplicaID, counts func(id ReplicaID) bool) bool {
+	counted := 0
+	for _, id := range voters {
+		if counts(id) {
+			counted++
+		}
+	}
+	return counted > len(voters)/2
+}
+
+// IsVoter reports whether the replica with the given ID counts in any quorum of the configuration.
 func (c Configuration) IsVoter(id ReplicaID) bool {
 	replica, ok := c.Find(id)
-	return ok && !replica.IsLearner
+	return ok && (!replica.IsLearner || slices.Contains(c.Outgoing, id))
+}
+
+// replacing returns the joint configuration in which the learner incoming votes in place of outgoing.
+func (c Configuration) replacing(outgoing, incoming ReplicaID) Configuration {
+	joint := Configuration{Replicas: slices.Clone(c.Replicas), Outgoing: c.Voters()}
+	for position := range joint.Replicas {
+		switch joint.Replicas[position].ID {
+		case incoming:
+			joint.Replicas[position].IsLearner = false
+		case outgoing:
+			joint.Replicas[position].IsLearner = true
+		}
+	}
+	return joint
+}
+
+// withoutOutgoing returns the configuration that follows a joint one.
+func (c Configuration) withoutOutgoing() Configuration {
+	next := Configuration{}
+	for _, replica := range c.Replicas {
+		if !replica.IsLearner || !slices.Contains(c.Outgoing, replica.ID) {
+			next.Replicas = append(next.Replicas, replica)
+		}
+	}
+	return next
 }
 
 // With returns a copy to which replica is added, or in which it replaces the replica with the same
@@ -73,7 +134,7 @@
 
 // Without returns a copy without the replica with the given ID.
 func (c Configuration) Without(id ReplicaID) Configuration {
-	copied := Configuration{Replicas: slices.Clone(c.Replicas)}
+	copied := Configuration{Replicas: slices.Clone(c.Replicas), Outgoing: slices.Clone(c.Outgoing)}
 	copied.Replicas = slices.DeleteFunc(copied.Replicas, func(r Replica) bool { return r.ID == id })
 	return copied
 }
--- a/internal/control/core.go
+++ b/internal/control/core.go
@@ -164,8 +164,10 @@
 	// supportsVersionSubsets holds, by member name, whether they advertise engines of every software
 	// version.
 	supportsVersionSubsets map[string]bool
-	unformedReplicas       map[string]consensus.ReplicaID
-	candidates             map[string]*candidate
+	// supportsReplacement holds, by member name, whether they know joint configurations.
+	supportsReplacement map[string]bool
+	unformedReplicas    map[string]consensus.ReplicaID
+	candidates          map[string]*candidate
 
 	schedulerTracker *membership.Tracker
 	permits          *reconcile.Permits
@@ -222,7 +224,7 @@
 func NewCore(options Options, disk Storage, transport Transport, nowMs int64) (*Core, error) {
 	core := &Core{
 		options: options, storage: disk, transport: transport, nowMs: nowMs, startMs: nowMs, lastTickMs: nowMs,
-		lastReceivedMs: map[string]int64{}, memberRevisions: map[string]uint64{}, supportsIncarnations: map[string]bool{}, supportsVersionSubsets: map[string]bool{}, unformedReplicas: map[string]consensus.ReplicaID{},
+		lastReceivedMs: map[string]int64{}, memberRevisions: map[string]uint64{}, supportsIncarnations: map[string]bool{}, supportsVersionSubsets: map[string]bool{}, supportsReplacement: map[string]bool{}, unformedReplicas: map[string]consensus.ReplicaID{},
 		candidates: map[string]*candidate{}, engineReports: newEngineReports(),
 	}
 	core.host = replication.NewHost(hostOptions(options), disk, core.sendBatch)
@@ -354,6 +356,7 @@
 			group.Node.Tick()
 		}
 	}
+	c.trackMembers()
 	c.checkPeers()
 	c.recordLeader()
 	c.updateLeaderState()
@@ -364,9 +367,14 @@
 }
 
 // detectPause treats a long time between ticks as a pause of this process, as when its
-// machine is frozen or slow, so that the leader does not count it as silence of gateways.
+// machine is frozen or slow, so that it does not count as silence of other processes.
 func (c *Core) detectPause(sinceTickMs int64) {
-	if sinceTickMs > pauseThresholdTicks*c.options.TickMs && c.fleetTracker != nil {
+	thresholdMs := pauseThresholdTicks * c.options.TickMs
+	if !c.formed || sinceTickMs <= thresholdMs {
+		return
+	}
+	c.discountPause(sinceTickMs - thresholdMs)
+	if c.fleetTracker != nil {
 		c.fleetTracker.RecordPause(sinceTickMs)
 	}
 }
@@ -381,7 +389,7 @@
 		for _, member := range c.memberNames() {
 			if member != c.options.Name {
 				c.transport.Send(member, protocol.KindPeer, protocol.PeerBatch{
-					From: c.options.Name, Revision: c.SettingsRevision(), EngineLiveness: c.engineLiveness(member), SupportsIncarnations: true, SupportsVersionSubsets: true,
+					From: c.options.Name, Revision: c.SettingsRevision(), EngineLiveness: c.engineLiveness(member), SupportsIncarnations: true, SupportsVersionSubsets: true, SupportsReplacement: true,
 				})
 			}
 		}
@@ -431,6 +439,7 @@
 	c.memberRevisions[batch.From] = batch.Revision
 	c.supportsIncarnations[batch.From] = batch.SupportsIncarnations
 	c.supportsVersionSubsets[batch.From] = batch.SupportsVersionSubsets
+	c.supportsReplacement[batch.From] = batch.SupportsReplacement
 	if !c.formed {
 		return
 	}
@@ -442,7 +451,7 @@
 // sendBatch sends the replication host's messages to another control process.
 func (c *Core) sendBatch(member string, messages []protocol.PeerMessage) {
 	c.transport.Send(member, protocol.KindPeer, protocol.PeerBatch{
-		From: c.options.Name, Revision: c.SettingsRevision(), Messages: messages, SupportsIncarnations: true, SupportsVersionSubsets: true,
+		From: c.options.Name, Revision: c.SettingsRevision(), Messages: messages, SupportsIncarnations: true, SupportsVersionSubsets: true, SupportsReplacement: true,
 	})
 }
 
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
+	"github.com/ochrebay/ochrebay/internal/consensus"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -86,6 +88,9 @@
 	gatewaysVersion uint64
 	selectorBuiltAt time.Time
 	lastFleetLog    fleetLog
+	// configuration is that of the settings group, and isQuorumLost says whether its quorum is lost.
+	configuration consensus.Configuration
+	isQuorumLost  bool
 }
 
 // fleetLog is the fleet version in a log line, and the time of the line.
@@ -296,6 +301,7 @@
 	current := &status{formed: d.core.Formed(), syncCount: d.core.SyncCount(), isReady: d.core.Ready(), revision: d.core.SettingsRevision(), gatewaySelector: d.status.Load().gatewaySelector}
 	if current.formed {
 		d.publishFleet(current)
+		d.publishQuorum(current)
 		current.isDrained = d.core.Drained()
 		current.hasSilentMember = d.core.HasSilentMember()
 		for id := range d.core.host.Groups {
@@ -329,6 +335,38 @@
 		"gateways", current.gatewaySelector.ReadyCount(), "ledgers", fleet.LedgerCount(), "leads", d.core.IsLeader(0))
 }
 
+// publishQuorum logs changes of the settings group's configuration, and when its quorum is lost or back.
+func (d *Daemon) publishQuorum(current *status) {
+	previous := d.status.Load()
+	state := d.core.QuorumState()
+	current.configuration, current.isQuorumLost = state.Configuration, state.IsLost
+	if !state.Configuration.Equal(previous.configuration) {
+		telemetry.Info(d.logger, "settings group configuration", "replicas", describeConfiguration(state.Configuration), "term", d.core.Node(0).Term(), "leads", d.core.IsLeader(0))
+	}
+	switch {
+	case state.IsLost && !previous.isQuorumLost:
+		telemetry.Warn(d.logger, "settings group has no quorum", "replicas", describeConfiguration(state.Configuration), "silent", strings.Join(state.Silent, ","), "silence_ms", lostMemberTimeoutMs)
+	case !state.IsLost && previous.isQuorumLost:
+		telemetry.Info(d.logger, "settings group has a quorum again", "replicas", describeConfiguration(state.Configuration))
+	}
+}
+
+// describeConfiguration returns the members of a configuration with their roles, separated by commas.
+func describeConfiguration(configuration consensus.Configuration) string {
+	var described []string
+	for _, replica := range configuration.Replicas {
+		role := ""
+		switch {
+		case replica.IsLearner && configuration.IsVoter(replica.ID):
+			role = "(outgoing)"
+		case replica.IsLearner:
+			role = "(learner)"
+		}
+		described = append(described, replica.Member+role)
+	}
+	return strings.Join(described, ",")
+}
+
 // Send sends a message of the core to another control process.
 func (d *Daemon) Send(member string, kind protocol.Kind, message any) {
 	d.links.Send(member, kind, message)
--- a/internal/control/formation.go
+++ b/internal/control/formation.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"github.com/ochrebay/ochrebay/internal/replication"
 	"slices"
 	"strings"
 
@@ -9,15 +8,8 @@
 	"github.com/ochrebay/ochrebay/internal/protocol"
 )
 
-const (
-	// orphanTimeoutMs is how long a member waits for a leader before it asks to be
-	// admitted again, and lostMemberTimeoutMs the silence after which a member may be
-	// removed. minVoters is the smallest number of voters to which such removals shrink the
-	// settings group, even if Options.MinVoters is smaller.
-	orphanTimeoutMs     = 3000
-	lostMemberTimeoutMs = 6000
-	minVoters           = 3
-)
+// orphanTimeoutMs is how long a member waits for a leader before it asks to be admitted again.
+const orphanTimeoutMs = 3000
 
 // sendHellos sends hello messages while this process has not formed, its groups have not
 // admitted its replica, or it has known no leader for orphanTimeoutMs.
@@ -193,70 +185,6 @@
 	}
 }
 
-// admitCandidates admits candidates to the groups that this process leads: the member's
-// previous replica, if there is one, is removed, the candidate becomes a learner and, once it
-// has caught up, a voter.
-func (c *Core) admitCandidates() {
-	for _, name := range replication.SortedKeys(c.candidates) {
-		joining := c.candidates[name]
-		if c.nowMs-joining.lastHelloMs > 5*helloIntervalMs {
-			delete(c.candidates, name)
-			continue
-		}
-		if joining.helloCount < minCandidateHellos {
-			continue
-		}
-		for _, group := range c.host.Groups {
-			if group.Node.Role() == consensus.Leader {
-				c.admit(group, name, joining.replica)
-			}
-		}
-	}
-}
-
-// removeLostVoter removes a voter from the settings group that has been silent for
-// lostMemberTimeoutMs, if enough voters remain. Invariant: it never shrinks the group below
-// the number of voters needed for the machine failures that it must tolerate, so that
-// members that are only temporarily down remain members.
-func (c *Core) removeLostVoter() {
-	group := c.host.Groups[0]
-	if !c.options.Discovered || !group.IsLeader() || c.nowMs-c.leadingSinceMs < lostMemberTimeoutMs {
-		return
-	}
-	configuration := group.Node.Configuration()
-	if len(configuration.Voters()) <= max(c.options.MinVoters, minVoters) {
-		return
-	}
-	for _, replica := range configuration.Replicas {
-		if replica.ID != group.Node.ID() && c.silenceMs(replica.Member) > lostMemberTimeoutMs {
-			_ = group.Node.ProposeConfiguration(configuration.Without(replica.ID))
-			return
-		}
-	}
-}
-
-func (c *Core) admit(group *replication.Group, name string, replica consensus.ReplicaID) {
-	configuration := group.Node.Configuration()
-	for _, other := range configuration.Replicas {
-		if other.Member != name || other.ID == replica {
-			continue
-		}
-		// Invariant: a replica that still answers is not removed, since its disk
-		// is not lost.
-		if !group.Node.IsRecentlyActive(other.ID) {
-			_ = group.Node.ProposeConfiguration(configuration.Without(other.ID))
-		}
-		return
-	}
-	current, ok := configuration.Find(replica)
-	switch {
-	case !ok:
-		_ = group.Node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name, IsLearner: true}))
-	case current.IsLearner && group.Node.IsCaughtUp(replica, 0):
-		_ = group.Node.ProposeConfiguration(configuration.With(consensus.Replica{ID: replica, Member: name}))
-	}
-}
-
 // HasSilentMember reports whether any other control process has been silent for longer than
 // suspectTimeoutMs.
 func (c *Core) HasSilentMember() bool {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -81,6 +81,8 @@
 	// SupportsClaims means that the sender's replicas of ledger groups record and close claims together
 	// with turns.
 	SupportsClaims bool `msgpack:"c,omitempty"`
+	// SupportsReplacement means that the sender's replicas know joint configurations.
+	SupportsReplacement bool `msgpack:"j,omitempty"`
 }
 
 // EngineLiveness is a batch of engines that have reported to the sender, for the leader of the
