A request ID goes out once on a connection to an engine

Cause: HTTP/1.1 matches responses to requests by their order (RFC 9112, section 9.2), and upstream tells a late extra copy by the request ID that engines repeat. After a refusal the same client attempt was sent again, to the same engine and often on the same connection. Then the ID told nothing: the late copy of the first refusal was taken for the refusal of the second send, which the engine ran, and the call was sent on.

Change: each connection keeps the hashed IDs of the requests that it has carried, 512 at most, after which it is closed. A request goes out on an idle connection that has not carried its ID, on a new one only if there is none.

TestExchange sent one ID twice on a connection and expected the connection to be reused, which held the fault: it sends two IDs now and expects the same of them.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -173,6 +173,7 @@
 	}
 	header.Set(d.headerNames.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
 	header.Set(d.headerNames.ExpectEngine, engine.ID)
+	header.Set(d.headerNames.RequestID, c.id)
 	if c.lastEventID > 0 {
 		header.Set(d.headerNames.LastEventID, strconv.FormatInt(c.lastEventID, 10))
 	}
--- a/internal/gateway/enginestate_test.go
+++ b/internal/gateway/enginestate_test.go
@@ -20,7 +20,10 @@
 	for _, engine := range f.engines {
 		var exchanges []*upstream.Exchange
 		for range count {
-			exchange, err := gateway.gateway.pool.Do(f.t.Context(), engine.Address, &upstream.Request{Method: "GET", URI: "/safe/", Host: "h", Header: http.Header{}})
+			id := newRequestID()
+			exchange, err := gateway.gateway.pool.Do(f.t.Context(), engine.Address, &upstream.Request{
+				Method: "GET", URI: "/safe/", Host: "h", Header: http.Header{"Ochrebay-Request": {id}}, ID: id, IDHeader: "Ochrebay-Request",
+			})
 			if err != nil {
 				f.t.Fatal(err)
 			}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -1,7 +1,7 @@
 // Package upstream sends requests to engines over persistent HTTP/1.1 connections. For every
 // failure it reports whether the engine may have received the request. Bytes of one response
-// never reach another request: responses are matched by the request ID, and a connection with
-// unread bytes is not reused.
+// never reach another request: responses are matched by the request ID, which is sent only once on a
+// connection, and a connection with unread bytes is not reused.
 package upstream
 
 import (
@@ -10,11 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
@@ -27,6 +29,9 @@
 	keepAliveMargin = 400 * time.Millisecond
 	// maxIdle bounds the idle time of connections whose engine announces no keep-alive timeout.
 	maxIdle = 30 * time.Second
+	// maxConnectionRequests is how many requests are sent on one connection, which bounds the IDs that
+	// are kept of them.
+	maxConnectionRequests = 512
 )
 
 // connection is a persistent connection to an engine.
@@ -38,8 +43,17 @@
 	// usableUntil is the time until which the idle connection may be reused. The engine may close
 	// it soon after.
 	usableUntil time.Time
+	// sentIDs holds the hashed IDs of the requests that were sent on this connection.
+	sentIDs []uint64
 }
 
+// hasSent reports whether a request with this ID was sent on the connection.
+func (c *connection) hasSent(id string) bool {
+	return slices.Contains(c.sentIDs, xxhash.Sum64String(id))
+}
+
+func (c *connection) recordSend(id string) { c.sentIDs = append(c.sentIDs, xxhash.Sum64String(id)) }
+
 func newConnection(socket net.Conn) *connection {
 	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), openedAt: time.Now()}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,7 +18,7 @@
 const (
 	dialTimeout = 400 * time.Millisecond
 	// maxResponseHeads bounds the response heads that are read for a request. Interim (1xx)
-	// responses and responses to other requests are skipped.
+	// responses and responses that do not belong to the request are skipped.
 	maxResponseHeads = 4
 	// backgroundWriteBytes is the size above which a request is written in the background while
 	// the response is awaited: an engine may respond before it has read the whole request.
@@ -47,7 +47,7 @@
 	Body   []byte
 	// HasBody means that the client sent a body, possibly an empty one.
 	HasBody bool
-	// ID is the request ID that the response must repeat in the header IDHeader.
+	// ID is the request ID that the response must repeat in the header IDHeader. It is not empty.
 	ID       string
 	IDHeader string
 }
@@ -83,10 +83,12 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool { return &Pool{idle: map[string][]*connection{}} }
 
-// acquire returns a usable idle connection, or a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*connection, error) {
+// acquire returns a usable idle connection on which no request with this ID was sent, or a new one.
+// Invariant: an ID is sent only once on a connection. Otherwise a late copy of the response to the first
+// request with the ID would be taken for the response to the second one.
+func (p *Pool) acquire(ctx context.Context, address, id string) (*connection, error) {
 	for {
-		idle := p.popIdle(address)
+		idle := p.popIdle(address, func(candidate *connection) bool { return !candidate.hasSent(id) })
 		if idle == nil {
 			return p.dial(ctx, address)
 		}
@@ -98,17 +100,18 @@
 	}
 }
 
-func (p *Pool) popIdle(address string) *connection {
+// popIdle removes and returns the eligible idle connection that was used last, nil if there is none.
+func (p *Pool) popIdle(address string, isEligible func(candidate *connection) bool) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for position := len(idle) - 1; position >= 0; position-- {
+		if candidate := idle[position]; isEligible(candidate) {
+			p.idle[address] = slices.Delete(idle, position, position+1)
+			return candidate
+		}
 	}
-	last := idle[len(idle)-1]
-	idle[len(idle)-1] = nil
-	p.idle[address] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*connection, error) {
@@ -166,7 +169,7 @@
 // Do sends a request and returns the head of the response. When ctx ends, the connection is
 // closed, upon which most engines drop the request. The error wraps ErrNotSent or ErrNoResponse.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Exchange, error) {
-	acquired, err := p.acquire(ctx, address)
+	acquired, err := p.acquire(ctx, address, request.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
@@ -174,11 +177,13 @@
 }
 
 // Probe sends a request on an idle connection to an address that was opened before the given time, and
-// reports whether a response begins. If so, the process that accepted the connection has not ended. An
+// reports whether a response to it begins. If so, the process that accepted the connection has not ended. An
 // idle connection alone does not show that: nobody closes the connections of a host without power.
 func (p *Pool) Probe(ctx context.Context, address string, openedBefore time.Time, request *Request) bool {
 	for {
-		earlier := p.popIdleOpenedBefore(address, openedBefore)
+		earlier := p.popIdle(address, func(candidate *connection) bool {
+			return candidate.openedAt.Before(openedBefore) && !candidate.hasSent(request.ID)
+		})
 		if earlier == nil {
 			return false
 		}
@@ -196,25 +201,11 @@
 	}
 }
 
-// popIdleOpenedBefore removes and returns an idle connection that was opened before the given time, nil
-// if there is none.
-func (p *Pool) popIdleOpenedBefore(address string, openedBefore time.Time) *connection {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	idle := p.idle[address]
-	position := slices.IndexFunc(idle, func(candidate *connection) bool { return candidate.openedAt.Before(openedBefore) })
-	if position < 0 {
-		return nil
-	}
-	earlier := idle[position]
-	p.idle[address] = slices.Delete(idle, position, position+1)
-	return earlier
-}
-
 // exchange sends a request on a connection and returns the head of the response.
 func (p *Pool) exchange(ctx context.Context, address string, acquired *connection, request *Request) (*Exchange, error) {
 	exchange := &Exchange{pool: p, address: address, connection: acquired, written: make(chan struct{})}
 	exchange.stopCancellation = context.AfterFunc(ctx, func() { _ = acquired.socket.Close() })
+	acquired.recordSend(request.ID)
 	exchange.send(request)
 	if err := exchange.readHeader(request); err != nil {
 		exchange.Close()
@@ -309,6 +300,9 @@
 			reusable = false
 		}
 	}
+	if len(e.connection.sentIDs) >= maxConnectionRequests {
+		reusable = false
+	}
 	if !reusable || e.connection.reader.Buffered() > 0 {
 		_ = e.connection.socket.Close()
 		return
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -60,7 +60,7 @@
 }
 
 func newRequest(id string) *Request {
-	return &Request{Method: "POST", URI: "/a?b=c", Host: "h", Header: http.Header{"X": {"1"}}, Body: []byte("in"), ID: id, IDHeader: "Id"}
+	return &Request{Method: "POST", URI: "/a?b=c", Host: "h", Header: http.Header{"X": {"1"}, "Id": {id}}, Body: []byte("in"), ID: id, IDHeader: "Id"}
 }
 
 // fetch sends one request and returns the body of the response.
@@ -82,12 +82,12 @@
 		engine := newFakeEngine(t, func(connection net.Conn, r *http.Request, _ int) bool {
 			body, _ := io.ReadAll(r.Body)
 			seen <- r.Method + " " + r.RequestURI + " " + r.Host + " " + r.Header.Get("X") + " " + string(body)
-			writeText(connection, fullResponse(r.Header.Get("X"), "out"))
+			writeText(connection, fullResponse(r.Header.Get("Id"), "out"))
 			return true
 		})
 		pool := NewPool()
-		for range 2 {
-			body, err := fetch(pool, engine.address(), "1")
+		for number := range 2 {
+			body, err := fetch(pool, engine.address(), fmt.Sprint(number))
 			So(err, ShouldBeNil)
 			So(body, ShouldEqual, "out")
 			So(<-seen, ShouldEqual, "POST /a?b=c h 1 in")
@@ -106,12 +106,12 @@
 	})
 	Convey("a connection with unread bytes is not reused", t, func() {
 		engine := newFakeEngine(t, func(connection net.Conn, r *http.Request, _ int) bool {
-			writeText(connection, fullResponse("1", "own")+fullResponse("1", "extra"))
+			writeText(connection, fullResponse(r.Header.Get("Id"), "own")+fullResponse(r.Header.Get("Id"), "extra"))
 			return true
 		})
 		pool := NewPool()
-		for range 3 {
-			body, err := fetch(pool, engine.address(), "1")
+		for number := range 3 {
+			body, err := fetch(pool, engine.address(), fmt.Sprint(number))
 			So(err, ShouldBeNil)
 			So(body, ShouldEqual, "own")
 		}
