A response without the request's ID is never the response to it

Cause: upstream accepted a response without an ID as that of the request, took a 421 for a refusal whether or not the engine said that it had not run the request, and passed a 408 on, which tells the caller that it has not run. Two more instances, found by drawn cases: a response cut within its head and followed by the next one, which gives the status of the first and the ID of the second; and a probe that takes such bytes for a sign of life.

Change: a response is returned only if it repeats the ID and nothing else. Others are read to their end and skipped, logged (stray response skipped) and counted, and their connection is not used again; the request's own response is awaited. A head with a second status line in it ends the exchange without a response. Only the engine's word (Not-Executed) is a refusal; a 408, 421, 429 or 503 without it is passed on as unknown (1304). Probes have an ID that the engine must repeat.

Engines of the test fleet and streams_test answered 421 without the engine's word, and refused without an ID, which the protocol doesn't do: they follow it now, and expect the same as before.

--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -347,6 +347,7 @@
 	fault, release, pause := e.fault, e.release, e.pause
 	if r.Header.Get("Expect-Instance") != e.id {
 		e.mutex.Unlock()
+		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/cmd/ochrebay/soak_engine_test.go
+++ b/cmd/ochrebay/soak_engine_test.go
@@ -132,6 +132,7 @@
 	}
 	w.Header().Set("Request-Id", id)
 	if r.Header.Get("Expect-Instance") != e.id() {
+		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/cmd/ochrebay/soak_streams_engine_test.go
+++ b/cmd/ochrebay/soak_streams_engine_test.go
@@ -63,6 +63,7 @@
 	isCalm := e.isCalm.Load()
 	switch {
 	case r.Header.Get("Expect-Instance") != e.id:
+		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case strings.HasPrefix(string(body), crashingProgram):
--- a/cmd/ochrebay/stream_versions_test.go
+++ b/cmd/ochrebay/stream_versions_test.go
@@ -60,6 +60,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	if r.Header.Get("Expect-Instance") != e.id {
+		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,11 +139,11 @@
 	return outcome
 }
 
-// parseRefusal reports whether the response states that the engine did not run the call. A 421
-// (misdirected request) states it too: the engine at the address is not the expected one.
+// parseRefusal reports whether the response states that the engine did not run the call. Its status alone
+// never states that.
 func (d *Daemon) parseRefusal(exchange *upstream.Exchange) (attemptOutcome, bool) {
 	response := exchange.Response
-	if response.Header.Get(d.headerNames.NotExecuted) == "" && response.StatusCode != http.StatusMisdirectedRequest {
+	if response.Header.Get(d.headerNames.NotExecuted) == "" {
 		return attemptOutcome{}, false
 	}
 	drainResponse(exchange)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -120,6 +120,7 @@
 	d.pool.OnDial = d.engines.observeDial
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
+	d.pool.OnStrayResponse = d.recordStrayResponse
 	d.ledgers = newLedgerClient(process.Zone, d.metrics.historyReads, process.Policy.Disable)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
 	d.follower.WithRouting = true
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -71,9 +71,8 @@
 	if success && response.Header.Get(r.daemon.headerNames.Signature) == "" {
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: errMissingSignature}
 	}
-	impliesNotRun := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
-	if impliesNotRun {
-		// These statuses would tell the caller that the call was not run, which the engine
+	if impliesNotRun(response.StatusCode) {
+		// The status would tell the caller that the call was not run, which the engine
 		// did not state.
 		return attemptOutcome{kind: attemptBroken, status: response.StatusCode, err: fmt.Errorf("engine responded with status %d but did not state that the call was not run", response.StatusCode)}
 	}
@@ -87,6 +86,15 @@
 	return r.deliverBuffered(exchange, c)
 }
 
+// impliesNotRun reports whether a status tells callers that their call was not run.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // deliverBuffered buffers a response of less than maxBufferedBytes until it is complete, so that
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	continuations *prometheus.CounterVec
 	// engineCrashes counts the engines that ended, or may have ended, under a request.
 	engineCrashes *prometheus.CounterVec
+	// strayResponses counts responses of engines that belong to no request or to an earlier one.
+	strayResponses *prometheus.CounterVec
 }
 
 // newMetrics registers the metrics of a gateway.
@@ -67,18 +69,19 @@
 	})
 	monitor.RegisterGauge("gateway_engine_slowness_spread", "Slowest over quickest engine of the back end where they differ most, by what streams have shown; 1 where they are alike.", func() float64 { return d.engines.slowdownSpread() })
 	return &metrics{
-		requests:      monitor.RegisterLatencyHistogram("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
-		failures:      monitor.RegisterCounter("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
-		attempts:      monitor.RegisterCounter("gateway_attempts_total", "Sends to engines, by how they ended.", "outcome"),
-		responses:     monitor.RegisterCounter("gateway_engine_responses_total", "Responses of engines that were to be forwarded, by how their body was framed and how the attempt ended.", "framing", "outcome"),
-		turnOpen:      monitor.RegisterLatencyHistogram("gateway_turn_open_seconds", "Time until the ledger had opened a turn."),
-		turnRetain:    monitor.RegisterLatencyHistogram("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
-		firstEvent:    monitor.RegisterLatencyHistogram("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
-		historyReads:  monitor.RegisterCounter("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
-		sessionMoves:  monitor.RegisterCounter("gateway_sessions_moved_total", "Turns that went to another engine than the one that holds what their session has read, by why.", "reason"),
-		continuations: monitor.RegisterCounter("gateway_streams_continued_total", "Streams that broke off, by who was to continue them (gateway: in the same answer; caller: in another request) and whether they went on.", "by", "outcome"),
-		engineCrashes: monitor.RegisterCounter("gateway_engine_crashes_total", "Attempts under which an engine ended or may have ended, by what a dial to its address showed afterwards.", "engine_state"),
-		quotaWait:     monitor.RegisterLatencyHistogram("gateway_quota_seconds", "Time until the owner of a tenant's limit had answered.", "outcome"),
+		requests:       monitor.RegisterLatencyHistogram("gateway_request_seconds", "Time of requests from their head to the end of the answer.", "kind", "outcome"),
+		failures:       monitor.RegisterCounter("gateway_failures_total", "Requests that no engine answered, by result code.", "code"),
+		attempts:       monitor.RegisterCounter("gateway_attempts_total", "Sends to engines, by how they ended.", "outcome"),
+		responses:      monitor.RegisterCounter("gateway_engine_responses_total", "Responses of engines that were to be forwarded, by how their body was framed and how the attempt ended.", "framing", "outcome"),
+		turnOpen:       monitor.RegisterLatencyHistogram("gateway_turn_open_seconds", "Time until the ledger had opened a turn."),
+		turnRetain:     monitor.RegisterLatencyHistogram("gateway_turn_keep_seconds", "Time until the ledger had kept a turn."),
+		firstEvent:     monitor.RegisterLatencyHistogram("gateway_first_event_seconds", "Time from the send to an engine to its first event."),
+		historyReads:   monitor.RegisterCounter("gateway_histories_total", "Reads of the older turns of a chain, by the replica that answered.", "source"),
+		sessionMoves:   monitor.RegisterCounter("gateway_sessions_moved_total", "Turns that went to another engine than the one that holds what their session has read, by why.", "reason"),
+		continuations:  monitor.RegisterCounter("gateway_streams_continued_total", "Streams that broke off, by who was to continue them (gateway: in the same answer; caller: in another request) and whether they went on.", "by", "outcome"),
+		engineCrashes:  monitor.RegisterCounter("gateway_engine_crashes_total", "Attempts under which an engine ended or may have ended, by what a dial to its address showed afterwards.", "engine_state"),
+		strayResponses: monitor.RegisterCounter("gateway_stray_responses_total", "Responses of engines that belong to no request or to an earlier one, by status.", "status"),
+		quotaWait:      monitor.RegisterLatencyHistogram("gateway_quota_seconds", "Time until the owner of a tenant's limit had answered.", "outcome"),
 	}
 }
 
--- a/internal/gateway/streams_test.go
+++ b/internal/gateway/streams_test.go
@@ -63,11 +63,11 @@
 			f.runs = append(f.runs, id)
 		}
 		f.mutex.Unlock()
+		w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
 		if refuses {
 			respondNotRun(w)
 			return
 		}
-		w.Header().Set("Ochrebay-Request", r.Header.Get("Ochrebay-Request"))
 		w.Header().Set("Ochrebay-Signature", id)
 		w.Header().Set("Content-Type", "text/event-stream")
 		first := 1
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -1,7 +1,8 @@
 // Package upstream sends requests to engines over persistent HTTP/1.1 connections. For every
-// failure it reports whether the engine may have received the request. Bytes of one response
-// never reach another request: responses are matched by the request ID, which is sent only once on a
-// connection, and a connection with unread bytes is not reused.
+// failure it reports whether the engine may have received the request. HTTP/1.1 matches responses by
+// their order alone (RFC 9112, section 9.2), which does not hold for an engine that sends bytes that belong
+// to no request. A response is therefore returned only if it repeats the ID of the request, and an ID is
+// sent only once on a connection. A connection on which anything else has arrived is not reused.
 package upstream
 
 import (
@@ -45,6 +46,8 @@
 	usableUntil time.Time
 	// sentIDs holds the hashed IDs of the requests that were sent on this connection.
 	sentIDs []uint64
+	// isOutOfSync is set once a response has arrived that belongs to no request or to an earlier one.
+	isOutOfSync bool
 }
 
 // hasSent reports whether a request with this ID was sent on the connection.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +80,9 @@
 	ConnectionsReused atomic.Int64
 	// OnDial is called with the time taken to open a new connection. It may be nil.
 	OnDial func(address string, duration time.Duration)
+	// OnStrayResponse is called for each response that does not belong to the request for which it was
+	// read. It may be nil.
+	OnStrayResponse func(address string, request *Request, stray *http.Response)
 }
 
 // NewPool returns an empty pool.
@@ -169,6 +174,9 @@
 // Do sends a request and returns the head of the response. When ctx ends, the connection is
 // closed, upon which most engines drop the request. The error wraps ErrNotSent or ErrNoResponse.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Exchange, error) {
+	if request.ID == "" {
+		return nil, fmt.Errorf("%w: it has no ID", ErrNotSent)
+	}
 	acquired, err := p.acquire(ctx, address, request.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -242,8 +250,9 @@
 	return buffer.Bytes()
 }
 
-// readHeader reads the head of the response to this request. Invariant: a response with the ID of
-// another request is never returned for this one. A response without an ID is accepted.
+// readHeader reads the head of the response to this request. Invariant: a response is returned only if it
+// repeats the ID of the request and nothing else. What has no ID or another one belongs to no request or to
+// an earlier one; the response to this request may follow it.
 func (e *Exchange) readHeader(request *Request) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxResponseHeads {
@@ -251,21 +260,54 @@
 		if err != nil {
 			return err
 		}
+		if containsStatusLine(response) {
+			return errors.New("upstream: a response begins within the head of another one")
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := response.Header.Get(request.IDHeader); id != "" && id != request.ID {
-			if err := discardBody(response); err != nil {
-				return err
-			}
-			continue
+		if ids := response.Header.Values(request.IDHeader); len(ids) == 1 && ids[0] == request.ID {
+			e.Response = response
+			return nil
+		}
+		if err := e.skipStray(request, response); err != nil {
+			return err
 		}
-		e.Response = response
-		return nil
 	}
 	return errors.New("upstream: only interim responses and responses to other requests received")
 }
 
+// skipStray reads a response that does not belong to the request to its end.
+func (e *Exchange) skipStray(request *Request, stray *http.Response) error {
+	e.connection.isOutOfSync = true
+	if e.pool.OnStrayResponse != nil {
+		e.pool.OnStrayResponse(e.address, request, stray)
+	}
+	if framingOf(stray) == CloseDelimited {
+		return errors.New("upstream: a response that does not belong to the request ends with the connection")
+	}
+	return discardBody(stray)
+}
+
+// statusLine matches the beginning of a response (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// containsStatusLine reports whether the head of a response contains the beginning of another one, as when the
+// engine breaks off a response within its head and goes on with the next one: the status would be that of the
+// first response, and the ID that of the second one.
+func containsStatusLine(response *http.Response) bool {
+	_, reason, _ := strings.Cut(response.Status, " ")
+	if statusLine.MatchString(reason) {
+		return true
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // ConnectionOpenedAt returns when the connection of the exchange was opened.
 func (e *Exchange) ConnectionOpenedAt() time.Time { return e.connection.openedAt }
 
@@ -284,7 +326,7 @@
 func (e *Exchange) HasEnded() bool { return e.bodyComplete && e.Framing() != CloseDelimited }
 
 // Close ends the exchange. Invariant: the connection is reused only if the whole request was
-// written, the whole response was read and no unread bytes are left.
+// written, the whole response was read, nothing else has arrived and no unread bytes are left.
 func (e *Exchange) Close() {
 	if e.closed {
 		return
@@ -300,7 +342,7 @@
 			reusable = false
 		}
 	}
-	if len(e.connection.sentIDs) >= maxConnectionRequests {
+	if e.connection.isOutOfSync || len(e.connection.sentIDs) >= maxConnectionRequests {
 		reusable = false
 	}
 	if !reusable || e.connection.reader.Buffered() > 0 {
@@ -322,11 +364,13 @@
 )
 
 // Framing returns how the end of the response's body is given.
-func (e *Exchange) Framing() Framing {
+func (e *Exchange) Framing() Framing { return framingOf(e.Response) }
+
+func framingOf(response *http.Response) Framing {
 	switch {
-	case len(e.Response.TransferEncoding) > 0:
+	case len(response.TransferEncoding) > 0:
 		return FramedByChunks
-	case e.Response.ContentLength >= 0:
+	case response.ContentLength >= 0:
 		return FramedByLength
 	}
 	return CloseDelimited
--- a/internal/upstream/stray_test.go
+++ b/internal/upstream/stray_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -8,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -32,6 +35,10 @@
 			return true
 		})
 		pool := NewPool()
+		var strays []string
+		pool.OnStrayResponse = func(_ string, request *Request, stray *http.Response) {
+			strays = append(strays, request.ID+" "+stray.Status)
+		}
 		body, err := fetch(pool, engine.address(), "1")
 		So(err, ShouldBeNil)
 		So(body, ShouldBeEmpty)
@@ -39,6 +46,7 @@
 		So(err, ShouldBeNil)
 		So(body, ShouldEqual, "own")
 		So(pool.ConnectionsOpened.Load(), ShouldEqual, 2)
+		So(strays, ShouldBeEmpty)
 		// The copy is still to come on one of the two connections. Neither request may take it for its own,
 		// and its connection is not used again.
 		for _, id := range []string{"2", "3", "4"} {
@@ -46,9 +54,49 @@
 			So(err, ShouldBeNil)
 			So(body, ShouldEqual, "own")
 		}
+		So(strays, ShouldResemble, []string{"2 503 Service Unavailable", "3 503 Service Unavailable"})
+		So(pool.ConnectionsOpened.Load(), ShouldEqual, 3)
 	})
 }
 
+// TestResponsesThatBelongToNoRequest guards against a response without the ID of the request that is returned
+// for it, and against one that is put together from two.
+func TestResponsesThatBelongToNoRequest(t *testing.T) {
+	for _, stray := range []string{
+		"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected Request\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nId: 0\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+	} {
+		Convey(fmt.Sprintf("%.24q is skipped, and its connection not used again", stray), t, func() {
+			engine := newFakeEngine(t, func(connection net.Conn, r *http.Request, _ int) bool {
+				writeText(connection, stray+fullResponse(r.Header.Get("Id"), "own"))
+				return true
+			})
+			pool := NewPool()
+			for number := 1; number <= 2; number++ {
+				body, err := fetch(pool, engine.address(), fmt.Sprint(number))
+				So(err, ShouldBeNil)
+				So(body, ShouldEqual, "own")
+				So(pool.ConnectionsOpened.Load(), ShouldEqual, number)
+			}
+		})
+	}
+	for _, beginning := range []string{
+		"HTTP/1.1 421 Mis", "HTTP/1.1 421 Misdirected Request\r\nServer: ", "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nServer: a", "HTTP/1.1 503 Service Unavailable\r\n",
+		"HTTP/1.1 408 Request Timeout\r\n\r\n",
+	} {
+		Convey(fmt.Sprintf("%q before a response is no response", beginning), t, func() {
+			engine := newFakeEngine(t, func(connection net.Conn, r *http.Request, _ int) bool {
+				writeText(connection, beginning+fullResponse(r.Header.Get("Id"), "own"))
+				return true
+			})
+			_, err := fetch(NewPool(), engine.address(), "1")
+			So(errors.Is(err, ErrNoResponse), ShouldBeTrue)
+		})
+	}
+}
+
 // TestRefusalsOpenFewConnections guards against a connection dialled for each refusal: a request is not sent
 // again on the connection on which it was refused, but on another one that is open.
 func TestRefusalsOpenFewConnections(t *testing.T) {
@@ -76,3 +124,26 @@
 		So(pool.ConnectionsOpened.Load(), ShouldBeLessThanOrEqualTo, workers+sendsOfRequest+ended)
 	})
 }
+
+// TestProbeTakesOnlyItsOwnResponse guards against an engine that is taken for one that runs on because bytes
+// that belong to no request arrive on a connection from before.
+func TestProbeTakesOnlyItsOwnResponse(t *testing.T) {
+	for response, isAlive := range map[string]bool{"": false, "Id: 0\r\n": false, "Id: probe\r\n": true} {
+		Convey(fmt.Sprintf("a response with the header %q", response), t, func() {
+			engine := newFakeEngine(t, func(connection net.Conn, r *http.Request, number int) bool {
+				if number == 1 {
+					writeText(connection, fullResponse(r.Header.Get("Id"), "own"))
+					return true
+				}
+				writeText(connection, "HTTP/1.1 200 OK\r\n"+response+"Content-Length: 0\r\n\r\n")
+				return false
+			})
+			pool := NewPool()
+			_, err := fetch(pool, engine.address(), "1")
+			So(err, ShouldBeNil)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			So(pool.Probe(ctx, engine.address(), time.Now(), newRequest("probe")), ShouldEqual, isAlive)
+		})
+	}
+}
