A ledger group replaces a host in one step

Cause: the silent voter was removed before the learner got its vote, 0.1 s later. In between a group of three had two voters, so that one lost disk ended it although two disks with everything stood. The same class as the settings group's: a change of members in two halves. Evidence: TestDiskLostWhileAHostIsReplaced, which loses the disk at drawn times of the move, ends without a leader on.

Change: a caught-up learner takes the place of a voter that is not part of the placement through a joint configuration, for planned moves too. Beside an earlier release the group grows first and shrinks later.

--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -228,6 +228,7 @@
 // Send implements Transport. It delivers a batch after a random delay and loses one in a hundred.
 func (n *node) Send(member string, batch protocol.PeerBatch) {
 	batch.SupportsClaims = batch.SupportsClaims && n.host.Member != n.cluster.earlierRelease
+	batch.SupportsReplacement = batch.SupportsReplacement && n.host.Member != n.cluster.earlierRelease
 	raw, err := protocol.Encode(&batch)
 	if err != nil {
 		n.cluster.t.Fatal(err)
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -138,6 +138,9 @@
 	// supportsClaims holds, by member, whether its latest messages said that it records claims together
 	// with turns.
 	supportsClaims map[string]bool
+	// supportsReplacement holds, by member, whether its latest messages said that its replicas know joint
+	// configurations.
+	supportsReplacement map[string]bool
 	// quotaOwners grant the requests of the tenants that belong to the groups led here.
 	quotaOwners map[storage.GroupID]*quotaOwner
 	// programKinds holds the learned statistics of the kinds of tenants' programs, over all
@@ -156,11 +159,11 @@
 func NewCore(options Options, store Storage, transport Transport, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: store, transport: transport, nowMs: nowMs, lastTickMs: nowMs,
-		leaderlessSinceMs: map[storage.GroupID]int64{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
+		leaderlessSinceMs: map[storage.GroupID]int64{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, supportsReplacement: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
 		quotaOwners: map[storage.GroupID]*quotaOwner{}, programKinds: admission.NewProgramKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, store, func(member string, messages []protocol.PeerMessage) {
-		transport.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages, SupportsClaims: true})
+		transport.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages, SupportsClaims: true, SupportsReplacement: true})
 	})
 	core.setNow(nowMs)
 	return core
@@ -272,6 +275,7 @@
 func (c *Core) HandlePeerBatch(batch protocol.PeerBatch, nowMs int64) {
 	c.setNow(nowMs)
 	c.supportsClaims[batch.From] = batch.SupportsClaims
+	c.supportsReplacement[batch.From] = batch.SupportsReplacement
 	c.host.Step(batch)
 }
 
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -28,9 +28,9 @@
 			c.transferLeadership(group, anyMember)
 			continue
 		}
-		next, isChange := nextConfiguration(group.Node, placement.Members, c.currentReplicas(placement))
+		next, isChange := nextChange(group.Node, placement.Members, c.currentReplicas(placement), c.supportsReplacement)
 		if isChange {
-			_ = group.Node.ProposeConfiguration(next)
+			next.propose(group.Node)
 		} else if !isPlacedAt(placement, c.options.Member) {
 			// Only a host of the placement may receive the leadership. Otherwise two hosts that
 			// both leave the group would transfer it back and forth. Each leadership change
@@ -118,35 +118,70 @@
 	return current
 }
 
-// nextConfiguration returns the configuration after the next step from a group's configuration to
-// its placement, and whether a step is needed. Each step changes one replica.
-func nextConfiguration(node *consensus.Node, members []string, current map[string]consensus.ReplicaID) (consensus.Configuration, bool) {
+// change is one step from a group's configuration to its placement: a configuration, or the replacement of a
+// voter by a learner.
+type change struct {
+	configuration      consensus.Configuration
+	outgoing, incoming consensus.ReplicaID
+}
+
+// propose proposes the change. A change that is rejected is due again at the next reconciliation.
+func (c change) propose(node *consensus.Node) {
+	if c.outgoing != consensus.None {
+		_ = node.ProposeReplacement(c.outgoing, c.incoming)
+		return
+	}
+	_ = node.ProposeConfiguration(c.configuration)
+}
+
+// nextChange returns the next step from a group's configuration to its placement, and whether a step is
+// needed. Each step changes one replica or replaces one by another. supportsReplacement holds, by member,
+// whether its replicas know joint configurations.
+func nextChange(node *consensus.Node, members []string, current map[string]consensus.ReplicaID, supportsReplacement map[string]bool) (change, bool) {
 	configuration := node.Configuration()
 	if lostReplica, found := replicaWithLostDisk(node, members, current); found {
-		return configuration.Without(lostReplica), true
+		return change{configuration: configuration.Without(lostReplica)}, true
 	}
 	for _, member := range members {
 		id, known := current[member]
 		if _, present := configuration.Find(id); known && !present && !hasMember(configuration, member) {
-			return configuration.With(consensus.Replica{ID: id, Member: member, IsLearner: true}), true
+			return change{configuration: configuration.With(consensus.Replica{ID: id, Member: member, IsLearner: true})}, true
 		}
 	}
-	learner, found := caughtUpLearner(node, members)
-	if found {
-		// An unresponsive voter that is not part of the placement is removed before the learner
-		// becomes a voter, so that the quorum does not grow in between.
-		if misplaced, isSilent := misplacedReplica(node, members, false); isSilent && len(configuration.Voters()) > 1 {
-			return configuration.Without(misplaced), true
-		}
-		learner.IsLearner = false
-		return configuration.With(learner), true
+	if learner, found := caughtUpLearner(node, members); found {
+		return promotion(node, members, learner, supportsReplacement), true
 	}
 	if allMembersVote(configuration, members, current) {
-		if misplaced, found := misplacedReplica(node, members, true); found {
-			return configuration.Without(misplaced), true
+		if misplaced, found := misplacedReplica(node, members); found {
+			return change{configuration: configuration.Without(misplaced)}, true
+		}
+	}
+	return change{}, false
+}
+
+// promotion makes a learner a voter, in place of a voter that is not part of the placement if there is one.
+// Invariant: until the learner votes, the disk of the voter that leaves counts. Otherwise a disk that is lost
+// in between ends the group, although a majority of the disks stands.
+func promotion(node *consensus.Node, members []string, learner consensus.Replica, supportsReplacement map[string]bool) change {
+	configuration := node.Configuration()
+	outgoing, found := misplacedVoter(node, members)
+	if found && votersSupport(node, outgoing, learner, supportsReplacement) {
+		return change{outgoing: outgoing, incoming: learner.ID}
+	}
+	learner.IsLearner = false
+	return change{configuration: configuration.With(learner)}
+}
+
+// votersSupport reports whether no replica that votes after a replacement is known to run a release without
+// joint configurations.
+func votersSupport(node *consensus.Node, outgoing consensus.ReplicaID, incoming consensus.Replica, supportsReplacement map[string]bool) bool {
+	for _, replica := range node.Configuration().Replicas {
+		votes := replica.ID == incoming.ID || (!replica.IsLearner && replica.ID != outgoing)
+		if supports, known := supportsReplacement[replica.Member]; votes && known && !supports {
+			return false
 		}
 	}
-	return configuration, false
+	return true
 }
 
 // hasMember reports whether a configuration contains a replica of a member.
@@ -177,17 +212,31 @@
 }
 
 // misplacedReplica returns a replica other than the leader that is not part of the placement.
-// includeActive includes replicas that have responded recently.
-func misplacedReplica(node *consensus.Node, members []string, includeActive bool) (consensus.ReplicaID, bool) {
+func misplacedReplica(node *consensus.Node, members []string) (consensus.ReplicaID, bool) {
 	for _, replica := range node.Configuration().Replicas {
-		isMisplaced := !slices.Contains(members, replica.Member) && replica.ID != node.ID()
-		if isMisplaced && (includeActive || !node.IsRecentlyActive(replica.ID)) {
+		if !slices.Contains(members, replica.Member) && replica.ID != node.ID() {
 			return replica.ID, true
 		}
 	}
 	return consensus.None, false
 }
 
+// misplacedVoter returns a voter other than the leader that is not part of the placement, if possible one that
+// has not responded recently.
+func misplacedVoter(node *consensus.Node, members []string) (consensus.ReplicaID, bool) {
+	responsive := consensus.None
+	for _, replica := range node.Configuration().Replicas {
+		if replica.IsLearner || slices.Contains(members, replica.Member) || replica.ID == node.ID() {
+			continue
+		}
+		if !node.IsRecentlyActive(replica.ID) {
+			return replica.ID, true
+		}
+		responsive = replica.ID
+	}
+	return responsive, responsive != consensus.None
+}
+
 // allMembersVote reports whether the current replica of every member is a voter.
 func allMembersVote(configuration consensus.Configuration, members []string, current map[string]consensus.ReplicaID) bool {
 	for _, member := range members {
