Probes and requests without an ID get none

Cause: gave probes an ID, and an engine of a plain service runs whatever has one; without an ID it rejects the probe, which is a sign of life as well. For the same reason callers' requests without an ID must not get one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -122,7 +122,7 @@
 	if exchange.Response.StatusCode != http.StatusMisdirectedRequest {
 		d.closeOutlivedAttempts(c, engine, exchange.ConnectionOpenedAt())
 	}
-	if refusal, refused := d.parseRefusal(exchange); refused {
+	if refusal, refused := d.parseRefusal(c, exchange); refused {
 		return refusal
 	}
 	d.waitQueues.leave(c, true)
@@ -140,10 +140,10 @@
 }
 
 // parseRefusal reports whether the response states that the engine did not run the call. Its status alone
-// never states that.
-func (d *Daemon) parseRefusal(exchange *upstream.Exchange) (attemptOutcome, bool) {
+// never states that, and neither does a response to a call without an ID, which may belong to no request.
+func (d *Daemon) parseRefusal(c *call, exchange *upstream.Exchange) (attemptOutcome, bool) {
 	response := exchange.Response
-	if response.Header.Get(d.headerNames.NotExecuted) == "" {
+	if response.Header.Get(d.headerNames.NotExecuted) == "" || c.id == "" {
 		return attemptOutcome{}, false
 	}
 	drainResponse(exchange)
@@ -173,7 +173,9 @@
 	}
 	header.Set(d.headerNames.DeadlineMs, strconv.FormatInt(max(c.timeLeft().Milliseconds(), 1), 10))
 	header.Set(d.headerNames.ExpectEngine, engine.ID)
-	header.Set(d.headerNames.RequestID, c.id)
+	if c.id != "" {
+		header.Set(d.headerNames.RequestID, c.id)
+	}
 	if c.lastEventID > 0 {
 		header.Set(d.headerNames.LastEventID, strconv.FormatInt(c.lastEventID, 10))
 	}
--- a/internal/gateway/enginestate.go
+++ b/internal/gateway/enginestate.go
@@ -65,11 +65,9 @@
 func (d *Daemon) respondsOnEarlierConnection(engine membership.ServingEngine, openedBefore time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), stateProbeTimeout)
 	defer cancel()
-	id := newRequestID()
+	// The request has no ID: an engine without this path would run it like a caller's request.
 	request := &upstream.Request{
-		Method: http.MethodGet, URI: d.EngineStatusPath, Host: engine.Address, Header: http.Header{},
-		ID: id, IDHeader: d.headerNames.RequestID,
+		Method: http.MethodGet, URI: d.EngineStatusPath, Host: engine.Address, Header: http.Header{}, IDHeader: d.headerNames.RequestID,
 	}
-	request.Header.Set(d.headerNames.RequestID, id)
 	return d.pool.Probe(ctx, engine.Address, openedBefore, request)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -365,6 +365,13 @@
 		So(response.StatusCode, ShouldEqual, 502)
 		So(response.Header.Get("Retry-After"), ShouldBeBlank)
 	})
+	Convey("a refusal of a request without an ID, which any bytes may pass for, is not reported as not run", t, func() {
+		fixture := newGatewayFixture(t, func(w http.ResponseWriter, _ *http.Request) { respondNotRun(w) })
+		response, _, err := fixture.send("/unsafe/", "")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+		So(fixture.runs.Load(), ShouldEqual, 1)
+	})
 	Convey("a server error of the engine is forwarded with its signature", t, func() {
 		fixture := newGatewayFixture(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Ochrebay-Signature", "s")
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -144,21 +143,10 @@
 // timeLeft returns the time until the call's deadline.
 func (c *call) timeLeft() time.Duration { return time.Until(c.deadline) }
 
-// requestIDBase is the base in which generated request IDs are written.
-const requestIDBase = 16
-
-// newRequestID returns an ID for a request that has none. Without an ID nothing tells the response to a
-// request from bytes that belong to none.
-func newRequestID() string { return strconv.FormatUint(rand.Uint64(), requestIDBase) }
-
 // readRequest finds the route and the tenant of a request, reads its body and parses its headers.
 func (d *Daemon) readRequest(writer http.ResponseWriter, request *http.Request) (*call, *result.Error) {
 	startedAt := time.Now()
 	requestID := request.Header.Get(d.headerNames.RequestID)
-	if requestID == "" {
-		requestID = newRequestID()
-		request.Header.Set(d.headerNames.RequestID, requestID)
-	}
 	view := d.view.Load()
 	if view == nil {
 		return nil, result.New(result.NotConfigured, "the gateway has no routing table yet")
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -46,7 +46,8 @@
 	usableUntil time.Time
 	// sentIDs holds the hashed IDs of the requests that were sent on this connection.
 	sentIDs []uint64
-	// isOutOfSync is set once a response has arrived that belongs to no request or to an earlier one.
+	// isOutOfSync is set once a response has arrived that belongs to no request or to an earlier one, or may
+	// do so.
 	isOutOfSync bool
 }
 
