A replica votes until its group is known to decide without it

Cause: a host stopped hosting a group that was placed elsewhere 5 s after its leader was gone, on the word of the placement. The placement says where a group is to move; the group can move only while a majority of its own voters is hosted. The same class as: a change of members whose first half was taken for the whole. By reading: a host that restarted after the new placement had been saved did not host the group either.

Change: an orphaned replica asks the hosts of the placement whether its group has removed it, and stops only when a leader with a committed configuration says so, which is kept on disk. A host whose disk holds a replica that was not removed hosts it, wherever the group is placed. Hosts of an earlier release don't answer, and such a replica is kept.

--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -210,6 +210,13 @@
 	return n.role == Leader && ok && (follower.isActive || follower.wasActive)
 }
 
+// HasLeft reports whether a committed configuration of this leader's term excludes a replica. It is false on
+// replicas that don't lead, and while a change of the configuration is in progress.
+func (n *Node) HasLeft(id ReplicaID) bool {
+	_, isMember := n.log.configuration().Find(id)
+	return n.checkChange() == nil && !isMember
+}
+
 // Tick advances the replica's clock by one tick. It does nothing while the group is quiescent.
 func (n *Node) Tick() {
 	if n.isQuiescent {
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"sync/atomic"
 
@@ -89,8 +90,8 @@
 	// and sweepIntervalMs the interval at which expired turns are removed.
 	reconcileIntervalMs = 100
 	sweepIntervalMs     = 1000
-	// removeOrphanAfterMs is how long a replica without a leader that is not part of the
-	// placement is kept: the configuration change that removes it may still be in progress.
+	// removeOrphanAfterMs is how long a replica that is not part of the placement has no leader
+	// before it asks whether it was removed: the change that removes it may still be in progress.
 	removeOrphanAfterMs = 5000
 	// maxLearnerLagEntries is how many entries a learner may lag behind when it becomes a voter.
 	maxLearnerLagEntries = 8
@@ -127,6 +128,10 @@
 	// leaderlessSinceMs is the time since which a hosted group that is not placed here has had
 	// no known leader.
 	leaderlessSinceMs map[storage.GroupID]int64
+	// lastMembershipQueryMs is the time of the last question about a replica of such a group.
+	lastMembershipQueryMs map[storage.GroupID]int64
+	// isDiskChecked holds the groups for which it is known whether the disk held a replica at the start.
+	isDiskChecked map[storage.GroupID]bool
 	// preferredLeader holds the member that should lead each group.
 	preferredLeader map[uint32]string
 	// ledSinceMs is the time since which this host has led a group, and lastBalanceMs the time
@@ -151,6 +156,8 @@
 	grantedRequests atomic.Int64
 	deniedRequests  atomic.Int64
 
+	// deferredErr is a disk error that occurred outside Flush, which returns it.
+	deferredErr error
 	// encodedPlacement is the placement as it was last written to disk.
 	encodedPlacement []byte
 }
@@ -159,16 +166,24 @@
 func NewCore(options Options, store Storage, transport Transport, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: store, transport: transport, nowMs: nowMs, lastTickMs: nowMs,
-		leaderlessSinceMs: map[storage.GroupID]int64{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, supportsReplacement: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
+		leaderlessSinceMs: map[storage.GroupID]int64{}, lastMembershipQueryMs: map[storage.GroupID]int64{}, isDiskChecked: map[storage.GroupID]bool{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, supportsReplacement: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
 		quotaOwners: map[storage.GroupID]*quotaOwner{}, programKinds: admission.NewProgramKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, store, func(member string, messages []protocol.PeerMessage) {
-		transport.Send(member, protocol.PeerBatch{From: options.Member, Messages: messages, SupportsClaims: true, SupportsReplacement: true})
+		transport.Send(member, core.newBatch(protocol.PeerBatch{Messages: messages}))
 	})
 	core.setNow(nowMs)
 	return core
 }
 
+// newBatch completes a batch to another host with its sender and with what the replicas here support.
+func (c *Core) newBatch(batch protocol.PeerBatch) protocol.PeerBatch {
+	batch.From = c.options.Member
+	batch.SupportsClaims = true
+	batch.SupportsReplacement = true
+	return batch
+}
+
 // setNow sets the clock of the core and of its replicas.
 func (c *Core) setNow(nowMs int64) {
 	c.nowMs = nowMs
@@ -255,12 +270,20 @@
 	return nil
 }
 
-// hostIfPlaced starts a replica of a group if the group is placed here and not hosted yet.
+// hostIfPlaced starts a replica of a group that is not hosted yet if the group is placed here or the disk holds a
+// replica that the group has not removed: the group may need its vote to move to its placement.
 func (c *Core) hostIfPlaced(placement membership.Placement) error {
 	id := storage.GroupID(placement.Group)
-	if !slices.Contains(placement.Members, c.options.Member) || c.host.FindGroup(id) != nil {
+	if c.host.FindGroup(id) != nil {
 		return nil
 	}
+	if isPlacedAt(placement, c.options.Member) {
+		if err := c.recordReturn(id); err != nil {
+			return err
+		}
+	} else if holdsReplica, err := c.holdsReplica(id); err != nil || !holdsReplica {
+		return err
+	}
 	// Invariant: a replica that is not part of the initial configuration does not vote before
 	// the group adds it. Until then, its disk has cast no votes and acknowledged no entries.
 	bootstrap := consensus.Configuration{}
@@ -277,10 +300,12 @@
 	c.supportsClaims[batch.From] = batch.SupportsClaims
 	c.supportsReplacement[batch.From] = batch.SupportsReplacement
 	c.host.Step(batch)
+	c.handleMembershipQueries(batch.From, batch.MembershipQueries)
+	c.deferredErr = errors.Join(c.deferredErr, c.handleRemovedReplicas(batch.RemovedReplicas))
 }
 
 // Flush does the pending work of the groups: sends, writes and applies.
-func (c *Core) Flush() error { return c.host.ProcessReady() }
+func (c *Core) Flush() error { return errors.Join(c.deferredErr, c.host.ProcessReady()) }
 
 // Tick advances the core's clock and runs the periodic work that is due.
 func (c *Core) Tick(nowMs int64) {
--- a/internal/ledger/reconcile.go
+++ b/internal/ledger/reconcile.go
@@ -87,25 +87,6 @@
 	return preferred
 }
 
-// removeOrphan stops hosting a group that is placed elsewhere once it has had no known leader for
-// removeOrphanAfterMs. The group's data stays on disk: if the group is placed here again, this host
-// continues as the same replica.
-func (c *Core) removeOrphan(group *replication.Group, placement membership.Placement) {
-	if isPlacedAt(placement, c.options.Member) || group.Node.Leader() != consensus.None {
-		delete(c.leaderlessSinceMs, group.ID)
-		return
-	}
-	since, known := c.leaderlessSinceMs[group.ID]
-	if !known {
-		c.leaderlessSinceMs[group.ID] = c.nowMs
-		return
-	}
-	if c.nowMs-since > removeOrphanAfterMs {
-		delete(c.leaderlessSinceMs, group.ID)
-		c.host.RemoveGroup(group.ID)
-	}
-}
-
 // currentReplicas returns the replica IDs of the current disks of the hosts in a placement, by
 // member.
 func (c *Core) currentReplicas(placement membership.Placement) map[string]consensus.ReplicaID {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -83,6 +83,16 @@
 	SupportsClaims bool `msgpack:"c,omitempty"`
 	// SupportsReplacement means that the sender's replicas know joint configurations.
 	SupportsReplacement bool `msgpack:"j,omitempty"`
+	// MembershipQueries asks the leaders of groups whether these replicas have been removed from them.
+	// RemovedReplicas answers with those that have.
+	MembershipQueries []GroupReplica `msgpack:"q,omitempty"`
+	RemovedReplicas   []GroupReplica `msgpack:"d,omitempty"`
+}
+
+// GroupReplica names a replica of a group.
+type GroupReplica struct {
+	Group   uint32              `msgpack:"g"`
+	Replica consensus.ReplicaID `msgpack:"r"`
 }
 
 // EngineLiveness is a batch of engines that have reported to the sender, for the leader of the
