--- a/internal/control/voters.go
+++ b/internal/control/voters.go
@@ -64,9 +64,8 @@
 }
 
 // promote makes a learner that has caught up a voter. If a voter is silent, the learner waits until it is
-// known whether it takes that voter's place. Invariant: a group whose voters are lost one at a time never has
-// more than one silent voter, whatever the order of losses, successors and leaders. A learner that became an
-// additional voter would raise the quorum with each loss.
+// known whether it takes that voter's place. Invariant: while a voter is silent, no learner becomes an
+// additional voter, which would raise the quorum with each loss.
 func (c *Core) promote(group *replication.Group, learner consensus.Replica) {
 	configuration := group.Node.Configuration()
 	silent, silenceMs := c.mostSilentVoter(group)
