Test of tenants begins once the ledger groups are placed

TestTenants failed at times: the request with the second key got a 503 right after one with the first key was served. With the body in the message a run beside load shows the cause: 1309, "no ledger group is placed". A gateway whose view holds no ledger host yet serves calls by its own record (docs/design/0021); from the first host on it rejects them until the groups are placed, 1.5 s later. The two requests stood on either side of that. The trace shows that the rejection is allowed; the test waits for a turn of the same program, which is served only once its group is, and then asserts what it asserted, the first key included.

--- a/cmd/ochrebay/tenants_test.go
+++ b/cmd/ochrebay/tenants_test.go
@@ -73,7 +73,10 @@
 			So(f.sendToControl("POST", "/ochrebay/Config.Replace", tenantConfiguration(2, firstKey, secondKey)).status, ShouldEqual, 200)
 			So(f.heartbeat("engine-1", "ready", 1), ShouldEqual, 200)
 			for _, gateway := range []string{"gateway-0", "gateway-1"} {
-				f.waitFor("a response through "+gateway, func() bool { return status(gateway, "/safe/", firstKey) == 200 })
+				// A gateway that knows no ledger host yet serves calls, and rejects them from the first host on until
+				// the groups are placed. A turn is served only once its group is.
+				f.waitFor("a turn through "+gateway, func() bool { return status(gateway, "/stream/", firstKey) == 200 })
+				So(status(gateway, "/safe/", firstKey), ShouldEqual, 200)
 				reply, id := f.sendWithKey(gateway, "/safe/", secondKey)
 				So(fmt.Sprint(reply.status, reply.body), ShouldStartWith, "200")
 				header := f.engine.header(id)
