--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -264,8 +264,8 @@
 
 // ProposeReplacement proposes that the learner incoming votes in place of the voter outgoing, which then
 // leaves the group. The group passes through a joint configuration, which the leader leaves once it is
-// committed. The number of voters stays the same, and the group decides throughout as long as a majority
-// of the voters without outgoing and incoming does.
+// committed. The number of voters stays the same, and a majority of them that includes neither outgoing nor
+// incoming suffices throughout.
 func (n *Node) ProposeReplacement(outgoing, incoming ReplicaID) error {
 	if err := n.checkChange(); err != nil {
 		return err
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -38,7 +38,7 @@
 	// Variant is Baseline or the names of the disabled policy mechanisms, joined by "+".
 	Variant  string
 	Scenario Scenario
-	// Score and Worth are the metrics that the benchmark reports for the run, and
+	// Score and Worth are the result metrics of the run, and
 	// PrefillKilotokens is the number of prompt tokens that engines prefilled, in
 	// thousands.
 	Score             float64
