An open turn holds the chain that it continues

Cause: only the settlement of a turn extended the retention of its chain. While the turn was open nothing retained what it continued, beyond a margin of 5 s. The settlement then retained the turn after a gap, and a chain with a gap was handed out as if it were whole: Chain stopped at the gap, and turnHistory returned the rest.

Ruled out: the gateway's cache (it holds whole histories, and hides the gap where it is hit); the reads of older turns in the zone (they go by the leader's list of turns).

Change: the entry that grants a turn acquires a hold on the chain. The settlement releases it; without one it ends 10 s after the turn's deadline, which the gateway states. A turn without a budget that continues another one is granted by an entry as well. A chain that is not whole is an unknown turn wherever one is read, and a turn whose chain is gone is not retained. For gateways of an earlier release the leader adds the hold; while a replica of an earlier release would ignore it, none is written. The gateway settles a turn after any error of its reservation but a spent budget: the ledger may have reserved it.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -297,7 +297,7 @@
 	settle := &program.Settle{
 		Program: c.programID, Request: c.turnID, UsedTokens: r.usedTokens(c), Retain: true, PreviousRequest: c.previousTurn,
 		Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(), Content: content, RetentionMs: c.route.RetentionMs,
-		ClosedClaim: c.closedClaim(),
+		ClosedClaim: c.closedClaim(), ReleasedHold: c.hold,
 	}
 	if c.historyInOtherGroup {
 		settle.PreviousRequest = ""
@@ -311,7 +311,7 @@
 		return false
 	}
 	c.turnReserved = false
-	c.claim = ""
+	c.claim, c.hold = "", ""
 	r.daemon.histories.put(c.turnID, c.programID, c.sessionID, append(append(make([]byte, 0, len(c.history)+len(content)), c.history...), content...))
 	return true
 }
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -110,7 +110,9 @@
 	// than the program.
 	turnReserved        bool
 	historyInOtherGroup bool
-	attemptCount        int
+	// hold is the ledger's hold on the history while the turn is not settled, empty for none.
+	hold         string
+	attemptCount int
 	// engineID is the engine of the latest attempt, and selection the figures behind its choice.
 	engineID  string
 	selection selection
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/program"
+	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/result"
 )
 
@@ -54,14 +55,14 @@
 }
 
 // run acquires quota for the call, reserves it at the ledger if it is a turn, and runs it at an
-// engine. In the end it settles a reserved turn that was not retained, and returns the quota grants
-// of a call that was not run.
+// engine. In the end it settles a reserved turn that was not retained, which releases its hold, and returns
+// the quota grants of a call that was not run.
 func (d *Daemon) run(ctx context.Context, c *call, response *callerResponse) *result.Error {
 	if c.timeLeft() < minSendTime {
 		return result.New(result.DeadlinePassed, "%s left until the deadline", c.timeLeft())
 	}
 	defer func() {
-		if c.turnReserved {
+		if c.turnReserved || c.hold != "" {
 			d.settleAsync(c, response)
 		}
 		d.releaseClaim(c)
@@ -97,35 +98,19 @@
 		Program: c.programID, Request: c.turnID, BudgetTokens: c.tokenBudget, MaxTokens: c.maxTokens, Session: c.sessionID, Stream: d.streamOpening(c),
 		Fingerprint: c.fingerprint, Claim: d.newClaim(c),
 	}
-	var cached cachedHistory
-	if c.route.RetainTurns && c.previousTurn != "" {
-		reserve.PreviousRequest = c.previousTurn
-		cached = d.histories.get(c.previousTurn, c.programID, c.sessionID)
-	}
-	reply := d.ledgers.reserve(ledgerContext, reserve, cached.turn)
-	if reply.Error != nil && reply.Error.Code == result.UnknownTurn {
-		found := d.ledgers.findInOtherGroups(ledgerContext, c.previousTurn, c.programID)
-		if found.Error != nil {
-			return found.Error
-		}
-		c.historyInOtherGroup = true
-		c.history = found.History
-		reserve.PreviousRequest = ""
-		reply = d.ledgers.reserve(ledgerContext, reserve, "")
-	}
+	reply := d.reserveWithHistory(ledgerContext, c, reserve)
 	if reply.Error != nil {
-		// The reservation may have been made although no reply arrived. No engine gets the call,
-		// so the reservation has to be settled and nothing charged.
-		if reply.Error.Code == result.LedgerUnreachable {
-			c.turnReserved = c.tokenBudget > 0
-			c.claim = reserve.Claim.Attempts[0]
+		// The reservation may have been made although no reply arrived, or none with a whole history. No
+		// engine gets the call, so the reservation has to be settled and nothing charged.
+		if reply.Error.Code == result.BudgetExhausted {
+			c.hold = ""
+			return reply.Error
 		}
+		c.turnReserved = c.tokenBudget > 0
+		c.claim = reserve.Claim.Attempts[0]
 		return reply.Error
 	}
 	c.affineEngine = reply.AffineEngine
-	if !c.historyInOtherGroup && reserve.PreviousRequest != "" {
-		c.history = cached.extend(reply)
-	}
 	c.turnReserved = c.tokenBudget > 0
 	c.programInProgress = !reply.IsFirstTurn || c.previousTurn != ""
 	if failure := d.claimWithTurn(ctx, c, reserve.Claim, reply); failure != nil {
@@ -140,6 +125,35 @@
 	return nil
 }
 
+// reserveWithHistory sends the reservation of a turn and sets the history that the turn continues. The
+// ledger retains that history while the turn is open. A history in another ledger group is fetched whole,
+// and the turn is then reserved without it.
+func (d *Daemon) reserveWithHistory(ctx context.Context, c *call, reserve *program.Reserve) *protocol.TurnReply {
+	if !c.route.RetainTurns || c.previousTurn == "" {
+		return d.ledgers.reserve(ctx, reserve, "")
+	}
+	reserve.PreviousRequest = c.previousTurn
+	c.hold = reserve.Claim.Attempts[0]
+	reserve.Hold = &program.Hold{ID: c.hold, DurationMs: c.timeLeft().Milliseconds()}
+	cached := d.histories.get(c.previousTurn, c.programID, c.sessionID)
+	reply := d.ledgers.reserve(ctx, reserve, cached.turn)
+	if reply.Error == nil {
+		c.history = cached.extend(reply)
+		return reply
+	}
+	if reply.Error.Code != result.UnknownTurn {
+		return reply
+	}
+	found := d.ledgers.findInOtherGroups(ctx, c.previousTurn, c.programID)
+	if found.Error != nil {
+		return found
+	}
+	c.historyInOtherGroup = true
+	c.history = found.History
+	reserve.PreviousRequest, reserve.Hold = "", nil
+	return d.ledgers.reserve(ctx, reserve, "")
+}
+
 // admitProgram decides whether a program may start. Invariant: admission control never rejects a
 // program in progress, nor one that continues from a retained turn.
 func (d *Daemon) admitProgram(c *call) *result.Error {
@@ -182,9 +196,9 @@
 func (d *Daemon) settleAsync(c *call, response *callerResponse) {
 	settle := &program.Settle{
 		Program: c.programID, Request: c.turnID, UsedTokens: response.usedTokens(c), Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(),
-		ClosedClaim: c.closedClaim(),
+		ClosedClaim: c.closedClaim(), ReleasedHold: c.hold,
 	}
-	c.claim = ""
+	c.claim, c.hold = "", ""
 	if c.recordsOrigin && response.isComplete {
 		settle.EndedStream = c.beginningRequest()
 	}
--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -156,7 +156,7 @@
 	// emptyAppendBatches those whose appends contain no entries.
 	appendBatches      int
 	emptyAppendBatches int
-	// earlierRelease is the member whose messages say that it records no claims with turns, if any.
+	// earlierRelease is the member whose messages say that it records no claims and no holds, if any.
 	earlierRelease string
 }
 
@@ -229,6 +229,7 @@
 func (n *node) Send(member string, batch protocol.PeerBatch) {
 	batch.SupportsClaims = batch.SupportsClaims && n.host.Member != n.cluster.earlierRelease
 	batch.SupportsReplacement = batch.SupportsReplacement && n.host.Member != n.cluster.earlierRelease
+	batch.SupportsHolds = batch.SupportsHolds && n.host.Member != n.cluster.earlierRelease
 	raw, err := protocol.Encode(&batch)
 	if err != nil {
 		n.cluster.t.Fatal(err)
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -146,6 +146,9 @@
 	// supportsReplacement holds, by member, whether its latest messages said that its replicas know joint
 	// configurations.
 	supportsReplacement map[string]bool
+	// supportsHolds holds, by member, whether its latest messages said that its replicas retain the chains
+	// of open turns. Members that have sent no message since this process started are absent.
+	supportsHolds map[string]bool
 	// quotaOwners grant the requests of the tenants that belong to the groups led here.
 	quotaOwners map[storage.GroupID]*quotaOwner
 	// programKinds holds the learned statistics of the kinds of tenants' programs, over all
@@ -166,7 +169,7 @@
 func NewCore(options Options, store Storage, transport Transport, nowMs int64) *Core {
 	core := &Core{
 		options: options, storage: store, transport: transport, nowMs: nowMs, lastTickMs: nowMs,
-		leaderlessSinceMs: map[storage.GroupID]int64{}, lastMembershipQueryMs: map[storage.GroupID]int64{}, isDiskChecked: map[storage.GroupID]bool{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, supportsReplacement: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
+		leaderlessSinceMs: map[storage.GroupID]int64{}, lastMembershipQueryMs: map[storage.GroupID]int64{}, isDiskChecked: map[storage.GroupID]bool{}, deferredCommands: map[storage.GroupID][]deferredCommand{}, supportsClaims: map[string]bool{}, supportsReplacement: map[string]bool{}, supportsHolds: map[string]bool{}, ledSinceMs: map[storage.GroupID]int64{},
 		quotaOwners: map[storage.GroupID]*quotaOwner{}, programKinds: admission.NewProgramKinds(),
 	}
 	core.host = replication.NewHost(options.Replication, store, func(member string, messages []protocol.PeerMessage) {
@@ -181,6 +184,7 @@
 	batch.From = c.options.Member
 	batch.SupportsClaims = true
 	batch.SupportsReplacement = true
+	batch.SupportsHolds = true
 	return batch
 }
 
@@ -299,6 +303,7 @@
 	c.setNow(nowMs)
 	c.supportsClaims[batch.From] = batch.SupportsClaims
 	c.supportsReplacement[batch.From] = batch.SupportsReplacement
+	c.supportsHolds[batch.From] = batch.SupportsHolds
 	c.host.Step(batch)
 	c.handleMembershipQueries(batch.From, batch.MembershipQueries)
 	c.deferredErr = errors.Join(c.deferredErr, c.handleRemovedReplicas(batch.RemovedReplicas))
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -33,6 +33,8 @@
 	retainedTurns int
 	// recordedStreams is the number of streams whose origin is on record.
 	recordedStreams int
+	// heldChains is the number of holds of open turns on the chains that they continue.
+	heldChains int
 	// crashRecords is the number of requests under which engines ended.
 	crashRecords int
 	hostedGroups int
@@ -108,6 +110,7 @@
 	d.monitor.RegisterGauge("ledger_requests_expired", "Requests dropped since the start: they waited longer than their senders.", func() float64 { return float64(d.expiredRequests.Load()) })
 	d.monitor.RegisterGauge("ledger_turns_kept", "Turns kept in the groups hosted here.", func() float64 { return float64(d.status.Load().retainedTurns) })
 	d.monitor.RegisterGauge("ledger_crash_records", "Requests under which engines ended, in the groups hosted here.", func() float64 { return float64(d.status.Load().crashRecords) })
+	d.monitor.RegisterGauge("ledger_chains_held", "Holds of open turns on the chains that they continue, in the groups hosted here.", func() float64 { return float64(d.status.Load().heldChains) })
 	d.monitor.RegisterGauge("ledger_streams_recorded", "Streams whose software version is on record in the groups hosted here.", func() float64 { return float64(d.status.Load().recordedStreams) })
 	d.monitor.RegisterGauge("ledger_entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().appliedEntries) })
 	d.monitor.RegisterGauge("ledger_quota_granted", "Requests of tenants granted since the start.", func() float64 { return float64(d.core.GrantedRequestCount()) })
@@ -187,6 +190,7 @@
 		current.leaders[uint32(group.ID)] = group.LeaderMember()
 		current.retainedTurns += group.StateMachine.(*stateMachine).turns.TurnCount()
 		current.crashRecords += group.StateMachine.(*stateMachine).turns.CrashRecordCount()
+		current.heldChains += group.StateMachine.(*stateMachine).turns.HoldCount()
 		current.recordedStreams += group.StateMachine.(*stateMachine).turns.StreamCount()
 		current.appliedEntries += group.Node.AppliedIndex()
 		if group.Node.Configuration().IsVoter(group.Node.ID()) {
--- a/internal/ledger/requests.go
+++ b/internal/ledger/requests.go
@@ -41,7 +41,7 @@
 	case request.Quota != nil:
 		c.handleQuotaRequest(id, group, request)
 	case request.Reserve != nil:
-		c.openTurn(id, group, request)
+		c.onceSupportKnown(id, group, func() { c.openTurn(id, group, request) })
 	case request.Stream != nil:
 		c.proposeAfterDeferred(id, group, program.TurnCommand{Stream: request.Stream}, nil)
 	case request.Crash != nil && request.Crash.IsClosing():
@@ -51,7 +51,7 @@
 	case request.CrashesOf != nil:
 		c.replyCrashes(id, group, *request.CrashesOf)
 	case request.Settle != nil:
-		c.settleTurn(id, group, request.Settle)
+		c.onceSupportKnown(id, group, func() { c.settleTurn(id, group, request.Settle) })
 	case request.HistoryOf != "":
 		c.replyHistory(id, group, request.HistoryOf)
 	default:
@@ -68,6 +68,7 @@
 		withoutClaim.ClosedClaim = nil
 		settle = &withoutClaim
 	}
+	settle = c.withReleasedHold(group, settle)
 	if settle.Retain {
 		c.proposeAfterDeferred(id, group, program.TurnCommand{Settle: settle}, nil)
 		return
@@ -92,8 +93,8 @@
 	return true
 }
 
-// openTurn opens a turn. A turn without a budget whose stream is not recorded and that claims nothing
-// changes no state, so a linearizable read is sufficient.
+// openTurn opens a turn. A turn without a budget that continues no other one, whose stream is not recorded
+// and that claims nothing changes no state, so a linearizable read is sufficient.
 func (c *Core) openTurn(id RequestID, group *replication.Group, request *protocol.TurnRequest) {
 	reserve := request.Reserve
 	if reserve.Claim != nil && !c.groupSupportsClaims(group) {
@@ -102,6 +103,7 @@
 		withoutClaim.Claim = nil
 		reserve = &withoutClaim
 	}
+	reserve = c.withHold(group, reserve)
 	previous := reserve.PreviousRequest
 	makeHistoryReply := func() *protocol.TurnReply {
 		reply := &protocol.TurnReply{}
@@ -111,11 +113,8 @@
 		reply.Crashes = c.crashesOf(group, reserve.Key())
 		return reply
 	}
-	if reserve.BudgetTokens <= 0 && reserve.Stream == nil && reserve.Claim == nil {
+	if reserve.BudgetTokens <= 0 && reserve.Stream == nil && reserve.Claim == nil && reserve.Hold == nil {
 		c.host.LinearizableRead(group, func(failure *result.Error) {
-			if failure == nil && previous != "" && !c.hasTurn(group, previous) {
-				failure = result.New(result.UnknownTurn, "no turn %s", previous)
-			}
 			if failure != nil {
 				c.transport.Reply(id, &protocol.TurnReply{Error: failure})
 				return
@@ -204,24 +203,25 @@
 // about to continue the turn in another group, which does not store it.
 func (c *Core) replyHistory(id RequestID, group *replication.Group, request string) {
 	c.host.LinearizableRead(group, func(failure *result.Error) {
-		switch {
-		case failure != nil:
+		if failure != nil {
 			c.transport.Reply(id, &protocol.TurnReply{Error: failure})
-		case !c.hasTurn(group, request):
-			c.transport.Reply(id, &protocol.TurnReply{Error: result.New(result.UnknownTurn, "no turn %s", request)})
-		default:
-			c.transport.Reply(id, c.turnHistory(group, request, "", ""))
+			return
 		}
+		c.transport.Reply(id, c.turnHistory(group, request, "", ""))
 	})
 }
 
-// turnHistory joins the contents of a chain of turns, oldest first. If the requester has the chain
+// turnHistory joins the contents of a chain of turns, oldest first. Invariant: a chain that is not whole is
+// refused as an unknown turn, and no part of it is returned. If the requester has the chain
 // up to cachedTurn, the reply contains only the turns after it. If the requester is in another zone
 // that has a voter, the reply contains only the last turn, which that voter may not have applied
 // yet, and the names of the older turns. The requester reads these from the voter in its zone.
 func (c *Core) turnHistory(group *replication.Group, lastTurn, cachedTurn, zone string) *protocol.TurnReply {
+	turns, isWhole := group.StateMachine.(*stateMachine).turns.Chain(lastTurn)
+	if !isWhole {
+		return &protocol.TurnReply{Error: result.New(result.UnknownTurn, "the chain of turn %s is not retained", lastTurn)}
+	}
 	reply := &protocol.TurnReply{}
-	turns := group.StateMachine.(*stateMachine).turns.Chain(lastTurn)
 	if position := slices.Index(turns, cachedTurn); position >= 0 {
 		turns = turns[position+1:]
 		reply.IsContinuation = true
@@ -247,7 +247,8 @@
 
 // joinContents joins the contents of turns. Invariant: a retained turn never changes, so any replica
 // that has applied it may serve it. A follower that has not applied it redirects the requester to
-// the leader, and makes no statement on whether the turn exists.
+// the leader, and makes no statement on whether the turn exists. Neither does a replica that has the turn
+// without its content, nor one that leads without the turn: it may have been replaced.
 func (c *Core) joinContents(group *replication.Group, turns []string) *protocol.TurnReply {
 	reply := &protocol.TurnReply{}
 	for _, request := range turns {
@@ -256,7 +257,7 @@
 		}
 		records, err := c.host.Records(group, request, 0)
 		if err != nil || len(records) != 1 {
-			return &protocol.TurnReply{Error: result.New(result.Internal, "turn %s has %d records: %v", request, len(records), err)}
+			return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "turn %s has %d records: %v", request, len(records), err)}
 		}
 		reply.History = append(reply.History, records[0]...)
 	}
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -17,8 +17,6 @@
 	retentionMarginMs = 5_000
 	// budgetRetentionMs is the time for which the budget of an inactive program is retained.
 	budgetRetentionMs = 180_000
-	// maxChainTurns bounds the length of a chain of turns.
-	maxChainTurns = 10_000
 	// maxSessions bounds the sessions of a program whose engines are retained.
 	maxSessions = 64
 )
@@ -42,6 +40,10 @@
 	Fingerprint string `msgpack:"f,omitempty"`
 	// Claim is recorded with the reservation if it is granted, nil for none.
 	Claim *Crash `msgpack:"a,omitempty"`
+	// Hold retains the chain that ends with PreviousRequest while the turn is open. A turn with a hold is
+	// granted only if that chain is whole. nil in entries of earlier releases, and while a replica of the
+	// group would ignore it.
+	Hold *Hold `msgpack:"h,omitempty"`
 }
 
 // Key returns the key of the request over all its client attempts.
@@ -66,6 +68,11 @@
 	EndedStream string `msgpack:"d,omitempty"`
 	// ClosedClaim closes the claims of the turn's attempts that their engines have outlived, nil for none.
 	ClosedClaim *Crash `msgpack:"x,omitempty"`
+	// ReleasedHold is the hold of the turn, empty for none.
+	ReleasedHold string `msgpack:"h,omitempty"`
+	// RequiresChain means that the turn is not retained if its chain is not whole. Leaders set it unless a
+	// replica of the group would ignore it.
+	RequiresChain bool `msgpack:"q,omitempty"`
 }
 
 // TurnCommand is one entry of a ledger group's log. Exactly one field besides NowMs is set.
@@ -170,6 +177,10 @@
 	turns   map[string]*retainedTurn
 	streams streamLedger
 	crashes CrashTable
+	holds   holdTable
+	// supportsHolds is true once an entry that only releases with holds apply has been applied. All
+	// replicas of the group had such a release then.
+	supportsHolds bool
 
 	// DisableBudget accepts turns beyond the budgets of their programs, for runs that show the
 	// effect of the check.
@@ -178,7 +189,7 @@
 
 // NewTurnLedger returns an empty ledger.
 func NewTurnLedger() *TurnLedger {
-	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}, streams: newStreamLedger(nil), crashes: newCrashTable(nil)}
+	return &TurnLedger{budgets: map[string]*budget{}, turns: map[string]*retainedTurn{}, streams: newStreamLedger(nil), crashes: newCrashTable(nil), holds: newHoldTable(nil)}
 }
 
 // TurnCount returns the number of retained turns.
@@ -187,6 +198,12 @@
 // StreamCount returns the number of streams whose origin is on record.
 func (t *TurnLedger) StreamCount() int { return t.streams.count }
 
+// HoldCount returns the number of holds of open turns.
+func (t *TurnLedger) HoldCount() int { return len(t.holds) }
+
+// SupportsHolds reports whether all replicas of the group have had a release that applies holds.
+func (t *TurnLedger) SupportsHolds() bool { return t.supportsHolds }
+
 // CrashRecordCount returns the number of requests under which engines ended.
 func (t *TurnLedger) CrashRecordCount() int { return t.crashes.Len() }
 
@@ -214,20 +231,19 @@
 	return account.SpentTokens, account.reservedTokens()
 }
 
-// Chain returns the requests of the chain of turns that ends with the given request, oldest
-// first.
-func (t *TurnLedger) Chain(request string) []string {
-	var chain []string
-	for request != "" && len(chain) < maxChainTurns {
+// Chain returns the requests of the chain of turns that ends with the given request, oldest first,
+// and false if the chain is not whole: one of its turns is not retained.
+func (t *TurnLedger) Chain(request string) (chain []string, isWhole bool) {
+	for request != "" {
 		current, ok := t.turns[request]
-		if !ok {
-			break
+		if !ok || len(chain) == len(t.turns) {
+			return nil, false
 		}
 		chain = append(chain, request)
 		request = current.Previous
 	}
 	slices.Reverse(chain)
-	return chain
+	return chain, true
 }
 
 // TurnReply is the reply to one command.
@@ -264,7 +280,8 @@
 		if command.Settle.ClosedClaim != nil {
 			t.crashes.Record(command.NowMs, *command.Settle.ClosedClaim)
 		}
-		return TurnReply{}, t.settle(command.NowMs, command.Settle)
+		effects, failure := t.settle(command.NowMs, command.Settle)
+		return TurnReply{Error: failure}, effects
 	case command.Sweep:
 		return TurnReply{}, t.sweep(command.NowMs)
 	case command.Stream != nil:
@@ -294,7 +311,7 @@
 // stream that is taken up is granted only if its origin is known.
 func (t *TurnLedger) reserve(nowMs int64, reserve *Reserve) (*StreamOrigin, *result.Error) {
 	if reserve.Stream == nil {
-		return nil, t.reserveTokens(nowMs, reserve)
+		return nil, t.grant(nowMs, reserve)
 	}
 	open := OpenStream{Program: reserve.Program, Request: reserve.Request, Session: reserve.Session, Opening: *reserve.Stream}
 	if open.Opening.Origin == nil {
@@ -302,22 +319,54 @@
 		if failure != nil {
 			return nil, failure
 		}
-		return &origin, t.reserveTokens(nowMs, reserve)
+		return &origin, t.grant(nowMs, reserve)
 	}
-	if failure := t.reserveTokens(nowMs, reserve); failure != nil {
+	if failure := t.grant(nowMs, reserve); failure != nil {
 		return nil, failure
 	}
 	origin := t.streams.record(nowMs, open)
 	return &origin, nil
 }
 
-// reserveTokens grants a turn. Invariant: as long as the budget is retained, the tokens that a program
-// has generated and those that its open turns may still generate stay within it, regardless of
-// the gateways that run the turns. A turn whose end was not reported counts with its maximum.
-func (t *TurnLedger) reserveTokens(nowMs int64, reserve *Reserve) *result.Error {
-	if reserve.PreviousRequest != "" && !t.HasTurn(reserve.PreviousRequest) {
+// grant grants a turn. Invariant: whatever a granted turn continues is retained until the turn is settled
+// or its hold expires.
+func (t *TurnLedger) grant(nowMs int64, reserve *Reserve) *result.Error {
+	if failure := t.checkPrevious(reserve); failure != nil {
+		return failure
+	}
+	if failure := t.reserveBudget(nowMs, reserve); failure != nil {
+		return failure
+	}
+	if reserve.Hold != nil {
+		t.supportsHolds = true
+		t.holds.acquire(nowMs, reserve.Hold, reserve.PreviousRequest)
+	}
+	return nil
+}
+
+// checkPrevious returns an error if the turn continues one that is not retained. Without a hold only the
+// previous turn itself is checked, as earlier releases do.
+func (t *TurnLedger) checkPrevious(reserve *Reserve) *result.Error {
+	if reserve.PreviousRequest == "" {
+		return nil
+	}
+	if !t.HasTurn(reserve.PreviousRequest) {
 		return result.New(result.UnknownTurn, "turn %s does not exist", reserve.PreviousRequest)
 	}
+	if reserve.Hold == nil {
+		return nil
+	}
+	if _, isWhole := t.Chain(reserve.PreviousRequest); !isWhole {
+		return result.New(result.UnknownTurn, "an earlier turn of the chain of %s does not exist", reserve.PreviousRequest)
+	}
+	return nil
+}
+
+// reserveBudget reserves the maximum number of tokens that a turn may generate. Invariant: as long as the
+// budget is retained, the tokens that a program has generated and those that its open turns may still
+// generate stay within it, regardless of the gateways that run the turns. A turn whose end was not
+// reported counts with its maximum.
+func (t *TurnLedger) reserveBudget(nowMs int64, reserve *Reserve) *result.Error {
 	if reserve.BudgetTokens <= 0 {
 		return nil
 	}
@@ -341,7 +390,7 @@
 
 // settle closes a turn. Settling a turn again neither charges nor stores anything, but records
 // the engine and counts as activity.
-func (t *TurnLedger) settle(nowMs int64, settle *Settle) TurnEffects {
+func (t *TurnLedger) settle(nowMs int64, settle *Settle) (TurnEffects, *result.Error) {
 	if account, ok := t.budgets[settle.Program]; ok {
 		if index := account.indexOf(settle.Request); index >= 0 {
 			account.Reserved = slices.Delete(account.Reserved, index, index+1)
@@ -353,25 +402,42 @@
 	if settle.EndedStream != "" {
 		t.streams.end(nowMs, settle.Program, settle.EndedStream)
 	}
+	t.supportsHolds = t.supportsHolds || settle.RequiresChain
+	delete(t.holds, settle.ReleasedHold)
+	return t.retain(nowMs, settle)
+}
+
+// retain stores a turn if its settlement requests it. Invariant: the whole chain of a retained turn is
+// retained as long as the turn. A turn whose chain is not whole any more is not retained.
+func (t *TurnLedger) retain(nowMs int64, settle *Settle) (TurnEffects, *result.Error) {
 	if !settle.Retain || t.HasTurn(settle.Request) {
-		return TurnEffects{}
+		return TurnEffects{}, nil
+	}
+	if _, isWhole := t.Chain(settle.PreviousRequest); !isWhole && settle.RequiresChain {
+		return TurnEffects{}, result.New(result.UnknownTurn, "turn %s continues %s, whose chain is not retained any more", settle.Request, settle.PreviousRequest)
 	}
 	expiresMs := nowMs + settle.RetentionMs + retentionMarginMs
 	t.turns[settle.Request] = &retainedTurn{Request: settle.Request, Previous: settle.PreviousRequest, ExpiresMs: expiresMs}
-	// Invariant: the whole chain of a retained turn is retained as long as the turn.
-	for _, ancestor := range t.Chain(settle.Request) {
-		retained := t.turns[ancestor]
+	t.extendChain(settle.PreviousRequest, expiresMs)
+	return TurnEffects{WriteRequest: settle.Request, Content: settle.Content}, nil
+}
+
+// extendChain retains a turn and the turns before it until expiresMs.
+func (t *TurnLedger) extendChain(request string, expiresMs int64) {
+	for steps := 0; request != "" && steps < len(t.turns); steps++ {
+		retained, ok := t.turns[request]
+		if !ok {
+			return
+		}
 		retained.ExpiresMs = max(retained.ExpiresMs, expiresMs)
+		request = retained.Previous
 	}
-	return TurnEffects{WriteRequest: settle.Request, Content: settle.Content}
 }
 
 // IsSweepDue reports whether a sweep would delete anything.
 func (t *TurnLedger) IsSweepDue(nowMs int64) bool {
-	for _, retained := range t.turns {
-		if retained.ExpiresMs < nowMs {
-			return true
-		}
+	if len(t.expiredTurns(nowMs)) > 0 || t.holds.isSweepDue(nowMs) {
+		return true
 	}
 	for _, account := range t.budgets {
 		if account.LastActiveMs+budgetRetentionMs < nowMs {
@@ -381,15 +447,31 @@
 	return t.streams.isSweepDue(nowMs) || t.crashes.isSweepDue(nowMs)
 }
 
-func (t *TurnLedger) sweep(nowMs int64) TurnEffects {
-	var effects TurnEffects
+// expiredTurns returns the turns whose retention has ended and that no open turn continues, in ascending
+// order.
+func (t *TurnLedger) expiredTurns(nowMs int64) []string {
+	var expired []string
 	for request, retained := range t.turns {
 		if retained.ExpiresMs < nowMs {
-			delete(t.turns, request)
-			effects.DeleteRequests = append(effects.DeleteRequests, request)
+			expired = append(expired, request)
 		}
 	}
-	slices.Sort(effects.DeleteRequests)
+	if len(expired) == 0 || len(t.holds) == 0 {
+		slices.Sort(expired)
+		return expired
+	}
+	held := t.heldTurns(nowMs)
+	expired = slices.DeleteFunc(expired, func(request string) bool { return held[request] })
+	slices.Sort(expired)
+	return expired
+}
+
+func (t *TurnLedger) sweep(nowMs int64) TurnEffects {
+	effects := TurnEffects{DeleteRequests: t.expiredTurns(nowMs)}
+	for _, request := range effects.DeleteRequests {
+		delete(t.turns, request)
+	}
+	t.holds.sweep(nowMs)
 	for id, account := range t.budgets {
 		if account.LastActiveMs+budgetRetentionMs < nowMs {
 			delete(t.budgets, id)
@@ -408,6 +490,9 @@
 	Streams []*programStreams `msgpack:"s,omitempty"`
 	// Crashes is absent in snapshots of releases that record no crashes.
 	Crashes []*crashRecord `msgpack:"c,omitempty"`
+	// Holds and SupportsHolds are absent in snapshots of releases without holds.
+	Holds         []*turnHold `msgpack:"h,omitempty"`
+	SupportsHolds bool        `msgpack:"k,omitempty"`
 }
 
 // Snapshot encodes the ledger without the content of the turns.
@@ -423,6 +508,7 @@
 	slices.SortFunc(encoded.Turns, func(a, b *retainedTurn) int { return cmp.Compare(a.Request, b.Request) })
 	encoded.Streams = t.streams.sorted()
 	encoded.Crashes = t.crashes.sorted()
+	encoded.Holds, encoded.SupportsHolds = t.holds.sorted(), t.supportsHolds
 	var buffer bytes.Buffer
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.SetSortMapKeys(true)
@@ -448,5 +534,6 @@
 	}
 	t.streams = newStreamLedger(encoded.Streams)
 	t.crashes = newCrashTable(encoded.Crashes)
+	t.holds, t.supportsHolds = newHoldTable(encoded.Holds), encoded.SupportsHolds
 	return nil
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -83,6 +83,8 @@
 	SupportsClaims bool `msgpack:"c,omitempty"`
 	// SupportsReplacement means that the sender's replicas know joint configurations.
 	SupportsReplacement bool `msgpack:"j,omitempty"`
+	// SupportsHolds means that the sender's replicas of ledger groups retain the chain of an open turn.
+	SupportsHolds bool `msgpack:"h,omitempty"`
 	// MembershipQueries asks the leaders of groups whether these replicas have been removed from them.
 	// RemovedReplicas answers with those that have.
 	MembershipQueries []GroupReplica `msgpack:"q,omitempty"`
