What is read from an engine has a bound in bytes

Cause: the parser of heads (net/http ReadResponse) keeps lines and header fields without a bound, and the reader of events kept an event until its end. A response to another request was skipped until the deadline. The output of a turn that is to be retained, and buffered responses of many calls at once, had no bound together.

Change: a head may have 32 KiB, a response to another request 256 KiB with its framing, an event limits.event_bytes (1 MiB if not set), the output of a retained turn 8 MiB; all calls together an eighth of the process's memory beyond 16 KiB each. Each bound is checked while reading. Past it the connection is closed and the attempt is broken off: the engine counts as failed, a repeatable call or a resumable stream goes on at another engine, any other gets 502, or is cut after its last whole event. A buffered response for which there is no memory is streamed.

Tests: TestEndlessBytesBeforeTheResponse and TestEndlessEventAfterWholeOnes (every kind, on repeatable and other routes: what the caller gets, how much the gateway holds), TestEndlessBytesProperty (responses cut at any byte and continued without end), TestLongestEventPasses, TestEndlessResponses of upstream (requests and probes) and of cmd/ochrebay (eleven kinds, 60 calls at a time, on a gateway process of 256 MB). With the bound on heads, on responses to other requests or on events taken out the first and the tests of upstream fail, the property after 2 cases without the bound on heads and after 88 without that on events. The gateway process with the three taken out has used 1,527 MB after the first kind, with 8 calls of 64 MB at a time.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,6 +102,8 @@
 	CPUShare float64 `yaml:"cpu_share" validate:"min=0,max=1024"`
 	// HeaderBytes is the maximum size of the header of a caller's request.
 	HeaderBytes int `yaml:"header_bytes" validate:"min=1024,max=1048576"`
+	// EventBytes is the maximum size of one event of an engine's stream.
+	EventBytes int `yaml:"event_bytes" validate:"min=1024,max=67108864"`
 	// GraceSeconds is the time that a stopping process has before it is killed.
 	GraceSeconds float64 `yaml:"grace_s" validate:"min=0,max=3600"`
 	// RevokeWithinMs bounds how long requests with a revoked key may still run, milliseconds,
@@ -232,7 +234,7 @@
 func Defaults() Process {
 	return Process{
 		Listen:  Listen{Address: "127.0.0.1:0", HTTP: "127.0.0.1:0"},
-		Limits:  Limits{HeaderBytes: 16 << 10, GraceSeconds: 10},
+		Limits:  Limits{HeaderBytes: 16 << 10, EventBytes: 1 << 20, GraceSeconds: 10},
 		Cluster: Cluster{LedgerGroups: 8, SchedulerLeaseMs: 3000},
 		Log:     Log{Level: "info"},
 		Policy: Policy{
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,6 +23,9 @@
 	maxIdleConnsPerHost = 64
 	maxStateBytes       = 16 << 20
 	maxEventBytes       = 1 << 20
+	maxHeaderBytes      = 64 << 10
+	// maxReplyBytes bounds the body of a reply to an order, which is empty.
+	maxReplyBytes = 64 << 10
 )
 
 // Client is an HTTP client for engines. It uses the standard library's HTTP
@@ -39,6 +42,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}}}
 }
 
@@ -192,6 +197,6 @@
 	if response.StatusCode != http.StatusOK {
 		return readError(response)
 	}
-	_, err = io.Copy(io.Discard, response.Body)
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
 	return err
 }
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -7,13 +7,20 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
 )
 
 const readerBytes = 4 << 10
 
+// ErrEventTooLong means that an event is longer than the bound on events, or that the memory for events is
+// used up.
+var ErrEventTooLong = errors.New("event too long")
+
 // ErrIncompleteEvent means that a stream ended inside an event: after its last blank line there were
 // further bytes.
 var ErrIncompleteEvent = errors.New("event stream ended inside an event")
@@ -27,15 +34,28 @@
 type Reader struct {
 	source *bufio.Reader
 	block  []byte
+	// maxEventBytes bounds one event, 0 for no bound. memory is reserved for block.
+	maxEventBytes int
+	memory        *bytebudget.Reservation
 	// endsWithCR is true if the line before ended with a CR that no LF followed.
 	endsWithCR bool
 }
 
 // NewReader returns a Reader of a stream.
 func NewReader(stream io.Reader) *Reader {
-	return &Reader{source: bufio.NewReaderSize(stream, readerBytes)}
+	var unlimited *bytebudget.Budget
+	return NewBoundedReader(stream, 0, unlimited)
+}
+
+// NewBoundedReader returns a Reader of a stream whose events are at most maxEventBytes long, and which keeps
+// them in memory of a budget. It must be closed.
+func NewBoundedReader(stream io.Reader, maxEventBytes int, budget *bytebudget.Budget) *Reader {
+	return &Reader{source: bufio.NewReaderSize(stream, readerBytes), maxEventBytes: maxEventBytes, memory: budget.Reserve()}
 }
 
+// Close returns the memory of the Reader to its budget.
+func (r *Reader) Close() { r.memory.Release() }
+
 // Next returns the bytes of the next event with the blank line that ends it; they are valid until the
 // next call. The error is io.EOF at the end of a whole stream, and ErrIncompleteEvent if the stream
 // ends inside an event.
@@ -69,6 +89,9 @@
 		buffered, _ := r.source.Peek(r.source.Buffered())
 		text, lineEnd := cutLineEnd(buffered)
 		isBlank = isBlank && len(text) == 0
+		if err := r.reserve(len(text) + len(lineEnd)); err != nil {
+			return false, err
+		}
 		r.block = append(append(r.block, text...), lineEnd...)
 		_, _ = r.source.Discard(len(text) + len(lineEnd))
 		switch string(lineEnd) {
@@ -81,6 +104,18 @@
 	}
 }
 
+// reserve reserves memory for further bytes of the event.
+func (r *Reader) reserve(more int) error {
+	length := len(r.block) + more
+	if r.maxEventBytes > 0 && length > r.maxEventBytes {
+		return fmt.Errorf("%w: more than %d bytes", ErrEventTooLong, r.maxEventBytes)
+	}
+	if !r.memory.Grow(int64(length)) {
+		return fmt.Errorf("%w: no memory for more than %d bytes", ErrEventTooLong, len(r.block))
+	}
+	return nil
+}
+
 // cutLineEnd returns the text before the first CR or LF and that byte, or all of the text if there is
 // none.
 func cutLineEnd(buffered []byte) (text, lineEnd []byte) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/ochrebay/ochrebay/internal/admission"
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
@@ -40,6 +41,10 @@
 	// defaultHistoryCacheBytes if there is no memory limit.
 	historyCacheDivisor      = 6
 	defaultHistoryCacheBytes = 64 << 20
+	// The responses in progress may use the process's memory limit divided by responseMemoryDivisor, or
+	// defaultResponseMemoryBytes if there is no memory limit.
+	responseMemoryDivisor      = 8
+	defaultResponseMemoryBytes = 64 << 20
 	// instanceBase is the base in which the gateway's random instance number is written.
 	instanceBase = 36
 )
@@ -69,8 +74,10 @@
 	retries     *retryPolicy
 	ledgers     *ledgerClient
 	histories   *historyCache
-	denials     *denials
-	crashes     *crashTracker
+	// responseMemory is what all calls together may hold of responses in progress.
+	responseMemory *bytebudget.Budget
+	denials        *denials
+	crashes        *crashTracker
 	// instance distinguishes the starts of all gateways, and attemptNames numbers the attempts of this one.
 	instance     string
 	attemptNames attemptNames
@@ -103,7 +110,8 @@
 		engines: newEngineRegistry(process.Zone, process.Policy), waitQueues: newWaitQueues(process.Policy.Waiting, process.Policy.Disable),
 		retries:   newRetryPolicy(process.Policy.Retry, process.Policy.Disable),
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
-		crashes: newCrashTracker(), instance: strconv.FormatUint(rand.Uint64(), instanceBase), EngineStatusPath: DefaultEngineStatusPath,
+		responseMemory: bytebudget.New(responseMemoryBytes(process.Limits)),
+		crashes:        newCrashTracker(), instance: strconv.FormatUint(rand.Uint64(), instanceBase), EngineStatusPath: DefaultEngineStatusPath,
 		serviceTimes: newServiceTimes(),
 	}
 	d.callsContext, d.endCalls = context.WithCancelCause(context.Background())
@@ -137,6 +145,14 @@
 	return (limits.MemoryMB << 20) / historyCacheDivisor
 }
 
+// responseMemoryBytes returns the memory for responses in progress, in bytes.
+func responseMemoryBytes(limits config.Limits) int64 {
+	if limits.MemoryMB == 0 {
+		return defaultResponseMemoryBytes
+	}
+	return (int64(limits.MemoryMB) << 20) / responseMemoryDivisor
+}
+
 // Follower returns the daemon's link to control. Changed settings are applied to it.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/eventstream"
 	"github.com/ochrebay/ochrebay/internal/program"
@@ -20,12 +21,18 @@
 	// maxBufferedBytes bounds a response that is buffered in full before it is forwarded; a
 	// longer one is streamed to the caller.
 	maxBufferedBytes = 256 << 10
+	minBufferBytes   = 4 << 10
 	copyBufferBytes  = 32 << 10
+	// maxOutputBytes bounds the output of a turn that is to be retained.
+	maxOutputBytes = 8 << 20
 )
 
 var (
 	errMissingSignature = errors.New("successful response has no signature")
 	errTurnNotRetained  = errors.New("ledger did not retain the turn")
+	// errOutputTooLong means that the events of a turn that is to be retained hold more than maxOutputBytes, or
+	// that there is no memory for more of them.
+	errOutputTooLong = errors.New("output of the turn too long")
 	// errNoEvent means that a response brought no event and ended with its connection. Nothing tells
 	// it from one whose engine ended before the first event.
 	errNoEvent          = errors.New("event stream ended with its connection before its first event")
@@ -58,9 +65,10 @@
 	shortestGapMs float64
 	// isComplete is true if the whole stream was forwarded.
 	isComplete bool
-	// outputData collects the event data of a turn that is to be retained.
-	outputData []byte
-	status     int
+	// outputData collects the event data of a turn that is to be retained, in outputMemory.
+	outputData   []byte
+	outputMemory *bytebudget.Reservation
+	status       int
 }
 
 // deliver forwards an engine's response: streams event by event, other responses buffered.
@@ -98,7 +106,8 @@
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // deliverBuffered buffers a response of less than maxBufferedBytes until it is complete, so that
-// the call can still be retried or answered with an error if the engine breaks the connection.
+// the call can still be retried or answered with an error if the engine breaks the connection. A longer one,
+// and one for which there is no memory, is streamed to the caller.
 func (r *callerResponse) deliverBuffered(exchange *upstream.Exchange, c *call) attemptOutcome {
 	body := io.Reader(exchange)
 	status := exchange.Response.StatusCode
@@ -106,7 +115,9 @@
 	if isStream {
 		body = eventstream.Verify(exchange)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBufferedBytes))
+	memory := r.daemon.responseMemory.Reserve()
+	defer memory.Release()
+	buffered, isWhole, err := readBuffered(body, memory)
 	if err != nil {
 		return attemptOutcome{kind: attemptBroken, status: status, err: err}
 	}
@@ -115,10 +126,10 @@
 	}
 	c.responseTimer.stop()
 	elapsedMs := milliseconds(time.Since(c.startedAt.Add(c.sentAfter)))
-	if len(buffered) < maxBufferedBytes && isEngineFailure(status) && r.daemon.canRetry(c) && r.daemon.retries.tryTake(c.backend.Name) {
+	if isWhole && isEngineFailure(status) && r.daemon.canRetry(c) && r.daemon.retries.tryTake(c.backend.Name) {
 		return attemptOutcome{kind: attemptFailed, status: status, err: errEngineFailure}
 	}
-	if len(buffered) < maxBufferedBytes {
+	if isWhole {
 		r.writeHeader(exchange.Response, len(buffered))
 		if _, err := r.writer.Write(buffered); err != nil {
 			return attemptOutcome{kind: attemptCancelled, status: status, responseStarted: true, err: errors.Join(errCallerWrite, err)}
@@ -140,6 +151,29 @@
 	return attemptOutcome{kind: attemptAnswered, status: status, responseStarted: true, responseMs: elapsedMs}
 }
 
+// readBuffered reads a body to its end, to maxBufferedBytes, or until there is no memory for more of it.
+// isWhole reports that it has been read to its end.
+func readBuffered(body io.Reader, memory *bytebudget.Reservation) (buffered []byte, isWhole bool, err error) {
+	buffered = make([]byte, 0, minBufferBytes)
+	for len(buffered) < maxBufferedBytes {
+		if len(buffered) == cap(buffered) {
+			if !memory.Grow(int64(2 * cap(buffered))) {
+				return buffered, false, nil
+			}
+			buffered = append(make([]byte, 0, 2*cap(buffered)), buffered...)
+		}
+		count, err := body.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+count]
+		if errors.Is(err, io.EOF) {
+			return buffered, true, nil
+		}
+		if err != nil {
+			return buffered, false, err
+		}
+	}
+	return buffered, false, nil
+}
+
 // sourceReader tells errors of reading a response from those of writing it.
 type sourceReader struct {
 	source    io.Reader
@@ -211,7 +245,8 @@
 // retains the turn.
 func (r *callerResponse) forwardEvents(exchange *upstream.Exchange, c *call) (attemptKind, error) {
 	flusher, _ := r.writer.(http.Flusher)
-	reader := eventstream.NewReader(exchange)
+	reader := eventstream.NewBoundedReader(exchange, r.daemon.process.Limits.EventBytes, r.daemon.responseMemory)
+	defer reader.Close()
 	eventsBefore := r.events
 	for {
 		event, err := reader.Next()
@@ -222,11 +257,11 @@
 			c.incompleteEventBytes = reader.IncompleteBytes()
 			return attemptBroken, err
 		}
-		if !r.headerWritten {
-			r.writeHeader(exchange.Response, -1)
-		}
-		if !r.forwardEvent(event, c, flusher) {
-			return attemptCancelled, errCallerWrite
+		if err := r.forwardEvent(exchange.Response, event, c, flusher); err != nil {
+			if errors.Is(err, errOutputTooLong) {
+				return attemptBroken, err
+			}
+			return attemptCancelled, err
 		}
 	}
 	if r.events == eventsBefore && exchange.Framing() == upstream.CloseDelimited {
@@ -239,32 +274,56 @@
 	return attemptAnswered, nil
 }
 
-// forwardEvent writes one event to the caller and collects its data if the turn is to be retained.
-// It returns false if the write fails.
-func (r *callerResponse) forwardEvent(event []byte, c *call, flusher http.Flusher) bool {
+// forwardEvent writes one event to the caller and collects its data if the turn is to be retained. The error
+// is errCallerWrite or errOutputTooLong.
+func (r *callerResponse) forwardEvent(response *http.Response, event []byte, c *call, flusher http.Flusher) error {
 	data, hasData := eventstream.Data(event)
 	if id, known := eventstream.ID(event); known {
 		if r.resumed && id <= c.lastEventID {
 			// An engine that resumes from an earlier event repeats events that the caller
 			// already has.
-			return true
+			return nil
 		}
 		c.lastEventID = id
 	}
+	if hasData && c.retainsTurn() && !r.collectOutput(data) {
+		return errOutputTooLong
+	}
 	if hasData {
 		c.requireVersion(c.selection.engine)
 		r.recordEvent(c)
-		if c.retainsTurn() {
-			r.outputData = append(append(r.outputData, data...), '\n')
-		}
+	}
+	if !r.headerWritten {
+		r.writeHeader(response, -1)
 	}
 	if _, err := r.writer.Write(event); err != nil {
-		return false
+		return errCallerWrite
 	}
 	flusher.Flush()
+	return nil
+}
+
+// collectOutput appends the data of an event to the output of a turn that is to be retained. It returns false
+// if the output is too long.
+func (r *callerResponse) collectOutput(data []byte) bool {
+	if r.outputMemory == nil {
+		r.outputMemory = r.daemon.responseMemory.Reserve()
+	}
+	length := len(r.outputData) + len(data) + 1
+	if length > maxOutputBytes || !r.outputMemory.Grow(int64(length)) {
+		return false
+	}
+	r.outputData = append(append(r.outputData, data...), '\n')
 	return true
 }
 
+// release returns the memory of the collected output.
+func (r *callerResponse) release() {
+	if r.outputMemory != nil {
+		r.outputMemory.Release()
+	}
+}
+
 // recordEvent counts an event and feeds its latency to engine selection and, for the first event,
 // to the retry policy and the metrics.
 func (r *callerResponse) recordEvent(c *call) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -22,6 +22,7 @@
 	startedAt := time.Now()
 	c, failure := d.readRequest(writer, request)
 	response := &callerResponse{daemon: d, writer: writer}
+	defer response.release()
 	if failure == nil {
 		failure = d.run(request.Context(), c, response)
 	}
--- /dev/null
+++ b/internal/upstream/bounds.go
@@ -0,0 +1,65 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+const (
+	// maxHeadBytes bounds the head of a response, and that of each interim response before it: the status
+	// line and the header fields.
+	maxHeadBytes = 32 << 10
+	// maxStrayBodyBytes bounds the body of a response to another request that is skipped, with its framing.
+	maxStrayBodyBytes = 256 << 10
+	// noBound lets a boundedReader read without a bound.
+	noBound = -1
+)
+
+// ErrTooLong means that a part of a response is longer than any that an engine sends in good order.
+var ErrTooLong = errors.New("upstream: response too long")
+
+var (
+	errHeadTooLong  = fmt.Errorf("%w: more than %d bytes without the end of its head", ErrTooLong, maxHeadBytes)
+	errStrayTooLong = fmt.Errorf("%w: more than %d bytes that belong to another request", ErrTooLong, maxStrayBodyBytes)
+)
+
+// boundedReader reads from a source until the bound is used up. The parser of responses keeps what it reads
+// of a head, and has no bound of its own.
+type boundedReader struct {
+	source io.Reader
+	// remaining is the number of bytes that may still be read, noBound for any number, and exceeded the error
+	// of reading more.
+	remaining int64
+	exceeded  error
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(into []byte) (int, error) {
+	if r.remaining == noBound {
+		return r.source.Read(into)
+	}
+	if r.remaining == 0 {
+		return 0, r.exceeded
+	}
+	count, err := r.source.Read(into[:min(int64(len(into)), r.remaining)])
+	r.remaining -= int64(count)
+	return count, err
+}
+
+// readHead reads the head of the next response, at most maxHeadBytes of it.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.bounded.remaining, c.bounded.exceeded = maxHeadBytes, errHeadTooLong
+	response, err := http.ReadResponse(c.reader, request)
+	c.bounded.remaining = noBound
+	return response, err
+}
+
+// discardBody reads and discards the body of a response, at most maxStrayBodyBytes of it.
+func (c *connection) discardBody(response *http.Response) error {
+	c.bounded.remaining, c.bounded.exceeded = maxStrayBodyBytes, errStrayTooLong
+	_, err := io.Copy(io.Discard, response.Body)
+	c.bounded.remaining = noBound
+	return err
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,7 +8,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -39,6 +38,8 @@
 type connection struct {
 	socket net.Conn
 	reader *bufio.Reader
+	// bounded is the source of reader.
+	bounded *boundedReader
 	// openedAt is when the connection was made.
 	openedAt time.Time
 	// usableUntil is the time until which the idle connection may be reused. The engine may close
@@ -59,7 +60,8 @@
 func (c *connection) recordSend(id string) { c.sentIDs = append(c.sentIDs, xxhash.Sum64String(id)) }
 
 func newConnection(socket net.Conn) *connection {
-	return &connection{socket: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), openedAt: time.Now()}
+	bounded := &boundedReader{source: socket, remaining: noBound}
+	return &connection{socket: socket, reader: bufio.NewReaderSize(bounded, readBufferBytes), bounded: bounded, openedAt: time.Now()}
 }
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT, so that the kernel closes a connection whose peer
@@ -110,9 +112,3 @@
 	}
 	c.usableUntil = now.Add(max(idleTimeout-keepAliveMargin, idleTimeout/2))
 }
-
-// discardBody reads and discards the body of a response.
-func discardBody(response *http.Response) error {
-	_, err := io.Copy(io.Discard, response.Body)
-	return err
-}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -267,7 +267,7 @@
 func (e *Exchange) readHeader(request *Request) error {
 	httpRequest := &http.Request{Method: request.Method}
 	for range maxResponseHeads {
-		response, err := http.ReadResponse(e.connection.reader, httpRequest)
+		response, err := e.connection.readHead(httpRequest)
 		if err != nil {
 			return err
 		}
@@ -306,7 +306,7 @@
 	if framingOf(stray) == CloseDelimited {
 		return errors.New("upstream: a response that does not belong to the request ends with the connection")
 	}
-	return discardBody(stray)
+	return e.connection.discardBody(stray)
 }
 
 // statusLine matches the beginning of a response (RFC 9112, section 4).
