A turn is retained while a request that continues it waits for the ledger

Callers would see (LOST): a turn asked for 59 s after its end, within its retention of 60 s, at a moment at which its ledger group has no leader. The reservation reaches the new leader after the margin of 5 s, the turn is swept, and the answer is 404. Not played with processes.

Change: the gateway has the ledger retain a turn for its route's time-out beyond the retention, which is the longest that a request may wait for the ledger.

Test: TestRetentionCoversTheWaitForTheLedger; without the change the ledger is asked for 1,000 ms instead of 31,000.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -355,7 +355,7 @@
 	content := append(append(make([]byte, 0, len(c.body)+len(r.outputData)), c.body...), r.outputData...)
 	settle := &program.Settle{
 		Program: c.programID, Request: c.turnID, UsedTokens: r.usedTokens(c), Retain: true, PreviousRequest: c.previousTurn,
-		Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(), Content: content, RetentionMs: c.route.RetentionMs,
+		Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(), Content: content, RetentionMs: c.turnRetentionMs(),
 		ClosedClaim: c.closedClaim(), ReleasedHold: c.hold,
 	}
 	if c.historyInOtherGroup {
@@ -375,6 +375,11 @@
 	return true
 }
 
+// turnRetentionMs returns how long the ledger retains the turn, in milliseconds: for the retention of its
+// route and, since a request that is sent within that may have to wait for the ledger, for the time-out of the
+// route besides.
+func (c *call) turnRetentionMs() int64 { return c.route.RetentionMs + c.route.TimeoutMs }
+
 // retainTimeout returns how long the gateway tries to retain a turn whose response is complete: as
 // long as the caller still waits for the end of the stream, and at least ledgerCallTimeout.
 func (r *callerResponse) retainTimeout(c *call) time.Duration {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -49,8 +49,11 @@
 	respond       atomic.Pointer[func(request *protocol.TurnRequest) *protocol.TurnReply]
 }
 
-// testRouteTimeoutMs is the timeout of the test routes.
-const testRouteTimeoutMs = 30_000
+// testRouteTimeoutMs is the timeout of the test routes, and testRetentionMs the retention of their turns.
+const (
+	testRouteTimeoutMs = 30_000
+	testRetentionMs    = 1_000
+)
 
 func newFakeLedger(t *testing.T) *fakeLedger {
 	ledger := &fakeLedger{requests: make(chan *protocol.TurnRequest, 256)}
@@ -146,7 +149,7 @@
 	}
 	route := func(prefix string, kind routing.RouteKind, retain bool) routing.Route {
 		return routing.Route{
-			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, TimeoutMs: testRouteTimeoutMs, MaxAttempts: 2, RetainTurns: retain, RetentionMs: 1000,
+			Name: prefix, Host: "h", PathPrefix: prefix, Kind: kind, TimeoutMs: testRouteTimeoutMs, MaxAttempts: 2, RetainTurns: retain, RetentionMs: testRetentionMs,
 			Shares: []routing.BackendShare{{Backend: "b", Weight: 1}},
 		}
 	}
@@ -209,6 +212,19 @@
 // budgetHeaders are the headers of a turn with a token budget.
 var budgetHeaders = []string{"Ochrebay-Token-Budget", "1000", "Ochrebay-Tokens", "5,100"}
 
+// TestRetentionCoversTheWaitForTheLedger guards against a turn that expires while a request that continues it, and
+// was sent within its retention, waits for the ledger.
+func TestRetentionCoversTheWaitForTheLedger(t *testing.T) {
+	Convey("a turn is retained for the route's retention and time-out", t, func() {
+		fixture := newGatewayFixture(t, streamingEngine(1, "", false))
+		response, _, err := fixture.send("/kept/", "r1")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusOK)
+		settled := fixture.ledger.awaitSettle("r1").Settle
+		So(settled.RetentionMs, ShouldEqual, testRetentionMs+testRouteTimeoutMs)
+	})
+}
+
 func TestTurnsOfAGateway(t *testing.T) {
 	Convey("a turn is charged for the events that were forwarded", t, func() {
 		fixture := newGatewayFixture(t, streamingEngine(3, "", false))
