A process that stops answers the look-ups and reports that it has taken

When a control process stopped, its HTTP servers for callers, engines and the operator aborted their requests in flight. A look-up that is cut costs its caller another one.

Change: the servers first answer what is in flight, for at most 0.2 s. Ledger hosts transfer the groups that they lead and answer nothing else meanwhile; gateways ask again, and the ledger knows a request by its name, so that nothing is cut there. What needs the event loop of a control process, as an operator's change, is still aborted if it is in flight when the loop ends.

--- a/internal/daemon/frontend.go
+++ b/internal/daemon/frontend.go
@@ -13,6 +13,8 @@
 const (
 	frontendHeaderTimeout = 5 * time.Second
 	frontendIdleTimeout   = 60 * time.Second
+	// frontendCloseTimeout bounds how long a process that stops waits for the requests in flight.
+	frontendCloseTimeout = 200 * time.Millisecond
 )
 
 // Frontend is an additional HTTP endpoint of a process.
@@ -21,16 +23,16 @@
 	Handler http.Handler
 }
 
-// ServeFrontends serves until ctx is cancelled or a server fails; requests in flight are then
-// aborted.
+// ServeFrontends serves until ctx is cancelled or a server fails. Requests that are still in flight
+// frontendCloseTimeout later are aborted.
 func ServeFrontends(ctx context.Context, frontends []Frontend) error {
+	return serveFrontends(ctx, frontends, frontendCloseTimeout)
+}
+
+func serveFrontends(ctx context.Context, frontends []Frontend, closeTimeout time.Duration) error {
 	failures := make(chan error, len(frontends))
 	var servers []*http.Server
-	defer func() {
-		for _, server := range servers {
-			_ = server.Close()
-		}
-	}()
+	defer func() { closeFrontends(servers, closeTimeout) }()
 	for _, frontend := range frontends {
 		listener, err := net.Listen("tcp", frontend.Address)
 		if err != nil {
@@ -50,3 +52,13 @@
 		return err
 	}
 }
+
+// closeFrontends closes servers once their requests in flight are answered, or after closeTimeout.
+func closeFrontends(servers []*http.Server, closeTimeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, server := range servers {
+		_ = server.Shutdown(ctx)
+		_ = server.Close()
+	}
+}
