--- a/internal/ledger/cluster_test.go
+++ b/internal/ledger/cluster_test.go
@@ -132,6 +132,18 @@
 	replies       map[RequestID]func(*protocol.TurnReply)
 	lastRequestID RequestID
 	partitioned   bool
+	// frozen means that the process stands still: what is sent to it waits.
+	frozen  bool
+	waiting []protocol.PeerBatch
+}
+
+// thaw lets a frozen process go on with what waits for it.
+func (n *node) thaw() {
+	n.frozen = false
+	for _, batch := range n.waiting {
+		n.core.HandlePeerBatch(batch, n.cluster.nowMs)
+	}
+	n.waiting = nil
 }
 
 // cluster runs cores over a simulated network that delays and loses messages.
@@ -246,6 +258,10 @@
 			if other.core == nil || other.partitioned || protocol.Decode(raw, &decoded) != nil {
 				return
 			}
+			if other.frozen {
+				other.waiting = append(other.waiting, decoded)
+				return
+			}
 			other.core.HandlePeerBatch(decoded, n.cluster.nowMs)
 		}})
 	}
@@ -300,7 +316,7 @@
 			next.deliver()
 		}
 		for _, node := range c.nodes {
-			if node.core == nil {
+			if node.core == nil || node.frozen {
 				continue
 			}
 			node.core.Tick(c.nowMs)
--- a/internal/program/turns.go
+++ b/internal/program/turns.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -215,6 +216,9 @@
 // BudgetCount returns the number of budgets.
 func (t *TurnLedger) BudgetCount() int { return len(t.budgets) }
 
+// Requests returns the requests of all retained turns.
+func (t *TurnLedger) Requests() []string { return slices.Collect(maps.Keys(t.turns)) }
+
 // HasTurn reports whether a turn is retained.
 func (t *TurnLedger) HasTurn(request string) bool {
 	_, ok := t.turns[request]
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -36,9 +36,10 @@
 	snapshot consensus.Snapshot
 	state    []byte
 	// partNumber is the number of the part whose reply is awaited. Its records are those after
-	// afterKey.
+	// afterKey, and part holds them encoded, nil before they are read.
 	partNumber int
 	afterKey   storage.RecordKey
+	part       []byte
 	sentMs     int64
 	// lastKey is the key of the last record in the part, and hasMore whether other records follow
 	// it.
@@ -92,31 +93,41 @@
 	return h.sendPart(group, to, transfer)
 }
 
-// sendPart reads the current part from disk and sends it.
+// sendPart sends the current part. Invariant: all copies of a part are the same, since any of them may be the
+// one that is acknowledged, and the next part begins after the last record of this one. The records on disk may
+// change between two copies.
 func (h *Host) sendPart(group *Group, to consensus.ReplicaID, transfer *outgoingTransfer) error {
-	records, more, err := h.storage.RecordsAfter(group.ID, transfer.afterKey, maxPartBytes)
-	if err != nil {
-		return err
-	}
 	transfer.sentMs = h.NowMs
-	transfer.hasMore = more
-	if len(records) == 0 {
-		transfer.allPartsReceived = true
-		h.sendSnapshot(group, to, transfer)
-		return nil
-	}
-	transfer.lastKey = records[len(records)-1].Key()
-	data, err := msgpack.Marshal(records)
-	if err != nil {
-		return err
+	if transfer.part == nil {
+		isEmpty, err := h.readPart(group, transfer)
+		if err != nil {
+			return err
+		}
+		if isEmpty {
+			transfer.allPartsReceived = true
+			h.sendSnapshot(group, to, transfer)
+			return nil
+		}
 	}
 	h.queuePart(group, &protocol.SnapshotPart{
 		From: group.Node.ID(), To: to, Term: group.Node.Term(), Index: transfer.snapshot.Index, SnapshotTerm: transfer.snapshot.Term,
-		Number: transfer.partNumber, IsLast: !more, Records: data,
+		Number: transfer.partNumber, IsLast: !transfer.hasMore, Records: transfer.part,
 	})
 	return nil
 }
 
+// readPart reads the current part from disk. It returns true if there are no further records.
+func (h *Host) readPart(group *Group, transfer *outgoingTransfer) (isEmpty bool, err error) {
+	records, more, err := h.storage.RecordsAfter(group.ID, transfer.afterKey, maxPartBytes)
+	if err != nil || len(records) == 0 {
+		return true, err
+	}
+	transfer.hasMore = more
+	transfer.lastKey = records[len(records)-1].Key()
+	transfer.part, err = msgpack.Marshal(records)
+	return false, err
+}
+
 // sendSnapshot sends the snapshot itself, once the replica has its records.
 func (h *Host) sendSnapshot(group *Group, to consensus.ReplicaID, transfer *outgoingTransfer) {
 	data, err := msgpack.Marshal(&snapshotState{State: transfer.state, Parts: transfer.partNumber})
@@ -168,7 +179,7 @@
 		return nil
 	}
 	transfer.partNumber++
-	transfer.afterKey = transfer.lastKey
+	transfer.afterKey, transfer.part = transfer.lastKey, nil
 	if transfer.hasMore {
 		return h.sendPart(group, reply.From, transfer)
 	}
