Soaks: planned stops of all classes in turn, bytes without end

Engines of the other soaks send bytes without end in place of one in 40 responses, cut at any byte; no gateway of the stream soak may have used more memory than it is granted.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 ROUNDS = 60
 SEED = 1
 
-.PHONY: build run test check soak soak-streams
+.PHONY: build run test check soak soak-streams soak-drains
 
 build:
 	go build -o bin/ochrebay ./cmd/ochrebay
@@ -39,3 +39,10 @@
 SIZE =
 soak-streams:
 	go test ./cmd/ochrebay -run '^TestStreamSoak$$' -count=1 -v -timeout 0 -args -soak.seed=$(SEED) -soak.stream_seeds=$(STREAM_SEEDS) $(SIZE)
+
+# soak-drains stops gateways, control processes and ledger hosts as planned, in turn and overlapping, while callers
+# hold addresses for as long as they may, once for each of DRAIN_SEEDS seeds from SEED on. SIZE holds further flags
+# (-soak.drain_seconds, -soak.drain_callers, -soak.drain_gateways, -soak.logs).
+DRAIN_SEEDS = 10
+soak-drains:
+	go test ./cmd/ochrebay -run '^TestDrainSoak$$' -count=1 -v -timeout 0 -args -soak.seed=$(SEED) -soak.drain_seeds=$(DRAIN_SEEDS) $(SIZE)
--- a/cmd/ochrebay/soak_strays_test.go
+++ b/cmd/ochrebay/soak_strays_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -18,6 +21,13 @@
 	"HTTP/1.1 200 OK\r\nRequest-Id: of-nobody\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nstray",
 }
 
+const (
+	// endlessShareDivisor makes an engine send bytes without end in place of one in this many responses.
+	endlessShareDivisor = 40
+	// maxEndlessBytes ends them if the gateway does not close the connection.
+	maxEndlessBytes = 64 << 20
+)
+
 // strayListener accepts connections on which bytes that belong to no request come before some responses.
 type strayListener struct {
 	net.Listener
@@ -51,6 +61,9 @@
 				return 0, err
 			}
 		}
+		if !c.listener.isCalm() && c.listener.draw(endlessShareDivisor) == 0 {
+			return 0, c.writeEndless(data)
+		}
 		if strings.Contains(string(data), http.CanonicalHeaderKey("Not-Executed")) {
 			c.refusal = bytes.Clone(data)
 		}
@@ -65,3 +78,22 @@
 	}
 	return []byte(strayBytes[c.listener.draw(len(strayBytes))])
 }
+
+// errEndless ends the connection on which bytes without end were sent.
+var errEndless = errors.New("bytes without end were sent")
+
+// writeEndless writes the response up to a random byte, and then repeats one of endlessKinds until the gateway closes
+// the connection.
+func (c *strayConnection) writeEndless(data []byte) error {
+	names := slices.Sorted(maps.Keys(endlessKinds))
+	repeated := endlessKinds[names[c.listener.draw(len(names))]][1]
+	chunk := data[:c.listener.draw(len(data)+1)]
+	for sent := 0; sent < maxEndlessBytes; sent += len(chunk) {
+		if _, err := c.TCPConn.Write(chunk); err != nil {
+			return err
+		}
+		chunk = []byte(strings.Repeat(repeated, endlessWriteBytes/len(repeated)+1))
+	}
+	_ = c.Close()
+	return errEndless
+}
--- a/cmd/ochrebay/soak_streams_test.go
+++ b/cmd/ochrebay/soak_streams_test.go
@@ -189,6 +189,7 @@
 	close(stopFaults)
 	disturbing.Wait()
 	isCalm.Store(true)
+	s.checkMemory()
 	s.checkCalm(random)
 	s.checkCrashLimitInCalm(random())
 	t.Logf("seed %d: %d engines ended under %d requests, %d rejections, most under one %d", seed, s.crashes.engines(), s.crashes.sent.Load(), s.crashes.rejections.Load(), s.crashes.most())
@@ -199,6 +200,15 @@
 	}
 }
 
+// checkMemory checks that no gateway has used more memory than the platform grants it.
+func (s *streamSoak) checkMemory() {
+	for _, name := range s.gateways {
+		if peak := peakMemoryKB(s.fleet.process(name).Process.Pid); peak >= gatewayMemoryKB {
+			s.addViolation("%s has used %d kB", name, peak)
+		}
+	}
+}
+
 // copyLogs copies the logs of a fleet to a folder of the seed.
 func copyLogs(t *testing.T, folder string, seed uint64) {
 	if *streamSoakLogs == "" {
