--- a/cmd/ochrebay/platform.go
+++ b/cmd/ochrebay/platform.go
@@ -39,7 +39,7 @@
 	if process.Interface != interfacePlatform || process.Listen.Readiness == "" {
 		return nil
 	}
-	return []daemon.Frontend{{Address: process.Listen.Readiness, Handler: platform.ReadinessHandler(gatewayDaemon.Ready)}}
+	return []daemon.Frontend{{Address: process.Listen.Readiness, Handler: platform.ReadinessHandler(gatewayDaemon.Ready), Name: "readiness", Share: daemon.ReadinessShare}}
 }
 
 // controlFrontends returns the additional frontends of a control process: that for the platform's
@@ -50,11 +50,14 @@
 	}
 	var frontends []daemon.Frontend
 	if process.Listen.Operators != "" {
-		frontends = append(frontends, daemon.Frontend{Address: process.Listen.Operators, Handler: platform.ControlHandler(controlDaemon)})
+		frontends = append(frontends, daemon.Frontend{
+			Address: process.Listen.Operators, Name: "operators", Share: daemon.OperatorsShare,
+			Handler: platform.ControlHandler(controlDaemon),
+		})
 	}
 	if process.Listen.Directory != "" {
 		frontends = append(frontends, daemon.Frontend{
-			Address: process.Listen.Directory, Handler: platform.DirectoryHandler(controlDaemon),
+			Address: process.Listen.Directory, Handler: platform.DirectoryHandler(controlDaemon), Name: "directory", Share: daemon.DirectoryShare,
 		})
 	}
 	return frontends
--- a/cmd/ochrebay/platform_stand_test.go
+++ b/cmd/ochrebay/platform_stand_test.go
@@ -39,6 +39,8 @@
 	limits    string
 	// binary returns the binary that a process runs at its next start; nil for testBinary always.
 	binary func(name string) string
+	// descriptorLimit is the limit on the descriptors of each process, 0 for that of the test.
+	descriptorLimit int
 }
 
 // assignedAddresses are the addresses that freeAddress has returned. Without them, the kernel might
@@ -102,7 +104,17 @@
 
 // startSizedFleet starts a fleet of the given size.
 func startSizedFleet(t *testing.T, size fleetSize, binary func(name string) string, limits ...string) *platformFleet {
-	f := &platformFleet{t: t, binary: binary, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
+	f := newPlatformFleet(t, size, limits...)
+	f.binary = binary
+	for _, name := range size.names() {
+		f.start(name)
+	}
+	return f
+}
+
+// newPlatformFleet writes the settings of a fleet, without starting its processes, and starts its engine.
+func newPlatformFleet(t *testing.T, size fleetSize, limits ...string) *platformFleet {
+	f := &platformFleet{t: t, limits: strings.Join(limits, ""), folder: t.TempDir(), processes: map[string]*exec.Cmd{}, addresses: map[string]string{}}
 	t.Cleanup(f.killAll)
 	var seeds []string
 	for number := range size.controls {
@@ -119,7 +131,8 @@
 	}
 	for number := range size.ledgers {
 		name := fmt.Sprintf("ledger-%d", number)
-		f.writeSettings(name, "ledger", number, freeAddress(t), seeds, "")
+		f.addresses[name] = freeAddress(t)
+		f.writeSettings(name, "ledger", number, f.addresses[name], seeds, "")
 	}
 	for number := range size.gateways {
 		name := fmt.Sprintf("gateway-%d", number)
@@ -127,9 +140,6 @@
 		f.addresses["ready-"+name] = freeAddress(t)
 		f.writeSettings(name, "gateway", number, freeAddress(t), seeds, fmt.Sprintf("  callers: %s\n  readiness: %s\n", f.addresses[name], f.addresses["ready-"+name]))
 	}
-	for _, name := range size.names() {
-		f.start(name)
-	}
 	f.engine = newFakeEngine(t, "engine-1")
 	return f
 }
@@ -157,6 +167,10 @@
 		binary = f.binary(name)
 	}
 	command := exec.Command(binary, role)
+	if f.descriptorLimit > 0 {
+		// The runtime raises the soft limit to the hard one; the shell lowers both.
+		command = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$1"`, f.descriptorLimit), binary, role)
+	}
 	command.Env = append(os.Environ(), "OCHREBAY_CONFIG="+filepath.Join(f.folder, name+".yaml"))
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
@@ -324,6 +338,8 @@
 	// fault is how requests to /unsafe/ fail: "cut" drops the connection after the execution
 	// began, "full" rejects the request before it.
 	fault string
+	// discardsBodies makes the engine forget the bodies of requests, and leave them out of its answers.
+	discardsBodies bool
 }
 
 func newFakeEngine(t *testing.T, id string) *fakeEngine {
@@ -341,7 +357,15 @@
 
 func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
-	body, _ := io.ReadAll(r.Body)
+	e.mutex.Lock()
+	discardsBodies := e.discardsBodies
+	e.mutex.Unlock()
+	var body []byte
+	if discardsBodies {
+		_, _ = io.Copy(io.Discard, r.Body)
+	} else {
+		body, _ = io.ReadAll(r.Body)
+	}
 	w.Header().Set("Request-Id", id)
 	e.mutex.Lock()
 	fault, release, pause := e.fault, e.release, e.pause
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,8 @@
 type Limits struct {
 	// MemoryMB is the memory above which the process is killed, MiB; 0 for no limit.
 	MemoryMB int `yaml:"memory_mb" validate:"min=0,max=1048576"`
+	// Descriptors is the number of descriptors that the process may open; 0 for the limit of its kernel.
+	Descriptors int `yaml:"descriptors" validate:"min=0,max=1048576"`
 	// CPUShare is the number of cores that the process may use, possibly a fraction; 0 if
 	// unknown.
 	CPUShare float64 `yaml:"cpu_share" validate:"min=0,max=1024"`
@@ -130,6 +132,9 @@
 // defaultQuotaWindow is the quota window if the settings don't define one.
 const defaultQuotaWindow = 5 * time.Second
 
+// MemoryBytes returns the memory limit of the process in bytes, 0 for none.
+func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB) << 20 }
+
 // QuotaWindow returns the window over which tenants' rate limits are counted.
 func (l Limits) QuotaWindow() time.Duration {
 	if l.QuotaWindowSeconds == 0 {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -104,17 +104,19 @@
 	// Frontends are HTTP interfaces served in addition to the daemon's own.
 	Frontends []daemon.Frontend
 
-	process    config.Process
-	logger     log.Logger
-	store      *storage.Store
-	core       *Core
-	monitor    *telemetry.Monitor
-	server     *protocol.Server
-	httpServer *fasthttp.Server
-	loop       *daemon.EventLoop
-	status     atomic.Pointer[status]
-	links      *daemon.Links
-	caller     *daemon.Client
+	process config.Process
+	logger  log.Logger
+	store   *storage.Store
+	core    *Core
+	monitor *telemetry.Monitor
+	// connections are those to all addresses.
+	connections *daemon.ConnectionWatch
+	server      *protocol.Server
+	httpServer  *fasthttp.Server
+	loop        *daemon.EventLoop
+	status      atomic.Pointer[status]
+	links       *daemon.Links
+	caller      *daemon.Client
 	// refusedReports counts the engine reports that were refused since the last log line about
 	// them; refusalLog limits these lines to one per refusalLogInterval.
 	refusedReports atomic.Int64
@@ -154,6 +156,7 @@
 	d.loop = d.newLoop()
 	d.monitor = telemetry.NewMonitor(func() bool { return d.status.Load().isReady })
 	d.registerMetrics()
+	d.connections = daemon.NewConnectionWatch(d.monitor)
 	return d, nil
 }
 
@@ -238,7 +241,10 @@
 // Run serves until ctx ends, then drains: it transfers leadership before it stops.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.store.Close()
-	server, err := protocol.Listen(d.process.Listen.Address, d.handleFrame)
+	limits := protocol.Limits{
+		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
+	}
+	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handleFrame)
 	if err != nil {
 		return errorx.Decorate(err, "listening")
 	}
@@ -250,10 +256,14 @@
 	}
 	defer closeHTTP()
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "http", address, "replica", uint64(d.store.Replica()))
+	d.connections.Add("peers", server.Connections)
 	tasks := daemon.NewTaskGroup()
+	tasks.Go(func(ctx context.Context) error { return d.connections.Run(ctx, d.logger) })
 	tasks.Go(d.loop.Run)
 	tasks.Go(d.pollPlatform)
-	tasks.Go(func(ctx context.Context) error { return daemon.ServeFrontends(ctx, d.Frontends) })
+	tasks.Go(func(ctx context.Context) error {
+		return daemon.ServeFrontends(ctx, d.process.Limits, d.connections, d.Frontends)
+	})
 	err = tasks.Wait(ctx, d.drain)
 	d.links.Close()
 	d.caller.Close()
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +11,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ochrebay/ochrebay/internal/daemon"
+	"github.com/ochrebay/ochrebay/internal/listener"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
@@ -26,17 +27,23 @@
 	platformPollInterval = 500 * time.Millisecond
 	platformTimeout      = 2 * time.Second
 	maxOperatorBodyBytes = 64 << 20
-	defaultListLength    = 100
+	// operatorReadTimeout bounds how long a request of an operator may take to arrive.
+	operatorReadTimeout = 30 * time.Second
+	operatorIdleTimeout = 60 * time.Second
+	defaultListLength   = 100
 )
 
 func (d *Daemon) listenHTTP() (func(), string, error) {
-	listener, err := net.Listen("tcp", d.process.Listen.HTTP)
+	bounded, err := listener.Listen(d.process.Listen.HTTP, daemon.MaxConnections(d.process.Limits, daemon.MonitoringShare))
 	if err != nil {
 		return nil, "", errorx.Decorate(err, "listening for operators")
 	}
-	d.httpServer = &fasthttp.Server{Handler: d.serveHTTP, MaxRequestBodySize: maxOperatorBodyBytes, NoDefaultServerHeader: true}
-	go func() { _ = d.httpServer.Serve(listener) }()
-	return func() { _ = listener.Close() }, listener.Addr().String(), nil
+	d.connections.Add("monitoring", bounded.Counts)
+	d.httpServer = &fasthttp.Server{
+		Handler: d.serveHTTP, MaxRequestBodySize: maxOperatorBodyBytes, NoDefaultServerHeader: true, ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
+	}
+	go func() { _ = d.httpServer.Serve(bounded) }()
+	return func() { _ = bounded.Close() }, bounded.Addr().String(), nil
 }
 
 func (d *Daemon) serveHTTP(ctx *fasthttp.RequestCtx) {
--- a/internal/daemon/frontend_test.go
+++ b/internal/daemon/frontend_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/ochrebay/ochrebay/internal/config"
 )
 
 // TestFrontendsAnswerWhenTheyStop guards against a look-up or a report that a process has taken, and that is cut off
@@ -27,7 +29,9 @@
 			_, _ = io.WriteString(w, "whole")
 		})
 		served := make(chan error, 1)
-		go func() { served <- serveFrontends(ctx, []Frontend{{Address: address, Handler: handler}}, time.Minute) }()
+		go func() {
+			served <- serveFrontends(ctx, config.Limits{}, nil, []Frontend{{Address: address, Handler: handler}}, time.Minute)
+		}()
 		body := make(chan string, 1)
 		go func() {
 			for {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/daemon"
+	"github.com/ochrebay/ochrebay/internal/listener"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/routing"
@@ -67,6 +68,7 @@
 	logger      log.Logger
 	monitor     *telemetry.Monitor
 	metrics     *metrics
+	connections *daemon.ConnectionWatch
 	follower    *daemon.Follower
 	pool        *upstream.Pool
 	engines     *engineRegistry
@@ -119,6 +121,7 @@
 	d.pool.OnDial = d.engines.observeDial
 	d.monitor = telemetry.NewMonitor(d.Ready)
 	d.metrics = newMetrics(d.monitor, d)
+	d.connections = daemon.NewConnectionWatch(d.monitor)
 	d.pool.OnStrayResponse = d.recordStrayResponse
 	d.ledgers = newLedgerClient(process.Zone, d.metrics.historyReads, process.Policy.Disable)
 	d.follower = daemon.NewFollower(process.Cluster.Seeds, logger)
@@ -220,20 +223,22 @@
 
 // Run serves until ctx ends and then drains.
 func (d *Daemon) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", d.process.Listen.Callers)
+	callers, err := listener.Listen(d.process.Listen.Callers, daemon.MaxConnections(d.process.Limits, daemon.CallersShare))
 	if err != nil {
 		return errorx.Decorate(err, "listening for callers")
 	}
+	d.connections.Add("callers", callers.Counts)
 	server := d.newServer()
-	telemetry.Info(d.logger, "listening", "callers", listener.Addr().String())
+	telemetry.Info(d.logger, "listening", "callers", callers.Addr().String())
 	tasks := daemon.NewTaskGroup()
 	tasks.Go(d.follower.Run)
 	tasks.Go(func(ctx context.Context) error {
-		return daemon.ServeFrontends(ctx, append(d.Frontends, d.monitoringFrontend()))
+		return daemon.ServeFrontends(ctx, d.process.Limits, d.connections, append(d.Frontends, d.monitoringFrontend()))
 	})
+	tasks.Go(func(ctx context.Context) error { return d.connections.Run(ctx, d.logger) })
 	tasks.Go(d.sweep)
 	tasks.Go(func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := callers.Serve(server, 0); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -265,7 +270,7 @@
 
 // monitoringFrontend returns the frontend that serves metrics and health checks.
 func (d *Daemon) monitoringFrontend() daemon.Frontend {
-	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
+	return daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler(), Name: "monitoring", Share: daemon.MonitoringShare}
 }
 
 // sweep periodically closes engine connections that were idle for too long, and ticks the stall
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -49,7 +49,7 @@
 
 // resetConnection closes a connection with a reset.
 func resetConnection(connection net.Conn) {
-	if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+	if tcp, isTCP := connection.(interface{ SetLinger(seconds int) error }); isTCP {
 		_ = tcp.SetLinger(0)
 	}
 	_ = connection.Close()
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -151,18 +151,24 @@
 // Run serves until ctx ends and then transfers the leadership of the groups led here.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.store.Close()
-	server, err := protocol.Listen(d.process.Listen.Address, d.handle)
+	limits := protocol.Limits{
+		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
+	}
+	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handle)
 	if err != nil {
 		return errorx.Decorate(err, "listening")
 	}
 	defer server.Close()
 	telemetry.Info(d.logger, "listening", "address", server.Address(), "replica", uint64(d.store.Replica()))
+	connections := daemon.NewConnectionWatch(d.monitor)
+	connections.Add("peers", server.Connections)
 	tasks := daemon.NewTaskGroup()
+	tasks.Go(func(ctx context.Context) error { return connections.Run(ctx, d.logger) })
 	tasks.Go(d.loop.Run)
 	tasks.Go(d.follower.Run)
 	tasks.Go(func(ctx context.Context) error {
-		frontend := daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler()}
-		return daemon.ServeFrontends(ctx, []daemon.Frontend{frontend})
+		frontend := daemon.Frontend{Address: d.process.Listen.HTTP, Handler: d.monitor.Handler(), Name: "monitoring", Share: daemon.MonitoringShare}
+		return daemon.ServeFrontends(ctx, d.process.Limits, connections, []daemon.Frontend{frontend})
 	})
 	err = tasks.Wait(ctx, d.drain)
 	d.links.Close()
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -2,12 +2,13 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/ochrebay/ochrebay/internal/listener"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// writeTimeout bounds the write of one batch; for tcpUserTimeout see setTCPUserTimeout.
 	writeTimeout   = 10 * time.Second
 	tcpUserTimeout = 2 * time.Second
+	// firstFrameTimeout is how long a peer may take to send its first frame, and acceptRetryDelay the pause after a connection could not be accepted.
+	firstFrameTimeout = 10 * time.Second
+	acceptRetryDelay  = 20 * time.Millisecond
 )
 
 // Errors of a connection.
@@ -54,6 +58,8 @@
 	closeOnce sync.Once
 	// lastReceivedNs is when a frame was last received, in Unix nanoseconds.
 	lastReceivedNs atomic.Int64
+	// isEstablished is used by the reader goroutine only.
+	isEstablished bool
 
 	mutex    sync.Mutex
 	nextCall uint64
@@ -263,6 +269,7 @@
 		if err != nil {
 			return
 		}
+		c.markEstablished()
 		c.lastReceivedNs.Store(time.Now().UnixNano())
 		Traffic.BytesIn.Add(int64(len(frame.Body)) + lengthBytes)
 		Traffic.MessagesIn.Add(1)
@@ -270,6 +277,18 @@
 	}
 }
 
+// markEstablished records that the peer has sent a frame, so that its connection is not closed in favor of others.
+func (c *Connection) markEstablished() {
+	if c.isEstablished {
+		return
+	}
+	c.isEstablished = true
+	if bounded, ok := c.socket.(*listener.Conn); ok {
+		_ = bounded.SetReadDeadline(time.Time{})
+		bounded.MarkEstablished()
+	}
+}
+
 func deliverDelayed(delayed <-chan queuedFrame, dispatch func(Frame)) {
 	for next := range delayed {
 		time.Sleep(time.Until(next.dueAt))
@@ -294,36 +313,59 @@
 
 // Server accepts inner connections.
 type Server struct {
-	listener    net.Listener
+	listener    *listener.Listener
 	handler     Handler
 	mutex       sync.Mutex
 	connections map[*Connection]bool
 }
 
+// Limits bound what the peers of a server use of the process.
+type Limits struct {
+	// Connections is how many connections may be open.
+	Connections int
+}
+
+// unlimited are limits that tests and tools don't reach.
+var unlimited = Limits{Connections: 1 << 20}
+
 // Listen binds to IP:port and starts accepting connections; port 0 lets the kernel choose a
 // port.
 func Listen(address string, handler Handler) (*Server, error) {
-	config := net.ListenConfig{Control: setTCPUserTimeout}
-	listener, err := config.Listen(context.Background(), "tcp", address)
+	return ListenWithin(address, unlimited, handler)
+}
+
+// ListenWithin is Listen with limits on what peers use.
+func ListenWithin(address string, limits Limits, handler Handler) (*Server, error) {
+	bounded, err := listener.ListenInner(address, limits.Connections, setTCPUserTimeout)
 	if err != nil {
 		return nil, err
 	}
-	server := &Server{listener: listener, handler: handler, connections: map[*Connection]bool{}}
-	go server.acceptLoop()
+	server := &Server{listener: bounded, handler: handler, connections: map[*Connection]bool{}}
+	go server.acceptFrom(bounded)
 	return server, nil
 }
 
+// Connections returns the counts of the server's connections.
+func (s *Server) Connections() listener.Counts { return s.listener.Counts() }
+
 // Address returns the bound IP:port.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
 }
 
-func (s *Server) acceptLoop() {
+// acceptFrom accepts connections until the listener is closed.
+func (s *Server) acceptFrom(listener net.Listener) {
 	for {
-		socket, err := s.listener.Accept()
-		if err != nil {
+		socket, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The process or the machine has no descriptor left at the moment.
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		_ = socket.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 		connection := newConnection(socket, 0)
 		s.mutex.Lock()
 		s.connections[connection] = true
