--- a/cmd/ochrebay/platform.go
+++ b/cmd/ochrebay/platform.go
@@ -52,7 +52,7 @@
 	if process.Listen.Operators != "" {
 		frontends = append(frontends, daemon.Frontend{
 			Address: process.Listen.Operators, Name: "operators", Share: daemon.OperatorsShare,
-			Handler: platform.ControlHandler(controlDaemon),
+			Handler: platform.ControlHandler(controlDaemon, controlDaemon.DocumentMemory()),
 		})
 	}
 	if process.Listen.Directory != "" {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
 	"github.com/ochrebay/ochrebay/internal/clock"
 	"github.com/ochrebay/ochrebay/internal/config"
 	"github.com/ochrebay/ochrebay/internal/consensus"
@@ -56,6 +57,10 @@
 	// fleetLogInterval is the minimum time between two log lines about the fleet's version: at a
 	// start each engine, gateway and ledger host causes a new version.
 	fleetLogInterval = time.Second
+	// The configurations and changes of settings in progress may use the process's memory limit divided by
+	// documentMemoryDivisor, or defaultDocumentMemoryBytes if there is no memory limit.
+	documentMemoryDivisor      = 5
+	defaultDocumentMemoryBytes = 512 << 20
 	// refusalLogInterval is the minimum time between two log lines about refused engine reports:
 	// while there is no leader, the reports of all engines are refused.
 	refusalLogInterval = time.Second
@@ -130,6 +135,9 @@
 	// instanceListLog limits the log lines about entries of the platform's list in the same way.
 	instanceListLog rate.Sometimes
 
+	// documentMemory is what the configurations and changes of settings in progress may hold.
+	documentMemory *bytebudget.ReceiveBudget
+
 	replies daemon.PendingReplies[RequestID, any]
 	// lookupTTL tracks the rate at which callers look up gateways at this process.
 	lookupTTLMutex sync.Mutex
@@ -143,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: process, logger: logger, store: store, refusalLog: rate.Sometimes{First: 1, Interval: refusalLogInterval},
+	d := &Daemon{process: process, logger: logger, store: store, documentMemory: bytebudget.NewReceiveBudget(documentMemoryBytes(process.Limits)), refusalLog: rate.Sometimes{First: 1, Interval: refusalLogInterval},
 		ignoredLog: rate.Sometimes{First: 1, Interval: ignoredLogInterval}, instanceListLog: rate.Sometimes{First: 1, Interval: ignoredLogInterval}}
 	d.status.Store(&status{gatewaySelector: membership.NewGatewaySelector(nil)})
 	d.links = daemon.NewLinks(d.addressOf, d.delayOf)
@@ -160,6 +168,17 @@
 	return d, nil
 }
 
+// documentMemoryBytes returns the memory for configurations and changes of settings in progress, in bytes.
+func documentMemoryBytes(limits config.Limits) int64 {
+	if limits.MemoryMB == 0 {
+		return defaultDocumentMemoryBytes
+	}
+	return limits.MemoryBytes() / documentMemoryDivisor
+}
+
+// DocumentMemory returns what the configurations and changes of settings in progress may hold.
+func (d *Daemon) DocumentMemory() *bytebudget.ReceiveBudget { return d.documentMemory }
+
 // coreOptions returns the options of the core for a cluster whose members are listed, or
 // for one that is discovered from seeds, where members are named by their internal
 // addresses.
@@ -225,6 +244,7 @@
 	d.monitor.RegisterView("/v1/shares", d.shares)
 	d.ignoredReports = d.monitor.RegisterCounter("control_engine_reports_void_total", "Reports of engines that changed nothing, by reason.", "reason")
 	d.monitor.RegisterGauge("settings_revision", "Settings revision in force.", func() float64 { return float64(d.status.Load().revision) })
+	d.monitor.RegisterGauge("control_document_memory", "Bytes held by configurations and changes of settings in progress.", func() float64 { return float64(d.documentMemory.TakenBytes()) })
 	d.monitor.RegisterGauge("groups_led", "Log groups that this process leads.", func() float64 { return float64(d.status.Load().groupsLed) })
 	d.monitor.RegisterGauge("programs", "Program headers held.", func() float64 { return float64(d.status.Load().programCount) })
 	d.monitor.RegisterGauge("entries_applied", "Log entries applied over all groups.", func() float64 { return float64(d.status.Load().entriesApplied) })
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"strconv"
 	"strings"
 	"time"
@@ -11,11 +12,13 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/listener"
 	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
+	"github.com/ochrebay/ochrebay/internal/requestbody"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/settings"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
@@ -39,14 +42,19 @@
 		return nil, "", errorx.Decorate(err, "listening for operators")
 	}
 	d.connections.Add("monitoring", bounded.Counts)
+	// A body is read by its handler, within the memory for documents.
 	d.httpServer = &fasthttp.Server{
-		Handler: d.serveHTTP, MaxRequestBodySize: maxOperatorBodyBytes, NoDefaultServerHeader: true, ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
+		Handler: d.serveHTTP, StreamRequestBody: true, NoDefaultServerHeader: true, ReadTimeout: operatorReadTimeout, IdleTimeout: operatorIdleTimeout,
 	}
 	go func() { _ = d.httpServer.Serve(bounded) }()
 	return func() { _ = bounded.Close() }, bounded.Addr().String(), nil
 }
 
 func (d *Daemon) serveHTTP(ctx *fasthttp.RequestCtx) {
+	if ctx.Request.IsBodyStream() && !strings.HasPrefix(string(ctx.Path()), "/v1/settings") {
+		// Only changes of settings have a body; that of another request is not read.
+		ctx.SetConnectionClose()
+	}
 	if d.monitor.Serve(ctx) {
 		return
 	}
@@ -176,8 +184,16 @@
 }
 
 func (d *Daemon) serveChange(ctx *fasthttp.RequestCtx, validate bool) {
+	memory := d.documentMemory.Receive(func() { _ = ctx.Conn().SetReadDeadline(time.Unix(1, 0)) })
+	defer memory.Release()
+	body, failure := readOperatorBody(ctx, memory)
+	if failure != nil {
+		ctx.SetConnectionClose()
+		WriteError(ctx, failure)
+		return
+	}
 	var change settings.Change
-	decoder := json.NewDecoder(bytes.NewReader(ctx.PostBody()))
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&change); err != nil {
 		WriteError(ctx, result.New(result.MalformedRequest, "%s", strings.TrimPrefix(err.Error(), "json: ")))
@@ -200,8 +216,26 @@
 	} else if !validate {
 		telemetry.Info(d.logger, "settings change accepted", "operator", change.Operator, "number", change.Number, "revision", reply.Reply.Revision)
 	}
-	body, _ := json.Marshal(reply.Reply)
-	writeJSON(ctx, body)
+	response, _ := json.Marshal(reply.Reply)
+	writeJSON(ctx, response)
+}
+
+// readOperatorBody reads the body of a request.
+func readOperatorBody(ctx *fasthttp.RequestCtx, memory *bytebudget.Receipt) ([]byte, *result.Error) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return ctx.PostBody(), nil
+	}
+	body, err := requestbody.Read(stream, int64(ctx.Request.Header.ContentLength()), maxOperatorBodyBytes, memory)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, requestbody.ErrTooLong):
+		return nil, result.New(result.BodyTooLarge, "body over the limit of %d bytes", maxOperatorBodyBytes)
+	case errors.Is(err, bytebudget.ErrNoMemory), errors.Is(err, bytebudget.ErrGaveWay):
+		return nil, result.New(result.MemoryShort, "reading the request body: %v", err)
+	}
+	return nil, result.New(result.MalformedRequest, "reading the request body: %v", err)
 }
 
 // groupOf returns the ledger group that a program belongs to.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -46,6 +46,10 @@
 	// defaultResponseMemoryBytes if there is no memory limit.
 	responseMemoryDivisor      = 8
 	defaultResponseMemoryBytes = 64 << 20
+	// The requests in progress may use the process's memory limit divided by requestMemoryDivisor, or
+	// defaultRequestMemoryBytes if there is no memory limit.
+	requestMemoryDivisor      = 6
+	defaultRequestMemoryBytes = 256 << 20
 	// instanceBase is the base in which the gateway's random instance number is written.
 	instanceBase = 36
 )
@@ -76,8 +80,10 @@
 	retries     *retryPolicy
 	ledgers     *ledgerClient
 	histories   *historyCache
-	// responseMemory is what all calls together may hold of responses in progress.
+	// responseMemory is what all calls together may hold of responses in progress, and requestMemory what they may
+	// hold of requests: bodies, histories, and the copies that are made of them.
 	responseMemory *bytebudget.Budget
+	requestMemory  *bytebudget.ReceiveBudget
 	denials        *denials
 	crashes        *crashTracker
 	// instance distinguishes the starts of all gateways, and attemptNames numbers the attempts of this one.
@@ -113,6 +119,7 @@
 		retries:   newRetryPolicy(process.Policy.Retry, process.Policy.Disable),
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
 		responseMemory: bytebudget.New(responseMemoryBytes(process.Limits)),
+		requestMemory:  bytebudget.NewReceiveBudget(requestMemoryBytes(process.Limits)),
 		crashes:        newCrashTracker(), instance: strconv.FormatUint(rand.Uint64(), instanceBase), EngineStatusPath: DefaultEngineStatusPath,
 		serviceTimes: newServiceTimes(),
 	}
@@ -156,6 +163,14 @@
 	return (int64(limits.MemoryMB) << 20) / responseMemoryDivisor
 }
 
+// requestMemoryBytes returns the memory for requests in progress, in bytes.
+func requestMemoryBytes(limits config.Limits) int64 {
+	if limits.MemoryMB == 0 {
+		return defaultRequestMemoryBytes
+	}
+	return limits.MemoryBytes() / requestMemoryDivisor
+}
+
 // Follower returns the daemon's link to control. Changed settings are applied to it.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -352,7 +353,8 @@
 // retainTurn settles the turn at the ledger and stores its content there. It returns false if that
 // fails. If the history belongs to another ledger group, it is stored as part of the turn.
 func (r *callerResponse) retainTurn(c *call) bool {
-	content := append(append(make([]byte, 0, len(c.body)+len(r.outputData)), c.body...), r.outputData...)
+	chain := slices.Concat(c.history, c.body, r.outputData)
+	content := chain[len(c.history):]
 	settle := &program.Settle{
 		Program: c.programID, Request: c.turnID, UsedTokens: r.usedTokens(c), Retain: true, PreviousRequest: c.previousTurn,
 		Session: c.sessionID, Engine: c.selection.engine.IncarnationKey(), Content: content, RetentionMs: c.turnRetentionMs(),
@@ -360,7 +362,7 @@
 	}
 	if c.historyInOtherGroup {
 		settle.PreviousRequest = ""
-		settle.Content = append(append(make([]byte, 0, len(c.history)+len(content)), c.history...), content...)
+		settle.Content = chain
 	}
 	startedAt := time.Now()
 	failure := r.daemon.ledgers.settle(settle, r.retainTimeout(c))
@@ -373,7 +375,7 @@
 	}
 	c.turnReserved = false
 	c.claim, c.hold = claim{}, ""
-	r.daemon.histories.put(c.turnID, c.programID, c.sessionID, append(append(make([]byte, 0, len(c.history)+len(content)), c.history...), content...))
+	r.daemon.histories.put(c.turnID, c.programID, c.sessionID, chain)
 	return true
 }
 
--- a/internal/gateway/intake.go
+++ b/internal/gateway/intake.go
@@ -4,12 +4,16 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/ochrebay/ochrebay/internal/bytebudget"
+	"github.com/ochrebay/ochrebay/internal/listener"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/quota"
+	"github.com/ochrebay/ochrebay/internal/requestbody"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/routing"
 	"github.com/ochrebay/ochrebay/internal/scheduling"
@@ -23,8 +27,12 @@
 	request *http.Request
 	body    []byte
 	hasBody bool
-	route   *routing.Route
-	backend routing.Backend
+	// hasUnreadBody is true if the call was rejected before its body had arrived and more of it may come.
+	hasUnreadBody bool
+	// requestMemory holds the memory of the body, of the history, and of their copies.
+	requestMemory *bytebudget.Receipt
+	route         *routing.Route
+	backend       routing.Backend
 	// routes is the routing table that routed the call.
 	routes *routing.Index
 	// requiresKey is true if the routing table has tenants. tenant is the tenant of the caller's
@@ -156,18 +164,23 @@
 		return nil, result.New(result.NoRoute, "no route for host %s and this path", request.Host)
 	}
 	c := &call{id: requestID, request: request, route: route, routes: view.routes, tableGeneration: view.routes.Table.Generation, startedAt: startedAt}
+	c.requestMemory = d.requestMemory.Receive(func() { listener.Interrupt(request) })
 	if failure := d.identifyTenant(c, view.routes); failure != nil {
-		discardBody(request.Body)
+		discardBody(request)
 		return c, failure
 	}
 	c.setBackend(route.SelectBackend(d.randomFraction()))
 	c.tenantWeight = view.routes.TenantWeight(c.tenant)
+	failure := c.readHeaders(d.headerNames)
+	if failure != nil {
+		discardBody(request)
+		return c, failure
+	}
 	if failure := c.readBody(writer, view.routes.Table.Limits.MaxBodyBytes); failure != nil {
-		return nil, failure
+		return c, failure
 	}
-	failure := c.readHeaders(d.headerNames)
 	c.computeFingerprint()
-	return c, failure
+	return c, nil
 }
 
 // setBackend sets the backend whose engines may run the call.
@@ -177,41 +190,93 @@
 }
 
 // readBody reads the whole body, so that the request can be sent again and an engine never waits
-// for a slow caller. limit is in bytes; 0 means defaultMaxBodyBytes.
+// for a slow caller. limit is in bytes; 0 means defaultMaxBodyBytes. A body has to arrive before the call's
+// deadline, and within the memory for requests.
 func (c *call) readBody(writer http.ResponseWriter, limit int64) *result.Error {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if c.request.ContentLength > limit {
-		discardBody(c.request.Body)
-		return result.New(result.BodyTooLarge, "body of %d bytes, limit %d", c.request.ContentLength, limit)
-	}
 	c.hasBody = c.request.ContentLength != 0
 	if !c.hasBody {
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(writer, c.request.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		discardBody(c.request.Body)
-		return result.New(result.BodyTooLarge, "body over the limit of %d bytes", limit)
+	listener.LimitBody(c.request, c.deadline)
+	body, err := requestbody.Read(c.request.Body, c.request.ContentLength, limit, c.requestMemory)
+	if err == nil && c.retainsTurn() {
+		err = c.requestMemory.Hold(retainedCopies * int64(len(body)))
 	}
 	if err != nil {
-		return result.New(result.MalformedRequest, "reading the request body: %v", err)
+		// No other request can follow a body that is not read, and the response does not wait for it.
+		writer.Header().Set("Connection", "close")
+		_ = http.NewResponseController(writer).EnableFullDuplex()
+		return c.bodyError(err, limit)
 	}
 	c.body = body
 	return nil
 }
 
-// maxDiscardedBytes bounds how much of a rejected body is read. A caller that sends more may lose
-// the response.
-const maxDiscardedBytes = 256 << 10
+// bodyError returns the result of a call whose body could not be read.
+func (c *call) bodyError(err error, limit int64) *result.Error {
+	switch {
+	case errors.Is(err, requestbody.ErrTooLong):
+		c.hasUnreadBody = true
+		return result.New(result.BodyTooLarge, "body over the limit of %d bytes, announced length %d", limit, c.request.ContentLength)
+	case errors.Is(err, bytebudget.ErrNoMemory):
+		c.hasUnreadBody = true
+		return result.New(result.MemoryShort, "reading the request body: %v", err)
+	case errors.Is(err, bytebudget.ErrGaveWay):
+		return result.New(result.MemoryShort, "reading the request body: %v", err)
+	case listener.WasDisplaced(c.request):
+		return result.New(result.ConnectionsShort, "the connection made no progress while others waited for one")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return result.New(result.BodyTimeout, "the body did not arrive within %s", time.Since(c.startedAt).Round(time.Millisecond))
+	}
+	return result.New(result.MalformedRequest, "reading the request body: %v", err)
+}
+
+// retainedCopies is how many times the memory of a retained turn's body is needed: for the body, for the content of
+// the turn, and for the message that stores it.
+const retainedCopies = 3
+
+// holdHistory reserves memory for the history that the call continues and for the copy of it that is sent to an
+// engine.
+func (c *call) holdHistory() *result.Error {
+	copies := int64(1)
+	if c.retainsTurn() {
+		copies = retainedCopies
+	}
+	if err := c.requestMemory.Hold(copies*int64(len(c.body)) + historyCopies*int64(len(c.history))); err != nil {
+		return result.New(result.MemoryShort, "history of %d bytes: %v", len(c.history), err)
+	}
+	return nil
+}
+
+// historyCopies is how many times the memory of a history is needed: as it came from the ledger, and in front of the
+// body in the request to an engine.
+const historyCopies = 2
+
+// releaseRequest returns the memory of the request, which nothing reads any more.
+func (c *call) releaseRequest() {
+	if c == nil || c.requestMemory == nil {
+		return
+	}
+	c.body, c.history = nil, nil
+	c.requestMemory.Release()
+}
+
+// maxDiscardedBytes bounds how much of a rejected body is read, and maxDiscardTime for how long. A caller that sends
+// more may lose the response.
+const (
+	maxDiscardedBytes = 256 << 10
+	maxDiscardTime    = 5 * time.Second
+)
 
 // discardBody reads and discards a rejected body. Closing a connection with unread bytes resets it,
 // and a caller that is still sending may then lose the response.
-func discardBody(body io.Reader) {
+func discardBody(request *http.Request) {
+	listener.LimitBody(request, time.Now().Add(maxDiscardTime))
 	// The response is sent even if reading ends early.
-	_, _ = io.CopyN(io.Discard, body, maxDiscardedBytes)
+	_, _ = io.CopyN(io.Discard, request.Body, maxDiscardedBytes)
 }
 
 func (c *call) readHeaders(headerNames HeaderNames) *result.Error {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,7 @@
 
 // newMetrics registers the metrics of a gateway.
 func newMetrics(monitor *telemetry.Monitor, d *Daemon) *metrics {
+	monitor.RegisterGauge("gateway_request_memory", "Bytes held by requests in progress beyond their allowances.", func() float64 { return float64(d.requestMemory.TakenBytes()) })
 	monitor.RegisterGauge("gateway_in_flight", "Requests under way.", func() float64 { return float64(d.inFlight.Load()) })
 	monitor.RegisterGauge("gateway_engine_connections_opened", "Connections made to engines since the start.", func() float64 { return float64(d.pool.ConnectionsOpened.Load()) })
 	monitor.RegisterGauge("gateway_engine_connections_reused", "Requests sent on kept connections since the start.", func() float64 { return float64(d.pool.ConnectionsReused.Load()) })
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -23,6 +23,7 @@
 	c, failure := d.readRequest(writer, request)
 	response := &callerResponse{daemon: d, writer: writer}
 	defer response.release()
+	defer func() { c.releaseRequest() }()
 	if failure == nil {
 		failure = d.run(request.Context(), c, response)
 	}
@@ -34,6 +35,10 @@
 		response.abort(request)
 	}
 	response.writeError(request, failure)
+	if c != nil && c.hasUnreadBody {
+		_ = http.NewResponseController(writer).Flush()
+		discardBody(request)
+	}
 }
 
 // abort ends the connection, so that a partial response doesn't look complete. The body of a response
@@ -123,6 +128,9 @@
 	if failure := d.applyStreamOrigin(c, reply.Stream); failure != nil {
 		return failure
 	}
+	if failure := c.holdHistory(); failure != nil {
+		return failure
+	}
 	if !c.programInProgress {
 		return d.admitProgram(c)
 	}
@@ -143,6 +151,7 @@
 	reply := d.ledgers.reserve(ctx, reserve, cached.turn)
 	if reply.Error == nil {
 		c.history = cached.extend(reply)
+		reply.History = nil
 		return reply
 	}
 	if reply.Error.Code != result.UnknownTurn {
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -63,6 +63,9 @@
 	StreamUnknown     Code = 1209
 	StreamUnavailable Code = 1210
 	CrashLimit        Code = 1211
+	MemoryShort       Code = 1212
+	ConnectionsShort  Code = 1213
+	BodyTimeout       Code = 1214
 	NotLeader         Code = 1301
 	NoQuorum          Code = 1302
 	EngineFailed      Code = 1303
@@ -128,6 +131,9 @@
 	{StreamUnknown, "stream_unknown", NotRun, 503, 0, "It is not on record which software version began the stream that the request takes up. The stream has to begin anew."},
 	{StreamUnavailable, "stream_version_unavailable", NotRun, 503, 0, "No engine of the software version that began the stream is left for the request that takes it up. The stream has to begin anew."},
 	{CrashLimit, "crash_limit", NotRun, 503, 0, "As many engines as allowed have attempts of this request on record that they have not, or not yet, outlived, and none of these engines can take another one; it is sent to no further engine until one of the attempts is closed or the record expires."},
+	{MemoryShort, "memory_short", NotRun, 503, time.Second, "The process has no memory for the request's body or the history that it continues; requests that are larger, slower or older use it."},
+	{ConnectionsShort, "connections_short", NotRun, 503, time.Second, "The address has as many connections as it may have, and this one had made no progress with its request for the longest."},
+	{BodyTimeout, "body_timeout", NotRun, 408, 0, "The request's body did not arrive in time."},
 	{NotLeader, "not_leader", NotRun, 503, 100 * time.Millisecond, "The replica that received the request is not the leader of the group."},
 	{NoQuorum, "no_quorum", Unknown, 503, time.Second, "The log group did not confirm the request in time."},
 	{EngineFailed, "engine_failed", Ran, 502, 500 * time.Millisecond, "The engine failed after it had started the call; all allowed attempts were used."},
