--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,8 @@
 test: build
 	scripts/check
 	@if [ -f KNOWN-RED.txt ]; then echo "known red tests, passed over:"; cat KNOWN-RED.txt; fi
-	go test -timeout 540s -skip '$(shell scripts/known-red tests)' ./...
+	go test -timeout 540s -skip '$(shell scripts/known-red tests)|^TestCrowd' ./...
+	go test -timeout 540s -skip '$(shell scripts/known-red tests)' -run '^TestCrowd' -count=1 ./cmd/ochrebay
 	for deployment in small vantul court; do \
 	  for seeds in $$(scripts/known-red seeds $$deployment $(SEEDS)); do \
 	    bin/ochrebay simulate --seeds $$seeds --deployment $$deployment || exit 1; \
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -263,6 +263,7 @@
 	defer d.store.Close()
 	limits := protocol.Limits{
 		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
+		FrameMemory: protocol.NewFrameMemory(documentMemoryBytes(d.process.Limits)),
 	}
 	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handleFrame)
 	if err != nil {
--- a/internal/gateway/ledgers.go
+++ b/internal/gateway/ledgers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/membership"
@@ -21,6 +22,10 @@
 	ledgerCallTimeout = 450 * time.Millisecond
 	// leaderProbeTimeout bounds one probe of a host for whether it leads a group.
 	leaderProbeTimeout = 150 * time.Millisecond
+	// bulkBytes is the size of a content from which on it is sent over a connection of its own, so that it does not
+	// delay other requests. For each bulkBytesPerSecond of it the call may take a second longer.
+	bulkBytes          = 64 << 10
+	bulkBytesPerSecond = 1 << 20
 	// settleTimeout bounds the background settlement of a turn that is not retained.
 	settleTimeout = 6 * time.Second
 	// localReadTimeout bounds a read at the replica in this zone. If it fails, the read falls
@@ -35,7 +40,11 @@
 // ledgerClient finds the leader of each ledger group and sends requests to it.
 type ledgerClient struct {
 	client *daemon.Client
-	zone   string
+	// bulkClient sends contents from bulkBytes on. bulkQueue holds their bytes: together they fit into the send queue
+	// of one connection.
+	bulkClient *daemon.Client
+	bulkQueue  *semaphore.Weighted
+	zone       string
 	// historyReads counts the reads of older turns by source.
 	historyReads *prometheus.CounterVec
 	mutex        sync.Mutex
@@ -48,7 +57,7 @@
 }
 
 func newLedgerClient(zone string, historyReads *prometheus.CounterVec, disabled scheduling.DisabledMechanisms) *ledgerClient {
-	l := &ledgerClient{client: daemon.NewClient(), zone: zone, historyReads: historyReads, disabled: disabled}
+	l := &ledgerClient{client: daemon.NewClient(), bulkClient: daemon.NewClient(), bulkQueue: semaphore.NewWeighted(protocol.MaxSendQueueBytes), zone: zone, historyReads: historyReads, disabled: disabled}
 	l.leaders = newLeaderCache(l.members, l.probe)
 	return l
 }
@@ -105,7 +114,16 @@
 
 // tryLeaders is callLeader. It also returns whether the request was sent to any host.
 func (l *ledgerClient) tryLeaders(ctx context.Context, request *protocol.TurnRequest) (reply *protocol.TurnReply, wasSent bool) {
-	request.TimeoutMs = ledgerCallTimeout.Milliseconds()
+	client, timeout := l.client, ledgerCallTimeout
+	if size := request.ContentBytes(); size >= bulkBytes {
+		queued := min(size, protocol.MaxSendQueueBytes)
+		if l.bulkQueue.Acquire(ctx, queued) != nil {
+			return &protocol.TurnReply{Error: result.New(result.LedgerUnreachable, "group %d: other contents are being sent", request.Group)}, false
+		}
+		defer l.bulkQueue.Release(queued)
+		client, timeout = l.bulkClient, timeout+time.Duration(size)*time.Second/bulkBytesPerSecond
+	}
+	request.TimeoutMs = timeout.Milliseconds()
 	lastError := result.New(result.LedgerUnreachable, "group %d: no leader found", request.Group)
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		leader := l.leaders.find(ctx, request.Group)
@@ -114,7 +132,7 @@
 		}
 		reply := &protocol.TurnReply{}
 		wasSent = true
-		err := l.client.CallWithTimeout(ctx, ledgerCallTimeout, leader, protocol.KindTurn, request, reply)
+		err := client.CallWithTimeout(ctx, timeout, leader, protocol.KindTurn, request, reply)
 		switch {
 		case err != nil:
 			lastError = result.New(result.LedgerUnreachable, "group %d: %s: %v", request.Group, leader, err)
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,12 @@
 const (
 	drainTimeout      = 4 * time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// The large requests in progress may hold the process's memory limit divided by frameMemoryDivisor, or
+	// defaultFrameMemoryBytes if there is no memory limit.
+	frameMemoryDivisor      = 32
+	defaultFrameMemoryBytes = 64 << 20
+	// maxFrameHoldTime bounds how long a request without a reply holds its memory: its group may have been removed.
+	maxFrameHoldTime = 5 * time.Second
 )
 
 // status is a snapshot of the core's state for other goroutines.
@@ -153,6 +160,7 @@
 	defer d.store.Close()
 	limits := protocol.Limits{
 		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
+		FrameMemory: protocol.NewFrameMemory(frameMemoryBytes(d.process.Limits)),
 	}
 	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handle)
 	if err != nil {
@@ -175,6 +183,15 @@
 	return err
 }
 
+// frameMemoryBytes returns the memory for the large requests in progress, and for the large messages of peers, in
+// bytes. Each needs several times its size until it is applied and stored.
+func frameMemoryBytes(limits config.Limits) int64 {
+	if limits.MemoryMB == 0 {
+		return defaultFrameMemoryBytes
+	}
+	return limits.MemoryBytes() / frameMemoryDivisor
+}
+
 // drain starts the leadership transfers and waits until this process leads no group, for at most
 // drainTimeout.
 func (d *Daemon) drain(ctx context.Context) {
@@ -236,7 +253,11 @@
 	case protocol.KindPeer:
 		var batch protocol.PeerBatch
 		if protocol.Decode(frame.Body, &batch) == nil {
-			d.loop.PostMessage(len(frame.Body), func() { d.core.HandlePeerBatch(batch, clock.NowMs()) })
+			release := frame.Retain()
+			d.loop.PostMessage(len(frame.Body), func() {
+				d.core.HandlePeerBatch(batch, clock.NowMs())
+				release()
+			})
 			return
 		}
 	case protocol.KindTurn:
@@ -258,12 +279,17 @@
 		return
 	}
 	received := time.Now()
+	release := sync.OnceFunc(frame.Retain())
 	d.loop.PostMessage(len(frame.Body), func() {
 		if request.TimeoutMs > 0 && time.Since(received).Milliseconds() > request.TimeoutMs {
 			d.expiredRequests.Add(1)
+			release()
 			return
 		}
-		d.submitRequest(connection, frame.Call, request)
+		if frame.IsLarge() {
+			time.AfterFunc(maxFrameHoldTime, release)
+		}
+		d.submitRequest(connection, frame.Call, request, release)
 	})
 }
 
@@ -276,10 +302,11 @@
 	return &protocol.TurnReply{Leader: leader, Error: result.New(result.NotLeader, "%s does not lead group %d", d.process.Name, group)}
 }
 
-// submitRequest passes a request to the core and sends and logs its reply.
-func (d *Daemon) submitRequest(connection *protocol.Connection, call uint64, request *protocol.TurnRequest) {
+// submitRequest passes a request to the core and sends and logs its reply. Then it releases the request's memory.
+func (d *Daemon) submitRequest(connection *protocol.Connection, call uint64, request *protocol.TurnRequest, release func()) {
 	started := time.Now()
 	id := d.pendingReplies.Register(func(reply *protocol.TurnReply) {
+		defer release()
 		_ = connection.Reply(call, protocol.KindResponse, reply, true)
 		d.logTurn(request, reply, time.Since(started))
 	})
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -36,6 +36,18 @@
 	Last bool
 	// Body is the encoded message.
 	Body []byte
+	// memory is what the frame holds of the memory for frames, nil for nothing.
+	memory *frameMemory
+}
+
+// Retain keeps the memory that the frame holds until the returned function is called, which is to be called once.
+// Otherwise it is released when the handler of the frame returns.
+func (f Frame) Retain() (release func()) {
+	if f.memory == nil {
+		return func() {}
+	}
+	f.memory.isRetained = true
+	return f.memory.release
 }
 
 var encoderPool = sync.Pool{New: func() any {
@@ -62,14 +74,21 @@
 	return msgpack.Unmarshal(body, message)
 }
 
+// IsLarge reports whether the frame holds memory for frames.
+func (f Frame) IsLarge() bool { return f.memory != nil }
+
 // AppendFrame appends a frame in its wire form: length, call, kind, last, body.
 func AppendFrame(buffer []byte, frame Frame) []byte {
+	return append(appendFrameHeader(buffer, frame), frame.Body...)
+}
+
+// appendFrameHeader appends what precedes the body of a frame.
+func appendFrameHeader(buffer []byte, frame Frame) []byte {
 	start := len(buffer)
 	buffer = append(buffer, 0, 0, 0, 0)
 	buffer = binary.AppendUvarint(buffer, frame.Call)
 	buffer = append(buffer, byte(frame.Kind), boolByte(frame.Last))
-	buffer = append(buffer, frame.Body...)
-	binary.BigEndian.PutUint32(buffer[start:], uint32(len(buffer)-start-lengthBytes))
+	binary.BigEndian.PutUint32(buffer[start:], uint32(len(buffer)-start-lengthBytes+len(frame.Body)))
 	return buffer
 }
 
@@ -82,14 +101,28 @@
 
 // ReadFrame reads one frame.
 func ReadFrame(reader io.Reader) (Frame, error) {
+	size, err := readFrameLength(reader)
+	if err != nil {
+		return Frame{}, err
+	}
+	return readFrameBody(reader, size)
+}
+
+// readFrameLength reads the length that precedes a frame.
+func readFrameLength(reader io.Reader) (uint32, error) {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(reader, length[:]); err != nil {
-		return Frame{}, err
+		return 0, err
 	}
 	size := binary.BigEndian.Uint32(length[:])
 	if size > MaxFrameBytes {
-		return Frame{}, ErrFrameTooLong
+		return 0, ErrFrameTooLong
 	}
+	return size, nil
+}
+
+// readFrameBody reads a frame whose length was read.
+func readFrameBody(reader io.Reader, size uint32) (Frame, error) {
 	if size <= maxPreallocatedBytes {
 		body := make([]byte, size)
 		if _, err := io.ReadFull(reader, body); err != nil {
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -157,6 +157,14 @@
 	TimeoutMs int64 `msgpack:"w,omitempty"`
 }
 
+// ContentBytes returns the size of the content of the turn that the request stores, 0 for none.
+func (r *TurnRequest) ContentBytes() int64 {
+	if r.Settle == nil {
+		return 0
+	}
+	return int64(len(r.Settle.Content))
+}
+
 // TurnReply is the reply to a TurnRequest.
 type TurnReply struct {
 	Error  *result.Error `msgpack:"e,omitempty"`
--- a/internal/protocol/queue.go
+++ b/internal/protocol/queue.go
@@ -9,10 +9,10 @@
 const (
 	maxSendQueueFrames = 4096
 	// maxOneWayQueueBytes is the queue size beyond which one-way messages are dropped. Beyond
-	// maxSendQueueBytes, or at maxSendQueueFrames frames, the connection is closed: a peer that
+	// MaxSendQueueBytes, or at maxSendQueueFrames frames, the connection is closed: a peer that
 	// reads slowly must not exhaust the sender's memory.
 	maxOneWayQueueBytes = 1 << 20
-	maxSendQueueBytes   = 4 << 20
+	MaxSendQueueBytes   = 4 << 20
 )
 
 // errQueueOverflow means that the connection must be closed because its peer doesn't read.
@@ -47,7 +47,7 @@
 	if next.frame.Call == 0 && q.bodyBytes > 0 && q.bodyBytes+size > maxOneWayQueueBytes {
 		return ErrQueueFull
 	}
-	if q.bodyBytes > maxSendQueueBytes || len(q.frames) >= maxSendQueueFrames {
+	if q.bodyBytes > MaxSendQueueBytes || len(q.frames) >= maxSendQueueFrames {
 		return errQueueOverflow
 	}
 	q.frames = append(q.frames, next)
--- a/internal/protocol/transport.go
+++ b/internal/protocol/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"sync"
@@ -16,15 +17,16 @@
 	// writeBatchBytes is the size at which a write batch is flushed, and maxRetainedBatchBytes the
 	// largest buffer that is kept for the next batch. A process may have hundreds of connections,
 	// most of them idle, so an idle one must use little memory.
-	readBufferBytes       = 4 << 10
-	writeBatchBytes       = 64 << 10
+	readBufferBytes = 4 << 10
+	writeBatchBytes = 64 << 10
+	// writePieceBytes is how much of a large body is written at once.
+	writePieceBytes       = 1 << 20
 	maxRetainedBatchBytes = 8 << 10
 	// writeTimeout bounds the write of one batch; for tcpUserTimeout see setTCPUserTimeout.
 	writeTimeout   = 10 * time.Second
 	tcpUserTimeout = 2 * time.Second
-	// firstFrameTimeout is how long a peer may take to send its first frame, and acceptRetryDelay the pause after a connection could not be accepted.
-	firstFrameTimeout = 10 * time.Second
-	acceptRetryDelay  = 20 * time.Millisecond
+	// acceptRetryDelay is the pause after a connection could not be accepted.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Errors of a connection.
@@ -58,7 +60,9 @@
 	closeOnce sync.Once
 	// lastReceivedNs is when a frame was last received, in Unix nanoseconds.
 	lastReceivedNs atomic.Int64
-	// isEstablished is used by the reader goroutine only.
+	// frameMemory is the memory for the frames that are received, nil for no bound. isEstablished is used by the
+	// reader goroutine only.
+	frameMemory   *FrameMemory
 	isEstablished bool
 
 	mutex    sync.Mutex
@@ -229,9 +233,13 @@
 		}
 		time.Sleep(time.Until(next.dueAt))
 	}
-	b.buffer = AppendFrame(b.buffer, next.frame)
 	b.bodyBytes += len(next.frame.Body)
 	Traffic.MessagesOut.Add(1)
+	if len(next.frame.Body) >= writeBatchBytes {
+		b.buffer = appendFrameHeader(b.buffer, next.frame)
+		return b.write(next.frame.Body)
+	}
+	b.buffer = AppendFrame(b.buffer, next.frame)
 	if len(b.buffer) >= writeBatchBytes {
 		return b.flush()
 	}
@@ -242,9 +250,20 @@
 	if len(b.buffer) == 0 {
 		return nil
 	}
-	Traffic.BytesOut.Add(int64(len(b.buffer)))
+	return b.write(nil)
+}
+
+// write writes the collected frames, followed by the body of the last one if that is not in the buffer.
+func (b *batchWriter) write(body []byte) error {
+	Traffic.BytesOut.Add(int64(len(b.buffer) + len(body)))
 	_ = b.connection.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := b.connection.socket.Write(b.buffer)
+	for err == nil && len(body) > 0 {
+		piece := body[:min(len(body), writePieceBytes)]
+		body = body[len(piece):]
+		_ = b.connection.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, err = b.connection.socket.Write(piece)
+	}
 	b.connection.queue.recordWritten(b.bodyBytes)
 	b.bodyBytes = 0
 	b.buffer = b.buffer[:0]
@@ -263,9 +282,9 @@
 		go deliverDelayed(delayed, dispatch)
 		deliver = func(frame Frame) { delayed <- queuedFrame{frame, time.Now().Add(c.delay)} }
 	}
-	reader := bufio.NewReaderSize(c.socket, readBufferBytes)
+	reader := frameReader{socket: c.socket, reader: bufio.NewReaderSize(c.socket, readBufferBytes), memory: c.frameMemory, ctx: c.context()}
 	for {
-		frame, err := ReadFrame(reader)
+		frame, err := reader.next()
 		if err != nil {
 			return
 		}
@@ -274,6 +293,9 @@
 		Traffic.BytesIn.Add(int64(len(frame.Body)) + lengthBytes)
 		Traffic.MessagesIn.Add(1)
 		deliver(frame)
+		if frame.memory != nil && !frame.memory.isRetained {
+			frame.memory.release()
+		}
 	}
 }
 
@@ -289,6 +311,13 @@
 	}
 }
 
+// context returns a context that ends with the connection.
+func (c *Connection) context() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.OnClose(cancel)
+	return ctx
+}
+
 func deliverDelayed(delayed <-chan queuedFrame, dispatch func(Frame)) {
 	for next := range delayed {
 		time.Sleep(time.Until(next.dueAt))
@@ -315,6 +344,7 @@
 type Server struct {
 	listener    *listener.Listener
 	handler     Handler
+	frameMemory *FrameMemory
 	mutex       sync.Mutex
 	connections map[*Connection]bool
 }
@@ -323,6 +353,8 @@
 type Limits struct {
 	// Connections is how many connections may be open.
 	Connections int
+	// FrameMemory is the memory for received frames, nil for no bound.
+	FrameMemory *FrameMemory
 }
 
 // unlimited are limits that tests and tools don't reach.
@@ -340,7 +372,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &Server{listener: bounded, handler: handler, connections: map[*Connection]bool{}}
+	server := &Server{listener: bounded, handler: handler, frameMemory: limits.FrameMemory, connections: map[*Connection]bool{}}
 	go server.acceptFrom(bounded)
 	return server, nil
 }
@@ -367,6 +399,7 @@
 		}
 		_ = socket.SetReadDeadline(time.Now().Add(firstFrameTimeout))
 		connection := newConnection(socket, 0)
+		connection.frameMemory = s.frameMemory
 		s.mutex.Lock()
 		s.connections[connection] = true
 		s.mutex.Unlock()
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -27,7 +27,9 @@
 	segmentBytes = 8 << 20
 	// frameHeaderBytes is the size of a frame's length (4 bytes) and checksum (8 bytes).
 	frameHeaderBytes = 12
-	maxFrameBytes    = 1 << 30
+	// maxRetainedBufferBytes is the largest buffer that is kept for the next frame.
+	maxRetainedBufferBytes = 1 << 20
+	maxFrameBytes          = 1 << 30
 	// checkpointFrameBytes is the maximum size of the entries in one frame of a checkpoint,
 	// except for a single entry that is larger.
 	checkpointFrameBytes = 256 << 10
@@ -259,7 +261,11 @@
 	body := frame[frameHeaderBytes:]
 	binary.BigEndian.PutUint32(frame[:4], uint32(len(body)))
 	binary.BigEndian.PutUint64(frame[4:], xxhash.Sum64(body))
-	return target.WriteAt(frame, offset)
+	written, err := target.WriteAt(frame, offset)
+	if j.buffer.Cap() > maxRetainedBufferBytes {
+		j.buffer = bytes.Buffer{}
+	}
+	return written, err
 }
 
 // writeCheckpoint writes all live logs at the start of a segment, and returns the length of the
