--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -280,16 +280,18 @@
 	}
 	received := time.Now()
 	release := sync.OnceFunc(frame.Retain())
+	// The event must not keep the body of the frame, which is decoded.
+	call, isLarge := frame.Call, frame.IsLarge()
 	d.loop.PostMessage(len(frame.Body), func() {
 		if request.TimeoutMs > 0 && time.Since(received).Milliseconds() > request.TimeoutMs {
 			d.expiredRequests.Add(1)
 			release()
 			return
 		}
-		if frame.IsLarge() {
+		if isLarge {
 			time.AfterFunc(maxFrameHoldTime, release)
 		}
-		d.submitRequest(connection, frame.Call, request, release)
+		d.submitRequest(connection, call, request, release)
 	})
 }
 
@@ -305,10 +307,11 @@
 // submitRequest passes a request to the core and sends and logs its reply. Then it releases the request's memory.
 func (d *Daemon) submitRequest(connection *protocol.Connection, call uint64, request *protocol.TurnRequest, release func()) {
 	started := time.Now()
+	logged := request.WithoutContent()
 	id := d.pendingReplies.Register(func(reply *protocol.TurnReply) {
 		defer release()
 		_ = connection.Reply(call, protocol.KindResponse, reply, true)
-		d.logTurn(request, reply, time.Since(started))
+		d.logTurn(logged, reply, time.Since(started))
 	})
 	d.core.HandleRequest(id, request, clock.NowMs())
 }
--- a/internal/program/turncommands.go
+++ b/internal/program/turncommands.go
@@ -72,6 +72,14 @@
 	Quota *quota.Reservation `msgpack:"q,omitempty"`
 }
 
+// ContentBytes returns the size of the content of the turn that the command stores, 0 for none.
+func (c *TurnCommand) ContentBytes() int64 {
+	if c.Settle == nil {
+		return 0
+	}
+	return int64(len(c.Settle.Content))
+}
+
 // TurnEffects are the disk writes that a command requires of the replica's host.
 type TurnEffects struct {
 	// WriteRequest is the request whose content is to be stored.
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -22,6 +22,10 @@
 	// maxPreallocatedBytes is the length up to which the memory for a frame is allocated before
 	// its bytes have arrived.
 	maxPreallocatedBytes = 64 << 10
+	// messageOverheadBytes is the usual size of a message without its contents, and contents are encoded with at
+	// most one part in contentOverheadDivisor more.
+	messageOverheadBytes   = 512
+	contentOverheadDivisor = 64
 )
 
 // ErrFrameTooLong means that a peer announced a frame longer than MaxFrameBytes.
@@ -56,9 +60,20 @@
 	return encoder
 }}
 
+// Sized is implemented by messages with contents that may be large.
+type Sized interface {
+	// ContentBytes returns the size of the contents.
+	ContentBytes() int64
+}
+
 // Encode encodes a message for the inner protocol.
 func Encode(message any) ([]byte, error) {
 	var buffer bytes.Buffer
+	if sized, ok := message.(Sized); ok {
+		// A buffer that grows takes up to three times the memory of a large message meanwhile.
+		content := int(sized.ContentBytes())
+		buffer.Grow(content + content/contentOverheadDivisor + messageOverheadBytes)
+	}
 	encoder := encoderPool.Get().(*msgpack.Encoder)
 	defer encoderPool.Put(encoder)
 	encoder.ResetWriter(&buffer)
@@ -130,13 +145,20 @@
 		}
 		return ParseFrame(body)
 	}
-	// The buffer grows as bytes arrive, so that a peer that only announces a large frame causes
+	// The buffer doubles as bytes arrive, so that a peer that only announces a large frame causes
 	// no large allocation.
-	var body bytes.Buffer
-	if _, err := io.CopyN(&body, reader, int64(size)); err != nil {
-		return Frame{}, err
+	body := make([]byte, 0, maxPreallocatedBytes)
+	for {
+		count, err := io.ReadFull(reader, body[len(body):cap(body)])
+		body = body[:len(body)+count]
+		if err != nil {
+			return Frame{}, err
+		}
+		if len(body) == int(size) {
+			return ParseFrame(body)
+		}
+		body = append(make([]byte, 0, min(2*cap(body), int(size))), body...)
 	}
-	return ParseFrame(body.Bytes())
 }
 
 // ParseFrame parses a frame in its wire form without the length prefix.
--- a/internal/protocol/fleet.go
+++ b/internal/protocol/fleet.go
@@ -157,7 +157,7 @@
 	TimeoutMs int64 `msgpack:"w,omitempty"`
 }
 
-// ContentBytes returns the size of the content of the turn that the request stores, 0 for none.
+// ContentBytes returns the size of the content of the turn that the request stores, 0 for none. It implements Sized.
 func (r *TurnRequest) ContentBytes() int64 {
 	if r.Settle == nil {
 		return 0
@@ -165,6 +165,17 @@
 	return int64(len(r.Settle.Content))
 }
 
+// WithoutContent returns a copy of the request that does not keep the content of the turn in memory.
+func (r *TurnRequest) WithoutContent() *TurnRequest {
+	copied := *r
+	if r.Settle != nil {
+		settle := *r.Settle
+		settle.Content = nil
+		copied.Settle = &settle
+	}
+	return &copied
+}
+
 // TurnReply is the reply to a TurnRequest.
 type TurnReply struct {
 	Error  *result.Error `msgpack:"e,omitempty"`
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -108,6 +108,23 @@
 	AcknowledgedBatch uint64 `msgpack:"r,omitempty"`
 }
 
+// ContentBytes implements Sized.
+func (b PeerBatch) ContentBytes() int64 {
+	total := int64(0)
+	for _, message := range b.Messages {
+		for _, entry := range message.Message.Entries {
+			total += int64(len(entry.Data))
+		}
+		if message.Message.Snapshot != nil {
+			total += int64(len(message.Message.Snapshot.Data))
+		}
+		if message.Part != nil {
+			total += int64(len(message.Part.Records))
+		}
+	}
+	return total
+}
+
 // IsBulk reports whether a batch has only parts of snapshots, which may arrive late.
 func (b *PeerBatch) IsBulk() bool {
 	for position := range b.Messages {
--- a/internal/storage/journal.go
+++ b/internal/storage/journal.go
@@ -27,6 +27,10 @@
 	segmentBytes = 8 << 20
 	// frameHeaderBytes is the size of a frame's length (4 bytes) and checksum (8 bytes).
 	frameHeaderBytes = 12
+	// recordOverheadBytes is the usual size of a frame without its entries, and entries are encoded with at most one
+	// part in entryOverheadDivisor more.
+	recordOverheadBytes  = 512
+	entryOverheadDivisor = 64
 	// maxRetainedBufferBytes is the largest buffer that is kept for the next frame.
 	maxRetainedBufferBytes = 1 << 20
 	maxFrameBytes          = 1 << 30
@@ -253,6 +257,8 @@
 func (j *journal) writeFrame(target segment, offset int64, records []journalRecord) (int, error) {
 	var header [frameHeaderBytes]byte
 	j.buffer.Reset()
+	content := contentBytes(records)
+	j.buffer.Grow(content + content/entryOverheadDivisor + recordOverheadBytes)
 	j.buffer.Write(header[:])
 	if err := msgpack.NewEncoder(&j.buffer).Encode(records); err != nil {
 		return 0, err
@@ -268,6 +274,17 @@
 	return written, err
 }
 
+// contentBytes returns the size of the entries of records.
+func contentBytes(records []journalRecord) int {
+	total := 0
+	for position := range records {
+		for _, entry := range records[position].Entries {
+			total += len(entry.Data)
+		}
+	}
+	return total
+}
+
 // writeCheckpoint writes all live logs at the start of a segment, and returns the length of the
 // checkpoint after the sync. Its last frame is empty; without that frame the checkpoint is
 // incomplete.
