--- a/internal/bytebudget/receiving_test.go
+++ b/internal/bytebudget/receiving_test.go
@@ -203,3 +203,31 @@
 		}
 	})
 }
+
+// TestReceiveBudgetSlowSenderGivesWay guards against a sender that keeps its memory for as long as it likes because it
+// sends just enough for progress.
+func TestReceiveBudgetSlowSenderGivesWay(t *testing.T) {
+	clock := &testClock{now: time.Unix(1000, 0)}
+	budget := NewReceiveBudget(1 << 20)
+	budget.now = clock.read
+	var slow *Receipt
+	gaveWay := make(chan struct{})
+	slow = budget.Receive(func() {
+		close(gaveWay)
+		go slow.Release()
+	})
+	if err := slow.Hold(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	const pieces = 40
+	for piece := range int64(pieces) {
+		clock.advance(toleratedDelay - time.Millisecond)
+		if err := slow.Progress((piece + 1) * ProgressBytes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := budget.Receive(func() {}).Hold(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	<-gaveWay
+}
--- a/internal/protocol/accept_test.go
+++ b/internal/protocol/accept_test.go
@@ -50,3 +50,43 @@
 		t.Error("no connection was accepted")
 	}
 }
+
+// TestPeersKeepTheirConnections guards against a link between processes that is closed in favor of clients that only hold
+// connections to the address of the inner protocol.
+func TestPeersKeepTheirConnections(t *testing.T) {
+	const limit = 8
+	received := make(chan struct{}, 1)
+	server, err := ListenWithin("127.0.0.1:0", Limits{Connections: limit}, func(*Connection, Frame) { received <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	peer, err := Dial(server.Address(), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	await := func() {
+		t.Helper()
+		_ = peer.SendRaw(KindPeer, []byte("x"))
+		select {
+		case <-received:
+		case <-time.After(testTimeout):
+			t.Fatal("the peer's message did not arrive")
+		}
+	}
+	await()
+	for range 4 * limit {
+		connection, err := net.Dial("tcp", server.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+	}
+	for deadline := time.Now().Add(testTimeout); server.Connections().Displaced < 3*limit; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("counts %+v", server.Connections())
+		}
+	}
+	await()
+}
--- a/internal/protocol/framememory_test.go
+++ b/internal/protocol/framememory_test.go
@@ -82,6 +82,43 @@
 	})
 }
 
+// TestFramesBeyondMemoryWait guards against a server that reads a large frame although the memory is held by another one.
+func TestFramesBeyondMemoryWait(t *testing.T) {
+	const (
+		frames = 6
+		// settleTime lets a server that does not wait read further frames.
+		settleTime = 200 * time.Millisecond
+	)
+	received := make(chan func(), frames)
+	server, err := ListenWithin("127.0.0.1:0", Limits{Connections: 64, FrameMemory: NewFrameMemory(minMemoryBytes)}, func(_ *Connection, frame Frame) {
+		received <- frame.Retain()
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	for range frames {
+		connection, err := Dial(server.Address(), 0, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		connection.CallRaw(KindTurn, make([]byte, minMemoryBytes), func(Frame) {})
+	}
+	for number := range frames {
+		select {
+		case release := <-received:
+			time.Sleep(settleTime)
+			if more := len(received); more > 0 {
+				t.Fatalf("%d frames more were read beside frame %d", more, number)
+			}
+			release()
+		case <-time.After(testTimeout):
+			t.Fatalf("frame %d was not read", number)
+		}
+	}
+}
+
 // TestFrameLongerThanMemory guards against a frame that is never read because it is longer than the memory for frames.
 func TestFrameLongerThanMemory(t *testing.T) {
 	received := make(chan int, 1)
