--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,14 @@
 // MemoryBytes returns the memory limit of the process in bytes, 0 for none.
 func (l Limits) MemoryBytes() int64 { return int64(l.MemoryMB) << 20 }
 
+// MemoryShare returns a part of the memory limit in bytes: the limit divided by divisor, or fallback if there is no limit.
+func (l Limits) MemoryShare(divisor, fallback int64) int64 {
+	if l.MemoryMB == 0 {
+		return fallback
+	}
+	return l.MemoryBytes() / divisor
+}
+
 // QuotaWindow returns the window over which tenants' rate limits are counted.
 func (l Limits) QuotaWindow() time.Duration {
 	if l.QuotaWindowSeconds == 0 {
--- a/internal/control/daemon.go
+++ b/internal/control/daemon.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{process: process, logger: logger, store: store, documentMemory: bytebudget.NewReceiveBudget(documentMemoryBytes(process.Limits)), refusalLog: rate.Sometimes{First: 1, Interval: refusalLogInterval},
+	d := &Daemon{process: process, logger: logger, store: store, documentMemory: bytebudget.NewReceiveBudget(process.Limits.MemoryShare(documentMemoryDivisor, defaultDocumentMemoryBytes)), refusalLog: rate.Sometimes{First: 1, Interval: refusalLogInterval},
 		ignoredLog: rate.Sometimes{First: 1, Interval: ignoredLogInterval}, instanceListLog: rate.Sometimes{First: 1, Interval: ignoredLogInterval}}
 	d.status.Store(&status{gatewaySelector: membership.NewGatewaySelector(nil)})
 	d.links = daemon.NewLinks(d.addressOf, d.delayOf)
@@ -168,14 +168,6 @@
 	return d, nil
 }
 
-// documentMemoryBytes returns the memory for configurations and changes of settings in progress, in bytes.
-func documentMemoryBytes(limits config.Limits) int64 {
-	if limits.MemoryMB == 0 {
-		return defaultDocumentMemoryBytes
-	}
-	return limits.MemoryBytes() / documentMemoryDivisor
-}
-
 // DocumentMemory returns what the configurations and changes of settings in progress may hold.
 func (d *Daemon) DocumentMemory() *bytebudget.ReceiveBudget { return d.documentMemory }
 
@@ -263,7 +255,7 @@
 	defer d.store.Close()
 	limits := protocol.Limits{
 		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
-		FrameMemory: protocol.NewFrameMemory(documentMemoryBytes(d.process.Limits)),
+		FrameMemory: protocol.NewFrameMemory(d.process.Limits.MemoryShare(documentMemoryDivisor, defaultDocumentMemoryBytes)),
 	}
 	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handleFrame)
 	if err != nil {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -118,8 +118,8 @@
 		engines: newEngineRegistry(process.Zone, process.Policy), waitQueues: newWaitQueues(process.Policy.Waiting, process.Policy.Disable),
 		retries:   newRetryPolicy(process.Policy.Retry, process.Policy.Disable),
 		histories: newHistoryCache(historyCacheBytes(process.Limits, process.Policy.Disable)), denials: newDenials(),
-		responseMemory: bytebudget.New(responseMemoryBytes(process.Limits)),
-		requestMemory:  bytebudget.NewReceiveBudget(requestMemoryBytes(process.Limits)),
+		responseMemory: bytebudget.New(process.Limits.MemoryShare(responseMemoryDivisor, defaultResponseMemoryBytes)),
+		requestMemory:  bytebudget.NewReceiveBudget(process.Limits.MemoryShare(requestMemoryDivisor, defaultRequestMemoryBytes)),
 		crashes:        newCrashTracker(), instance: strconv.FormatUint(rand.Uint64(), instanceBase), EngineStatusPath: DefaultEngineStatusPath,
 		serviceTimes: newServiceTimes(),
 	}
@@ -155,22 +155,6 @@
 	return (limits.MemoryMB << 20) / historyCacheDivisor
 }
 
-// responseMemoryBytes returns the memory for responses in progress, in bytes.
-func responseMemoryBytes(limits config.Limits) int64 {
-	if limits.MemoryMB == 0 {
-		return defaultResponseMemoryBytes
-	}
-	return (int64(limits.MemoryMB) << 20) / responseMemoryDivisor
-}
-
-// requestMemoryBytes returns the memory for requests in progress, in bytes.
-func requestMemoryBytes(limits config.Limits) int64 {
-	if limits.MemoryMB == 0 {
-		return defaultRequestMemoryBytes
-	}
-	return limits.MemoryBytes() / requestMemoryDivisor
-}
-
 // Follower returns the daemon's link to control. Changed settings are applied to it.
 func (d *Daemon) Follower() *daemon.Follower { return d.follower }
 
--- a/internal/ledger/daemon.go
+++ b/internal/ledger/daemon.go
@@ -26,7 +26,8 @@
 	drainTimeout      = 4 * time.Second
 	drainPollInterval = 20 * time.Millisecond
 	// The large requests in progress may hold the process's memory limit divided by frameMemoryDivisor, or
-	// defaultFrameMemoryBytes if there is no memory limit.
+	// defaultFrameMemoryBytes if there is no memory limit; as much is for the large messages of peers. Each needs
+	// several times its size until it is applied and stored.
 	frameMemoryDivisor      = 32
 	defaultFrameMemoryBytes = 64 << 20
 	// maxFrameHoldTime bounds how long a request without a reply holds its memory: its group may have been removed.
@@ -160,7 +161,7 @@
 	defer d.store.Close()
 	limits := protocol.Limits{
 		Connections: daemon.MaxConnections(d.process.Limits, daemon.PeersShare),
-		FrameMemory: protocol.NewFrameMemory(frameMemoryBytes(d.process.Limits)),
+		FrameMemory: protocol.NewFrameMemory(d.process.Limits.MemoryShare(frameMemoryDivisor, defaultFrameMemoryBytes)),
 	}
 	server, err := protocol.ListenWithin(d.process.Listen.Address, limits, d.handle)
 	if err != nil {
@@ -183,15 +184,6 @@
 	return err
 }
 
-// frameMemoryBytes returns the memory for the large requests in progress, and for the large messages of peers, in
-// bytes. Each needs several times its size until it is applied and stored.
-func frameMemoryBytes(limits config.Limits) int64 {
-	if limits.MemoryMB == 0 {
-		return defaultFrameMemoryBytes
-	}
-	return limits.MemoryBytes() / frameMemoryDivisor
-}
-
 // drain starts the leadership transfers and waits until this process leads no group, for at most
 // drainTimeout.
 func (d *Daemon) drain(ctx context.Context) {
--- a/internal/protocol/framememory.go
+++ b/internal/protocol/framememory.go
@@ -62,19 +62,24 @@
 	reader *bufio.Reader
 	// memory is nil for no bound.
 	memory *FrameMemory
-	// ctx ends when the server closes.
+	// ctx ends with the connection.
 	ctx context.Context
 }
 
 // next reads the next frame.
 func (r *frameReader) next() (Frame, error) {
 	size, err := readFrameLength(r.reader)
-	if err != nil || r.memory == nil || size <= maxPreallocatedBytes {
-		if err != nil {
-			return Frame{}, err
-		}
+	if err != nil {
+		return Frame{}, err
+	}
+	if r.memory == nil || size <= maxPreallocatedBytes {
 		return readFrameBody(r.reader, size)
 	}
+	return r.nextLarge(size)
+}
+
+// nextLarge reads a frame that holds memory for frames, once there is memory for it.
+func (r *frameReader) nextLarge(size uint32) (Frame, error) {
 	_ = r.socket.SetReadDeadline(time.Now().Add(frameTimeout))
 	header, err := r.reader.Peek(frameHeaderBytes)
 	if err != nil {
