--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -19,6 +19,8 @@
 	element *list.Element
 	// unaccountedBytes is how much has arrived since the last progress.
 	unaccountedBytes int
+	// isIdle is true between the response to a request and the first bytes of the next one.
+	isIdle bool
 	// awaitsBody is true while a handler reads the body of a request.
 	awaitsBody bool
 	// bodyDeadline bounds the time until the body has arrived, the zero time for no bound, and stallTimeout the
@@ -43,10 +45,13 @@
 	c.listener.mutex.Lock()
 	defer c.listener.mutex.Unlock()
 	c.unaccountedBytes += count
-	if c.element == nil || c.isDisplaced || c.unaccountedBytes < progressBytes {
+	if c.element == nil || c.isDisplaced {
 		return
 	}
-	c.recordProgressLocked()
+	if c.isIdle || c.unaccountedBytes >= progressBytes {
+		c.isIdle = false
+		c.recordProgressLocked()
+	}
 }
 
 func (c *Conn) recordProgressLocked() {
@@ -129,6 +134,7 @@
 		return
 	}
 	c.awaitsBody = false
+	c.isIdle = true
 	c.unaccountedBytes = 0
 	if c.element == nil {
 		c.element = c.listener.waiting.PushBack(c)
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -344,6 +344,45 @@
 	}
 }
 
+// TestIdleConnectionBeginsAnew guards against a client that has kept its connection for a next request and loses it as soon
+// as that request begins, because others have come since.
+func TestIdleConnectionBeginsAnew(t *testing.T) {
+	server, err := newTestServer(minConnections, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.close()
+	var clients []*testClient
+	for number := range minConnections {
+		client, err := server.dial()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.connection.Close()
+		clients = append(clients, client)
+		if number == 0 {
+			client.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			if status := client.status(); status != http.StatusOK {
+				t.Fatalf("the first request: status %d", status)
+			}
+		}
+		eventually(t, "the connection to be accepted", func() bool { return server.listener.Counts().Open > number })
+	}
+	kept := clients[0]
+	kept.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	eventually(t, "the body to begin", func() bool { return server.bytesRead.Load() == 1 })
+	newcomer, err := server.dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer newcomer.connection.Close()
+	eventually(t, "a connection to be displaced", func() bool { return server.listener.Counts().Displaced == 1 })
+	kept.send("x")
+	if status := kept.status(); status != http.StatusOK {
+		t.Errorf("the next request of the client that was idle: status %d", status)
+	}
+}
+
 // TestEstablishedConnectionsStay guards against links between processes that are closed in favor of clients that only
 // hold connections.
 func TestEstablishedConnectionsStay(t *testing.T) {
