--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -174,7 +174,11 @@
 }
 
 func (g *gatewayFixture) send(path, id string, headers ...string) (*http.Response, string, error) {
-	request, err := http.NewRequest("POST", g.server.URL+path, strings.NewReader("in"))
+	return g.sendBody(path, id, "in", headers...)
+}
+
+func (g *gatewayFixture) sendBody(path, id, content string, headers ...string) (*http.Response, string, error) {
+	request, err := http.NewRequest("POST", g.server.URL+path, strings.NewReader(content))
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/gateway/responseends_test.go
+++ b/internal/gateway/responseends_test.go
@@ -47,18 +47,23 @@
 
 // request sends a request to an engine that has not failed before and responds as given.
 func (f *rawFixture) request(path string, response rawResponse, headers ...string) rawResult {
-	registry := f.gateway.engines
-	registry.mutex.Lock()
-	registry.healthOf(f.engine.id).RecordSuccess()
-	registry.mutex.Unlock()
 	f.engine.mutex.Lock()
 	f.response = response
 	f.engine.mutex.Unlock()
+	return f.requestBody(path, f.engine.id, "in", headers...)
+}
+
+// requestBody sends a request with a body, which goes to the engine of the fleet.
+func (f *rawFixture) requestBody(path, engineID, content string, headers ...string) rawResult {
+	registry := f.gateway.engines
+	registry.mutex.Lock()
+	registry.healthOf(engineID).RecordSuccess()
+	registry.mutex.Unlock()
 	f.requests++
 	result := rawResult{id: fmt.Sprint("request-", f.requests)}
 	// Each request is one of a program of its own, and not a further try of the one before.
 	headers = append(append([]string{"Ochrebay-Program", "program-" + result.id}, headers...), budgetHeaders...)
-	received, body, err := f.send(path, result.id, headers...)
+	received, body, err := f.sendBody(path, result.id, content, headers...)
 	result.body, result.err = body, err
 	if received != nil {
 		result.status = received.StatusCode
@@ -69,11 +74,13 @@
 		return strings.Contains(f.logged.String(), served) || strings.Contains(f.logged.String(), failed)
 	})
 	result.isServed = strings.Contains(f.logged.String(), served)
-	So(result.isServed != strings.Contains(f.logged.String(), failed), ShouldBeTrue)
+	if result.isServed == strings.Contains(f.logged.String(), failed) {
+		panic(fmt.Sprintf("request %s has not one line of its end: %s", result.id, f.logged.String()))
+	}
 	f.logged.reset()
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
-	result.isEngineSuspect = registry.healthOf(f.engine.id).IsSuspect(anyTimeMs)
+	result.isEngineSuspect = registry.healthOf(engineID).IsSuspect(anyTimeMs)
 	return result
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -83,7 +83,9 @@
 	written      chan struct{}
 	writeErr     error
 	bodyComplete bool
-	closed       bool
+	// endErr is ErrEndUnconfirmed once a close-delimited body has ended so.
+	endErr error
+	closed bool
 }
 
 // Pool holds idle connections by address.
@@ -349,15 +351,30 @@
 func (e *Exchange) ConnectionOpenedAt() time.Time { return e.connection.openedAt }
 
 // Read reads the body of the response. io.EOF means that the body has ended as its framing says. A
-// close-delimited body ends so as well if the engine ended before it was complete.
+// close-delimited body ends so as well if the engine's process ended before the body was complete and after it
+// had read the whole request. The error wraps ErrEndUnconfirmed if the connection was lost.
 func (e *Exchange) Read(into []byte) (int, error) {
+	if e.endErr != nil {
+		return 0, e.endErr
+	}
 	count, err := e.Response.Body.Read(into)
-	if errors.Is(err, io.EOF) {
-		e.bodyComplete = true
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	if e.endsWithConnection() {
+		if e.endErr = e.confirmEnd(endConfirmationTimeout); e.endErr != nil {
+			return count, e.endErr
+		}
 	}
+	e.bodyComplete = true
 	return count, err
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body. A response to HEAD has none.
+func (e *Exchange) endsWithConnection() bool {
+	return e.Framing() == CloseDelimited && e.Response.Body != http.NoBody
+}
+
 // HasEnded reports whether the body of the response has ended as its framing says, with its connection
 // still open.
 func (e *Exchange) HasEnded() bool { return e.bodyComplete && e.Framing() != CloseDelimited }
@@ -371,15 +388,7 @@
 	e.closed = true
 	// If the cancellation has already started, the socket is closed or about to be closed.
 	reusable := e.stopCancellation() && e.bodyComplete && e.Response != nil && !e.Response.Close && e.Framing() != CloseDelimited
-	if reusable {
-		select {
-		case <-e.written:
-			reusable = e.writeErr == nil
-		default:
-			reusable = false
-		}
-	}
-	if e.connection.isOutOfSync || len(e.connection.sentIDs) >= maxConnectionRequests {
+	if !e.isWritten() || e.connection.isOutOfSync || len(e.connection.sentIDs) >= maxConnectionRequests {
 		reusable = false
 	}
 	if !reusable || e.connection.reader.Buffered() > 0 {
