--- a/internal/gateway/rawengine_test.go
+++ b/internal/gateway/rawengine_test.go
@@ -48,6 +48,8 @@
 	headSent int
 	// hasBareLineFeeds ends the lines of the head with LF alone, and isAfterInterim sends an interim response before.
 	hasBareLineFeeds, isAfterInterim bool
+	// alter, if not nil, changes the whole response before it is sent.
+	alter func(whole string) string
 }
 
 // wholeResponse returns an event stream that is sent in full.
@@ -74,7 +76,11 @@
 	if r.headSent > 0 {
 		head, body = head[:r.headSent], ""
 	}
-	_, _ = io.WriteString(connection, head+body)
+	whole := head + body
+	if r.alter != nil {
+		whole = r.alter(whole)
+	}
+	_, _ = io.WriteString(connection, whole)
 }
 
 // encode returns the head and the body of the response as they are sent.
--- /dev/null
+++ b/internal/responsehead/responsehead.go
@@ -0,0 +1,101 @@
+// Package responsehead decides which bytes are the head of an HTTP/1.x response (RFC 9112). The parser of the standard
+// library accepts more: it takes any three characters that are a number for a status, and blanks within the names of
+// fields, whose lines it then drops. A head is therefore checked as it was received.
+package responsehead
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+)
+
+// ErrInvalid means that a head is not the head of a response. Nothing in it may be relied upon, neither the ID nor the
+// framing of the body.
+var ErrInvalid = errors.New("responsehead: invalid head of a response")
+
+const (
+	// maxQuotedBytes bounds how much of a faulty line an error quotes.
+	maxQuotedBytes = 64
+	statusDigits   = 3
+	minStatus      = 100
+	maxStatus      = 599
+	versionPrefix  = "HTTP/1."
+)
+
+// statusLine matches the beginning of a response (RFC 9112, section 4).
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// Check returns ErrInvalid unless the bytes, up to and with the blank line, are the head of a response that a request
+// without an upgrade may get. Lines may end with LF alone, and field lines may be folded (sections 2.2 and 5.2). It
+// does not parse the values of fields: the parser does that.
+func Check(head []byte) error {
+	line, _ := cutLine(head)
+	_, _, err := parseStatusLine(line)
+	return err
+}
+
+// cutLine returns the first line without its end, and what follows it.
+func cutLine(text []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(text, []byte{'\n'})
+	return bytes.TrimSuffix(line, []byte{'\r'}), rest
+}
+
+// parseStatusLine returns the minor version of HTTP/1.x, a digit, and the status (RFC 9112, section 4).
+func parseStatusLine(line []byte) (minorVersion byte, status int, err error) {
+	invalid := func(what string) (byte, int, error) { return 0, 0, invalidLine(what, line) }
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	digit, isHTTP := bytes.CutPrefix(version, []byte(versionPrefix))
+	if !isHTTP || len(digit) != 1 || !isDigit(digit[0]) {
+		return invalid("version")
+	}
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	if len(code) != statusDigits {
+		return invalid("status")
+	}
+	for _, character := range code {
+		if !isDigit(character) {
+			return invalid("status")
+		}
+		status = status*10 + int(character-'0')
+	}
+	if status < minStatus || status > maxStatus {
+		return invalid("status")
+	}
+	if status == http.StatusSwitchingProtocols {
+		return invalid("change of protocols that no request asked for")
+	}
+	if !isFieldContent(reason) {
+		return invalid("reason phrase")
+	}
+	if containsResponse(reason) {
+		return invalid("response within the head of another one")
+	}
+	return digit[0], status, nil
+}
+
+// containsResponse reports whether a response begins within a part of a head, as when the engine breaks off a response
+// within its head and goes on with the next one: the status would be that of the first response, and the ID that of the
+// second one.
+func containsResponse(part []byte) bool {
+	return bytes.Contains(part, []byte(versionPrefix)) && statusLine.Match(part)
+}
+
+func invalidLine(what string, line []byte) error {
+	return fmt.Errorf("%w: %s: %q", ErrInvalid, what, line[:min(len(line), maxQuotedBytes)])
+}
+
+func isDigit(character byte) bool { return '0' <= character && character <= '9' }
+
+// isFieldContent reports whether bytes may stand in a value or in a reason phrase: no control bytes but tabs (RFC 9110,
+// section 5.5).
+func isFieldContent(content []byte) bool {
+	const del = 0x7f
+	for _, character := range content {
+		if character < ' ' && character != '\t' || character == del {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -1,10 +1,14 @@
 package upstream
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
+
+	"github.com/ochrebay/ochrebay/internal/responsehead"
 )
 
 const (
@@ -33,6 +37,8 @@
 	// of reading more.
 	remaining int64
 	exceeded  error
+	// received, if it is not nil, gets a copy of what is read.
+	received *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -45,15 +51,35 @@
 	}
 	count, err := r.source.Read(into[:min(int64(len(into)), r.remaining)])
 	r.remaining -= int64(count)
+	if r.received != nil {
+		r.received.Write(into[:count])
+	}
 	return count, err
 }
 
-// readHead reads the head of the next response, at most maxHeadBytes of it.
+// headBuffers holds buffers for heads as they were received.
+var headBuffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+// readHead reads the head of the next response, at most maxHeadBytes of it. The error wraps responsehead.ErrInvalid if
+// the parser has accepted what is no head of a response.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
-	c.bounded.remaining, c.bounded.exceeded = maxHeadBytes, errHeadTooLong
+	received := headBuffers.Get().(*bytes.Buffer)
+	defer headBuffers.Put(received)
+	received.Reset()
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	received.Write(buffered)
+	c.bounded.remaining, c.bounded.exceeded, c.bounded.received = maxHeadBytes, errHeadTooLong, received
 	response, err := http.ReadResponse(c.reader, request)
-	c.bounded.remaining = noBound
-	return response, err
+	c.bounded.remaining, c.bounded.received = noBound, nil
+	if err != nil {
+		return nil, err
+	}
+	// What the parser has not read belongs to the body.
+	received.Truncate(received.Len() - c.reader.Buffered())
+	if err := responsehead.Check(received.Bytes()); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
 
 // discardBody reads and discards the body of a response, at most maxStrayBodyBytes of it.
