--- a/internal/gateway/invalidheads_test.go
+++ b/internal/gateway/invalidheads_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"github.com/ochrebay/ochrebay/internal/upstream"
 )
@@ -96,6 +97,34 @@
 	}
 }
 
+// TestInvalidFieldLines guards against a response whose head has an invalid name of a field, and that a caller gets as an
+// answer, without that line or with a body that is not the engine's.
+func TestInvalidFieldLines(t *testing.T) {
+	for _, path := range earlyPaths {
+		Convey("on route "+path, t, func() {
+			fixture := newHeadFixture(t)
+			for _, line := range []string{
+				"X A: b", "X-A : b", "X-A\t: b", "X\tA: b", " X-A", "X\x00A: b", "X\x01A: b", "X\x7fA: b", "X\rA: b", "X\xffA: b", "X(A): b", "\"X\": b", ": b", "X", "X-A: \x00", "X-A: \r",
+				"Content-Length : 3", "Content Length: 3", "Content-Length\t: 3", "Transfer-Encoding : chunked", "Transfer Encoding: chunked", "Ochrebay-Request : 1",
+			} {
+				violation := fixture.check(path, replaced("\r\n"+typeField, "\r\n"+line+"\r\n"+typeField))
+				So(fmt.Sprintf("%q: %s", line, violation), ShouldEndWith, ": ")
+			}
+			for old, replacement := range map[string]string{
+				idField: "Ochrebay-Request :", signatureField: "Ochrebay-Signature :", typeField: "Content Type:", "Content-Length:": "Content-Length :",
+				"HTTP/1.1 200 OK\r\n": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n",
+			} {
+				violation := fixture.check(path, replaced(old, replacement))
+				So(fmt.Sprintf("%q in place of %q: %s", replacement, old, violation), ShouldEndWith, ": ")
+			}
+			for _, head := range []string{"HTTP/1.1 103 Early Hints\r\nContent-Length: 3", "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked"} {
+				violation := fixture.check(path, smuggled(head))
+				So(fmt.Sprintf("%q before a response: %s", head, violation), ShouldEndWith, ": ")
+			}
+		})
+	}
+}
+
 // TestUnusualHeadsPass guards against a check of heads that rejects what RFC 9112 allows, or lets a recipient read.
 func TestUnusualHeadsPass(t *testing.T) {
 	for _, path := range earlyPaths {
@@ -117,3 +146,30 @@
 		})
 	}
 }
+
+// TestInvalidHeadsProperty guards against a byte at any place of a head that no head may contain there, and with which a
+// caller gets an answer.
+func TestInvalidHeadsProperty(t *testing.T) {
+	fixture := newHeadFixture(t)
+	rapid.Check(t, func(rt *rapid.T) {
+		path := rapid.SampledFrom(earlyPaths).Draw(rt, "path")
+		isInName := rapid.Bool().Draw(rt, "in a name")
+		wrong := rapid.SampledFrom([]string{"\x00", "\x01", "\x08", "\x0b", "\x1f", "\x7f", "\r."}).Draw(rt, "byte")
+		if isInName {
+			wrong = rapid.SampledFrom([]string{wrong, " ", "\t", "/", "(", "@", "\x80", "\xff"}).Draw(rt, "byte of a name")
+		}
+		place := rapid.IntRange(0, 1<<10).Draw(rt, "place")
+		field := rapid.SampledFrom([]string{idField, signatureField, typeField, "Content-Length:"}).Draw(rt, "field")
+		alter := func(whole string) string {
+			at := place % (strings.Index(whole, "\r\n\r\n") + 1)
+			if isInName {
+				// A blank before the name would make the line a folded one.
+				at = strings.Index(whole, field) + 1 + place%(len(field)-1)
+			}
+			return whole[:at] + wrong + whole[at:]
+		}
+		if violation := fixture.check(path, alter); violation != "" {
+			rt.Fatal(violation)
+		}
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,10 +8,8 @@
 	"io"
 	"net"
 	"net/http"
-	"regexp"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -290,9 +288,6 @@
 		if err != nil {
 			return err
 		}
-		if containsStatusLine(response) {
-			return errors.New("upstream: a response begins within the head of another one")
-		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -328,25 +323,6 @@
 	return e.connection.discardBody(stray)
 }
 
-// statusLine matches the beginning of a response (RFC 9112, section 4).
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
-
-// containsStatusLine reports whether the head of a response contains the beginning of another one, as when the
-// engine breaks off a response within its head and goes on with the next one: the status would be that of the
-// first response, and the ID that of the second one.
-func containsStatusLine(response *http.Response) bool {
-	_, reason, _ := strings.Cut(response.Status, " ")
-	if statusLine.MatchString(reason) {
-		return true
-	}
-	for _, values := range response.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
-			return true
-		}
-	}
-	return false
-}
-
 // ConnectionOpenedAt returns when the connection of the exchange was opened.
 func (e *Exchange) ConnectionOpenedAt() time.Time { return e.connection.openedAt }
 
