--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,44 +7,35 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
 const (
-	dialTimeout         = time.Second
-	controlCallTimeout  = 3 * time.Second
-	maxIdleConnsPerHost = 64
-	maxStateBytes       = 16 << 20
-	maxEventBytes       = 1 << 20
-	maxHeaderBytes      = 64 << 10
+	dialTimeout        = time.Second
+	controlCallTimeout = 3 * time.Second
+	maxStateBytes      = 16 << 20
+	maxEventBytes      = 1 << 20
 	// maxReplyBytes bounds the body of a reply to an order, which is empty.
 	maxReplyBytes = 64 << 10
 )
 
 // Client is an HTTP client for engines. It uses the standard library's HTTP
 // client because a stream is cancelled by closing its connection, which
-// fasthttp's client does not support (docs/design/0002).
+// fasthttp's client does not support (docs/design/0002), over the gateways'
+// transport, because that of the library accepts heads that are none.
 type Client struct {
 	httpClient *http.Client
 }
 
 // NewClient returns a client that keeps idle connections to engines open for reuse.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{httpClient: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}}}
+	return &Client{httpClient: &http.Client{Transport: upstream.NewTransport(dialTimeout)}}
 }
 
 // CompletionOutcome holds the token usage of a completion request, whether the
@@ -83,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the transport cannot retry a request on its own: a
+	// Without GetBody the client cannot send the request again after a redirect: a
 	// non-repeatable request must be sent at most once.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
@@ -92,8 +83,7 @@
 
 // failedBeforeSending reports whether err proves that no part of the request was sent.
 func failedBeforeSending(err error) bool {
-	var opError *net.OpError
-	return errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &opError) && opError.Op == "dial")
+	return errors.Is(err, upstream.ErrNotSent)
 }
 
 func readError(response *http.Response) *result.Error {
@@ -165,6 +155,9 @@
 		return state, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return state, readError(response)
+	}
 	raw, err := io.ReadAll(io.LimitReader(response.Body, maxStateBytes))
 	if err != nil {
 		return state, err
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -1,8 +1,10 @@
 package engine
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -46,3 +48,54 @@
 		So(text, ShouldEqual, "a")
 	})
 }
+
+// TestBrokenAnswersToControlCalls guards against an answer that is none, or a failure, and that counts as an engine's
+// state, as its acknowledgement of an order, or as a statement that a request was not run.
+func TestBrokenAnswersToControlCalls(t *testing.T) {
+	const notRun = `{"name":"e","error":{"code":1303,"message":"no","outcome":"not_run"}}`
+	for _, head := range []string{
+		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/9.9 200 OK\r\n", "HTTP/1.1 200 OK\r\nX A: b\r\n", "HTTP/1.1 503 No\r\nX : b\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 200 OK\r\nX\x00A: b\r\n",
+	} {
+		Convey(fmt.Sprintf("%q", head), t, func() {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			defer listener.Close()
+			go func() {
+				for {
+					connection, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					request, err := http.ReadRequest(bufio.NewReader(connection))
+					if err == nil {
+						_, _ = io.Copy(io.Discard, request.Body)
+						_, _ = fmt.Fprintf(connection, "%sContent-Length: %d\r\n\r\n%s", head, len(notRun), notRun)
+					}
+					_ = connection.Close()
+				}
+			}()
+			client, address := NewClient(), listener.Addr().String()
+			_, err = client.State(t.Context(), address, true)
+			So(err, ShouldNotBeNil)
+			So(client.SendOrder(t.Context(), address, Order{}), ShouldNotBeNil)
+			outcome := client.Complete(t.Context(), address, CompletionRequest{}, func(string) {})
+			So(outcome.Err, ShouldNotBeNil)
+			So(outcome.MayHaveStarted, ShouldBeTrue)
+		})
+	}
+	Convey("a failure is no state", t, func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_, _ = io.WriteString(w, notRun)
+		}))
+		defer server.Close()
+		_, err := NewClient().State(t.Context(), server.Listener.Addr().String(), true)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("a request to an address without a listener did not start", t, func() {
+		outcome := NewClient().Complete(t.Context(), "127.0.0.1:1", CompletionRequest{}, func(string) {})
+		So(outcome.Err, ShouldNotBeNil)
+		So(outcome.MayHaveStarted, ShouldBeFalse)
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,9 +49,12 @@
 	HasBody bool
 	// ID is the request ID that the response must repeat in the header IDHeader. A response without an ID may
 	// belong to a request without one, or to none. Such a request is sent on a connection of its own, unless it
-	// is a probe.
+	// is a probe, or matched by its order.
 	ID       string
 	IDHeader string
+	// MatchesByOrder means that a request without an ID may be sent on a connection that is used again: the peer is
+	// trusted to send one response to each request.
+	MatchesByOrder bool
 	// NeedsNewConnection means that the request is sent on a connection of its own, which reaches the process that
 	// accepts at the address now.
 	NeedsNewConnection bool
@@ -112,9 +115,9 @@
 // acquire returns a usable idle connection on which no request with this ID was sent, or a new one.
 // Invariant: an ID is sent only once on a connection. Otherwise a late copy of the response to the first
 // request with the ID would be taken for the response to the second one. A request without an ID gets a new
-// connection.
+// connection, unless it is matched by its order.
 func (p *Pool) acquire(ctx context.Context, address string, request *Request) (*connection, error) {
-	for request.ID != "" && !request.NeedsNewConnection {
+	for (request.ID != "" || request.MatchesByOrder) && !request.NeedsNewConnection {
 		idle := p.popIdle(address, func(candidate *connection) bool { return !candidate.hasSent(request.ID) })
 		if idle == nil {
 			return p.dial(ctx, address)
@@ -200,7 +203,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if request.ID == "" {
+	if request.ID == "" && !request.MatchesByOrder {
 		acquired.isOutOfSync = true
 	}
 	return p.exchange(ctx, address, acquired, request)
