--- a/cmd/ochrebay/operator.go
+++ b/cmd/ochrebay/operator.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -13,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/ochrebay/ochrebay/internal/result"
+	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
 const operatorTimeout = 15 * time.Second
@@ -60,7 +64,7 @@
 	}
 	var lastErr error
 	for _, target := range targets {
-		response, status, err := httpRequest(method, "http://"+target+path, body)
+		response, status, err := httpRequest(method, "http://"+target+path, body, operatorTimeout)
 		if err != nil {
 			lastErr = err
 			continue
@@ -81,18 +85,21 @@
 	return nil, fmt.Errorf("ochrebay: no control process answered the request: %w", lastErr)
 }
 
-func httpRequest(method, url string, body []byte) ([]byte, int, error) {
-	request := fasthttp.AcquireRequest()
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI(url)
-	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, operatorTimeout); err != nil {
+// httpRequest sends a request to a process and returns the body and the status of the response.
+func httpRequest(method, url string, body []byte, timeout time.Duration) ([]byte, int, error) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	client := http.Client{Timeout: timeout, Transport: upstream.NewTransport(timeout)}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
 		return nil, 0, err
 	}
-	return append([]byte(nil), response.Body()...), response.StatusCode(), nil
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	return content, response.StatusCode, err
 }
 
 // callAndPrint sends a request and prints the response, as JSON or as the table that print writes.
--- a/cmd/ochrebay/plan.go
+++ b/cmd/ochrebay/plan.go
@@ -100,6 +100,6 @@
 }
 
 func isReady(address string) bool {
-	status, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/readyz", readyTimeout)
+	_, status, err := httpRequest(fasthttp.MethodGet, "http://"+address+"/readyz", nil, readyTimeout)
 	return err == nil && status == fasthttp.StatusOK
 }
--- a/cmd/ochrebay/tenants.go
+++ b/cmd/ochrebay/tenants.go
@@ -73,7 +73,7 @@
 }
 
 func fetchView(address, path string, target any) error {
-	body, status, err := httpRequest(fasthttp.MethodGet, "http://"+address+path, nil)
+	body, status, err := httpRequest(fasthttp.MethodGet, "http://"+address+path, nil, operatorTimeout)
 	if err != nil {
 		return err
 	}
