--- a/internal/control/platformlist_test.go
+++ b/internal/control/platformlist_test.go
@@ -1,11 +1,18 @@
 package control
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/ochrebay/ochrebay/internal/membership"
+	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
 const usableInstance = `{"name":"e1","zone":"z","address":"10.0.0.1:1","pool":"p","leaving":true}`
@@ -43,3 +50,62 @@
 		}
 	})
 }
+
+// TestPlatformListOfABrokenAnswer guards against an answer of the platform that is none, a failure, or without end, and
+// that replaces the list of instances.
+func TestPlatformListOfABrokenAnswer(t *testing.T) {
+	const list = `{"instances":[` + usableInstance + `]}`
+	fetch := func(answer func(connection net.Conn)) ([]membership.Instance, error) {
+		platform, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer platform.Close()
+		go func() {
+			connection, err := platform.Accept()
+			if err != nil {
+				return
+			}
+			defer connection.Close()
+			_, _ = http.ReadRequest(bufio.NewReader(connection))
+			answer(connection)
+		}()
+		client := &http.Client{Transport: upstream.NewTransport(platformTimeout)}
+		instances, _, err := fetchInstances(client, platform.Addr().String())
+		return instances, err
+	}
+	Convey("a whole list is read", t, func() {
+		instances, err := fetch(func(connection net.Conn) { _, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n"+list) })
+		So(err, ShouldBeNil)
+		So(len(instances), ShouldEqual, 1)
+	})
+	for _, head := range []string{
+		"HTTP/1.1 500 Internal Server Error\r\n", "HTTP/1.1 404 Not Found\r\n", "HTTP/1.1 000 OK\r\n", "HTTP/9.9 200 OK\r\n", "HTTP/1.1 200 OK\r\nX A: b\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 99\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n",
+	} {
+		Convey(fmt.Sprintf("%q is an error", head), t, func() {
+			for _, body := range []string{list, `{"error":{}}`} {
+				_, err := fetch(func(connection net.Conn) { _, _ = io.WriteString(connection, head+"\r\n"+body) })
+				So(err, ShouldNotBeNil)
+			}
+		})
+	}
+	Convey("a list without end is read up to its bound", t, func() {
+		sent := 0
+		done := make(chan struct{})
+		_, err := fetch(func(connection net.Conn) {
+			defer close(done)
+			_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\n{\"instances\":[")
+			chunk := []byte(strings.Repeat(usableInstance+",", 1<<10))
+			for sent < 8*maxInstanceListBytes {
+				written, err := connection.Write(chunk)
+				sent += written
+				if err != nil {
+					return
+				}
+			}
+		})
+		<-done
+		So(err, ShouldNotBeNil)
+		So(err.Error(), ShouldContainSubstring, "more than")
+		So(sent, ShouldBeLessThan, 4*maxInstanceListBytes)
+	})
+}
--- a/internal/control/web.go
+++ b/internal/control/web.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -17,13 +18,13 @@
 	"github.com/ochrebay/ochrebay/internal/bytebudget"
 	"github.com/ochrebay/ochrebay/internal/daemon"
 	"github.com/ochrebay/ochrebay/internal/listener"
-	"github.com/ochrebay/ochrebay/internal/membership"
 	"github.com/ochrebay/ochrebay/internal/program"
 	"github.com/ochrebay/ochrebay/internal/protocol"
 	"github.com/ochrebay/ochrebay/internal/requestbody"
 	"github.com/ochrebay/ochrebay/internal/result"
 	"github.com/ochrebay/ochrebay/internal/settings"
 	"github.com/ochrebay/ochrebay/internal/telemetry"
+	"github.com/ochrebay/ochrebay/internal/upstream"
 )
 
 const (
@@ -302,6 +303,7 @@
 	if d.process.PlatformAddress == "" {
 		return nil
 	}
+	client := &http.Client{Timeout: platformTimeout, Transport: upstream.NewTransport(platformTimeout)}
 	ticker := time.NewTicker(platformPollInterval)
 	defer ticker.Stop()
 	for {
@@ -320,12 +322,7 @@
 				continue
 			}
 		}
-		_, body, err := fasthttp.GetTimeout(nil, "http://"+d.process.PlatformAddress+"/v1/instances", platformTimeout)
-		var instances []membership.Instance
-		unusable := 0
-		if err == nil {
-			instances, unusable, err = parseInstances(body)
-		}
+		instances, unusable, err := fetchInstances(client, d.process.PlatformAddress)
 		if err != nil {
 			telemetry.Warn(d.logger, "could not read the platform's list of instances", "err", err)
 			continue
