--- a/internal/workload/closed.go
+++ b/internal/workload/closed.go
@@ -171,6 +171,12 @@
 			}
 		}
 		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			return nil, fmt.Errorf("workload: %s answered with status %d to a request for metrics", address, response.StatusCode)
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, err
+		}
 		counts = append(counts, count)
 	}
 	return counts, nil
