--- a/internal/gateway/takeups_test.go
+++ b/internal/gateway/takeups_test.go
@@ -16,9 +16,14 @@
 // replaceGateway kills the gateway and starts one that remembers nothing. Its first view has the engines of today
 // and the ledger of before.
 func (f *streamingFleet) replaceGateway() {
+	f.fixture.server.CloseClientConnections()
+	f.addGateway(maps.Clone(f.fixture.gateway.view.Load().fleet.Engines))
+}
+
+// addGateway makes another gateway the one that is sent to. It knows the given engines, and has the ledger of the one
+// before.
+func (f *streamingFleet) addGateway(engines map[string]membership.ServingEngine) {
 	before := f.fixture
-	engines := maps.Clone(before.gateway.view.Load().fleet.Engines)
-	before.server.CloseClientConnections()
 	f.fixture = newGatewayFixture(f.t, func(w http.ResponseWriter, _ *http.Request) { respondNotRun(w) })
 	f.fixture.ledger = before.ledger
 	view := *f.fixture.gateway.view.Load().fleet
@@ -110,3 +115,62 @@
 		t.Error("no stream was taken up")
 	}
 }
+
+// TestStreamsTakenUpAtAGatewayOutOfStep guards against a stream that began at an engine of a new software version, is
+// taken up at a gateway that does not know all engines of that version yet, and goes on at another one.
+func TestStreamsTakenUpAtAGatewayOutOfStep(t *testing.T) {
+	rejected, takenUp := 0, 0
+	rapid.Check(t, func(draw *rapid.T) {
+		fleet := newStreamingFleet(t)
+		fleet.fixture.ledger.recordStreams(answerAll)
+		for number := range rapid.IntRange(1, 3).Draw(draw, "engines of v1") {
+			fleet.addEngine(fmt.Sprint("old-", number), "v1", 0)
+		}
+		staleView := maps.Clone(fleet.fixture.gateway.view.Load().fleet.Engines)
+		for number := range rapid.IntRange(1, 3).Draw(draw, "engines of v2") {
+			fleet.addEngine(fmt.Sprint("new-", number), "v2", rapid.IntRange(1, versionedStreamEvents-1).Draw(draw, "breaks after"))
+		}
+		for id := range staleView {
+			fleet.avoid(id)
+		}
+		_, begun, _ := fleet.fixture.send("/resumable/", "r1", "Ochrebay-Session", "s1")
+		events := strings.Count(begun, "data:")
+		if len(versionsIn(begun)) > 1 {
+			draw.Fatalf("the stream is joined from %v", versionsIn(begun))
+		}
+		if events == versionedStreamEvents {
+			// Its gateway resumed it to its end.
+			return
+		}
+		fleet.addEngine("whole-new", "v2", 0)
+		joined := fleet.fixture.gateway.view.Load().fleet.Engines
+		knowsOne := rapid.Bool().Draw(draw, "knows an engine of v2")
+		if knowsOne {
+			staleView["whole-new"] = joined["whole-new"]
+		}
+		fleet.addGateway(staleView)
+		headers := []string{"Ochrebay-Session", "s1", "Last-Event-Id", fmt.Sprint(events)}
+		if rapid.Bool().Draw(draw, "names the stream") {
+			headers = append(headers, "Ochrebay-Takes-Up", "r1")
+		}
+		runs := len(fleet.engineRuns())
+		response, body, err := fleet.fixture.send("/resumable/", "r2", headers...)
+		if err != nil {
+			draw.Fatal(err)
+		}
+		if response.StatusCode == http.StatusOK {
+			takenUp++
+			if !knowsOne || !slices.Equal(versionsIn(body), versionsIn(begun)) {
+				draw.Fatalf("a stream of %v went on at %v", versionsIn(begun), versionsIn(body))
+			}
+			return
+		}
+		rejected++
+		if response.StatusCode != http.StatusServiceUnavailable || knowsOne || len(fleet.engineRuns()) != runs {
+			draw.Fatalf("status %d, %d engines ran it, knows an engine of v2: %t", response.StatusCode, len(fleet.engineRuns())-runs, knowsOne)
+		}
+	})
+	if rejected == 0 || takenUp == 0 {
+		t.Errorf("%d rejected, %d taken up", rejected, takenUp)
+	}
+}
