--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -60,15 +60,29 @@
 // headBuffers holds buffers for heads as they were received.
 var headBuffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
 
+// awaitByte waits until a byte of a response can be read.
+func (c *connection) awaitByte() error {
+	_, err := c.reader.Peek(1)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // readHead reads the head of the next response, at most maxHeadBytes of it. The error wraps responsehead.ErrInvalid if
 // the parser has accepted what is no head of a response.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.bounded.remaining, c.bounded.exceeded = maxHeadBytes, errHeadTooLong
+	// A buffer is taken only once the response begins: that may be long after the request.
+	if err := c.awaitByte(); err != nil {
+		return nil, err
+	}
 	received := headBuffers.Get().(*bytes.Buffer)
 	defer headBuffers.Put(received)
 	received.Reset()
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	received.Write(buffered)
-	c.bounded.remaining, c.bounded.exceeded, c.bounded.received = maxHeadBytes, errHeadTooLong, received
+	c.bounded.received = received
 	response, err := http.ReadResponse(c.reader, request)
 	c.bounded.remaining, c.bounded.received = noBound, nil
 	if err != nil {
