--- a/internal/upstream/bodyend_test.go
+++ b/internal/upstream/bodyend_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -130,29 +131,33 @@
 			}
 		})
 	}
-	Convey("the error stays, and is one of a lost connection", t, func() {
-		engine := newFakeEngine(t, func(connection net.Conn, _ *http.Request, _ int) bool {
-			writeText(connection, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+partOfBody)
-			time.Sleep(20 * time.Millisecond)
-			_ = connection.(*net.TCPConn).SetLinger(0)
-			return false
+	for _, length := range []int{bufferedBytes, unwritableBytes} {
+		Convey(fmt.Sprintf("the error stays, with a request of %d bytes", length), t, func() {
+			engine := newFakeEngine(t, func(connection net.Conn, _ *http.Request, _ int) bool {
+				writeText(connection, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"+partOfBody)
+				time.Sleep(shortPatience)
+				_ = connection.(*net.TCPConn).SetLinger(0)
+				return false
+			})
+			request := newRequest("1")
+			request.Body = []byte(strings.Repeat("x", length))
+			exchange, err := NewPool().Do(context.Background(), engine.address(), request)
+			if err != nil {
+				// The reset may overtake the head.
+				So(errors.Is(err, ErrNoResponse), ShouldBeTrue)
+				return
+			}
+			defer exchange.Close()
+			_, err = io.ReadAll(exchange)
+			So(err, ShouldNotBeNil)
+			_, again := exchange.Read(make([]byte, 1))
+			So(again, ShouldEqual, err)
+			So(exchange.HasEnded(), ShouldBeFalse)
 		})
-		request := newRequest("1")
-		request.Body = []byte(strings.Repeat("x", unwritableBytes))
-		exchange, err := NewPool().Do(context.Background(), engine.address(), request)
-		if err != nil {
-			// The reset may overtake the head.
-			So(errors.Is(err, ErrNoResponse), ShouldBeTrue)
-			return
-		}
-		defer exchange.Close()
-		_, err = io.ReadAll(exchange)
-		So(err, ShouldNotBeNil)
-		_, again := exchange.Read(make([]byte, 1))
-		So(again, ShouldNotBeNil)
-		So(again, ShouldNotEqual, io.EOF)
-		So(exchange.HasEnded(), ShouldBeFalse)
+	}
+	Convey("an end that is not confirmed counts as a lost connection", t, func() {
 		So(errors.Is(ErrEndUnconfirmed, io.ErrUnexpectedEOF), ShouldBeTrue)
+		So(errors.Is(ErrEndUnconfirmed, io.EOF), ShouldBeFalse)
 	})
 	Convey("a response to HEAD ends with its head", t, func() {
 		engine := newFakeEngine(t, func(connection net.Conn, _ *http.Request, _ int) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -84,9 +84,9 @@
 	written      chan struct{}
 	writeErr     error
 	bodyComplete bool
-	// endErr is ErrEndUnconfirmed once a close-delimited body has ended so.
-	endErr error
-	closed bool
+	// readErr is the first error of reading the body, other than io.EOF. The operating system reports it once.
+	readErr error
+	closed  bool
 }
 
 // Pool holds idle connections by address.
@@ -331,21 +331,24 @@
 
 // Read reads the body of the response. io.EOF means that the body has ended as its framing says. A
 // close-delimited body ends so as well if the engine's process ended before the body was complete and after it
-// had read the whole request. The error wraps ErrEndUnconfirmed if the connection was lost.
+// had read the whole request. Once a read has failed, later ones return the same error. It wraps ErrEndUnconfirmed if the
+// connection was lost during the write of the request.
 func (e *Exchange) Read(into []byte) (int, error) {
-	if e.endErr != nil {
-		return 0, e.endErr
+	if e.readErr != nil {
+		return 0, e.readErr
 	}
 	count, err := e.Response.Body.Read(into)
-	if !errors.Is(err, io.EOF) {
-		return count, err
-	}
-	if e.endsWithConnection() {
-		if e.endErr = e.confirmEnd(endConfirmationTimeout); e.endErr != nil {
-			return count, e.endErr
+	if errors.Is(err, io.EOF) && e.endsWithConnection() {
+		if endErr := e.confirmEnd(endConfirmationTimeout); endErr != nil {
+			err = endErr
 		}
 	}
-	e.bodyComplete = true
+	switch {
+	case errors.Is(err, io.EOF):
+		e.bodyComplete = true
+	case err != nil:
+		e.readErr = err
+	}
 	return count, err
 }
 
