--- a/cmd/ochrebay/operator_test.go
+++ b/cmd/ochrebay/operator_test.go
@@ -11,8 +11,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestBrokenAnswersToOperators guards against an operator's command that prints, or goes on with, an answer which is none
-// or a part of one.
+// TestBrokenAnswersToOperators guards against an operator's command that prints, or acts on, a response with an invalid
+// head or a part of a response.
 func TestBrokenAnswersToOperators(t *testing.T) {
 	const body = `{"programs":[]}`
 	fetch := func(head, sent string) (string, error) {
--- a/internal/control/platformlist_test.go
+++ b/internal/control/platformlist_test.go
@@ -51,8 +51,8 @@
 	})
 }
 
-// TestPlatformListOfABrokenAnswer guards against an answer of the platform that is none, a failure, or without end, and
-// that replaces the list of instances.
+// TestPlatformListOfABrokenAnswer guards against an answer of the platform that has an invalid head, is a failure, or has no
+// end, and that replaces the list of instances.
 func TestPlatformListOfABrokenAnswer(t *testing.T) {
 	const list = `{"instances":[` + usableInstance + `]}`
 	fetch := func(answer func(connection net.Conn)) ([]membership.Instance, error) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -28,7 +28,7 @@
 // Client is an HTTP client for engines. It uses the standard library's HTTP
 // client because a stream is cancelled by closing its connection, which
 // fasthttp's client does not support (docs/design/0002), over the gateways'
-// transport, because that of the library accepts heads that are none.
+// transport, because that of the library accepts invalid heads.
 type Client struct {
 	httpClient *http.Client
 }
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -49,8 +49,8 @@
 	})
 }
 
-// TestBrokenAnswersToControlCalls guards against an answer that is none, or a failure, and that counts as an engine's
-// state, as its acknowledgement of an order, or as a statement that a request was not run.
+// TestBrokenAnswersToControlCalls guards against a response that has an invalid head, or is a failure, and that counts as an
+// engine's state, as its acknowledgement of an order, or as a statement that a request was not run.
 func TestBrokenAnswersToControlCalls(t *testing.T) {
 	const notRun = `{"name":"e","error":{"code":1303,"message":"no","outcome":"not_run"}}`
 	for _, head := range []string{
--- a/internal/gateway/earlyresponses_test.go
+++ b/internal/gateway/earlyresponses_test.go
@@ -172,7 +172,8 @@
 	}
 }
 
-var earlyPaths = []string{"/safe/", "/unsafe/", "/stream/", "/resumable/", "/kept/"}
+// routePaths are the paths of one route of each kind of a gatewayFixture.
+var routePaths = []string{"/safe/", "/unsafe/", "/stream/", "/resumable/", "/kept/"}
 
 // checkBrokenOff returns how a result falls short of a response that was broken off, "" if it does not.
 func (f *earlyFixture) checkBrokenOff(path string, result rawResult) string {
@@ -195,7 +196,7 @@
 // whose connection is lost while the upload is being written: the write receives the error, the read sees the end of
 // the body, and the caller gets the part as the whole.
 func TestEarlyResponsesBrokenOff(t *testing.T) {
-	for _, path := range earlyPaths {
+	for _, path := range routePaths {
 		Convey("on route "+path, t, func() {
 			fixture := newEarlyFixture(t)
 			for name, body := range earlyBodies() {
@@ -218,7 +219,7 @@
 // TestSoundEarlyResponses guards against a rejected response of an engine that responds early and reads the rest of
 // the upload, whatever its framing.
 func TestSoundEarlyResponses(t *testing.T) {
-	for _, path := range earlyPaths {
+	for _, path := range routePaths {
 		Convey("on route "+path, t, func() {
 			fixture := newEarlyFixture(t)
 			for name, body := range earlyBodies() {
@@ -244,7 +245,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		body := bodies[rapid.SampledFrom(names).Draw(rt, "body")]
 		body.sent = rapid.IntRange(0, len(body.body)).Draw(rt, "sent")
-		path := rapid.SampledFrom(earlyPaths).Draw(rt, "path")
+		path := rapid.SampledFrom(routePaths).Draw(rt, "path")
 		ends := rapid.SampledFrom([]earlyEnding{resetsEarly, closesEarly, closesWhileReading}).Draw(rt, "ends")
 		readBytes := rapid.Int64Range(0, 1<<20).Draw(rt, "read")
 		result := fixture.upload(path, earlyResponse{rawResponse: body, readBytes: readBytes, ends: ends})
--- a/internal/gateway/invalidheads_test.go
+++ b/internal/gateway/invalidheads_test.go
@@ -80,7 +80,7 @@
 // TestInvalidStatusLines guards against a response with an invalid status, or of another protocol, that a caller gets as
 // an answer, and against one whose body is read as the next response.
 func TestInvalidStatusLines(t *testing.T) {
-	for _, path := range earlyPaths {
+	for _, path := range routePaths {
 		Convey("on route "+path, t, func() {
 			fixture := newHeadFixture(t)
 			for _, statusLine := range []string{
@@ -100,7 +100,7 @@
 // TestInvalidFieldLines guards against a response whose head has an invalid name of a field, and that a caller gets as an
 // answer, without that line or with a body that is not the engine's.
 func TestInvalidFieldLines(t *testing.T) {
-	for _, path := range earlyPaths {
+	for _, path := range routePaths {
 		Convey("on route "+path, t, func() {
 			fixture := newHeadFixture(t)
 			for _, line := range []string{
@@ -127,7 +127,7 @@
 
 // TestUnusualHeadsPass guards against a check of heads that rejects what RFC 9112 allows, or lets a recipient read.
 func TestUnusualHeadsPass(t *testing.T) {
-	for _, path := range earlyPaths {
+	for _, path := range routePaths {
 		Convey("on route "+path, t, func() {
 			fixture := newHeadFixture(t)
 			longValue := strings.Repeat("v", 24<<10)
@@ -152,7 +152,7 @@
 func TestInvalidHeadsProperty(t *testing.T) {
 	fixture := newHeadFixture(t)
 	rapid.Check(t, func(rt *rapid.T) {
-		path := rapid.SampledFrom(earlyPaths).Draw(rt, "path")
+		path := rapid.SampledFrom(routePaths).Draw(rt, "path")
 		isInName := rapid.Bool().Draw(rt, "in a name")
 		wrong := rapid.SampledFrom([]string{"\x00", "\x01", "\x08", "\x0b", "\x1f", "\x7f", "\r."}).Draw(rt, "byte")
 		if isInName {
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -11,8 +11,7 @@
 	"regexp"
 )
 
-// ErrInvalid means that a head is not the head of a response. Nothing in it may be relied upon, neither the ID nor the
-// framing of the body.
+// ErrInvalid means that a head is invalid. Nothing in it may be relied upon, neither the ID nor the framing of the body.
 var ErrInvalid = errors.New("responsehead: invalid head of a response")
 
 const (
@@ -32,7 +31,7 @@
 // does not parse the values of fields: the parser does that.
 func Check(head []byte) error {
 	line, rest := cutLine(head)
-	version, status, err := parseStatusLine(line)
+	minorVersion, status, err := parseStatusLine(line)
 	if err != nil {
 		return err
 	}
@@ -45,7 +44,7 @@
 	switch {
 	case len(rest) > 0 || !endsWithBlankLine(head):
 		return fmt.Errorf("%w: no blank line at its end", ErrInvalid)
-	case fields.hasTransferEncoding && version == '0':
+	case fields.hasTransferEncoding && minorVersion == '0':
 		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrInvalid)
 	case (fields.hasTransferEncoding || fields.hasLength) && status < http.StatusOK:
 		// What follows the head could be a body, or the next response.
@@ -67,34 +66,38 @@
 // parseStatusLine returns the minor version of HTTP/1.x, a digit, and the status (RFC 9112, section 4).
 func parseStatusLine(line []byte) (minorVersion byte, status int, err error) {
 	invalid := func(what string) (byte, int, error) { return 0, 0, invalidLine(what, line) }
-	version, rest, _ := bytes.Cut(line, []byte{' '})
-	digit, isHTTP := bytes.CutPrefix(version, []byte(versionPrefix))
+	protocol, rest, _ := bytes.Cut(line, []byte{' '})
+	digit, isHTTP := bytes.CutPrefix(protocol, []byte(versionPrefix))
 	if !isHTTP || len(digit) != 1 || !isDigit(digit[0]) {
 		return invalid("version")
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	if len(code) != statusDigits {
+	status, isStatus := parseStatus(code)
+	switch {
+	case !isStatus:
 		return invalid("status")
+	case status == http.StatusSwitchingProtocols:
+		return invalid("change of protocols that no request asked for")
+	case !isFieldContent(reason):
+		return invalid("reason phrase")
+	case containsResponse(reason):
+		return invalid("response within the head of another one")
+	}
+	return digit[0], status, nil
+}
+
+// parseStatus returns a status code, and false for what is none (RFC 9110, section 15).
+func parseStatus(code []byte) (status int, isStatus bool) {
+	if len(code) != statusDigits {
+		return 0, false
 	}
 	for _, character := range code {
 		if !isDigit(character) {
-			return invalid("status")
+			return 0, false
 		}
 		status = status*10 + int(character-'0')
 	}
-	if status < minStatus || status > maxStatus {
-		return invalid("status")
-	}
-	if status == http.StatusSwitchingProtocols {
-		return invalid("change of protocols that no request asked for")
-	}
-	if !isFieldContent(reason) {
-		return invalid("reason phrase")
-	}
-	if containsResponse(reason) {
-		return invalid("response within the head of another one")
-	}
-	return digit[0], status, nil
+	return status, minStatus <= status && status <= maxStatus
 }
 
 // fieldChecker checks the field lines of a head in their order.
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -10,8 +10,7 @@
 	"pgregory.net/rapid"
 )
 
-// TestCheck guards against bytes that are taken for the head of a response although they are none, and against heads
-// that RFC 9112 allows, or lets a recipient read, and that are rejected.
+// TestCheck guards against an invalid head that is accepted, and against heads that RFC 9112 allows, or lets a recipient read, and that are rejected.
 func TestCheck(t *testing.T) {
 	for head, isValid := range map[string]bool{
 		"HTTP/1.1 200 OK\r\n\r\n":                                                        true,
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -70,7 +70,7 @@
 }
 
 // readHead reads the head of the next response, at most maxHeadBytes of it. The error wraps responsehead.ErrInvalid if
-// the parser has accepted what is no head of a response.
+// the parser has accepted an invalid head.
 func (c *connection) readHead(request *http.Request) (*http.Response, error) {
 	c.bounded.remaining, c.bounded.exceeded = maxHeadBytes, errHeadTooLong
 	// A buffer is taken only once the response begins: that may be long after the request.
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -15,8 +15,8 @@
 // expiryInterval is the least time between two sweeps of a Transport's idle connections.
 const expiryInterval = time.Second
 
-// Transport is an http.RoundTripper that reads responses as a Pool does: a head that is none, and a body whose
-// connection was lost, are errors. It is for peers that repeat no request IDs, so that responses are matched by their
+// Transport is an http.RoundTripper that reads responses as a Pool does: an invalid head, and a body whose connection
+// was lost, are errors. It is for peers that repeat no request IDs, so that responses are matched by their
 // order alone. Errors wrap ErrNotSent or ErrNoResponse, and the cause of the request's context once that has ended. A
 // request is sent at most once.
 type Transport struct {
--- a/internal/upstream/transport_test.go
+++ b/internal/upstream/transport_test.go
@@ -68,7 +68,7 @@
 			So(body, ShouldEqual, "out")
 		}
 	})
-	Convey("a head that is none is an error", t, func() {
+	Convey("an invalid head is an error", t, func() {
 		for _, head := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 999 OK", "HTTP/9.9 200 OK", "HTTP/1.1 200 OK\r\nX A: b", "HTTP/1.1 200 OK\r\nContent-Length : 1"} {
 			engine := newFakeEngine(t, func(connection net.Conn, _ *http.Request, _ int) bool {
 				writeText(connection, head+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nout")
