--- a/cmd/ochrebay/endless_test.go
+++ b/cmd/ochrebay/endless_test.go
@@ -158,9 +158,13 @@
 				t.Errorf("%s: the gateway has used %d kB", name, peak)
 			}
 		}
+		tries := 0
 		f.waitFor("the gateway to serve with a sound engine", func() bool {
-			f.heartbeat(f.engine.id, "ready", sequence+1)
-			reply, _ := f.turnWithRetries("gateway-0", "/stream/", "x", nil)
+			tries++
+			f.heartbeat(f.engine.id, "ready", sequence+tries)
+			// Each try is another request: until the gateway has the sound engine in its fleet, tries go to the engine
+			// at fault, and the crash limit rejects one request after three of them.
+			reply, _ := f.sendTurn("gateway-0", "/stream/", fmt.Sprint("x", tries), nil)
 			return reply.status == 200
 		})
 	})
